Land the thin whole path as one process

Cause: the repository was empty. Change: modules of the architecture, each thin: settings, write-ahead log, single-replica log, fleet state with commands and audit trail, endpoint directory, dispatch with claims, moves, HTTP interfaces, operator commands and the stand-in endpoint. Seen by hand: a contract put by the command, an endpoint announced, a request answered, a request with an idempotency key run once and answered again from the store, a host drained and returned by an approved move, and all of it in the audit trail after kill -9 and restart. Conclusion: the interfaces between the modules hold; they can grow side by side.

--- /dev/null
+++ b/src/app/fakeendpoint.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace App {
+
+/*! \brief The stand-in endpoint's identity and behaviour. */
+struct FakeEndpointOptions
+{
+    std::string id = "endpoint-1";
+    std::string service = "dispatch";
+    std::string host = "host-1";
+    std::string rack = "rack-1";
+    std::string zone = "z1";
+    std::string listen = "127.0.0.1:0";
+    std::string announceTo = "127.0.0.1:7401";
+    std::int64_t slots = 8;
+    std::int64_t connections = 64;
+    std::int64_t runMs = 0;
+};
+
+/*! \brief Announces itself and answers requests until SIGTERM; returns the exit code. */
+auto runFakeEndpoint(const FakeEndpointOptions &options) -> int;
+
+} // namespace App
--- /dev/null
+++ b/src/app/serveprocess.cpp
@@ -0,0 +1,135 @@
+#include "serveprocess.h"
+
+#include "entry/callerinterface.h"
+#include "entry/endpointinterface.h"
+#include "entry/operatorinterface.h"
+#include "planning/moverunner.h"
+#include "replication/singlereplicalog.h"
+#include "supervision/supervisor.h"
+#include "utils/log.h"
+#include "utils/taskarena.h"
+
+#include <csignal>
+#include <iostream>
+
+namespace App {
+namespace {
+
+constexpr Utils::Milliseconds plannerInterval{200};
+constexpr std::int64_t millisecondsPerSecond = 1000;
+
+auto httpOptions(std::string name,
+                 const std::string &address,
+                 std::int64_t connections,
+                 const Settings::Limits &limits) -> Entry::HttpServerOptions
+{
+    return {std::move(name),
+            address,
+            int(connections),
+            limits.bodyBytes,
+            std::chrono::milliseconds(limits.slowClientTimeoutMs)};
+}
+
+} // namespace
+
+class ServeProcess::Private
+{
+public:
+    explicit Private(Settings::Settings processSettings)
+        : settings(std::move(processSettings))
+    {}
+
+    Settings::Settings settings;
+    Utils::SystemClock clock;
+    Utils::IdGenerator ids;
+    Fleet::Replica replica;
+    Replication::SingleReplicaLog log{settings.id, settings.dataFolder, replica};
+    Fleet::Gateway gateway{log, clock, ids, Utils::Milliseconds(settings.timing.commandTimeoutMs)};
+    Membership::EndpointDirectory directory{clock,
+                                            Utils::Milliseconds(settings.timing.routingLeaseMs)};
+    Routing::Dispatcher dispatcher{clock, replica, directory};
+    Routing::ClaimedDispatch claimedDispatch{
+        dispatcher, gateway, replica, {settings.id, clock.wallTime()}};
+    Planning::NullPlatform platform;
+    Planning::MoveRunner moveRunner{
+        gateway,
+        replica,
+        directory,
+        platform,
+        clock,
+        Utils::Milliseconds(settings.timing.soakS *millisecondsPerSecond)};
+    Entry::HttpServer callerServer{httpOptions(
+        "callers", settings.listen.callers, settings.limits.callerConnections, settings.limits)};
+    Entry::HttpServer endpointServer{httpOptions("endpoints",
+                                                 settings.listen.endpoints,
+                                                 settings.limits.endpointConnections,
+                                                 settings.limits)};
+    Entry::HttpServer operatorServer{httpOptions("operators",
+                                                 settings.listen.operators,
+                                                 settings.limits.operatorConnections,
+                                                 settings.limits)};
+    Entry::CallerInterface callers{callerServer,
+                                   {clock, ids, replica, dispatcher, claimedDispatch}};
+    Entry::EndpointInterface endpoints{endpointServer, {replica, gateway, directory, settings.id}};
+    Entry::OperatorInterface operators{operatorServer, {settings, replica, gateway, log, ids}};
+    Supervision::Supervisor supervisor{"root", {}, [](const Utils::Error &) {}};
+};
+
+ServeProcess::ServeProcess(Settings::Settings settings)
+    : d(std::make_unique<Private>(std::move(settings)))
+{}
+
+ServeProcess::~ServeProcess()
+{
+    stop();
+}
+
+auto ServeProcess::start() -> Utils::Result<void>
+{
+    BOOST_OUTCOME_TRY(d->log.start());
+    BOOST_OUTCOME_TRY(d->operatorServer.start());
+    BOOST_OUTCOME_TRY(d->endpointServer.start());
+    BOOST_OUTCOME_TRY(d->callerServer.start());
+    d->supervisor.startChild({"moves", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
+                                  while (!stop.waitFor(plannerInterval))
+                                      d->moveRunner.runOnce();
+                                  return Utils::success();
+                              }});
+    return Utils::success();
+}
+
+auto ServeProcess::stop() -> void
+{
+    d->callerServer.stop();
+    d->endpointServer.stop();
+    d->operatorServer.stop();
+    d->supervisor.stop();
+    d->log.stop();
+}
+
+auto runServe(const Settings::Settings &settings) -> int
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    // Blocked before any thread starts, so that all threads inherit it.
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    const auto &limits = settings.limits;
+    const Utils::ThreadLimit threads(int(limits.callerConnections + limits.endpointConnections
+                                         + limits.operatorConnections + limits.peerConnections));
+    ServeProcess process(settings);
+    if (const auto started = process.start(); !started) {
+        std::cerr << started.error().message << ": " << started.error().details << '\n';
+        return 1;
+    }
+    auto received = 0;
+    sigwait(&signals, &received);
+    Utils::Log::info("app", "stopping", {{"signal", received}});
+    process.stop();
+    return 0;
+}
+
+} // namespace App
--- /dev/null
+++ b/src/app/serveprocess.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "settings/settings.h"
+#include "utils/stopsignal.h"
+
+#include <memory>
+
+namespace App {
+
+/*! \brief One running process of the system: its listeners, its log and its supervised tasks. */
+class ServeProcess
+{
+public:
+    explicit ServeProcess(Settings::Settings settings);
+    ~ServeProcess();
+
+    /*! \brief Starts all parts, lowest first. */
+    auto start() -> Utils::Result<void>;
+    /*! \brief Stops all parts in reverse order; requests in flight finish first. */
+    auto stop() -> void;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+/*! \brief Runs a process until SIGTERM or SIGINT; returns the exit code. */
+auto runServe(const Settings::Settings &settings) -> int;
+
+} // namespace App
--- /dev/null
+++ b/src/libs/entry/callerinterface.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "httpserver.h"
+
+#include "fleet/replica.h"
+#include "routing/claimeddispatch.h"
+#include "utils/ids.h"
+
+namespace Entry {
+
+/*! \brief What the callers' interface works with. */
+struct CallerContext
+{
+    const Utils::Clock &clock;
+    Utils::IdGenerator &ids;
+    const Fleet::Replica &replica;
+    Routing::Dispatcher &dispatcher;
+    Routing::ClaimedDispatch &claimedDispatch;
+};
+
+/*! \brief Serves callers' requests: /v1/services/{service}/{path}. */
+class CallerInterface
+{
+public:
+    CallerInterface(HttpServer &server, CallerContext context);
+
+private:
+    auto handle(const httplib::Request &http, httplib::Response &response) -> void;
+    auto parse(const httplib::Request &http) const -> Utils::Result<Routing::Request>;
+
+    CallerContext m_context;
+};
+
+} // namespace Entry
--- /dev/null
+++ b/src/libs/entry/httpserver.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "utils/error.h"
+#include "utils/fields.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace httplib {
+class Server;
+struct Request;
+struct Response;
+} // namespace httplib
+
+/*! The HTTP interfaces towards callers, endpoints and operators. */
+namespace Entry {
+
+/*! \brief Limits of one listener. */
+struct HttpServerOptions
+{
+    std::string name;
+    std::string address; //!< HOST:PORT; port 0 takes a free port.
+    int connections = 64;
+    std::int64_t bodyBytes = 4 * 1024 * 1024;
+    std::chrono::milliseconds slowClientTimeout{5000};
+};
+
+/*! \brief One HTTP listener whose connections run as tasks in an arena of their own. */
+class HttpServer
+{
+public:
+    explicit HttpServer(HttpServerOptions options);
+    ~HttpServer();
+    HttpServer(const HttpServer &) = delete;
+    auto operator=(const HttpServer &) -> HttpServer & = delete;
+
+    /*! \brief Returns the library's server, to add handlers before start(). */
+    auto routes() -> httplib::Server &;
+    auto start() -> Utils::Result<void>;
+    /*! \brief Accepts no more connections and waits for requests in progress. */
+    auto stop() -> void;
+    auto port() const -> int;
+
+private:
+    class Private;
+    std::unique_ptr<Private> d;
+};
+
+/*! \brief Sets the typed error body and the status that belongs to the error's type. */
+auto setError(httplib::Response &response, const Utils::Error &error) -> void;
+auto setJson(httplib::Response &response, const Utils::Json &json) -> void;
+
+} // namespace Entry
--- /dev/null
+++ b/src/libs/entry/operatorinterface.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "httpserver.h"
+
+#include "fleet/gateway.h"
+#include "fleet/replica.h"
+#include "settings/settings.h"
+
+namespace Entry {
+
+/*! \brief What the operators' interface works with. */
+struct OperatorContext
+{
+    const Settings::Settings &settings;
+    const Fleet::Replica &replica;
+    Fleet::Gateway &gateway;
+    Replication::ReplicatedLog &log;
+    Utils::IdGenerator &ids;
+};
+
+/*! \brief Serves operators: contracts, pools, hosts, moves, maintenance, autonomy, audit and status. */
+class OperatorInterface
+{
+public:
+    OperatorInterface(HttpServer &server, OperatorContext context);
+
+private:
+    using Handler = auto(OperatorInterface::*)(const httplib::Request &, const std::string &)
+                        -> Utils::Result<Utils::Json>;
+    struct Route
+    {
+        std::string_view method;
+        const char *pattern;
+        Handler handler;
+    };
+    static auto routeTable() -> std::span<const Route>;
+
+    auto handle(const Route &route, const httplib::Request &http, httplib::Response &response)
+        -> void;
+    auto authenticate(const httplib::Request &http) const -> Utils::Result<std::string>;
+    auto execute(const httplib::Request &http, const std::string &actor, Fleet::CommandBody body)
+        -> Utils::Result<Utils::Json>;
+    auto inForce(Fleet::Revision revision) const -> Utils::Json;
+
+    auto putContract(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto listContracts(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto showContract(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto putPool(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto listPools(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto listHosts(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto listMoves(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto decideMove(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto startMaintenance(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto listMaintenance(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto putAutonomy(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto listAudit(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto showStatus(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+
+    OperatorContext m_context;
+};
+
+} // namespace Entry
--- /dev/null
+++ b/src/libs/fleet/jobtypes.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "claimtypes.h"
+
+/*! Deferred jobs. */
+namespace Fleet {
+
+enum class JobState { Queued, Running, Committed, Cancelled, Failed, NeedsOperator };
+
+auto enumNames(JobState) -> std::span<const Utils::EnumName<JobState>>;
+
+/*! \brief Deferred work that finishes exactly once. */
+struct Job
+{
+    std::string id;
+    std::string customer;
+    std::string service;
+    std::string path;
+    Utils::Bytes body;
+    bool idempotent = false;
+    JobState state = JobState::Queued;
+    std::int64_t attempt = 0;
+    std::string host;
+    WallTimeMs leaseUntilMs = 0;
+    Utils::Bytes checkpoint;
+    std::optional<StoredAnswer> answer;
+    WallTimeMs createdMs = 0;
+    Revision revision = 0;
+};
+
+template <typename Archive>
+auto describe(Archive &archive, Job &job) -> void
+{
+    archive.required("id", job.id);
+    archive.required("customer", job.customer);
+    archive.required("service", job.service);
+    archive.optional("path", job.path);
+    archive.optional("body", job.body);
+    archive.optional("idempotent", job.idempotent);
+    archive.optional("state", job.state);
+    archive.optional("attempt", job.attempt);
+    archive.optional("host", job.host);
+    archive.optional("lease_until_ms", job.leaseUntilMs);
+    archive.optional("checkpoint", job.checkpoint);
+    archive.optional("answer", job.answer);
+    archive.optional("created_ms", job.createdMs);
+    archive.optional("revision", job.revision);
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/state.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "commands.h"
+#include "disruptionledger.h"
+
+#include <deque>
+#include <map>
+
+namespace Fleet {
+
+/*!
+    \brief The fleet's state, changed only by commands.
+
+    Deterministic: the same commands in the same order give the same state everywhere.
+    Not thread-safe.
+*/
+class State
+{
+public:
+    /*! \brief Applies \a command; a resent command id gets its first result. */
+    auto apply(const Command &command, Revision revision) -> CommandResult;
+
+    auto contracts() const -> const std::map<std::string, Contract> & { return m_contracts; }
+    auto pools() const -> const std::map<std::string, Pool> & { return m_pools; }
+    auto hosts() const -> const std::map<std::string, Host> & { return m_hosts; }
+    auto moves() const -> const std::map<std::string, Move> & { return m_moves; }
+    auto waves() const -> const std::map<std::string, Wave> & { return m_waves; }
+    auto ledger() const -> const DisruptionLedger & { return m_ledger; }
+    auto autonomy() const -> const Autonomy & { return m_autonomy; }
+    auto audit() const -> const std::vector<AuditRecord> & { return m_audit; }
+    auto findClaim(const std::string &customer, const std::string &key) const
+        -> const RequestClaim *;
+    auto findContract(const std::string &customer) const -> const Contract *;
+    auto findHost(const std::string &host) const -> const Host *;
+    auto findMove(const std::string &move) const -> const Move *;
+
+    template <typename Archive>
+    friend auto describe(Archive &archive, State &state) -> void
+    {
+        archive.optional("contracts", state.m_contracts);
+        archive.optional("pools", state.m_pools);
+        archive.optional("hosts", state.m_hosts);
+        archive.optional("moves", state.m_moves);
+        archive.optional("waves", state.m_waves);
+        archive.optional("ledger", state.m_ledger);
+        archive.optional("autonomy", state.m_autonomy);
+        archive.optional("claims", state.m_claims);
+        archive.optional("audit", state.m_audit);
+        archive.optional("results", state.m_results);
+    }
+
+private:
+    // What a handler changed, for the audit trail.
+    struct Change
+    {
+        std::string subject;
+        std::string customer;
+        std::string host;
+        Utils::Json before;
+        Utils::Json after;
+        bool audited = true;
+    };
+    struct Context
+    {
+        const Command &command;
+        Revision revision;
+    };
+
+    auto run(const PutContract &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const PutPool &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const RegisterHost &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const ProposeMove &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const DecideMove &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const AdvanceMove &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const StartWave &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const UpdateWave &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const SetAutonomy &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const ReportHost &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const ClaimRequest &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const SettleClaim &body, const Context &context) -> Utils::Result<Change>;
+
+    auto createPool(const std::string &pool, Revision revision) -> void;
+    auto poolOfService(std::string_view service) const -> const std::string *;
+    auto startDrain(Move &move, Host &host, const Context &context) -> Utils::Result<void>;
+    auto enterState(Move &move, Host &host, const AdvanceMove &body, const Context &context)
+        -> void;
+    auto recordAudit(const Change &change, const Context &context) -> void;
+
+    std::map<std::string, Contract> m_contracts;
+    std::map<std::string, Pool> m_pools;
+    std::map<std::string, Host> m_hosts;
+    std::map<std::string, Move> m_moves;
+    std::map<std::string, Wave> m_waves;
+    DisruptionLedger m_ledger;
+    Autonomy m_autonomy;
+    std::map<std::string, RequestClaim> m_claims;
+    std::vector<AuditRecord> m_audit;
+    std::map<std::string, CommandResult> m_results;
+};
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/types.cpp
@@ -0,0 +1,113 @@
+#include "types.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Fleet {
+namespace {
+
+using Utils::EnumName;
+
+constexpr std::array hostStateNames{
+    EnumName<HostState>{HostState::Serving, "serving"},
+    EnumName<HostState>{HostState::Draining, "draining"},
+    EnumName<HostState>{HostState::InMaintenance, "in-maintenance"},
+    EnumName<HostState>{HostState::Soaking, "soaking"},
+    EnumName<HostState>{HostState::Failed, "failed"},
+};
+
+constexpr std::array moveKindNames{
+    EnumName<MoveKind>{MoveKind::Maintenance, "maintenance"},
+    EnumName<MoveKind>{MoveKind::Reassign, "reassign"},
+};
+
+constexpr std::array moveStateNames{
+    EnumName<MoveState>{MoveState::Proposed, "proposed"},
+    EnumName<MoveState>{MoveState::Approved, "approved"},
+    EnumName<MoveState>{MoveState::Draining, "draining"},
+    EnumName<MoveState>{MoveState::InMaintenance, "in-maintenance"},
+    EnumName<MoveState>{MoveState::Soaking, "soaking"},
+    EnumName<MoveState>{MoveState::Done, "done"},
+    EnumName<MoveState>{MoveState::Rejected, "rejected"},
+    EnumName<MoveState>{MoveState::Expired, "expired"},
+    EnumName<MoveState>{MoveState::Failed, "failed"},
+};
+
+constexpr std::array autonomyLevelNames{
+    EnumName<AutonomyLevel>{AutonomyLevel::Manual, "manual"},
+    EnumName<AutonomyLevel>{AutonomyLevel::Guarded, "guarded"},
+    EnumName<AutonomyLevel>{AutonomyLevel::Full, "full"},
+};
+
+constexpr std::array claimStateNames{
+    EnumName<ClaimState>{ClaimState::Claimed, "claimed"},
+    EnumName<ClaimState>{ClaimState::Answered, "answered"},
+    EnumName<ClaimState>{ClaimState::Unknown, "unknown"},
+};
+
+constexpr std::array jobStateNames{
+    EnumName<JobState>{JobState::Queued, "queued"},
+    EnumName<JobState>{JobState::Running, "running"},
+    EnumName<JobState>{JobState::Committed, "committed"},
+    EnumName<JobState>{JobState::Cancelled, "cancelled"},
+    EnumName<JobState>{JobState::Failed, "failed"},
+    EnumName<JobState>{JobState::NeedsOperator, "needs-operator"},
+};
+
+} // namespace
+
+auto enumNames(HostState) -> std::span<const EnumName<HostState>>
+{
+    return hostStateNames;
+}
+
+auto enumNames(MoveKind) -> std::span<const EnumName<MoveKind>>
+{
+    return moveKindNames;
+}
+
+auto enumNames(MoveState) -> std::span<const EnumName<MoveState>>
+{
+    return moveStateNames;
+}
+
+auto enumNames(AutonomyLevel) -> std::span<const EnumName<AutonomyLevel>>
+{
+    return autonomyLevelNames;
+}
+
+auto enumNames(ClaimState) -> std::span<const EnumName<ClaimState>>
+{
+    return claimStateNames;
+}
+
+auto enumNames(JobState) -> std::span<const EnumName<JobState>>
+{
+    return jobStateNames;
+}
+
+auto Contract::findService(std::string_view service) const -> const ServiceTerms *
+{
+    const auto found = std::ranges::find(services, service, &ServiceTerms::service);
+    return found == services.end() ? nullptr : &*found;
+}
+
+auto Contract::usesPool(std::string_view pool) const -> bool
+{
+    return std::ranges::find(services, pool, &ServiceTerms::pool) != services.end();
+}
+
+auto Move::isOpen() const -> bool
+{
+    return state <= MoveState::Soaking;
+}
+
+auto Autonomy::levelFor(const std::string &pool) const -> AutonomyLevel
+{
+    const auto found = pools.find(pool);
+    if (found == pools.end())
+        return level;
+    return Utils::valueOf<AutonomyLevel>(found->second).value_or(level);
+}
+
+} // namespace Fleet
--- /dev/null
+++ b/src/libs/fleet/types.h
@@ -0,0 +1,6 @@
+#pragma once
+
+#include "claimtypes.h"
+#include "contracttypes.h"
+#include "jobtypes.h"
+#include "movetypes.h"
--- /dev/null
+++ b/src/libs/settings/settings.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "utils/fields.h"
+#include "utils/log.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/*! The settings file of one process: what it is, where it listens, and its limits. */
+namespace Settings {
+
+/*! \brief Addresses as HOST:PORT that the process listens on; port 0 takes a free port. */
+struct Listen
+{
+    std::string callers = "127.0.0.1:7400";
+    std::string endpoints = "127.0.0.1:7401";
+    std::string operators = "127.0.0.1:7402";
+    std::string peers = "127.0.0.1:7403";
+};
+
+/*! \brief Another process of the system, or this one; voters hold the replicated log. */
+struct Peer
+{
+    std::string id;
+    std::string zone;
+    std::string address;
+    bool voter = false;
+};
+
+struct OperatorAccount
+{
+    std::string name;
+    std::string tokenSha256;
+};
+
+struct LogSettings
+{
+    std::string level = "info";
+    std::string file;
+};
+
+struct Timing
+{
+    std::int64_t electionTimeoutMs = 600;
+    std::int64_t heartbeatMs = 100;
+    std::int64_t peerCallTimeoutMs = 500;
+    std::int64_t routingLeaseMs = 3000;
+    std::int64_t announceIntervalMs = 1000;
+    std::int64_t commandTimeoutMs = 5000;
+    std::int64_t lameDuckMs = 1000;
+    std::int64_t drainDeadlineS = 300;
+    std::int64_t soakS = 60;
+    std::int64_t claimRetentionS = 86400;
+};
+
+struct Limits
+{
+    std::int64_t callerConnections = 256;
+    std::int64_t endpointConnections = 256;
+    std::int64_t operatorConnections = 16;
+    std::int64_t peerConnections = 64;
+    std::int64_t bodyBytes = 4 * 1024 * 1024;
+    std::int64_t queuedRequests = 1024;
+    std::int64_t claims = 1'000'000;
+    std::int64_t slowClientTimeoutMs = 5000;
+};
+
+struct Platform
+{
+    std::string address;
+};
+
+struct Settings
+{
+    std::string id = "local";
+    std::string zone = "z1";
+    Listen listen;
+    std::vector<Peer> peers;
+    std::string dataFolder = "./trefoilshelf-data";
+    std::vector<OperatorAccount> operators;
+    LogSettings log;
+    Timing timing;
+    Limits limits;
+    Platform platform;
+
+    /*! \brief Returns true if this process holds a replica of the log with a vote. */
+    auto isVoter() const -> bool;
+};
+
+/*! \brief Returns the settings of a process that runs alone on loopback. */
+auto defaultSettings() -> Settings;
+
+/*! \brief Parses settings text; fails with all errors at once, each with its JSON path. */
+auto parseSettings(std::string_view text) -> Utils::Result<Settings>;
+
+/*! \brief Reads and parses the settings file at \a path. */
+auto loadSettings(const std::string &path) -> Utils::Result<Settings>;
+
+} // namespace Settings
--- /dev/null
+++ b/src/libs/utils/ids.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <cstdint>
+#include <mutex>
+#include <random>
+#include <string>
+#include <string_view>
+
+namespace Utils {
+
+/*! \brief Makes identifiers of 128 random bits from a seeded generator. Thread-safe. */
+class IdGenerator
+{
+public:
+    /*! \brief Seeds from the operating system's entropy. */
+    IdGenerator();
+    explicit IdGenerator(std::uint64_t seed);
+
+    /*! \brief Returns \a prefix, a hyphen and 32 hexadecimal digits. */
+    auto next(std::string_view prefix) -> std::string;
+    /*! \brief Returns 64 random bits. */
+    auto nextNumber() -> std::uint64_t;
+
+private:
+    std::mutex m_mutex;
+    std::mt19937_64 m_engine;
+};
+
+/*! \brief Returns the SHA-256 digest of \a text as 64 lower-case hexadecimal digits. */
+auto sha256Hex(std::string_view text) -> std::string;
+
+/*! \brief Compares in a time that depends only on the lengths; for secrets. */
+auto equalInConstantTime(std::string_view left, std::string_view right) -> bool;
+
+} // namespace Utils
--- /dev/null
+++ b/src/libs/utils/log.cpp
@@ -0,0 +1,87 @@
+#include "log.h"
+
+#include <boost/log/core.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+#include <boost/shared_ptr.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <chrono>
+#include <fstream>
+#include <iostream>
+
+namespace Utils::Log {
+namespace {
+
+using Backend = boost::log::sinks::text_ostream_backend;
+using Sink = boost::log::sinks::synchronous_sink<Backend>;
+
+constexpr std::array levelNames{"debug", "info", "warning", "error"};
+
+struct State
+{
+    Options options;
+    boost::shared_ptr<Sink> sink;
+};
+
+auto state() -> State &
+{
+    static State instance;
+    return instance;
+}
+
+auto openStream(const Options &options) -> boost::shared_ptr<std::ostream>
+{
+    if (options.file.empty())
+        return {&std::clog, [](std::ostream *) {}};
+    return boost::make_shared<std::ofstream>(options.file, std::ios::app);
+}
+
+auto addField(nlohmann::ordered_json &line, const Field &field) -> void
+{
+    std::visit([&](const auto &value) { line[std::string(field.key)] = value; }, field.value);
+}
+
+} // namespace
+
+auto initialize(const Options &options) -> void
+{
+    auto backend = boost::make_shared<Backend>();
+    backend->add_stream(openStream(options));
+    backend->auto_flush(true);
+    auto &current = state();
+    const auto core = boost::log::core::get();
+    if (current.sink)
+        core->remove_sink(current.sink);
+    current.options = options;
+    current.sink = boost::make_shared<Sink>(backend);
+    core->add_sink(current.sink);
+}
+
+auto write(Level level,
+           std::string_view component,
+           std::string_view message,
+           std::initializer_list<Field> fields) -> void
+{
+    const auto &current = state();
+    if (!current.sink || level < current.options.level)
+        return;
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    nlohmann::ordered_json line;
+    line["time"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    line["level"] = levelNames.at(std::size_t(level));
+    line["process"] = current.options.process;
+    line["zone"] = current.options.zone;
+    line["component"] = component;
+    line["message"] = message;
+    for (const auto &field : fields)
+        addField(line, field);
+    thread_local boost::log::sources::logger logger;
+    BOOST_LOG(logger) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace Utils::Log
--- /dev/null
+++ b/src/libs/utils/log.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <variant>
+
+/*! Structured logging: one JSON object a line, written through Boost.Log. */
+namespace Utils::Log {
+
+enum class Level { Debug, Info, Warning, Error };
+
+using FieldValue = std::variant<std::string_view, std::int64_t, bool>;
+
+/*! \brief A typed field of a log line. */
+struct Field
+{
+    std::string_view key;
+    FieldValue value;
+
+    Field(std::string_view fieldKey, std::string_view text)
+        : key(fieldKey)
+        , value(text)
+    {}
+    Field(std::string_view fieldKey, const std::string &text)
+        : Field(fieldKey, std::string_view(text))
+    {}
+    Field(std::string_view fieldKey, const char *text)
+        : Field(fieldKey, std::string_view(text))
+    {}
+    template <typename T>
+    requires std::is_integral_v<T> Field(std::string_view fieldKey, T number)
+        : key(fieldKey)
+        , value(std::int64_t(number))
+    {}
+};
+
+/*! \brief What every line of this process carries, and where lines go. */
+struct Options
+{
+    Level level = Level::Info;
+    std::string file; //!< Empty: standard error.
+    std::string process;
+    std::string zone;
+};
+
+auto initialize(const Options &options) -> void;
+
+auto write(Level level,
+           std::string_view component,
+           std::string_view message,
+           std::initializer_list<Field> fields = {}) -> void;
+
+inline auto info(std::string_view component,
+                 std::string_view message,
+                 std::initializer_list<Field> fields = {}) -> void
+{
+    write(Level::Info, component, message, fields);
+}
+
+inline auto warning(std::string_view component,
+                    std::string_view message,
+                    std::initializer_list<Field> fields = {}) -> void
+{
+    write(Level::Warning, component, message, fields);
+}
+
+inline auto error(std::string_view component,
+                  std::string_view message,
+                  std::initializer_list<Field> fields = {}) -> void
+{
+    write(Level::Error, component, message, fields);
+}
+
+} // namespace Utils::Log
--- /dev/null
+++ b/src/libs/utils/stopsignal.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <chrono>
+#include <condition_variable>
+#include <mutex>
+
+namespace Utils {
+
+/*! \brief Tells tasks to stop; waiting on it replaces sleeping. */
+class StopSignal
+{
+public:
+    auto request() -> void;
+    auto isRequested() const -> bool;
+    /*! \brief Waits at most \a duration; returns true if a stop was requested. */
+    auto waitFor(std::chrono::milliseconds duration) -> bool;
+    /*! \brief Waits until a stop is requested. */
+    auto wait() -> void;
+
+private:
+    mutable std::mutex m_mutex;
+    std::condition_variable m_requestedCondition;
+    bool m_requested = false;
+};
+
+} // namespace Utils
