--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -76,7 +76,7 @@
 };
 
 ServeProcess::ServeProcess(Settings::Settings settings)
-    : d(std::make_unique<Private>(std::move(settings)))
+    : m_d(std::make_unique<Private>(std::move(settings)))
 {}
 
 ServeProcess::~ServeProcess()
@@ -86,25 +86,25 @@
 
 auto ServeProcess::start() -> Utils::Result<void>
 {
-    BOOST_OUTCOME_TRY(d->log.start());
-    BOOST_OUTCOME_TRY(d->operatorServer.start());
-    BOOST_OUTCOME_TRY(d->endpointServer.start());
-    BOOST_OUTCOME_TRY(d->callerServer.start());
-    d->supervisor.startChild({"moves", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
-                                  while (!stop.waitFor(plannerInterval))
-                                      d->moveRunner.runOnce();
-                                  return Utils::success();
-                              }});
+    BOOST_OUTCOME_TRY(m_d->log.start());
+    BOOST_OUTCOME_TRY(m_d->operatorServer.start());
+    BOOST_OUTCOME_TRY(m_d->endpointServer.start());
+    BOOST_OUTCOME_TRY(m_d->callerServer.start());
+    m_d->supervisor.startChild({"moves", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
+                                    while (!stop.waitFor(plannerInterval))
+                                        m_d->moveRunner.runOnce();
+                                    return Utils::success();
+                                }});
     return Utils::success();
 }
 
 auto ServeProcess::stop() -> void
 {
-    d->callerServer.stop();
-    d->endpointServer.stop();
-    d->operatorServer.stop();
-    d->supervisor.stop();
-    d->log.stop();
+    m_d->callerServer.stop();
+    m_d->endpointServer.stop();
+    m_d->operatorServer.stop();
+    m_d->supervisor.stop();
+    m_d->log.stop();
 }
 
 auto runServe(const Settings::Settings &settings) -> int
--- a/src/app/serveprocess.h
+++ b/src/app/serveprocess.h
@@ -21,7 +21,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 /*! \brief Runs a process until SIGTERM or SIGINT; returns the exit code. */
--- a/src/libs/entry/httpserver.cpp
+++ b/src/libs/entry/httpserver.cpp
@@ -70,16 +70,16 @@
 };
 
 HttpServer::HttpServer(HttpServerOptions options)
-    : d(std::make_unique<Private>())
+    : m_d(std::make_unique<Private>())
 {
-    d->options = std::move(options);
-    auto &server = d->server;
+    m_d->options = std::move(options);
+    auto &server = m_d->server;
     server.new_task_queue = [this] {
-        return new ArenaTaskQueue(d->options.name, d->options.connections);
+        return new ArenaTaskQueue(m_d->options.name, m_d->options.connections);
     };
-    server.set_payload_max_length(std::size_t(d->options.bodyBytes));
-    server.set_read_timeout(d->options.slowClientTimeout);
-    server.set_write_timeout(d->options.slowClientTimeout);
+    server.set_payload_max_length(std::size_t(m_d->options.bodyBytes));
+    server.set_read_timeout(m_d->options.slowClientTimeout);
+    server.set_write_timeout(m_d->options.slowClientTimeout);
     server.set_keep_alive_max_count(keepAliveRequests);
     server.set_tcp_nodelay(true);
 }
@@ -91,39 +91,39 @@
 
 auto HttpServer::routes() -> httplib::Server &
 {
-    return d->server;
+    return m_d->server;
 }
 
 auto HttpServer::start() -> Utils::Result<void>
 {
-    BOOST_OUTCOME_TRY(address, Utils::parseAddress(d->options.address));
+    BOOST_OUTCOME_TRY(address, Utils::parseAddress(m_d->options.address));
     if (address.port == 0)
-        d->port = d->server.bind_to_any_port(address.host);
+        m_d->port = m_d->server.bind_to_any_port(address.host);
     else
-        d->port = d->server.bind_to_port(address.host, address.port) ? address.port : -1;
-    if (d->port < 0) {
+        m_d->port = m_d->server.bind_to_port(address.host, address.port) ? address.port : -1;
+    if (m_d->port < 0) {
         return Utils::failure(Utils::ErrorType::IoFailure,
-                              "cannot listen for " + d->options.name,
-                              d->options.address);
+                              "cannot listen for " + m_d->options.name,
+                              m_d->options.address);
     }
-    d->acceptor = std::jthread([this] { d->server.listen_after_bind(); });
-    Utils::Log::info("entry", "listening", {{"listener", d->options.name}, {"port", d->port}});
+    m_d->acceptor = std::jthread([this] { m_d->server.listen_after_bind(); });
+    Utils::Log::info("entry", "listening", {{"listener", m_d->options.name}, {"port", m_d->port}});
     return Utils::success();
 }
 
 auto HttpServer::stop() -> void
 {
-    if (!d->acceptor.joinable())
+    if (!m_d->acceptor.joinable())
         return;
-    while (!d->server.is_running())
+    while (!m_d->server.is_running())
         std::this_thread::yield();
-    d->server.stop();
-    d->acceptor.join();
+    m_d->server.stop();
+    m_d->acceptor.join();
 }
 
 auto HttpServer::port() const -> int
 {
-    return d->port;
+    return m_d->port;
 }
 
 auto setError(httplib::Response &response, const Utils::Error &error) -> void
--- a/src/libs/entry/httpserver.h
+++ b/src/libs/entry/httpserver.h
@@ -46,7 +46,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 /*! \brief Sets the typed error body and the status that belongs to the error's type. */
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -69,6 +69,16 @@
     return best;
 }
 
+auto Dispatcher::inFlightOnHost(std::string_view host) -> int
+{
+    const auto endpoints = m_directory.onHost(host);
+    const std::scoped_lock lock(m_mutex);
+    auto inFlight = 0;
+    for (const auto &endpoint : endpoints)
+        inFlight += m_inFlight[endpoint.announcement.id];
+    return inFlight;
+}
+
 auto Dispatcher::finish(const std::string &endpoint) -> void
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -22,6 +22,8 @@
 
     /*! \brief Runs \a request at an endpoint of its service. */
     auto dispatch(const Request &request) -> Reply;
+    /*! \brief Returns this process's requests in flight to endpoints of \a host. */
+    auto inFlightOnHost(std::string_view host) -> int;
 
 private:
     struct Choice
--- a/src/libs/supervision/supervisor.cpp
+++ b/src/libs/supervision/supervisor.cpp
@@ -3,7 +3,6 @@
 #include "utils/log.h"
 
 #include <algorithm>
-#include <ranges>
 
 namespace Supervision {
 
@@ -29,12 +28,13 @@
 
 auto Supervisor::stop() -> void
 {
-    for (auto &child : std::views::reverse(m_children)) {
-        child->stop.request();
-        if (child->thread.joinable())
-            child->thread.join();
+    while (!m_children.empty()) {
+        auto &child = *m_children.back();
+        child.stop.request();
+        if (child.thread.joinable())
+            child.thread.join();
+        m_children.pop_back();
     }
-    m_children.clear();
 }
 
 auto Supervisor::supervise(Child &child) -> void
--- a/src/libs/wire/peerserver.cpp
+++ b/src/libs/wire/peerserver.cpp
@@ -62,9 +62,9 @@
 };
 
 PeerServer::PeerServer(PeerServerOptions options)
-    : d(std::make_unique<Private>())
+    : m_d(std::make_unique<Private>())
 {
-    d->options = std::move(options);
+    m_d->options = std::move(options);
 }
 
 PeerServer::~PeerServer()
@@ -75,26 +75,26 @@
 auto PeerServer::addService(const std::string &name,
                             std::shared_ptr<apache::thrift::TProcessor> processor) -> void
 {
-    d->processor->registerProcessor(name, std::move(processor));
+    m_d->processor->registerProcessor(name, std::move(processor));
 }
 
 auto PeerServer::start() -> Utils::Result<void>
 {
-    BOOST_OUTCOME_TRY(address, Utils::parseAddress(d->options.address));
-    d->listener =
+    BOOST_OUTCOME_TRY(address, Utils::parseAddress(m_d->options.address));
+    m_d->listener =
         std::make_shared<apache::thrift::transport::TServerSocket>(address.host, address.port);
     try {
-        d->server =
-            std::make_unique<ArenaServer>(d->processor, d->listener, d->options.connections);
-        d->listener->listen();
+        m_d->server =
+            std::make_unique<ArenaServer>(m_d->processor, m_d->listener, m_d->options.connections);
+        m_d->listener->listen();
     } catch (const apache::thrift::TException &exception) {
         return Utils::failure(
             Utils::ErrorType::IoFailure, "cannot listen for peers", exception.what());
     }
-    d->running = true;
-    d->acceptor = std::jthread([this] {
+    m_d->running = true;
+    m_d->acceptor = std::jthread([this] {
         try {
-            d->server->serve();
+            m_d->server->serve();
         } catch (const std::exception &exception) {
             Utils::Log::error("wire", "the peers' listener ended", {{"reason", exception.what()}});
         }
@@ -104,17 +104,17 @@
 
 auto PeerServer::stop() -> void
 {
-    if (!d->running)
+    if (!m_d->running)
         return;
-    d->running = false;
-    d->server->stop();
-    d->acceptor.join();
-    d->server->waitForConnections();
+    m_d->running = false;
+    m_d->server->stop();
+    m_d->acceptor.join();
+    m_d->server->waitForConnections();
 }
 
 auto PeerServer::port() const -> int
 {
-    return d->listener ? d->listener->getPort() : 0;
+    return m_d->listener ? m_d->listener->getPort() : 0;
 }
 
 } // namespace Wire
--- a/src/libs/wire/peerserver.h
+++ b/src/libs/wire/peerserver.h
@@ -41,7 +41,7 @@
 
 private:
     class Private;
-    std::unique_ptr<Private> d;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace Wire
