Report all errors of a settings file, also those across keys

Cause: cross-key errors (an id missing among the peers, two or four voters, a listener for operators without tokens) were found only at run time or not at all. Limits for header bytes and idle connections are new keys.

--- a/src/app/processcommands.cpp
+++ b/src/app/processcommands.cpp
@@ -30,16 +30,6 @@
     std::cerr << error.message << '\n' << error.details << '\n';
 }
 
-auto logLevel(std::string_view name) -> Utils::Log::Level
-{
-    using Utils::Log::Level;
-    if (name == "debug")
-        return Level::Debug;
-    if (name == "warning")
-        return Level::Warning;
-    return name == "error" ? Level::Error : Level::Info;
-}
-
 } // namespace
 
 auto runServeCommand(int argc, char **argv) -> int
@@ -62,8 +52,10 @@
         return exitUsage;
     }
     const auto &log = settings.value().log;
-    Utils::Log::initialize(
-        {logLevel(log.level), log.file, settings.value().id, settings.value().zone});
+    Utils::Log::initialize({Utils::Log::levelFromName(log.level).value_or(Utils::Log::Level::Info),
+                            log.file,
+                            settings.value().id,
+                            settings.value().zone});
     return runServe(settings.value());
 }
 
@@ -71,10 +63,25 @@
 {
     cxxopts::Options options("trefoilshelf check",
                              "Checks a settings file and prints all its errors.");
-    options.add_options()("settings", "settings file", cxxopts::value<std::string>());
+    options.add_options()("settings", "settings file", cxxopts::value<std::string>())(
+        "keys", "print the path of each key that a settings file may hold")("help",
+                                                                            "print this help");
     const auto parsed = parseOptions(options, argc, argv);
-    if (!parsed || parsed->count("settings") == 0)
+    if (!parsed)
         return exitUsage;
+    if (parsed->count("help") > 0) {
+        std::cout << options.help();
+        return exitDone;
+    }
+    if (parsed->count("keys") > 0) {
+        for (const auto &key : Settings::settingsKeys())
+            std::cout << key << '\n';
+        return exitDone;
+    }
+    if (parsed->count("settings") == 0) {
+        std::cerr << options.help();
+        return exitUsage;
+    }
     const auto settings = Settings::loadSettings((*parsed)["settings"].as<std::string>());
     if (!settings) {
         printError(settings.error());
--- a/src/libs/settings/settings.cpp
+++ b/src/libs/settings/settings.cpp
@@ -1,5 +1,8 @@
 #include "settings.h"
 
+#include "keycollector.h"
+#include "validation.h"
+
 #include <algorithm>
 #include <fstream>
 #include <sstream>
@@ -64,10 +67,13 @@
     archive.optional("endpoint_connections", limits.endpointConnections, connectionsRange);
     archive.optional("operator_connections", limits.operatorConnections, connectionsRange);
     archive.optional("peer_connections", limits.peerConnections, connectionsRange);
+    archive.optional("header_bytes", limits.headerBytes, Utils::Range{1024, 1'048'576});
     archive.optional("body_bytes", limits.bodyBytes, Utils::Range{1024, 1'073'741'824});
     archive.optional("queued_requests", limits.queuedRequests, Utils::Range{0, 1'000'000});
     archive.optional("claims", limits.claims, Utils::Range{1, 100'000'000});
     archive.optional("slow_client_timeout_ms", limits.slowClientTimeoutMs, millisecondsRange);
+    archive.optional(
+        "idle_connection_timeout_ms", limits.idleConnectionTimeoutMs, millisecondsRange);
 }
 
 template <typename Archive>
@@ -104,6 +110,14 @@
     return {};
 }
 
+auto settingsKeys() -> std::vector<std::string>
+{
+    Settings settings;
+    Internal::KeyCollector collector("");
+    describe(collector, settings);
+    return collector.take();
+}
+
 auto parseSettings(std::string_view text) -> Utils::Result<Settings>
 {
     BOOST_OUTCOME_TRY(json, Utils::parseJsonText(text, true));
@@ -111,6 +125,8 @@
     settings.dataFolder.clear();
     std::vector<Utils::FieldError> errors;
     Utils::readValue(json, settings, "", errors);
+    if (errors.empty())
+        errors = validate(settings);
     if (!errors.empty()) {
         return Utils::failure(Utils::ErrorType::InvalidInput,
                               "the settings have errors",
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -60,10 +60,12 @@
     std::int64_t endpointConnections = 256;
     std::int64_t operatorConnections = 16;
     std::int64_t peerConnections = 64;
+    std::int64_t headerBytes = 16 * 1024;
     std::int64_t bodyBytes = 4 * 1024 * 1024;
     std::int64_t queuedRequests = 1024;
     std::int64_t claims = 1'000'000;
-    std::int64_t slowClientTimeoutMs = 5000;
+    std::int64_t slowClientTimeoutMs = 5000;       //!< For reading one whole request.
+    std::int64_t idleConnectionTimeoutMs = 30'000; //!< Between two requests of a connection.
 };
 
 struct Platform
@@ -91,6 +93,9 @@
 /*! \brief Returns the settings of a process that runs alone on loopback. */
 auto defaultSettings() -> Settings;
 
+/*! \brief Returns the JSON path of each key that a settings file may hold. */
+auto settingsKeys() -> std::vector<std::string>;
+
 /*! \brief Parses settings text; fails with all errors at once, each with its JSON path. */
 auto parseSettings(std::string_view text) -> Utils::Result<Settings>;
 
--- a/src/libs/utils/log.cpp
+++ b/src/libs/utils/log.cpp
@@ -9,6 +9,7 @@
 #include <boost/shared_ptr.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <fstream>
@@ -20,7 +21,7 @@
 using Backend = boost::log::sinks::text_ostream_backend;
 using Sink = boost::log::sinks::synchronous_sink<Backend>;
 
-constexpr std::array levelNames{"debug", "info", "warning", "error"};
+constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
 
 struct State
 {
@@ -48,6 +49,14 @@
 
 } // namespace
 
+auto levelFromName(std::string_view name) -> std::optional<Level>
+{
+    const auto found = std::ranges::find(levelNames, name);
+    if (found == levelNames.end())
+        return std::nullopt;
+    return Level(found - levelNames.begin());
+}
+
 auto initialize(const Options &options) -> void
 {
     auto backend = boost::make_shared<Backend>();
--- a/src/libs/utils/log.h
+++ b/src/libs/utils/log.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -13,6 +14,9 @@
 
 enum class Level { Debug, Info, Warning, Error };
 
+/*! \brief Returns the level called debug, info, warning or error. */
+auto levelFromName(std::string_view name) -> std::optional<Level>;
+
 using FieldValue = std::variant<std::string_view, std::int64_t, bool>;
 
 /*! \brief A typed field of a log line. */
