Make moves wait for releases by the processes of a host's zone

Cause: a draining host could change its pool while an entry process still had requests in flight to it, and results of commands grew without bound.

Change: a table of processes and a table of releases in the replicated state; a move leaves the drain only when each registered process of the zone has released the host in its present incarnation and the longest routing lease has passed, or an operator waived it. Results are bounded by count and age and guard against a reused command id; command time never goes back; an entry that cannot be decoded gets the same typed refusal everywhere; the audit trail is bounded.

--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -5,6 +5,7 @@
 #include "entry/operatorinterface.h"
 #include "planning/moverunner.h"
 #include "replication/singlereplicalog.h"
+#include "routing/releasetask.h"
 #include "supervision/supervisor.h"
 #include "utils/log.h"
 #include "utils/taskarena.h"
@@ -16,6 +17,7 @@
 namespace {
 
 constexpr Utils::Milliseconds plannerInterval{200};
+constexpr Utils::Milliseconds releaseInterval{200};
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
 auto httpOptions(std::string name,
@@ -41,6 +43,7 @@
 
     Settings::Settings settings;
     Utils::SystemClock clock;
+    std::int64_t incarnation = clock.wallTime();
     Utils::IdGenerator ids;
     Fleet::Replica replica;
     Replication::SingleReplicaLog log{settings.id, settings.dataFolder, replica};
@@ -49,7 +52,14 @@
                                             Utils::Milliseconds(settings.timing.routingLeaseMs)};
     Routing::Dispatcher dispatcher{clock, replica, directory};
     Routing::ClaimedDispatch claimedDispatch{
-        dispatcher, gateway, replica, {settings.id, clock.wallTime()}};
+        dispatcher, gateway, replica, {settings.id, incarnation}};
+    Routing::ReleaseTask releaseTask{dispatcher,
+                                     gateway,
+                                     replica,
+                                     {settings.id,
+                                      settings.zone,
+                                      incarnation,
+                                      Utils::Milliseconds(settings.timing.routingLeaseMs)}};
     Planning::NullPlatform platform;
     Planning::MoveRunner moveRunner{
         gateway,
@@ -95,6 +105,12 @@
                                         m_d->moveRunner.runOnce();
                                     return Utils::success();
                                 }});
+    m_d->supervisor.startChild({"releases", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
+                                    do {
+                                        m_d->releaseTask.runOnce();
+                                    } while (!stop.waitFor(releaseInterval));
+                                    return Utils::success();
+                                }});
     return Utils::success();
 }
 
--- a/src/libs/fleet/claimcommands.h
+++ b/src/libs/fleet/claimcommands.h
@@ -9,6 +9,7 @@
 struct ClaimRequest
 {
     static constexpr std::string_view typeName = "claim-request";
+    static constexpr bool resultKept = false;
     RequestClaim claim;
 };
 
@@ -16,6 +17,7 @@
 struct SettleClaim
 {
     static constexpr std::string_view typeName = "settle-claim";
+    static constexpr bool resultKept = false;
     std::string customer;
     std::string key;
     std::string process;
--- /dev/null
+++ b/src/libs/fleet/commandresult.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "contracttypes.h"
+
+namespace Fleet {
+
+/*! \brief The answer to a command; kept so that a resend gets the same one. */
+struct CommandResult
+{
+    bool accepted = true;
+    std::string errorType; //!< Empty if accepted.
+    std::string message;
+    std::string details;
+    Revision revision = 0;
+    std::string subject;
+    Utils::Json value; //!< The object after the command.
+
+    static auto refused(const Utils::Error &error, Revision revision) -> CommandResult;
+};
+
+template <typename Archive>
+auto describe(Archive &archive, CommandResult &result) -> void
+{
+    archive.required("accepted", result.accepted);
+    archive.optional("error_type", result.errorType);
+    archive.optional("message", result.message);
+    archive.optional("details", result.details);
+    archive.optional("revision", result.revision);
+    archive.optional("subject", result.subject);
+    archive.optional("value", result.value);
+}
+
+} // namespace Fleet
--- a/src/libs/fleet/commands.cpp
+++ b/src/libs/fleet/commands.cpp
@@ -1,5 +1,7 @@
 #include "commands.h"
 
+#include "utils/ids.h"
+
 namespace Fleet {
 namespace {
 
@@ -50,6 +52,37 @@
     return std::visit([](const auto &command) { return command.typeName; }, body);
 }
 
+auto keepsResult(const CommandBody &body) -> bool
+{
+    return std::visit(
+        [](const auto &command) {
+            using Body = std::decay_t<decltype(command)>;
+            if constexpr (requires { Body::resultKept; })
+                return Body::resultKept;
+            else
+                return true;
+        },
+        body);
+}
+
+auto digestOf(const CommandBody &body) -> std::string
+{
+    const auto content =
+        std::visit([](const auto &command) { return Utils::toCbor(command); }, body);
+    return Utils::sha256Hex(std::string(commandTypeName(body)) + '\n' + content);
+}
+
+auto CommandResult::refused(const Utils::Error &error, Revision revision) -> CommandResult
+{
+    CommandResult result;
+    result.accepted = false;
+    result.errorType = Utils::errorTypeName(error.type);
+    result.message = error.message;
+    result.details = error.details;
+    result.revision = revision;
+    return result;
+}
+
 auto encodeCommand(const Command &command) -> std::string
 {
     CommandHeader header{
--- a/src/libs/fleet/commands.h
+++ b/src/libs/fleet/commands.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "claimcommands.h"
+#include "commandresult.h"
 #include "contractcommands.h"
 #include "movecommands.h"
+#include "releasecommands.h"
 #include "types.h"
 
 #include <variant>
@@ -21,7 +23,11 @@
                                  SetAutonomy,
                                  ReportHost,
                                  ClaimRequest,
-                                 SettleClaim>;
+                                 SettleClaim,
+                                 RegisterProcess,
+                                 RetireProcess,
+                                 ReleaseHost,
+                                 OverrideRelease>;
 
 /*! \brief A command with what every command carries. */
 struct Command
@@ -35,34 +41,15 @@
     CommandBody body;
 };
 
-/*! \brief The answer to a command; kept so that a resend gets the same one. */
-struct CommandResult
-{
-    bool accepted = true;
-    std::string errorType; //!< Empty if accepted.
-    std::string message;
-    std::string details;
-    Revision revision = 0;
-    std::string subject;
-    Utils::Json value; //!< The object after the command.
-};
-
 /*! \brief Returns the stable name of a command's type. */
 auto commandTypeName(const CommandBody &body) -> std::string_view;
 
+/*! \brief Returns false for frequent commands that are idempotent by their own fields. */
+auto keepsResult(const CommandBody &body) -> bool;
+/*! \brief Returns a digest of the type and content of \a body. */
+auto digestOf(const CommandBody &body) -> std::string;
+
 auto encodeCommand(const Command &command) -> std::string;
 auto decodeCommand(std::string_view bytes) -> Utils::Result<Command>;
 
-template <typename Archive>
-auto describe(Archive &archive, CommandResult &result) -> void
-{
-    archive.required("accepted", result.accepted);
-    archive.optional("error_type", result.errorType);
-    archive.optional("message", result.message);
-    archive.optional("details", result.details);
-    archive.optional("revision", result.revision);
-    archive.optional("subject", result.subject);
-    archive.optional("value", result.value);
-}
-
 } // namespace Fleet
--- a/src/libs/fleet/replica.cpp
+++ b/src/libs/fleet/replica.cpp
@@ -13,14 +13,15 @@
     m_changed.notify_all();
     if (entry.payload.empty())
         return {};
-    const auto command = decodeCommand(entry.payload);
+    auto command = decodeCommand(entry.payload);
     if (!command) {
         Utils::Log::error("fleet",
                           "an entry of the log cannot be decoded",
                           {{"revision", entry.revision}, {"reason", command.error().details}});
-        return {};
+        // Decoding depends on the bytes alone, so every replica refuses the same entries.
+        return Utils::toCbor(CommandResult::refused(command.error(), entry.revision));
     }
-    return Utils::toCbor(m_state.apply(command.value(), entry.revision));
+    return Utils::toCbor(m_state.apply(std::move(command.value()), entry.revision));
 }
 
 auto Replica::snapshot() const -> std::string
--- a/src/libs/fleet/state.h
+++ b/src/libs/fleet/state.h
@@ -2,6 +2,8 @@
 
 #include "commands.h"
 #include "disruptionledger.h"
+#include "releasetable.h"
+#include "resulttable.h"
 
 #include <deque>
 #include <map>
@@ -17,8 +19,15 @@
 class State
 {
 public:
-    /*! \brief Applies \a command; a resent command id gets its first result. */
-    auto apply(const Command &command, Revision revision) -> CommandResult;
+    /*! \brief Records kept in the audit trail; the oldest are dropped. */
+    static constexpr std::size_t maximumAuditRecords = 5000;
+
+    /*!
+        \brief Applies \a command; a resent command id gets its first result.
+
+        The time of commands never goes back: an earlier one counts as the latest seen.
+    */
+    auto apply(Command command, Revision revision) -> CommandResult;
 
     auto contracts() const -> const std::map<std::string, Contract> & { return m_contracts; }
     auto pools() const -> const std::map<std::string, Pool> & { return m_pools; }
@@ -30,6 +39,12 @@
     auto audit() const -> const std::vector<AuditRecord> & { return m_audit; }
     auto findClaim(const std::string &customer, const std::string &key) const
         -> const RequestClaim *;
+    auto processes() const -> const ProcessTable & { return m_processes; }
+    auto releases() const -> const ReleaseTable & { return m_releases; }
+    auto results() const -> const ResultTable & { return m_results; }
+    /*! \brief Returns the latest time that a command carried. */
+    auto commandTimeMs() const -> WallTimeMs { return m_timeMs; }
+    auto findProcess(const std::string &process) const -> const ProcessRecord *;
     auto findContract(const std::string &customer) const -> const Contract *;
     auto findHost(const std::string &host) const -> const Host *;
     auto findMove(const std::string &move) const -> const Move *;
@@ -47,6 +62,9 @@
         archive.optional("claims", state.m_claims);
         archive.optional("audit", state.m_audit);
         archive.optional("results", state.m_results);
+        archive.optional("processes", state.m_processes);
+        archive.optional("releases", state.m_releases);
+        archive.optional("time_ms", state.m_timeMs);
     }
 
 private:
@@ -79,6 +97,15 @@
     auto run(const ClaimRequest &body, const Context &context) -> Utils::Result<Change>;
     auto run(const SettleClaim &body, const Context &context) -> Utils::Result<Change>;
 
+    auto run(const RegisterProcess &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const RetireProcess &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const ReleaseHost &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const OverrideRelease &body, const Context &context) -> Utils::Result<Change>;
+
+    auto applyNew(const Command &command, Revision revision) -> CommandResult;
+    auto drainingMove(const std::string &id) -> Utils::Result<Move *>;
+    auto checkDrainEnd(const Move &move, const AdvanceMove &body, const Context &context)
+        -> Utils::Result<void>;
     auto createPool(const std::string &pool, Revision revision) -> void;
     auto poolOfService(std::string_view service) const -> const std::string *;
     auto startDrain(Move &move, Host &host, const Context &context) -> Utils::Result<void>;
@@ -95,7 +122,10 @@
     Autonomy m_autonomy;
     std::map<std::string, RequestClaim> m_claims;
     std::vector<AuditRecord> m_audit;
-    std::map<std::string, CommandResult> m_results;
+    ResultTable m_results;
+    ProcessTable m_processes;
+    ReleaseTable m_releases;
+    WallTimeMs m_timeMs = 0;
 };
 
 } // namespace Fleet
--- a/src/libs/fleet/statemoves.cpp
+++ b/src/libs/fleet/statemoves.cpp
@@ -65,6 +65,7 @@
     if (!host)
         return failure(ErrorType::NotFound, "unknown host", move->host);
     Change change{move->id, {}, move->host, Utils::toJson(*move), {}, true};
+    BOOST_OUTCOME_TRY(checkDrainEnd(*move, body, context));
     if (body.to == MoveState::Draining) {
         BOOST_OUTCOME_TRY(startDrain(*move, *host, context));
     }
