Wait for kept HTTP connections without polling

Cause: the HTTP library's loop wakes every 10 ms for each kept connection. Change: the server runs its own loop over the library's request handling: it sleeps until bytes arrive, gives one deadline to a whole request, closes the longest idle connection when all slots are taken, and closes idle ones at stop.

--- /dev/null
+++ b/src/libs/entry/connectionstream.cpp
@@ -0,0 +1,125 @@
+#include "connectionstream.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <cstring>
+
+namespace Entry::Internal {
+namespace {
+
+auto waitFor(socket_t socket, short events, std::chrono::milliseconds timeout) -> bool
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    for (;;) {
+        pollfd descriptor{socket, events, 0};
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+            deadline - std::chrono::steady_clock::now());
+        const auto ready = ::poll(&descriptor, 1, int(std::max<std::int64_t>(0, left.count())));
+        if (ready >= 0 || errno != EINTR)
+            return ready > 0;
+    }
+}
+
+using NameFunction = int (*)(int, sockaddr *, socklen_t *);
+
+auto readName(socket_t socket, NameFunction name, std::string &ip, int &port) -> void
+{
+    sockaddr_storage address{};
+    socklen_t length = sizeof address;
+    if (name(socket, reinterpret_cast<sockaddr *>(&address), &length) != 0)
+        return;
+    std::array<char, INET6_ADDRSTRLEN> text{};
+    if (address.ss_family == AF_INET) {
+        const auto *v4 = reinterpret_cast<const sockaddr_in *>(&address);
+        ::inet_ntop(AF_INET, &v4->sin_addr, text.data(), text.size());
+        port = ntohs(v4->sin_port);
+    } else {
+        const auto *v6 = reinterpret_cast<const sockaddr_in6 *>(&address);
+        ::inet_ntop(AF_INET6, &v6->sin6_addr, text.data(), text.size());
+        port = ntohs(v6->sin6_port);
+    }
+    ip = text.data();
+}
+
+} // namespace
+
+auto waitReadable(socket_t socket, std::chrono::milliseconds timeout) -> bool
+{
+    return waitFor(socket, POLLIN, timeout);
+}
+
+ConnectionStream::ConnectionStream(socket_t socket, std::chrono::milliseconds requestTimeout)
+    : m_socket(socket)
+    , m_requestTimeout(requestTimeout)
+{}
+
+auto ConnectionStream::startRequest(std::size_t maximumBytes) -> void
+{
+    m_deadline = std::chrono::steady_clock::now() + m_requestTimeout;
+    m_allowedBytes = maximumBytes;
+}
+
+auto ConnectionStream::remaining() const -> std::chrono::milliseconds
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(m_deadline
+                                                        - std::chrono::steady_clock::now());
+}
+
+auto ConnectionStream::is_readable() const -> bool
+{
+    return hasBufferedBytes() || waitFor(m_socket, POLLIN, remaining());
+}
+
+auto ConnectionStream::is_writable() const -> bool
+{
+    return waitFor(m_socket, POLLOUT, m_requestTimeout);
+}
+
+auto ConnectionStream::fill() -> bool
+{
+    if (!waitFor(m_socket, POLLIN, remaining()))
+        return false;
+    const auto count = ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
+    if (count <= 0)
+        return false;
+    m_begin = 0;
+    m_end = std::size_t(count);
+    return true;
+}
+
+auto ConnectionStream::read(char *data, size_t size) -> ssize_t
+{
+    m_failed = m_failed || (!hasBufferedBytes() && !fill());
+    const auto count = std::min(size, m_end - m_begin);
+    m_failed = m_failed || count > m_allowedBytes;
+    if (m_failed)
+        return -1;
+    std::memcpy(data, m_buffer.data() + m_begin, count);
+    m_begin += count;
+    m_allowedBytes -= count;
+    return ssize_t(count);
+}
+
+auto ConnectionStream::write(const char *data, size_t size) -> ssize_t
+{
+    if (!is_writable())
+        return -1;
+    return ::send(m_socket, data, size, MSG_NOSIGNAL);
+}
+
+auto ConnectionStream::get_remote_ip_and_port(std::string &ip, int &port) const -> void
+{
+    readName(m_socket, ::getpeername, ip, port);
+}
+
+auto ConnectionStream::get_local_ip_and_port(std::string &ip, int &port) const -> void
+{
+    readName(m_socket, ::getsockname, ip, port);
+}
+
+} // namespace Entry::Internal
--- a/src/libs/entry/httpserver.cpp
+++ b/src/libs/entry/httpserver.cpp
@@ -1,11 +1,11 @@
 #include "httpserver.h"
 
+#include "connectionserver.h"
+
 #include "utils/address.h"
 #include "utils/log.h"
 #include "utils/taskarena.h"
 
-#include <httplib.h>
-
 #include <array>
 #include <thread>
 
@@ -13,19 +13,28 @@
 namespace {
 
 constexpr std::size_t keepAliveRequests = 1'000'000;
+constexpr std::size_t maximumHeaderBytes = 64 * 1024;
+constexpr std::chrono::milliseconds keptConnectionTimeout{60'000};
 constexpr auto jsonType = "application/json";
 
 // Runs each accepted connection as a task of an arena.
 class ArenaTaskQueue final : public httplib::TaskQueue
 {
 public:
-    ArenaTaskQueue(const std::string &name, int slots)
-        : m_arena(name, slots)
+    ArenaTaskQueue(Internal::ConnectionServer &server, const std::string &name, int slots)
+        : m_server(server)
+        , m_arena(name, slots)
     {}
-    auto enqueue(std::function<void()> task) -> void override { m_arena.enqueue(std::move(task)); }
+    auto enqueue(std::function<void()> task) -> void override
+    {
+        if (m_arena.running() >= m_arena.slots())
+            m_server.closeOldestIdle();
+        m_arena.enqueue(std::move(task));
+    }
     auto shutdown() -> void override { m_arena.waitForAll(); }
 
 private:
+    Internal::ConnectionServer &m_server;
     Utils::TaskArena m_arena;
 };
 
@@ -63,23 +72,27 @@
 class HttpServer::Private
 {
 public:
+    explicit Private(HttpServerOptions serverOptions)
+        : options(std::move(serverOptions))
+        , server({options.slowClientTimeout,
+                  keptConnectionTimeout,
+                  std::size_t(options.bodyBytes) + maximumHeaderBytes})
+    {}
+
     HttpServerOptions options;
-    httplib::Server server;
+    Internal::ConnectionServer server;
     int port = 0;
     std::jthread acceptor;
 };
 
 HttpServer::HttpServer(HttpServerOptions options)
-    : m_d(std::make_unique<Private>())
+    : m_d(std::make_unique<Private>(std::move(options)))
 {
-    m_d->options = std::move(options);
     auto &server = m_d->server;
     server.new_task_queue = [this] {
-        return new ArenaTaskQueue(m_d->options.name, m_d->options.connections);
+        return new ArenaTaskQueue(m_d->server, m_d->options.name, m_d->options.connections);
     };
     server.set_payload_max_length(std::size_t(m_d->options.bodyBytes));
-    server.set_read_timeout(m_d->options.slowClientTimeout);
-    server.set_write_timeout(m_d->options.slowClientTimeout);
     server.set_keep_alive_max_count(keepAliveRequests);
     server.set_tcp_nodelay(true);
 }
@@ -118,6 +131,7 @@
     while (!m_d->server.is_running())
         std::this_thread::yield();
     m_d->server.stop();
+    m_d->server.closeIdle();
     m_d->acceptor.join();
 }
 
--- /dev/null
+++ b/tests/auto/entry/tst_connectionserver.cpp
@@ -0,0 +1,98 @@
+#include "entry/httpserver.h"
+#include "utils/taskarena.h"
+
+#include <gtest/gtest.h>
+#include <httplib.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace {
+
+constexpr auto threads = 64;
+
+auto options(int connections, std::chrono::milliseconds slowClientTimeout)
+    -> Entry::HttpServerOptions
+{
+    return {"test", "127.0.0.1:0", connections, 1024, slowClientTimeout};
+}
+
+auto addPing(Entry::HttpServer &server) -> void
+{
+    server.routes().Get("/ping", [](const httplib::Request &, httplib::Response &response) {
+        response.set_content("pong", "text/plain");
+    });
+}
+
+auto connectTo(int port) -> int
+{
+    const auto socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(std::uint16_t(port));
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(::connect(socket, reinterpret_cast<sockaddr *>(&address), sizeof address), 0);
+    return socket;
+}
+
+// Reads until the server closes the connection.
+auto readToEnd(int socket) -> std::string
+{
+    std::string text;
+    std::array<char, 256> buffer{};
+    for (;;) {
+        const auto count = ::recv(socket, buffer.data(), buffer.size(), 0);
+        if (count <= 0)
+            return text;
+        text.append(buffer.data(), std::size_t(count));
+    }
+}
+
+} // namespace
+
+TEST(ConnectionServer, IdleConnectionGivesWayToNewOne)
+{
+    const Utils::ThreadLimit limit(threads);
+    Entry::HttpServer server(options(2, std::chrono::seconds(30)));
+    addPing(server);
+    ASSERT_TRUE(server.start());
+    std::vector<std::unique_ptr<httplib::Client>> clients;
+    for (auto number = 0; number < 6; ++number) {
+        auto &client =
+            *clients.emplace_back(std::make_unique<httplib::Client>("127.0.0.1", server.port()));
+        client.set_keep_alive(true);
+        const auto result = client.Get("/ping");
+        ASSERT_TRUE(result) << number;
+        EXPECT_EQ(result->body, "pong");
+    }
+}
+
+TEST(ConnectionServer, SlowRequestIsCutAtItsDeadline)
+{
+    const Utils::ThreadLimit limit(threads);
+    Entry::HttpServer server(options(2, std::chrono::milliseconds(50)));
+    addPing(server);
+    ASSERT_TRUE(server.start());
+    const auto socket = connectTo(server.port());
+    const std::string_view part = "GET /ping HTTP/1.1\r\nHost: a";
+    ASSERT_EQ(::send(socket, part.data(), part.size(), 0), ssize_t(part.size()));
+    EXPECT_EQ(readToEnd(socket).find("pong"), std::string::npos);
+    ::close(socket);
+}
+
+TEST(ConnectionServer, StopClosesIdleConnections)
+{
+    const Utils::ThreadLimit limit(threads);
+    Entry::HttpServer server(options(2, std::chrono::seconds(30)));
+    addPing(server);
+    ASSERT_TRUE(server.start());
+    const auto socket = connectTo(server.port());
+    const std::string_view request = "GET /ping HTTP/1.1\r\nHost: a\r\n\r\n";
+    ASSERT_EQ(::send(socket, request.data(), request.size(), 0), ssize_t(request.size()));
+    std::array<char, 512> answer{};
+    ASSERT_GT(::recv(socket, answer.data(), answer.size(), 0), 0);
+    server.stop();
+    readToEnd(socket);
+    ::close(socket);
+}
