Let a connection that becomes idle give way to one that waits

Cause: a new connection found no idle one to close while the task of the last request had sent its answer but was not yet idle; it then waited for the idle time-out (seen as a failed test). Change: a connection that becomes idle closes itself if another one waits for a task.

--- a/src/libs/entry/connectionserver.cpp
+++ b/src/libs/entry/connectionserver.cpp
@@ -11,6 +11,12 @@
     : m_limits(limits)
 {}
 
+auto ConnectionServer::setHasWaiting(std::function<bool()> hasWaiting) -> void
+{
+    const std::scoped_lock lock(m_mutex);
+    m_hasWaiting = std::move(hasWaiting);
+}
+
 auto ConnectionServer::closeOldestIdle() -> void
 {
     const std::scoped_lock lock(m_mutex);
@@ -56,7 +62,8 @@
     std::uint64_t order = 0;
     {
         const std::scoped_lock lock(m_mutex);
-        if (m_closing)
+        const auto wanted = m_hasWaiting && m_hasWaiting();
+        if (m_closing || wanted)
             return false;
         order = m_nextIdle++;
         m_idle.emplace(order, socket);
--- a/src/libs/entry/connectionserver.h
+++ b/src/libs/entry/connectionserver.h
@@ -3,6 +3,7 @@
 #include <httplib.h>
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <mutex>
 
@@ -27,6 +28,9 @@
 public:
     explicit ConnectionServer(ConnectionLimits limits);
 
+    /*! \brief Sets what tells whether a connection waits for a free task. */
+    auto setHasWaiting(std::function<bool()> hasWaiting) -> void;
+
     /*! \brief Closes the connection that has been idle longest, if there is one. */
     auto closeOldestIdle() -> void;
     /*! \brief Closes all idle connections, now and from now on. */
@@ -38,6 +42,7 @@
     auto waitForRequest(socket_t socket) -> bool;
 
     ConnectionLimits m_limits;
+    std::function<bool()> m_hasWaiting;
     std::mutex m_mutex;
     std::map<std::uint64_t, socket_t> m_idle; //!< In the order in which they became idle.
     std::uint64_t m_nextIdle = 0;
--- a/src/libs/entry/httpserver.cpp
+++ b/src/libs/entry/httpserver.cpp
@@ -24,12 +24,15 @@
     ArenaTaskQueue(Internal::ConnectionServer &server, const std::string &name, int slots)
         : m_server(server)
         , m_arena(name, slots)
-    {}
+    {
+        m_server.setHasWaiting([this] { return m_arena.running() > m_arena.slots(); });
+    }
+    ~ArenaTaskQueue() override { m_server.setHasWaiting({}); }
     auto enqueue(std::function<void()> task) -> void override
     {
-        if (m_arena.running() >= m_arena.slots())
-            m_server.closeOldestIdle();
         m_arena.enqueue(std::move(task));
+        if (m_arena.running() > m_arena.slots())
+            m_server.closeOldestIdle();
     }
     auto shutdown() -> void override { m_arena.waitForAll(); }
 
