--- a/src/libs/utils/log.cpp
+++ b/src/libs/utils/log.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 
@@ -39,7 +40,25 @@
 {
     if (options.file.empty())
         return {&std::clog, [](std::ostream *) {}};
-    return boost::make_shared<std::ofstream>(options.file, std::ios::app);
+    auto file = boost::make_shared<std::ofstream>(options.file, std::ios::app);
+    if (*file)
+        return file;
+    std::clog << "cannot open the log file, writing to standard error\n";
+    return {&std::clog, [](std::ostream *) {}};
+}
+
+auto rfc3339Time(std::chrono::system_clock::time_point time) -> std::string
+{
+    constexpr std::size_t longestTime = 40;
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(time);
+    const auto milliseconds = std::chrono::floor<std::chrono::milliseconds>(time - seconds).count();
+    const auto calendarTime = std::chrono::system_clock::to_time_t(seconds);
+    std::tm utc{};
+    gmtime_r(&calendarTime, &utc);
+    std::array<char, longestTime> text{};
+    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &utc);
+    const auto fraction = std::to_string(1000 + milliseconds).substr(1);
+    return std::string(text.data(), length) + '.' + fraction + 'Z';
 }
 
 auto addField(nlohmann::ordered_json &line, const Field &field) -> void
@@ -79,9 +98,8 @@
     const auto &current = state();
     if (!current.sink || level < current.options.level)
         return;
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
     nlohmann::ordered_json line;
-    line["time"] = std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+    line["time"] = rfc3339Time(std::chrono::system_clock::now());
     line["level"] = levelNames.at(std::size_t(level));
     line["process"] = current.options.process;
     line["zone"] = current.options.zone;
--- a/src/libs/utils/log.h
+++ b/src/libs/utils/log.h
@@ -35,8 +35,13 @@
     Field(std::string_view fieldKey, const char *text)
         : Field(fieldKey, std::string_view(text))
     {}
+    Field(std::string_view fieldKey, bool flag)
+        : key(fieldKey)
+        , value(flag)
+    {}
     template <typename T>
-    requires std::is_integral_v<T> Field(std::string_view fieldKey, T number)
+    requires(std::is_integral_v<T> && !std::is_same_v<T, bool>)
+        Field(std::string_view fieldKey, T number)
         : key(fieldKey)
         , value(std::int64_t(number))
     {}
--- a/src/libs/utils/metrics.h
+++ b/src/libs/utils/metrics.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
-#include <mutex>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace Utils {
@@ -14,7 +14,11 @@
 {
     std::string name;
     std::string value;
-    auto operator<=>(const MetricLabel &) const = default;
+    auto operator==(const MetricLabel &other) const -> bool = default;
+    auto operator<(const MetricLabel &other) const -> bool
+    {
+        return std::tie(name, value) < std::tie(other.name, other.value);
+    }
 };
 
 using MetricLabels = std::vector<MetricLabel>;
@@ -23,10 +27,21 @@
     \brief Counters, gauges and distributions of one process. Thread-safe.
 
     Names follow Prometheus: trefoilshelf_..._total for counters, ..._seconds for durations.
+    A process keeps at most maximumSeries series; further ones are counted as dropped, so that
+    label values from outside cannot use up memory. A name keeps the kind of its first use.
 */
 class Metrics
 {
 public:
+    static constexpr std::size_t maximumSeries = 4096;
+
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics &) = delete;
+    auto operator=(const Metrics &) -> Metrics & = delete;
+
+    /*! \brief Sets the help text of the metric \a name. */
+    auto describe(std::string_view name, std::string_view help) -> void;
     auto count(std::string_view name, const MetricLabels &labels = {}, std::int64_t by = 1) -> void;
     auto set(std::string_view name, const MetricLabels &labels, double value) -> void;
     /*! \brief Adds a duration to a distribution. */
@@ -35,17 +50,8 @@
     auto toPrometheusText() const -> std::string;
 
 private:
-    struct SeriesKey
-    {
-        std::string name;
-        MetricLabels labels;
-        auto operator<=>(const SeriesKey &) const = default;
-    };
-
-    mutable std::mutex m_mutex;
-    std::map<SeriesKey, std::int64_t> m_counters;
-    std::map<SeriesKey, double> m_gauges;
-    std::map<SeriesKey, std::vector<double>> m_durations;
+    class Private;
+    std::unique_ptr<Private> m_d;
 };
 
 } // namespace Utils
