Share the endpoint directory between processes by deltas

A process owns the endpoints that announce to it and sends each peer the changes of its set, one set version a second and its requests in flight. Records carry what is left of their lease and are never passed on, so that a routing lease ends wherever renewals stop.

--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -3,12 +3,14 @@
 #include "entry/callerinterface.h"
 #include "entry/endpointinterface.h"
 #include "entry/operatorinterface.h"
+#include "membership/peerupdates.h"
 #include "planning/moverunner.h"
 #include "replication/singlereplicalog.h"
 #include "routing/releasetask.h"
 #include "supervision/supervisor.h"
 #include "utils/log.h"
 #include "utils/taskarena.h"
+#include "wire/peerserver.h"
 
 #include <csignal>
 #include <iostream>
@@ -18,6 +20,8 @@
 
 constexpr Utils::Milliseconds plannerInterval{200};
 constexpr Utils::Milliseconds releaseInterval{200};
+constexpr Utils::Milliseconds peerUpdateInterval{1000};
+constexpr Utils::Milliseconds leaseSweepInterval{500};
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
 auto httpOptions(std::string name,
@@ -41,6 +45,8 @@
         : settings(std::move(processSettings))
     {}
 
+    auto startPeerLinks() -> void;
+
     Settings::Settings settings;
     Utils::SystemClock clock;
     std::int64_t incarnation = clock.wallTime();
@@ -50,6 +56,8 @@
     Fleet::Gateway gateway{log, clock, ids, Utils::Milliseconds(settings.timing.commandTimeoutMs)};
     Membership::EndpointDirectory directory{clock,
                                             Utils::Milliseconds(settings.timing.routingLeaseMs)};
+    Membership::DemandTable demand{clock, Utils::Milliseconds(settings.timing.routingLeaseMs)};
+    Wire::PeerServer peerServer{{settings.listen.peers, int(settings.limits.peerConnections)}};
     Routing::Dispatcher dispatcher{clock, replica, directory};
     Routing::ClaimedDispatch claimedDispatch{
         dispatcher, gateway, replica, {settings.id, incarnation}};
@@ -82,9 +90,36 @@
                                    {clock, ids, replica, dispatcher, claimedDispatch}};
     Entry::EndpointInterface endpoints{endpointServer, {replica, gateway, directory, settings.id}};
     Entry::OperatorInterface operators{operatorServer, {settings, replica, gateway, log, ids}};
+    std::vector<std::unique_ptr<Membership::PeerLink>> peerLinks;
     Supervision::Supervisor supervisor{"root", {}, [](const Utils::Error &) {}};
 };
 
+auto ServeProcess::Private::startPeerLinks() -> void
+{
+    for (const auto &peer : settings.peers) {
+        if (peer.id == settings.id)
+            continue;
+        peerLinks.push_back(std::make_unique<Membership::PeerLink>(
+            Membership::PeerLinkOptions{peer.id,
+                                        peer.address,
+                                        peerUpdateInterval,
+                                        Utils::Milliseconds(settings.timing.peerCallTimeoutMs)},
+            Membership::ProcessIdentity{settings.id, settings.zone, incarnation},
+            directory,
+            [this] { return dispatcher.localLoad(); }));
+        supervisor.startChild(
+            {"peer " + peer.id, [link = peerLinks.back().get()](Utils::StopSignal &stop) {
+                 link->run(stop);
+                 return Utils::Result<void>(Utils::success());
+             }});
+    }
+    supervisor.startChild({"leases", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
+                               while (!stop.waitFor(leaseSweepInterval))
+                                   directory.sweep();
+                               return Utils::success();
+                           }});
+}
+
 ServeProcess::ServeProcess(Settings::Settings settings)
     : m_d(std::make_unique<Private>(std::move(settings)))
 {}
@@ -96,7 +131,11 @@
 
 auto ServeProcess::start() -> Utils::Result<void>
 {
+    m_d->peerServer.addService(Membership::membershipServiceName,
+                               Membership::makeMembershipProcessor(m_d->directory, m_d->demand));
+    BOOST_OUTCOME_TRY(m_d->peerServer.start());
     BOOST_OUTCOME_TRY(m_d->log.start());
+    m_d->startPeerLinks();
     BOOST_OUTCOME_TRY(m_d->operatorServer.start());
     BOOST_OUTCOME_TRY(m_d->endpointServer.start());
     BOOST_OUTCOME_TRY(m_d->callerServer.start());
@@ -120,6 +159,7 @@
     m_d->endpointServer.stop();
     m_d->operatorServer.stop();
     m_d->supervisor.stop();
+    m_d->peerServer.stop();
     m_d->log.stop();
 }
 
--- /dev/null
+++ b/src/libs/membership/demandtable.cpp
@@ -0,0 +1,49 @@
+#include "demandtable.h"
+
+namespace Membership {
+
+DemandTable::DemandTable(const Utils::Clock &clock, Utils::Milliseconds lease)
+    : m_clock(clock)
+    , m_lease(lease)
+{}
+
+auto DemandTable::setPeer(const std::string &process, std::string zone, std::vector<Demand> demand)
+    -> void
+{
+    const std::scoped_lock lock(m_mutex);
+    m_peers.insert_or_assign(process, Peer{std::move(zone), std::move(demand), m_clock.now()});
+}
+
+auto DemandTable::inZone(std::string_view zone,
+                         std::string_view service,
+                         std::string_view customer) const -> PeerDemand
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto oldest = m_clock.now() - m_lease;
+    PeerDemand sum;
+    for (const auto &[process, peer] : m_peers) {
+        if (peer.zone != zone || peer.heardAt < oldest)
+            continue;
+        ++sum.processes;
+        for (const auto &demand : peer.demand) {
+            if (demand.service != service)
+                continue;
+            sum.serviceRequests += demand.requests;
+            if (demand.customer == customer)
+                sum.customerRequests += demand.requests;
+        }
+    }
+    return sum;
+}
+
+auto DemandTable::livePeers() const -> int
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto oldest = m_clock.now() - m_lease;
+    auto live = 0;
+    for (const auto &[process, peer] : m_peers)
+        live += peer.heardAt >= oldest ? 1 : 0;
+    return live;
+}
+
+} // namespace Membership
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -79,6 +79,12 @@
     return inFlight;
 }
 
+auto Dispatcher::localLoad() -> Membership::LocalLoad
+{
+    const std::scoped_lock lock(m_mutex);
+    return {m_inFlight, {}};
+}
+
 auto Dispatcher::finish(const std::string &endpoint) -> void
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -4,7 +4,7 @@
 #include "request.h"
 
 #include "fleet/replica.h"
-#include "membership/endpointdirectory.h"
+#include "membership/peerupdates.h"
 
 #include <map>
 #include <mutex>
@@ -24,6 +24,8 @@
     auto dispatch(const Request &request) -> Reply;
     /*! \brief Returns this process's requests in flight to endpoints of \a host. */
     auto inFlightOnHost(std::string_view host) -> int;
+    /*! \brief Returns what this process has in flight by endpoint, for its peers. */
+    auto localLoad() -> Membership::LocalLoad;
 
 private:
     struct Choice
--- a/src/libs/wire/gen/membership_types.cpp
+++ b/src/libs/wire/gen/membership_types.cpp
@@ -498,6 +498,138 @@
 }
 
 
+DemandRecord::~DemandRecord() noexcept {
+}
+
+
+void DemandRecord::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void DemandRecord::__set_customer(const std::string& val) {
+  this->customer = val;
+}
+
+void DemandRecord::__set_requests(const int32_t val) {
+  this->requests = val;
+}
+std::ostream& operator<<(std::ostream& out, const DemandRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t DemandRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          this->__isset.serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->requests);
+          this->__isset.requests = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t DemandRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("DemandRecord");
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requests", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->requests);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(DemandRecord &a, DemandRecord &b) {
+  using ::std::swap;
+  swap(a.serviceName, b.serviceName);
+  swap(a.customer, b.customer);
+  swap(a.requests, b.requests);
+  swap(a.__isset, b.__isset);
+}
+
+DemandRecord::DemandRecord(const DemandRecord& other4) {
+  serviceName = other4.serviceName;
+  customer = other4.customer;
+  requests = other4.requests;
+  __isset = other4.__isset;
+}
+DemandRecord& DemandRecord::operator=(const DemandRecord& other5) {
+  serviceName = other5.serviceName;
+  customer = other5.customer;
+  requests = other5.requests;
+  __isset = other5.__isset;
+  return *this;
+}
+void DemandRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "DemandRecord(";
+  out << "serviceName=" << to_string(serviceName);
+  out << ", " << "customer=" << to_string(customer);
+  out << ", " << "requests=" << to_string(requests);
+  out << ")";
+}
+
+
 DirectoryUpdate::~DirectoryUpdate() noexcept {
 }
 
@@ -545,6 +677,18 @@
 void DirectoryUpdate::__set_releasedEpochs(const std::map<std::string, int64_t> & val) {
   this->releasedEpochs = val;
 }
+
+void DirectoryUpdate::__set_baseVersion(const int64_t val) {
+  this->baseVersion = val;
+}
+
+void DirectoryUpdate::__set_setLeaseMs(const int32_t val) {
+  this->setLeaseMs = val;
+}
+
+void DirectoryUpdate::__set_demand(const std::vector<DemandRecord> & val) {
+  this->demand = val;
+}
 std::ostream& operator<<(std::ostream& out, const DirectoryUpdate& obj)
 {
   obj.printTo(out);
@@ -609,14 +753,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->changed.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size6;
+            ::apache::thrift::protocol::TType _etype9;
+            xfer += iprot->readListBegin(_etype9, _size6);
+            this->changed.resize(_size6);
+            uint32_t _i10;
+            for (_i10 = 0; _i10 < _size6; ++_i10)
             {
-              xfer += this->changed[_i8].read(iprot);
+              xfer += this->changed[_i10].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -629,14 +773,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size9;
-            ::apache::thrift::protocol::TType _etype12;
-            xfer += iprot->readListBegin(_etype12, _size9);
-            this->removed.resize(_size9);
-            uint32_t _i13;
-            for (_i13 = 0; _i13 < _size9; ++_i13)
+            uint32_t _size11;
+            ::apache::thrift::protocol::TType _etype14;
+            xfer += iprot->readListBegin(_etype14, _size11);
+            this->removed.resize(_size11);
+            uint32_t _i15;
+            for (_i15 = 0; _i15 < _size11; ++_i15)
             {
-              xfer += iprot->readString(this->removed[_i13]);
+              xfer += iprot->readString(this->removed[_i15]);
             }
             xfer += iprot->readListEnd();
           }
@@ -649,17 +793,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->inFlight.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _ktype15;
-            ::apache::thrift::protocol::TType _vtype16;
-            xfer += iprot->readMapBegin(_ktype15, _vtype16, _size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size16;
+            ::apache::thrift::protocol::TType _ktype17;
+            ::apache::thrift::protocol::TType _vtype18;
+            xfer += iprot->readMapBegin(_ktype17, _vtype18, _size16);
+            uint32_t _i20;
+            for (_i20 = 0; _i20 < _size16; ++_i20)
             {
-              std::string _key19;
-              xfer += iprot->readString(_key19);
-              int32_t& _val20 = this->inFlight[_key19];
-              xfer += iprot->readI32(_val20);
+              std::string _key21;
+              xfer += iprot->readString(_key21);
+              int32_t& _val22 = this->inFlight[_key21];
+              xfer += iprot->readI32(_val22);
             }
             xfer += iprot->readMapEnd();
           }
@@ -672,14 +816,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size21;
-            ::apache::thrift::protocol::TType _etype24;
-            xfer += iprot->readListBegin(_etype24, _size21);
-            this->summaries.resize(_size21);
-            uint32_t _i25;
-            for (_i25 = 0; _i25 < _size21; ++_i25)
+            uint32_t _size23;
+            ::apache::thrift::protocol::TType _etype26;
+            xfer += iprot->readListBegin(_etype26, _size23);
+            this->summaries.resize(_size23);
+            uint32_t _i27;
+            for (_i27 = 0; _i27 < _size23; ++_i27)
             {
-              xfer += this->summaries[_i25].read(iprot);
+              xfer += this->summaries[_i27].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -708,17 +852,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->releasedEpochs.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _ktype27;
-            ::apache::thrift::protocol::TType _vtype28;
-            xfer += iprot->readMapBegin(_ktype27, _vtype28, _size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _ktype29;
+            ::apache::thrift::protocol::TType _vtype30;
+            xfer += iprot->readMapBegin(_ktype29, _vtype30, _size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              std::string _key31;
-              xfer += iprot->readString(_key31);
-              int64_t& _val32 = this->releasedEpochs[_key31];
-              xfer += iprot->readI64(_val32);
+              std::string _key33;
+              xfer += iprot->readString(_key33);
+              int64_t& _val34 = this->releasedEpochs[_key33];
+              xfer += iprot->readI64(_val34);
             }
             xfer += iprot->readMapEnd();
           }
@@ -727,6 +871,42 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->baseVersion);
+          this->__isset.baseVersion = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->setLeaseMs);
+          this->__isset.setLeaseMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->demand.clear();
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->demand.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
+            {
+              xfer += this->demand[_i39].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.demand = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -763,10 +943,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter33;
-    for (_iter33 = this->changed.begin(); _iter33 != this->changed.end(); ++_iter33)
+    std::vector<EndpointRecord> ::const_iterator _iter40;
+    for (_iter40 = this->changed.begin(); _iter40 != this->changed.end(); ++_iter40)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter40).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -775,10 +955,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter34;
-    for (_iter34 = this->removed.begin(); _iter34 != this->removed.end(); ++_iter34)
+    std::vector<std::string> ::const_iterator _iter41;
+    for (_iter41 = this->removed.begin(); _iter41 != this->removed.end(); ++_iter41)
     {
-      xfer += oprot->writeString((*_iter34));
+      xfer += oprot->writeString((*_iter41));
     }
     xfer += oprot->writeListEnd();
   }
@@ -787,11 +967,11 @@
   xfer += oprot->writeFieldBegin("inFlight", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->inFlight.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter35;
-    for (_iter35 = this->inFlight.begin(); _iter35 != this->inFlight.end(); ++_iter35)
+    std::map<std::string, int32_t> ::const_iterator _iter42;
+    for (_iter42 = this->inFlight.begin(); _iter42 != this->inFlight.end(); ++_iter42)
     {
-      xfer += oprot->writeString(_iter35->first);
-      xfer += oprot->writeI32(_iter35->second);
+      xfer += oprot->writeString(_iter42->first);
+      xfer += oprot->writeI32(_iter42->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -800,10 +980,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<PoolSummary> ::const_iterator _iter36;
-    for (_iter36 = this->summaries.begin(); _iter36 != this->summaries.end(); ++_iter36)
+    std::vector<PoolSummary> ::const_iterator _iter43;
+    for (_iter43 = this->summaries.begin(); _iter43 != this->summaries.end(); ++_iter43)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -820,16 +1000,36 @@
   xfer += oprot->writeFieldBegin("releasedEpochs", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->releasedEpochs.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter37;
-    for (_iter37 = this->releasedEpochs.begin(); _iter37 != this->releasedEpochs.end(); ++_iter37)
+    std::map<std::string, int64_t> ::const_iterator _iter44;
+    for (_iter44 = this->releasedEpochs.begin(); _iter44 != this->releasedEpochs.end(); ++_iter44)
     {
-      xfer += oprot->writeString(_iter37->first);
-      xfer += oprot->writeI64(_iter37->second);
+      xfer += oprot->writeString(_iter44->first);
+      xfer += oprot->writeI64(_iter44->second);
     }
     xfer += oprot->writeMapEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("baseVersion", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->baseVersion);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("setLeaseMs", ::apache::thrift::protocol::T_I32, 13);
+  xfer += oprot->writeI32(this->setLeaseMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
+    std::vector<DemandRecord> ::const_iterator _iter45;
+    for (_iter45 = this->demand.begin(); _iter45 != this->demand.end(); ++_iter45)
+    {
+      xfer += (*_iter45).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -848,36 +1048,45 @@
   swap(a.full, b.full);
   swap(a.appliedRevision, b.appliedRevision);
   swap(a.releasedEpochs, b.releasedEpochs);
+  swap(a.baseVersion, b.baseVersion);
+  swap(a.setLeaseMs, b.setLeaseMs);
+  swap(a.demand, b.demand);
   swap(a.__isset, b.__isset);
 }
 
-DirectoryUpdate::DirectoryUpdate(const DirectoryUpdate& other38) {
-  processId = other38.processId;
-  zone = other38.zone;
-  processIncarnation = other38.processIncarnation;
-  setVersion = other38.setVersion;
-  changed = other38.changed;
-  removed = other38.removed;
-  inFlight = other38.inFlight;
-  summaries = other38.summaries;
-  full = other38.full;
-  appliedRevision = other38.appliedRevision;
-  releasedEpochs = other38.releasedEpochs;
-  __isset = other38.__isset;
-}
-DirectoryUpdate& DirectoryUpdate::operator=(const DirectoryUpdate& other39) {
-  processId = other39.processId;
-  zone = other39.zone;
-  processIncarnation = other39.processIncarnation;
-  setVersion = other39.setVersion;
-  changed = other39.changed;
-  removed = other39.removed;
-  inFlight = other39.inFlight;
-  summaries = other39.summaries;
-  full = other39.full;
-  appliedRevision = other39.appliedRevision;
-  releasedEpochs = other39.releasedEpochs;
-  __isset = other39.__isset;
+DirectoryUpdate::DirectoryUpdate(const DirectoryUpdate& other46) {
+  processId = other46.processId;
+  zone = other46.zone;
+  processIncarnation = other46.processIncarnation;
+  setVersion = other46.setVersion;
+  changed = other46.changed;
+  removed = other46.removed;
+  inFlight = other46.inFlight;
+  summaries = other46.summaries;
+  full = other46.full;
+  appliedRevision = other46.appliedRevision;
+  releasedEpochs = other46.releasedEpochs;
+  baseVersion = other46.baseVersion;
+  setLeaseMs = other46.setLeaseMs;
+  demand = other46.demand;
+  __isset = other46.__isset;
+}
+DirectoryUpdate& DirectoryUpdate::operator=(const DirectoryUpdate& other47) {
+  processId = other47.processId;
+  zone = other47.zone;
+  processIncarnation = other47.processIncarnation;
+  setVersion = other47.setVersion;
+  changed = other47.changed;
+  removed = other47.removed;
+  inFlight = other47.inFlight;
+  summaries = other47.summaries;
+  full = other47.full;
+  appliedRevision = other47.appliedRevision;
+  releasedEpochs = other47.releasedEpochs;
+  baseVersion = other47.baseVersion;
+  setLeaseMs = other47.setLeaseMs;
+  demand = other47.demand;
+  __isset = other47.__isset;
   return *this;
 }
 void DirectoryUpdate::printTo(std::ostream& out) const {
@@ -894,6 +1103,9 @@
   out << ", " << "full=" << to_string(full);
   out << ", " << "appliedRevision=" << to_string(appliedRevision);
   out << ", " << "releasedEpochs=" << to_string(releasedEpochs);
+  out << ", " << "baseVersion=" << to_string(baseVersion);
+  out << ", " << "setLeaseMs=" << to_string(setLeaseMs);
+  out << ", " << "demand=" << to_string(demand);
   out << ")";
 }
 
@@ -990,15 +1202,15 @@
   swap(a.__isset, b.__isset);
 }
 
-DirectoryReply::DirectoryReply(const DirectoryReply& other40) noexcept {
-  setVersion = other40.setVersion;
-  sendFull = other40.sendFull;
-  __isset = other40.__isset;
+DirectoryReply::DirectoryReply(const DirectoryReply& other48) noexcept {
+  setVersion = other48.setVersion;
+  sendFull = other48.sendFull;
+  __isset = other48.__isset;
 }
-DirectoryReply& DirectoryReply::operator=(const DirectoryReply& other41) noexcept {
-  setVersion = other41.setVersion;
-  sendFull = other41.sendFull;
-  __isset = other41.__isset;
+DirectoryReply& DirectoryReply::operator=(const DirectoryReply& other49) noexcept {
+  setVersion = other49.setVersion;
+  sendFull = other49.sendFull;
+  __isset = other49.__isset;
   return *this;
 }
 void DirectoryReply::printTo(std::ostream& out) const {
--- a/src/libs/wire/gen/membership_types.h
+++ b/src/libs/wire/gen/membership_types.h
@@ -25,6 +25,8 @@
 
 class PoolSummary;
 
+class DemandRecord;
+
 class DirectoryUpdate;
 
 class DirectoryReply;
@@ -220,8 +222,65 @@
 
 std::ostream& operator<<(std::ostream& out, const PoolSummary& obj);
 
+typedef struct _DemandRecord__isset {
+  _DemandRecord__isset() : serviceName(false), customer(false), requests(false) {}
+  bool serviceName :1;
+  bool customer :1;
+  bool requests :1;
+} _DemandRecord__isset;
+
+class DemandRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  DemandRecord(const DemandRecord&);
+  DemandRecord& operator=(const DemandRecord&);
+  DemandRecord() noexcept
+               : serviceName(),
+                 customer(),
+                 requests(0) {
+  }
+
+  virtual ~DemandRecord() noexcept;
+  std::string serviceName;
+  std::string customer;
+  int32_t requests;
+
+  _DemandRecord__isset __isset;
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_customer(const std::string& val);
+
+  void __set_requests(const int32_t val);
+
+  bool operator == (const DemandRecord & rhs) const
+  {
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(customer == rhs.customer))
+      return false;
+    if (!(requests == rhs.requests))
+      return false;
+    return true;
+  }
+  bool operator != (const DemandRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const DemandRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(DemandRecord &a, DemandRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const DemandRecord& obj);
+
 typedef struct _DirectoryUpdate__isset {
-  _DirectoryUpdate__isset() : processId(false), zone(false), processIncarnation(false), setVersion(false), changed(false), removed(false), inFlight(false), summaries(false), full(false), appliedRevision(false), releasedEpochs(false) {}
+  _DirectoryUpdate__isset() : processId(false), zone(false), processIncarnation(false), setVersion(false), changed(false), removed(false), inFlight(false), summaries(false), full(false), appliedRevision(false), releasedEpochs(false), baseVersion(false), setLeaseMs(false), demand(false) {}
   bool processId :1;
   bool zone :1;
   bool processIncarnation :1;
@@ -233,6 +292,9 @@
   bool full :1;
   bool appliedRevision :1;
   bool releasedEpochs :1;
+  bool baseVersion :1;
+  bool setLeaseMs :1;
+  bool demand :1;
 } _DirectoryUpdate__isset;
 
 class DirectoryUpdate : public virtual ::apache::thrift::TBase {
@@ -246,7 +308,9 @@
                     processIncarnation(0),
                     setVersion(0),
                     full(0),
-                    appliedRevision(0) {
+                    appliedRevision(0),
+                    baseVersion(0),
+                    setLeaseMs(0) {
   }
 
   virtual ~DirectoryUpdate() noexcept;
@@ -261,6 +325,9 @@
   bool full;
   int64_t appliedRevision;
   std::map<std::string, int64_t>  releasedEpochs;
+  int64_t baseVersion;
+  int32_t setLeaseMs;
+  std::vector<DemandRecord>  demand;
 
   _DirectoryUpdate__isset __isset;
 
@@ -286,6 +353,12 @@
 
   void __set_releasedEpochs(const std::map<std::string, int64_t> & val);
 
+  void __set_baseVersion(const int64_t val);
+
+  void __set_setLeaseMs(const int32_t val);
+
+  void __set_demand(const std::vector<DemandRecord> & val);
+
   bool operator == (const DirectoryUpdate & rhs) const
   {
     if (!(processId == rhs.processId))
@@ -310,6 +383,12 @@
       return false;
     if (!(releasedEpochs == rhs.releasedEpochs))
       return false;
+    if (!(baseVersion == rhs.baseVersion))
+      return false;
+    if (!(setLeaseMs == rhs.setLeaseMs))
+      return false;
+    if (!(demand == rhs.demand))
+      return false;
     return true;
   }
   bool operator != (const DirectoryUpdate &rhs) const {
--- a/src/libs/wire/membership.thrift
+++ b/src/libs/wire/membership.thrift
@@ -15,6 +15,7 @@
   // Values of Membership::EndpointState.
   11: i32 state
   12: i32 inFlight
+  // What is left of the lease at its owner.
   13: i32 leaseMs
 }
 
@@ -25,6 +26,13 @@
   4: i32 inFlight
 }
 
+// What one process has in flight or queued for a customer's service.
+struct DemandRecord {
+  1: string serviceName
+  2: string customer
+  3: i32 requests
+}
+
 struct DirectoryUpdate {
   1: string processId
   2: string zone
@@ -39,6 +47,11 @@
   10: i64 appliedRevision
   // The assignment epochs that this process no longer sends requests under, by host.
   11: map<string, i64> releasedEpochs
+  // The set version that changed and removed build on.
+  12: i64 baseVersion
+  // The shortest remaining lease among the records of the set that are not in changed.
+  13: i32 setLeaseMs
+  14: list<DemandRecord> demand
 }
 
 struct DirectoryReply {
--- a/src/libs/wire/peerserver.cpp
+++ b/src/libs/wire/peerserver.cpp
@@ -18,6 +18,19 @@
 
 using apache::thrift::server::TConnectedClient;
 
+// Listens once, although both start() and the library's serve() ask for it.
+class ListeningSocket final : public apache::thrift::transport::TServerSocket
+{
+public:
+    using TServerSocket::TServerSocket;
+
+    auto listen() -> void override
+    {
+        if (!isOpen())
+            TServerSocket::listen();
+    }
+};
+
 // Hands each accepted connection to a task arena.
 class ArenaServer final : public apache::thrift::server::TServerFramework
 {
@@ -81,8 +94,7 @@
 auto PeerServer::start() -> Utils::Result<void>
 {
     BOOST_OUTCOME_TRY(address, Utils::parseAddress(m_d->options.address));
-    m_d->listener =
-        std::make_shared<apache::thrift::transport::TServerSocket>(address.host, address.port);
+    m_d->listener = std::make_shared<ListeningSocket>(address.host, address.port);
     try {
         m_d->server =
             std::make_unique<ArenaServer>(m_d->processor, m_d->listener, m_d->options.connections);
