Let claims be released, waited for and fenced

Cause: a claim whose commit was uncertain could hold its key for ever, a resend of a running request got unknown at once, and stored answers lost their headers.

Change: a claim table in the state with owner attempts, fences, bounded answers, retention and unknown after the owner's restart; the dispatching process submits an uncertain claim again, waits for earlier sends, and commits the ends of claims until they are in the log. Claims are in neither the audit trail nor the command results.

--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -59,8 +59,13 @@
     Membership::DemandTable demand{clock, Utils::Milliseconds(settings.timing.routingLeaseMs)};
     Wire::PeerServer peerServer{{settings.listen.peers, int(settings.limits.peerConnections)}};
     Routing::Dispatcher dispatcher{clock, replica, directory};
-    Routing::ClaimedDispatch claimedDispatch{
-        dispatcher, gateway, replica, {settings.id, incarnation}};
+    Routing::ClaimSettler claimSettler{gateway, settings.id};
+    Routing::ClaimedDispatch claimedDispatch{clock,
+                                             dispatcher,
+                                             gateway,
+                                             replica,
+                                             claimSettler,
+                                             {settings.id, incarnation, settings.limits.claims}};
     Routing::ReleaseTask releaseTask{dispatcher,
                                      gateway,
                                      replica,
@@ -144,12 +149,14 @@
                                         m_d->moveRunner.runOnce();
                                     return Utils::success();
                                 }});
-    m_d->supervisor.startChild({"releases", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
-                                    do {
-                                        m_d->releaseTask.runOnce();
-                                    } while (!stop.waitFor(releaseInterval));
-                                    return Utils::success();
-                                }});
+    m_d->supervisor.startChild(
+        {"releases and claims", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
+             do {
+                 m_d->releaseTask.runOnce();
+                 m_d->claimSettler.runOnce();
+             } while (!stop.waitFor(releaseInterval));
+             return Utils::success();
+         }});
     return Utils::success();
 }
 
--- a/src/libs/fleet/claimcommands.h
+++ b/src/libs/fleet/claimcommands.h
@@ -5,14 +5,20 @@
 /*! Commands on what claimtypes.h defines. */
 namespace Fleet {
 
-/*! \brief Claims the right to run a non-idempotent request. */
+/*! \brief Claims the right to run a non-idempotent request; a resend of the same attempt is accepted. */
 struct ClaimRequest
 {
     static constexpr std::string_view typeName = "claim-request";
     static constexpr bool resultKept = false;
     RequestClaim claim;
+    std::int64_t limit = 1'000'000; //!< Claims kept; at the limit new ones are refused.
 };
 
+/*! \brief What the owner of a claim knows of the request's run. */
+enum class ClaimOutcome { Answered, NotRun, Unknown };
+
+auto enumNames(ClaimOutcome) -> std::span<const Utils::EnumName<ClaimOutcome>>;
+
 /*! \brief Ends a claim: stores the answer, releases it after a proven not-run, or marks it unknown. */
 struct SettleClaim
 {
@@ -21,15 +27,26 @@
     std::string customer;
     std::string key;
     std::string process;
+    std::int64_t incarnation = 0;
     std::int64_t attempt = 0;
-    bool notRun = false;
-    std::optional<StoredAnswer> answer;
+    ClaimOutcome outcome = ClaimOutcome::Unknown;
+    bool fence = false; //!< Refuse the attempt's claim should it be committed after this.
+    std::optional<StoredAnswer> answer; //!< Absent if it is too large to keep.
+};
+
+/*! \brief Drops claims after their retention; looks at a bounded number of claims at a time. */
+struct ExpireClaims
+{
+    static constexpr std::string_view typeName = "expire-claims";
+    static constexpr bool resultKept = false;
+    std::int64_t retentionMs = 0;
 };
 
 template <typename Archive>
 auto describe(Archive &archive, ClaimRequest &command) -> void
 {
     archive.required("claim", command.claim);
+    archive.optional("limit", command.limit, Utils::Range{0, 100'000'000});
 }
 
 template <typename Archive>
@@ -38,9 +55,17 @@
     archive.required("customer", command.customer);
     archive.required("key", command.key);
     archive.required("process", command.process);
+    archive.required("incarnation", command.incarnation);
     archive.required("attempt", command.attempt);
-    archive.optional("not_run", command.notRun);
+    archive.required("outcome", command.outcome);
+    archive.optional("fence", command.fence);
     archive.optional("answer", command.answer);
 }
 
+template <typename Archive>
+auto describe(Archive &archive, ExpireClaims &command) -> void
+{
+    archive.required("retention_ms", command.retentionMs, Utils::Range{0, INT64_MAX});
+}
+
 } // namespace Fleet
--- a/src/libs/fleet/gateway.cpp
+++ b/src/libs/fleet/gateway.cpp
@@ -21,7 +21,8 @@
     command.expectedRevision = origin.expectedRevision;
     command.timeMs = m_clock.wallTime();
     command.body = std::move(body);
-    BOOST_OUTCOME_TRY(committed, m_log.submit(encodeCommand(command), m_timeout));
+    const auto timeout = origin.timeout.value_or(m_timeout);
+    BOOST_OUTCOME_TRY(committed, m_log.submit(encodeCommand(command), timeout));
     BOOST_OUTCOME_TRY(result, Utils::fromCbor<CommandResult>(committed.reply));
     if (!result.accepted) {
         return Utils::failure(
--- a/src/libs/fleet/gateway.h
+++ b/src/libs/fleet/gateway.h
@@ -14,6 +14,7 @@
     std::string cause;
     std::string commandId; //!< Empty: a new one is made.
     std::optional<Revision> expectedRevision;
+    std::optional<Utils::Milliseconds> timeout = {}; //!< Unset: the gateway's own.
 };
 
 /*! \brief Sends commands through the replicated log and returns their results. Thread-safe. */
--- a/src/libs/fleet/state.h
+++ b/src/libs/fleet/state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "claimtable.h"
 #include "commands.h"
 #include "disruptionledger.h"
 #include "releasetable.h"
@@ -37,8 +38,11 @@
     auto ledger() const -> const DisruptionLedger & { return m_ledger; }
     auto autonomy() const -> const Autonomy & { return m_autonomy; }
     auto audit() const -> const std::vector<AuditRecord> & { return m_audit; }
+    auto claims() const -> const ClaimTable & { return m_claims; }
     auto findClaim(const std::string &customer, const std::string &key) const
         -> const RequestClaim *;
+    /*! \brief Returns the state of \a claim, which is Unknown once its owner is gone. */
+    auto stateOf(const RequestClaim &claim) const -> ClaimState;
     auto processes() const -> const ProcessTable & { return m_processes; }
     auto releases() const -> const ReleaseTable & { return m_releases; }
     auto results() const -> const ResultTable & { return m_results; }
@@ -97,6 +101,7 @@
     auto run(const ClaimRequest &body, const Context &context) -> Utils::Result<Change>;
     auto run(const SettleClaim &body, const Context &context) -> Utils::Result<Change>;
 
+    auto run(const ExpireClaims &body, const Context &context) -> Utils::Result<Change>;
     auto run(const RegisterProcess &body, const Context &context) -> Utils::Result<Change>;
     auto run(const RetireProcess &body, const Context &context) -> Utils::Result<Change>;
     auto run(const ReleaseHost &body, const Context &context) -> Utils::Result<Change>;
@@ -120,7 +125,7 @@
     std::map<std::string, Wave> m_waves;
     DisruptionLedger m_ledger;
     Autonomy m_autonomy;
-    std::map<std::string, RequestClaim> m_claims;
+    ClaimTable m_claims;
     std::vector<AuditRecord> m_audit;
     ResultTable m_results;
     ProcessTable m_processes;
--- a/src/libs/fleet/statereleases.cpp
+++ b/src/libs/fleet/statereleases.cpp
@@ -55,6 +55,7 @@
                                  body.routingLeaseMs,
                                  context.command.timeMs,
                                  context.revision};
+    m_claims.processStarted(body.process, body.incarnation);
     change.after = Utils::toJson(m_processes[body.process]);
     return change;
 }
--- a/src/libs/fleet/types.cpp
+++ b/src/libs/fleet/types.cpp
@@ -1,5 +1,7 @@
 #include "types.h"
 
+#include "claimcommands.h"
+
 #include <algorithm>
 #include <array>
 
@@ -42,9 +44,16 @@
 constexpr std::array claimStateNames{
     EnumName<ClaimState>{ClaimState::Claimed, "claimed"},
     EnumName<ClaimState>{ClaimState::Answered, "answered"},
+    EnumName<ClaimState>{ClaimState::AnsweredNotKept, "answered-not-kept"},
     EnumName<ClaimState>{ClaimState::Unknown, "unknown"},
 };
 
+constexpr std::array claimOutcomeNames{
+    EnumName<ClaimOutcome>{ClaimOutcome::Answered, "answered"},
+    EnumName<ClaimOutcome>{ClaimOutcome::NotRun, "not-run"},
+    EnumName<ClaimOutcome>{ClaimOutcome::Unknown, "unknown"},
+};
+
 constexpr std::array jobStateNames{
     EnumName<JobState>{JobState::Queued, "queued"},
     EnumName<JobState>{JobState::Running, "running"},
@@ -81,11 +90,24 @@
     return claimStateNames;
 }
 
+auto enumNames(ClaimOutcome) -> std::span<const EnumName<ClaimOutcome>>
+{
+    return claimOutcomeNames;
+}
+
 auto enumNames(JobState) -> std::span<const EnumName<JobState>>
 {
     return jobStateNames;
 }
 
+auto StoredAnswer::size() const -> std::int64_t
+{
+    auto size = contentType.size() + body.data.size();
+    for (const auto &header : headers)
+        size += header.name.size() + header.value.size();
+    return std::int64_t(size);
+}
+
 auto Contract::findService(std::string_view service) const -> const ServiceTerms *
 {
     const auto found = std::ranges::find(services, service, &ServiceTerms::service);
--- a/src/libs/routing/claimeddispatch.cpp
+++ b/src/libs/routing/claimeddispatch.cpp
@@ -1,11 +1,14 @@
 #include "claimeddispatch.h"
 
-#include "utils/log.h"
+#include <algorithm>
 
 namespace Routing {
 namespace {
 
-constexpr std::int64_t firstAttempt = 1;
+using Utils::ErrorType;
+
+constexpr Utils::Milliseconds retryInterval{50};
+constexpr Utils::Milliseconds maximumClaimTimeout{5000};
 
 auto fingerprintOf(const Request &request) -> std::string
 {
@@ -13,80 +16,191 @@
                             + request.body);
 }
 
+auto toStoredAnswer(const Reply &reply) -> std::optional<Fleet::StoredAnswer>
+{
+    Fleet::StoredAnswer answer;
+    answer.status = reply.status;
+    answer.contentType = reply.contentType;
+    for (const auto &header : reply.headers)
+        answer.headers.push_back({header.name, header.value});
+    answer.body.data = reply.body;
+    if (answer.size() > Fleet::ClaimTable::maximumAnswerBytes)
+        return std::nullopt;
+    return answer;
+}
+
 auto toReply(const Fleet::StoredAnswer &answer) -> Reply
 {
     Reply reply;
     reply.outcome = Outcome::Ran;
     reply.status = int(answer.status);
     reply.contentType = answer.contentType;
+    for (const auto &header : answer.headers)
+        reply.headers.push_back({header.name, header.value});
     reply.body = answer.body.data;
     return reply;
 }
 
+auto claimOutcomeOf(Outcome outcome) -> Fleet::ClaimOutcome
+{
+    if (outcome == Outcome::Ran)
+        return Fleet::ClaimOutcome::Answered;
+    return outcome == Outcome::NotRun ? Fleet::ClaimOutcome::NotRun : Fleet::ClaimOutcome::Unknown;
+}
+
+auto settleCommand(const Fleet::RequestClaim &claim, Outcome outcome, bool uncertain)
+    -> Fleet::SettleClaim
+{
+    Fleet::SettleClaim command;
+    command.customer = claim.customer;
+    command.key = claim.key;
+    command.process = claim.process;
+    command.incarnation = claim.incarnation;
+    command.attempt = claim.attempt;
+    command.outcome = claimOutcomeOf(outcome);
+    command.fence = uncertain && outcome == Outcome::NotRun;
+    return command;
+}
+
 } // namespace
 
-ClaimedDispatch::ClaimedDispatch(Dispatcher &dispatcher,
+ClaimedDispatch::ClaimedDispatch(const Utils::Clock &clock,
+                                 Dispatcher &dispatcher,
                                  Fleet::Gateway &gateway,
                                  const Fleet::Replica &replica,
+                                 ClaimSettler &settler,
                                  ClaimOwner owner)
-    : m_dispatcher(dispatcher)
+    : m_clock(clock)
+    , m_dispatcher(dispatcher)
     , m_gateway(gateway)
     , m_replica(replica)
+    , m_settler(settler)
     , m_owner(std::move(owner))
 {}
 
 auto ClaimedDispatch::dispatch(const Request &request) -> Reply
 {
-    const auto claimed = claim(request);
-    if (!claimed)
-        return resendReply(request, claimed.error());
-    auto reply = m_dispatcher.dispatch(request);
-    if (const auto settled = settle(request, reply); !settled) {
-        Utils::Log::warning("routing",
-                            "the answer of a claimed request could not be stored",
-                            {{"request", request.id}, {"reason", settled.error().message}});
+    while (remaining(request) > Utils::Milliseconds(0)) {
+        if (!m_settler.hasRoom())
+            return Reply::notRun(ErrorType::Unavailable, "too many claims wait to be ended");
+        Attempted attempted{newClaim(request), false};
+        const auto claimed = submitClaim(request, attempted);
+        if (claimed)
+            return run(request, attempted);
+        if (attempted.uncertain)
+            giveUp(attempted);
+        if (claimed.error().type != ErrorType::Conflict)
+            return refusedReply(request, attempted, claimed.error());
+        if (auto reply = waitForEarlierSend(request))
+            return *reply;
     }
-    return reply;
+    return Reply::notRun(ErrorType::Timeout, "the deadline passed before the request was claimed");
 }
 
-auto ClaimedDispatch::claim(const Request &request) -> Utils::Result<Fleet::CommandResult>
+auto ClaimedDispatch::newClaim(const Request &request) -> Fleet::RequestClaim
 {
-    Fleet::ClaimRequest command;
-    command.claim.customer = request.customer;
-    command.claim.key = request.idempotencyKey;
-    command.claim.fingerprint = fingerprintOf(request);
-    command.claim.process = m_owner.process;
-    command.claim.incarnation = m_owner.incarnation;
-    command.claim.attempt = firstAttempt;
-    return m_gateway.execute(std::move(command),
-                             {m_owner.process, "request " + request.id, {}, {}});
+    Fleet::RequestClaim claim;
+    claim.customer = request.customer;
+    claim.key = request.idempotencyKey;
+    claim.fingerprint = fingerprintOf(request);
+    claim.process = m_owner.process;
+    claim.incarnation = m_owner.incarnation;
+    claim.attempt = ++m_lastAttempt;
+    return claim;
 }
 
-auto ClaimedDispatch::settle(const Request &request, const Reply &reply)
-    -> Utils::Result<Fleet::CommandResult>
+auto ClaimedDispatch::submitClaim(const Request &request, Attempted &attempted)
+    -> Utils::Result<void>
 {
-    Fleet::SettleClaim command;
-    command.customer = request.customer;
-    command.key = request.idempotencyKey;
-    command.process = m_owner.process;
-    command.attempt = firstAttempt;
-    command.notRun = reply.outcome == Outcome::NotRun;
+    for (;;) {
+        const auto timeout = std::min(maximumClaimTimeout, remaining(request));
+        const auto result =
+            m_gateway.execute(Fleet::ClaimRequest{attempted.claim, m_owner.claimLimit},
+                              {m_owner.process, "request " + request.id, {}, {}, timeout});
+        if (result)
+            return Utils::success();
+        if (result.error().type != ErrorType::OutcomeUnknown)
+            return result.error();
+        attempted.uncertain = true;
+        if (remaining(request) <= retryInterval)
+            return result.error();
+        // The state accepts the same attempt again, so it is safe to send it twice.
+        m_replica.waitForChange(m_replica.revision(), retryInterval);
+    }
+}
+
+auto ClaimedDispatch::run(const Request &request, const Attempted &attempted) -> Reply
+{
+    auto reply = m_dispatcher.dispatch(request);
+    auto command = settleCommand(attempted.claim, reply.outcome, attempted.uncertain);
     if (reply.outcome == Outcome::Ran)
-        command.answer = Fleet::StoredAnswer{reply.status, reply.contentType, {reply.body}};
-    return m_gateway.execute(std::move(command),
-                             {m_owner.process, "request " + request.id, {}, {}});
+        command.answer = toStoredAnswer(reply);
+    m_settler.settle(std::move(command));
+    return reply;
+}
+
+auto ClaimedDispatch::giveUp(const Attempted &attempted) -> void
+{
+    m_settler.settleLater(settleCommand(attempted.claim, Outcome::NotRun, true));
+}
+
+// The failed claim proves that this send did not run; an earlier send may have.
+auto ClaimedDispatch::refusedReply(const Request &request,
+                                   const Attempted &attempted,
+                                   const Utils::Error &error) const -> Reply
+{
+    const auto ownClaim = m_replica.read([&](const Fleet::State &state) {
+        const auto *claim = state.findClaim(request.customer, request.idempotencyKey);
+        return claim && claim->process == m_owner.process
+               && claim->incarnation == m_owner.incarnation
+               && claim->attempt == attempted.claim.attempt;
+    });
+    if (error.type != ErrorType::Mismatch && !ownClaim) {
+        if (auto reply = earlierReply(request))
+            return *reply;
+    }
+    if (error.type == ErrorType::OutcomeUnknown)
+        return Reply::notRun(ErrorType::Timeout, "the request could not be claimed in time");
+    return Reply::notRun(error.type, error.message, error.details);
 }
 
-auto ClaimedDispatch::resendReply(const Request &request, const Utils::Error &error) const -> Reply
+auto ClaimedDispatch::waitForEarlierSend(const Request &request) const -> std::optional<Reply>
 {
-    if (error.type != Utils::ErrorType::Conflict)
-        return Reply::notRun(error.type, error.message, error.details);
-    return m_replica.read([&](const Fleet::State &state) {
+    for (;;) {
+        const auto revision = m_replica.revision();
+        const auto state = m_replica.read([&](const Fleet::State &fleet) {
+            const auto *claim = fleet.findClaim(request.customer, request.idempotencyKey);
+            return claim ? std::optional(fleet.stateOf(*claim)) : std::nullopt;
+        });
+        if (!state)
+            return std::nullopt;
+        const auto left = remaining(request);
+        if (*state != Fleet::ClaimState::Claimed || left <= Utils::Milliseconds(0))
+            return earlierReply(request);
+        m_replica.waitForChange(revision, left);
+    }
+}
+
+auto ClaimedDispatch::earlierReply(const Request &request) const -> std::optional<Reply>
+{
+    return m_replica.read([&](const Fleet::State &state) -> std::optional<Reply> {
         const auto *claim = state.findClaim(request.customer, request.idempotencyKey);
-        if (claim && claim->state == Fleet::ClaimState::Answered && claim->answer)
+        if (!claim)
+            return std::nullopt;
+        if (claim->fingerprint != fingerprintOf(request))
+            return Reply::notRun(ErrorType::Mismatch,
+                                 "the idempotency key was used for another request");
+        if (claim->answer)
             return toReply(*claim->answer);
+        if (state.stateOf(*claim) == Fleet::ClaimState::AnsweredNotKept)
+            return Reply::unknown("an earlier send ran; its answer was too large to keep");
         return Reply::unknown("an earlier send of this request may have run");
     });
 }
 
+auto ClaimedDispatch::remaining(const Request &request) const -> Utils::Milliseconds
+{
+    return request.deadline - m_clock.now();
+}
+
 } // namespace Routing
