Check contracts, reserve a rack in the budget, decide moves once

Cause: contracts were taken as they came, the budget kept no reserve for the next correlated failure, charges were never forgotten, a rejected move was proposed again at once, and a wave could lose a host's result on a leader change. Change: contractcheck, a reserve monotone in the limit, charges by pool with soak and pruning, a table of move transitions, overrides, expiry of stale proposals, policy approvals bound to autonomy, wave results in the same entry as the end of the move.

--- a/src/libs/fleet/contractcommands.h
+++ b/src/libs/fleet/contractcommands.h
@@ -36,6 +36,8 @@
     static constexpr std::string_view typeName = "report-host";
     std::string host;
     bool failed = false;
+    WallTimeMs observedMs =
+        0; //!< When it was seen; 0 or later than the command: the command's time.
 };
 
 template <typename Archive>
@@ -66,6 +68,7 @@
 {
     archive.required("host", command.host);
     archive.required("failed", command.failed);
+    archive.optional("observed_ms", command.observedMs);
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/movecommands.h
+++ b/src/libs/fleet/movecommands.h
@@ -8,7 +8,8 @@
 struct ProposeMove
 {
     static constexpr std::string_view typeName = "propose-move";
-    Move move;
+    Move move;            //!< Without id: the state makes one from the revision.
+    bool approve = false; //!< Proposed and approved by the same operator.
 };
 
 struct DecideMove
@@ -16,6 +17,7 @@
     static constexpr std::string_view typeName = "decide-move";
     std::string move;
     bool approve = false;
+    bool byPolicy = false; //!< Refused unless the pool's autonomy covers the move.
 };
 
 /*! \brief Takes a move one step on; refused where a rule or the budget forbids it. */
@@ -26,6 +28,24 @@
     MoveState from = MoveState::Approved;
     MoveState to = MoveState::Draining;
     std::string detail;
+    bool needsOperator = false;
+    std::int64_t jobMoves = 0;
+};
+
+enum class OverrideAction {
+    CancelMove,  //!< Ends a move before its host is stopped.
+    ExtendDrain, //!< Gives a drain past its deadline the same time again.
+};
+
+auto enumNames(OverrideAction) -> std::span<const Utils::EnumName<OverrideAction>>;
+
+/*! \brief An operator's decision about a move in progress. */
+struct OverrideMove
+{
+    static constexpr std::string_view typeName = "override-move";
+    std::string move;
+    OverrideAction action = OverrideAction::CancelMove;
+    std::string reason;
 };
 
 struct StartWave
@@ -39,7 +59,7 @@
     static constexpr std::string_view typeName = "update-wave";
     std::string wave;
     std::optional<bool> paused;
-    std::optional<std::string> finishedHost;
+    std::vector<std::string> unplacedJobs; //!< Added to those of the wave.
 };
 
 struct SetAutonomy
@@ -53,6 +73,7 @@
 auto describe(Archive &archive, ProposeMove &command) -> void
 {
     archive.required("move", command.move);
+    archive.optional("approve", command.approve);
 }
 
 template <typename Archive>
@@ -60,6 +81,7 @@
 {
     archive.required("move", command.move);
     archive.required("approve", command.approve);
+    archive.optional("by_policy", command.byPolicy);
 }
 
 template <typename Archive>
@@ -69,6 +91,16 @@
     archive.required("from", command.from);
     archive.required("to", command.to);
     archive.optional("detail", command.detail);
+    archive.optional("needs_operator", command.needsOperator);
+    archive.optional("job_moves", command.jobMoves);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, OverrideMove &command) -> void
+{
+    archive.required("move", command.move);
+    archive.required("action", command.action);
+    archive.optional("reason", command.reason);
 }
 
 template <typename Archive>
@@ -82,7 +114,7 @@
 {
     archive.required("wave", command.wave);
     archive.optional("paused", command.paused);
-    archive.optional("finished_host", command.finishedHost);
+    archive.optional("unplaced_jobs", command.unplacedJobs);
 }
 
 template <typename Archive>
--- a/src/libs/fleet/movetypes.h
+++ b/src/libs/fleet/movetypes.h
@@ -38,6 +38,9 @@
     std::string detail; //!< Why it is in its present state.
     std::string decidedBy;
     std::int64_t worstCaseHostS = 0;
+    std::int64_t assignmentEpoch = 0; //!< The host's epoch that the proposal was made for.
+    std::int64_t jobMoves = 0;        //!< Jobs that were placed on another host.
+    bool needsOperator = false;       //!< The drain passed its deadline.
     WallTimeMs createdMs = 0;
     WallTimeMs changedMs = 0;
     Revision revision = 0;
@@ -60,10 +63,18 @@
 {
     std::string id;
     std::string pool;
-    std::vector<std::string> hosts; //!< Hosts still to be maintained.
+    std::vector<std::string> hosts;        //!< Hosts still to be maintained.
+    std::vector<std::string> finished;     //!< Hosts maintained in this wave.
+    std::vector<std::string> failed;       //!< Hosts whose maintenance failed.
+    std::vector<std::string> skipped;      //!< Hosts whose move an operator rejected or cancelled.
+    std::vector<std::string> unplacedJobs; //!< Jobs that fit on no host maintained in this wave.
+    std::int64_t recentFailures = 0;       //!< Rises with each failure, falls with each success.
     bool paused = false;
     WallTimeMs startedMs = 0;
+    WallTimeMs endedMs = 0; //!< 0 while hosts are left.
     Revision revision = 0;
+
+    auto isOpen() const -> bool { return endedMs == 0; }
 };
 
 enum class AutonomyLevel { Manual, Guarded, Full };
@@ -95,6 +106,9 @@
     archive.optional("detail", move.detail);
     archive.optional("decided_by", move.decidedBy);
     archive.optional("worst_case_host_s", move.worstCaseHostS);
+    archive.optional("assignment_epoch", move.assignmentEpoch);
+    archive.optional("job_moves", move.jobMoves);
+    archive.optional("needs_operator", move.needsOperator);
     archive.optional("created_ms", move.createdMs);
     archive.optional("changed_ms", move.changedMs);
     archive.optional("revision", move.revision);
@@ -116,8 +130,14 @@
     archive.required("id", wave.id);
     archive.required("pool", wave.pool);
     archive.optional("hosts", wave.hosts);
+    archive.optional("finished", wave.finished);
+    archive.optional("failed", wave.failed);
+    archive.optional("skipped", wave.skipped);
+    archive.optional("unplaced_jobs", wave.unplacedJobs);
+    archive.optional("recent_failures", wave.recentFailures);
     archive.optional("paused", wave.paused);
     archive.optional("started_ms", wave.startedMs);
+    archive.optional("ended_ms", wave.endedMs);
     archive.optional("revision", wave.revision);
 }
 
--- a/src/libs/fleet/state.h
+++ b/src/libs/fleet/state.h
@@ -94,6 +94,7 @@
     auto run(const ProposeMove &body, const Context &context) -> Utils::Result<Change>;
     auto run(const DecideMove &body, const Context &context) -> Utils::Result<Change>;
     auto run(const AdvanceMove &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const OverrideMove &body, const Context &context) -> Utils::Result<Change>;
     auto run(const StartWave &body, const Context &context) -> Utils::Result<Change>;
     auto run(const UpdateWave &body, const Context &context) -> Utils::Result<Change>;
     auto run(const SetAutonomy &body, const Context &context) -> Utils::Result<Change>;
@@ -114,8 +115,11 @@
     auto createPool(const std::string &pool, Revision revision) -> void;
     auto poolOfService(std::string_view service) const -> const std::string *;
     auto startDrain(Move &move, Host &host, const Context &context) -> Utils::Result<void>;
-    auto enterState(Move &move, Host &host, const AdvanceMove &body, const Context &context)
-        -> void;
+    auto enterState(Move &move, Host &host, MoveState to, const Context &context) -> void;
+    auto endMove(Move &move, Host &host, const Context &context) -> void;
+    auto updateWaveOf(const Move &move, const Context &context) -> void;
+    auto failHost(Host &host, WallTimeMs sinceMs, const Context &context) -> void;
+    auto pruneCharges(WallTimeMs nowMs) -> void;
     auto recordAudit(const Change &change, const Context &context) -> void;
 
     std::map<std::string, Contract> m_contracts;
--- a/src/libs/fleet/statecontracts.cpp
+++ b/src/libs/fleet/statecontracts.cpp
@@ -1,5 +1,6 @@
 #include "state.h"
 
+#include "contractcheck.h"
 #include "statelookup.h"
 
 #include <algorithm>
@@ -37,6 +38,8 @@
     const auto *present = findIn(m_contracts, customer);
     BOOST_OUTCOME_TRY(
         checkRevision(context.command.expectedRevision, present ? present->revision : 0));
+    BOOST_OUTCOME_TRY(
+        checkContract(body.contract, {m_contracts, m_pools, m_hosts}, body.acceptWarnings));
     Change change{customer, customer, {}, jsonOrNull(present), {}, true};
     auto &contract = m_contracts[customer] = body.contract;
     contract.revision = context.revision;
@@ -76,22 +79,4 @@
     return Change{body.host, {}, body.host, {}, Utils::toJson(host), true};
 }
 
-auto State::run(const ReportHost &body, const Context &context) -> Utils::Result<Change>
-{
-    auto *host = findIn(m_hosts, body.host);
-    if (!host)
-        return failure(ErrorType::NotFound, "unknown host", body.host);
-    Change change{host->id, {}, host->id, Utils::toJson(*host), {}, true};
-    if (body.failed && host->state == HostState::Serving) {
-        m_ledger.hostFailed(*host, context.command.timeMs);
-        host->state = HostState::Failed;
-    } else if (!body.failed && host->state == HostState::Failed) {
-        m_ledger.hostReturned(*host, context.command.timeMs);
-        host->state = HostState::Serving;
-    }
-    host->revision = context.revision;
-    change.after = Utils::toJson(*host);
-    return change;
-}
-
 } // namespace Fleet
--- a/src/libs/fleet/statemoves.cpp
+++ b/src/libs/fleet/statemoves.cpp
@@ -3,6 +3,7 @@
 #include "statelookup.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Fleet {
 
@@ -10,6 +11,60 @@
 using Utils::failure;
 using namespace Internal;
 
+namespace {
+
+constexpr WallTimeMs millisecondsPerSecond = 1000;
+// Charges are kept for the longest window, at least for this long.
+constexpr std::int64_t minimumRetentionS = 4'838'400;
+
+struct Transition
+{
+    MoveState from;
+    MoveState to;
+};
+
+constexpr std::array transitions{
+    Transition{MoveState::Proposed, MoveState::Expired},
+    Transition{MoveState::Approved, MoveState::Expired},
+    Transition{MoveState::Approved, MoveState::Draining},
+    Transition{MoveState::Draining, MoveState::Draining},
+    Transition{MoveState::Draining, MoveState::Expired},
+    Transition{MoveState::Draining, MoveState::InMaintenance},
+    Transition{MoveState::Draining, MoveState::Done},
+    Transition{MoveState::Draining, MoveState::Failed},
+    Transition{MoveState::InMaintenance, MoveState::Soaking},
+    Transition{MoveState::InMaintenance, MoveState::Failed},
+    Transition{MoveState::Soaking, MoveState::Done},
+    Transition{MoveState::Soaking, MoveState::Failed},
+};
+
+auto isAllowed(const Move &move, MoveState to) -> bool
+{
+    if (move.kind == MoveKind::Maintenance && to == MoveState::Done)
+        return move.state == MoveState::Soaking;
+    if (move.kind == MoveKind::Reassign && to == MoveState::InMaintenance)
+        return false;
+    return std::ranges::any_of(transitions, [&](const Transition &transition) {
+        return transition.from == move.state && transition.to == to;
+    });
+}
+
+auto conflict(const Move &move, std::string message)
+{
+    std::string details = "state " + std::string(Utils::nameOf(move.state));
+    if (!move.decidedBy.empty())
+        details += ", decided by " + move.decidedBy;
+    return failure(ErrorType::Conflict, std::move(message), std::move(details));
+}
+
+auto hostIsAsProposed(const Move &move, const Host &host) -> bool
+{
+    return host.state == HostState::Serving && host.assignmentEpoch == move.assignmentEpoch
+           && host.pool == move.fromPool;
+}
+
+} // namespace
+
 auto State::run(const ProposeMove &body, const Context &context) -> Utils::Result<Change>
 {
     auto *host = findIn(m_hosts, body.move.host);
@@ -17,9 +72,19 @@
         return failure(ErrorType::NotFound, "unknown host", body.move.host);
     if (!host->move.empty())
         return failure(ErrorType::Conflict, "the host already has a move", host->move);
+    if (host->state != HostState::Serving)
+        return failure(ErrorType::Conflict,
+                       "the host is not serving",
+                       std::string(Utils::nameOf(host->state)));
     auto move = body.move;
-    move.state = MoveState::Proposed;
+    if (move.id.empty())
+        move.id = "move-" + std::to_string(context.revision);
+    if (m_moves.contains(move.id))
+        return failure(ErrorType::Conflict, "the move was already proposed", move.id);
+    move.state = body.approve ? MoveState::Approved : MoveState::Proposed;
+    move.decidedBy = body.approve ? context.command.actor : std::string();
     move.fromPool = host->pool;
+    move.assignmentEpoch = host->assignmentEpoch;
     if (move.kind == MoveKind::Maintenance)
         move.toPool = host->pool;
     else if (!m_pools.contains(move.toPool))
@@ -38,16 +103,21 @@
     if (!move)
         return failure(ErrorType::NotFound, "unknown move", body.move);
     if (move->state != MoveState::Proposed)
-        return failure(ErrorType::Conflict,
-                       "the move is already decided",
-                       std::string(Utils::nameOf(move->state)));
+        return conflict(*move, "the move is already decided");
+    BOOST_OUTCOME_TRY(checkRevision(context.command.expectedRevision, move->revision));
+    if (body.byPolicy && m_autonomy.levelFor(move->fromPool) == AutonomyLevel::Manual)
+        return failure(
+            ErrorType::Refused, "moves of this pool wait for an operator", move->fromPool);
+    auto &host = m_hosts[move->host];
+    if (body.approve && !hostIsAsProposed(*move, host))
+        return conflict(*move, "the host is no longer as it was when the move was proposed");
     Change change{move->id, {}, move->host, Utils::toJson(*move), {}, true};
-    move->state = body.approve ? MoveState::Approved : MoveState::Rejected;
     move->decidedBy = context.command.actor;
+    move->state = body.approve ? MoveState::Approved : MoveState::Rejected;
     move->changedMs = context.command.timeMs;
     move->revision = context.revision;
     if (!body.approve)
-        m_hosts[move->host].move.clear();
+        endMove(*move, host, context);
     change.after = Utils::toJson(*move);
     return change;
 }
@@ -58,98 +128,114 @@
     if (!move)
         return failure(ErrorType::NotFound, "unknown move", body.move);
     if (move->state != body.from)
-        return failure(ErrorType::Conflict,
-                       "the move is in another state",
-                       std::string(Utils::nameOf(move->state)));
+        return conflict(*move, "the move is in another state");
+    if (!isAllowed(*move, body.to))
+        return conflict(*move, "the move cannot become " + std::string(Utils::nameOf(body.to)));
     auto *host = findIn(m_hosts, move->host);
     if (!host)
         return failure(ErrorType::NotFound, "unknown host", move->host);
     Change change{move->id, {}, move->host, Utils::toJson(*move), {}, true};
-    BOOST_OUTCOME_TRY(checkDrainEnd(*move, body, context));
-    if (body.to == MoveState::Draining) {
+    if (body.from != body.to) {
+        BOOST_OUTCOME_TRY(checkDrainEnd(*move, body, context));
+    }
+    if (body.from == MoveState::Approved && body.to == MoveState::Draining) {
         BOOST_OUTCOME_TRY(startDrain(*move, *host, context));
     }
-    enterState(*move, *host, body, context);
+    move->detail = body.detail;
+    move->needsOperator = body.needsOperator;
+    move->jobMoves += body.jobMoves;
+    if (body.from != body.to)
+        enterState(*move, *host, body.to, context);
+    change.after = Utils::toJson(*move);
+    return change;
+}
+
+auto State::run(const OverrideMove &body, const Context &context) -> Utils::Result<Change>
+{
+    auto *move = findIn(m_moves, body.move);
+    if (!move)
+        return failure(ErrorType::NotFound, "unknown move", body.move);
+    if (body.reason.empty())
+        return failure(ErrorType::InvalidInput, "an override needs a reason");
+    if (!move->isOpen() || move->state > MoveState::Draining)
+        return conflict(*move, "only a move whose host is not yet stopped can be overridden");
+    if (body.action != OverrideAction::CancelMove && move->state != MoveState::Draining)
+        return conflict(*move, "the move is not draining");
+    Change change{move->id, {}, move->host, Utils::toJson(*move), {}, true};
+    move->detail = std::string(Utils::nameOf(body.action)) + ": " + body.reason;
+    move->needsOperator = false;
+    if (body.action == OverrideAction::ExtendDrain)
+        move->changedMs = context.command.timeMs;
+    if (body.action == OverrideAction::CancelMove) {
+        move->decidedBy = context.command.actor;
+        enterState(*move, m_hosts[move->host], MoveState::Expired, context);
+    }
+    move->revision = context.revision;
     change.after = Utils::toJson(*move);
     return change;
 }
 
 auto State::startDrain(Move &move, Host &host, const Context &context) -> Utils::Result<void>
 {
+    if (!hostIsAsProposed(move, host))
+        return failure(ErrorType::Conflict,
+                       "the host is no longer as it was when the move was proposed",
+                       std::string(Utils::nameOf(host.state)));
+    // Charges move out of a window only as time goes on, so a clock that lags counts more of them.
+    pruneCharges(context.command.timeMs);
+    const RackIndex racks(m_hosts);
     for (const auto &[customer, contract] : m_contracts) {
-        BOOST_OUTCOME_TRY(m_ledger.grant(contract, move, context.command.timeMs));
+        const auto rackHosts =
+            contract.usesPool(move.fromPool) ? racks.largestRack(contract, &host) : 0;
+        BOOST_OUTCOME_TRY(m_ledger.grant(contract, move, rackHosts, context.command.timeMs));
     }
     m_ledger.open(move, context.command.timeMs);
     host.state = HostState::Draining;
     return Utils::success();
 }
 
-auto State::enterState(Move &move, Host &host, const AdvanceMove &body, const Context &context)
-    -> void
+auto State::pruneCharges(WallTimeMs nowMs) -> void
+{
+    auto retentionS = minimumRetentionS;
+    for (const auto &[customer, contract] : m_contracts)
+        retentionS = std::max(retentionS, contract.disruption.windowS);
+    m_ledger.prune(nowMs - retentionS * millisecondsPerSecond);
+}
+
+auto State::enterState(Move &move, Host &host, MoveState to, const Context &context) -> void
 {
-    move.state = body.to;
-    move.detail = body.detail;
+    const auto stoppedHost = host.state != HostState::Serving;
+    move.state = to;
     move.changedMs = context.command.timeMs;
     move.revision = context.revision;
     host.revision = context.revision;
-    if (body.to == MoveState::InMaintenance)
+    if (to == MoveState::InMaintenance)
         host.state = HostState::InMaintenance;
-    if (body.to == MoveState::Soaking)
+    if (to == MoveState::Soaking)
         host.state = HostState::Soaking;
-    if (body.to == MoveState::Done && move.kind == MoveKind::Maintenance)
+    if (to == MoveState::Done && move.kind == MoveKind::Maintenance)
         host.lastMaintainedMs = context.command.timeMs;
-    if (body.to == MoveState::Done && move.kind == MoveKind::Reassign) {
+    if (to == MoveState::Done && move.kind == MoveKind::Reassign) {
         host.pool = move.toPool;
         ++host.assignmentEpoch;
     }
     if (move.isOpen())
         return;
-    host.state = HostState::Serving;
-    host.move.clear();
-    m_ledger.close(move, context.command.timeMs);
+    endMove(move, host, context);
+    if (to == MoveState::Failed)
+        failHost(host, context.command.timeMs, context);
+    else if (stoppedHost)
+        host.state = HostState::Serving;
 }
 
-auto State::run(const StartWave &body, const Context &context) -> Utils::Result<Change>
+auto State::endMove(Move &move, Host &host, const Context &context) -> void
 {
-    if (!m_pools.contains(body.wave.pool))
-        return failure(ErrorType::NotFound, "unknown pool", body.wave.pool);
-    auto wave = body.wave;
-    if (wave.hosts.empty()) {
-        for (const auto &[id, host] : m_hosts) {
-            if (host.pool == wave.pool)
-                wave.hosts.push_back(id);
-        }
-    }
-    wave.startedMs = context.command.timeMs;
-    wave.revision = context.revision;
-    m_waves[wave.id] = wave;
-    return Change{wave.id, {}, {}, {}, Utils::toJson(wave), true};
-}
-
-auto State::run(const UpdateWave &body, const Context &context) -> Utils::Result<Change>
-{
-    auto *wave = findIn(m_waves, body.wave);
-    if (!wave)
-        return failure(ErrorType::NotFound, "unknown maintenance wave", body.wave);
-    Change change{wave->id, {}, body.finishedHost.value_or(""), Utils::toJson(*wave), {}, true};
-    if (body.paused)
-        wave->paused = *body.paused;
-    if (body.finishedHost)
-        std::erase(wave->hosts, *body.finishedHost);
-    wave->revision = context.revision;
-    change.after = Utils::toJson(*wave);
-    return change;
-}
-
-auto State::run(const SetAutonomy &body, const Context &) -> Utils::Result<Change>
-{
-    Change change{body.pool, {}, {}, Utils::toJson(m_autonomy), {}, true};
-    if (body.pool.empty())
-        m_autonomy.level = body.level;
-    else
-        m_autonomy.pools[body.pool] = Utils::nameOf(body.level);
-    change.after = Utils::toJson(m_autonomy);
-    return change;
+    host.move.clear();
+    m_releases.forget(move.id);
+    host.revision = context.revision;
+    m_ledger.close(move, context.command.timeMs);
+    if (!move.wave.empty())
+        updateWaveOf(move, context);
 }
 
 } // namespace Fleet
--- a/src/libs/fleet/types.cpp
+++ b/src/libs/fleet/types.cpp
@@ -1,6 +1,7 @@
 #include "types.h"
 
 #include "claimcommands.h"
+#include "movecommands.h"
 
 #include <algorithm>
 #include <array>
@@ -41,6 +42,11 @@
     EnumName<AutonomyLevel>{AutonomyLevel::Full, "full"},
 };
 
+constexpr std::array overrideActionNames{
+    EnumName<OverrideAction>{OverrideAction::CancelMove, "cancel-move"},
+    EnumName<OverrideAction>{OverrideAction::ExtendDrain, "extend-drain"},
+};
+
 constexpr std::array claimStateNames{
     EnumName<ClaimState>{ClaimState::Claimed, "claimed"},
     EnumName<ClaimState>{ClaimState::Answered, "answered"},
@@ -85,6 +91,11 @@
     return autonomyLevelNames;
 }
 
+auto enumNames(OverrideAction) -> std::span<const EnumName<OverrideAction>>
+{
+    return overrideActionNames;
+}
+
 auto enumNames(ClaimState) -> std::span<const EnumName<ClaimState>>
 {
     return claimStateNames;
--- a/src/libs/planning/moverunner.cpp
+++ b/src/libs/planning/moverunner.cpp
@@ -115,13 +115,6 @@
                           {"details", result.error().details}});
         return;
     }
-    if (to == MoveState::Done && !move.wave.empty()) {
-        const auto updated =
-            m_gateway.execute(Fleet::UpdateWave{move.wave, {}, move.host},
-                              {"planner", "host " + move.host + " is maintained", {}, {}});
-        if (!updated)
-            Utils::Log::warning("planning", "a wave could not be updated", {{"wave", move.wave}});
-    }
 }
 
 } // namespace Planning
