Plan waves by budget, capacity, jobs and failures; watch for failed hosts

Cause: the runner took one host at a time in the order of names, looked at no jobs, and nothing reported failed hosts. Change: a wave planner (width from contracts, capacity and recent failures; rack by rack, the rack with the fewest jobs first), job placement on hosts that the wave stops no more, drains that ask the operator past their deadline, maintenance that fails, policy approvals, a failure watch on endpoint leases, and the HTTP client of the platform. Planners run at the leader only.

--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -4,6 +4,7 @@
 #include "entry/endpointinterface.h"
 #include "entry/operatorinterface.h"
 #include "membership/peerupdates.h"
+#include "planning/failurewatch.h"
 #include "planning/moverunner.h"
 #include "replication/singlereplicalog.h"
 #include "routing/releasetask.h"
@@ -46,6 +47,7 @@
     {}
 
     auto startPeerLinks() -> void;
+    auto plan() -> void;
 
     Settings::Settings settings;
     Utils::SystemClock clock;
@@ -73,14 +75,17 @@
                                       settings.zone,
                                       incarnation,
                                       Utils::Milliseconds(settings.timing.routingLeaseMs)}};
-    Planning::NullPlatform platform;
+    std::unique_ptr<Planning::Platform> platform =
+        Planning::makePlatform(settings.platform.address);
     Planning::MoveRunner moveRunner{
         gateway,
         replica,
         directory,
-        platform,
+        *platform,
         clock,
-        Utils::Milliseconds(settings.timing.soakS *millisecondsPerSecond)};
+        {Utils::Milliseconds(settings.timing.soakS * millisecondsPerSecond),
+         Utils::Milliseconds(settings.timing.drainDeadlineS *millisecondsPerSecond)}};
+    Planning::FailureWatch failureWatch{gateway, replica, directory, clock};
     Entry::HttpServer callerServer{httpOptions(
         "callers", settings.listen.callers, settings.limits.callerConnections, settings.limits)};
     Entry::HttpServer endpointServer{httpOptions("endpoints",
@@ -99,6 +104,14 @@
     Supervision::Supervisor supervisor{"root", {}, [](const Utils::Error &) {}};
 };
 
+auto ServeProcess::Private::plan() -> void
+{
+    if (log.status().role != Replication::Role::Leader)
+        return;
+    failureWatch.runOnce();
+    moveRunner.runOnce();
+}
+
 auto ServeProcess::Private::startPeerLinks() -> void
 {
     for (const auto &peer : settings.peers) {
@@ -146,7 +159,7 @@
     BOOST_OUTCOME_TRY(m_d->callerServer.start());
     m_d->supervisor.startChild({"moves", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
                                     while (!stop.waitFor(plannerInterval))
-                                        m_d->moveRunner.runOnce();
+                                        m_d->plan();
                                     return Utils::success();
                                 }});
     m_d->supervisor.startChild(
--- a/src/libs/fleet/statemoves.cpp
+++ b/src/libs/fleet/statemoves.cpp
@@ -26,6 +26,7 @@
 constexpr std::array transitions{
     Transition{MoveState::Proposed, MoveState::Expired},
     Transition{MoveState::Approved, MoveState::Expired},
+    Transition{MoveState::Approved, MoveState::Rejected},
     Transition{MoveState::Approved, MoveState::Draining},
     Transition{MoveState::Draining, MoveState::Draining},
     Transition{MoveState::Draining, MoveState::Expired},
--- /dev/null
+++ b/src/libs/planning/failurewatch.cpp
@@ -0,0 +1,63 @@
+#include "failurewatch.h"
+
+#include "utils/log.h"
+
+#include <algorithm>
+
+namespace Planning {
+
+namespace {
+// How long all leases of a host must have been over before it counts as failed.
+constexpr Utils::Milliseconds failureGrace{10'000};
+} // namespace
+
+FailureWatch::FailureWatch(Fleet::Gateway &gateway,
+                           const Fleet::Replica &replica,
+                           const Membership::EndpointDirectory &directory,
+                           const Utils::Clock &clock)
+    : m_gateway(gateway)
+    , m_replica(replica)
+    , m_directory(directory)
+    , m_clock(clock)
+{}
+
+auto FailureWatch::runOnce() -> void
+{
+    const auto hosts = m_replica.read([](const Fleet::State &state) { return state.hosts(); });
+    for (const auto &[id, host] : hosts) {
+        const auto report = judge(host);
+        if (!report)
+            continue;
+        const auto observedMs = m_clock.wallTime() - report->silence.count();
+        const auto *cause = report->failed ? "all leases of its endpoints are over"
+                                           : "an endpoint of it announces again";
+        const auto result = m_gateway.execute(Fleet::ReportHost{id, report->failed, observedMs},
+                                              {"failure-watch", cause, {}, {}});
+        if (!result)
+            Utils::Log::warning("planning",
+                                "a host report was not committed",
+                                {{"host", id}, {"reason", result.error().message}});
+    }
+}
+
+auto FailureWatch::judge(const Fleet::Host &host) const -> std::optional<HostReport>
+{
+    const auto endpoints = m_directory.onHost(host.id);
+    // A host of which this process knows no endpoint is not judged.
+    if (endpoints.empty() || host.state == Fleet::HostState::InMaintenance)
+        return std::nullopt;
+    const auto last = std::ranges::max_element(endpoints, {}, &Membership::Endpoint::leaseUntil);
+    const auto silence = m_clock.now() - last->leaseUntil;
+    if (host.state == Fleet::HostState::Failed) {
+        const auto isBack = silence < Utils::Milliseconds(0)
+                            && last->announcement.state == Membership::EndpointState::Serving;
+        return isBack ? std::optional(HostReport{host.id, false, {}}) : std::nullopt;
+    }
+    const auto leftAsPlanned = host.state == Fleet::HostState::Draining
+                               && last->announcement.state == Membership::EndpointState::Leaving;
+    if (silence < failureGrace || leftAsPlanned)
+        return std::nullopt;
+    return HostReport{host.id, true, silence};
+}
+
+} // namespace Planning
--- a/src/libs/planning/moverunner.cpp
+++ b/src/libs/planning/moverunner.cpp
@@ -3,118 +3,302 @@
 #include "utils/log.h"
 
 #include <algorithm>
+#include <array>
 
 namespace Planning {
 
 using Fleet::Move;
+using Fleet::MoveKind;
 using Fleet::MoveState;
 
 namespace {
-constexpr std::int64_t worstCaseMaintenanceHostS = 1800;
-}
+constexpr std::int64_t millisecondsPerSecond = 1000;
+constexpr Utils::Milliseconds proposalLifetime{24 * 3600 * millisecondsPerSecond};
+constexpr auto plannerActor = "planner";
+} // namespace
 
 MoveRunner::MoveRunner(Fleet::Gateway &gateway,
                        const Fleet::Replica &replica,
                        const Membership::EndpointDirectory &directory,
                        Platform &platform,
                        const Utils::Clock &clock,
-                       Utils::Milliseconds soak)
+                       MoveTiming timing)
     : m_gateway(gateway)
     , m_replica(replica)
     , m_directory(directory)
     , m_platform(platform)
     , m_clock(clock)
-    , m_soak(soak)
+    , m_timing(timing)
 {}
 
-auto MoveRunner::runOnce() -> void
+auto MoveRunner::steps() -> std::span<const Step>
 {
-    proposeForWaves();
+    static constexpr std::array steps{
+        Step{MoveState::Proposed, &MoveRunner::stepProposed},
+        Step{MoveState::Approved, &MoveRunner::stepApproved},
+        Step{MoveState::Draining, &MoveRunner::stepDraining},
+        Step{MoveState::InMaintenance, &MoveRunner::stepInMaintenance},
+        Step{MoveState::Soaking, &MoveRunner::stepSoaking},
+    };
+    return steps;
+}
+
+auto MoveRunner::runOnce(const std::map<std::string, std::int64_t> &requiredSlots) -> void
+{
+    proposeForWaves(requiredSlots);
     const auto moves = m_replica.read([](const Fleet::State &state) {
         std::vector<Move> open;
         for (const auto &[id, move] : state.moves()) {
-            if (move.isOpen() && move.state != MoveState::Proposed)
+            if (move.isOpen())
                 open.push_back(move);
         }
         return open;
     });
+    for (const auto &move : moves) {
+        const auto step = std::ranges::find(steps(), move.state, &Step::state);
+        if (step != steps().end())
+            (this->*step->take)(move);
+    }
+}
+
+auto MoveRunner::proposeForWaves(const std::map<std::string, std::int64_t> &requiredSlots) -> void
+{
+    const WaveInput input{requiredSlots, countJobs()};
+    const auto nowMs = m_clock.wallTime();
+    const auto moves = m_replica.read([&](const Fleet::State &state) {
+        const auto hasWave = std::ranges::any_of(
+            state.waves(), [](const auto &item) { return item.second.isOpen(); });
+        return hasWave ? proposeWaveMoves(FleetView(state), input, nowMs) : std::vector<Move>();
+    });
     for (const auto &move : moves)
-        step(move);
+        execute(Fleet::ProposeMove{move}, move);
 }
 
-auto MoveRunner::proposeForWaves() -> void
+auto MoveRunner::countJobs() const -> std::map<std::string, std::int64_t>
 {
-    const auto proposals = m_replica.read([](const Fleet::State &state) {
-        std::vector<Move> moves;
+    const auto hosts = m_replica.read([](const Fleet::State &state) {
+        std::vector<std::string> hosts;
         for (const auto &[id, wave] : state.waves()) {
-            if (wave.paused || wave.hosts.empty())
-                continue;
-            const auto *host = state.findHost(wave.hosts.front());
-            if (!host || !host->move.empty())
-                continue;
-            Move move;
-            move.id = "move-" + wave.id + "-" + host->id;
-            move.host = host->id;
-            move.wave = wave.id;
-            move.reason = "maintenance wave " + wave.id;
-            move.rule = "one host at a time";
-            move.worstCaseHostS = worstCaseMaintenanceHostS;
-            moves.push_back(move);
+            if (wave.isOpen() && !wave.paused)
+                hosts.insert(hosts.end(), wave.hosts.begin(), wave.hosts.end());
         }
-        return moves;
+        return hosts;
     });
-    for (const auto &move : proposals) {
-        const auto result =
-            m_gateway.execute(Fleet::ProposeMove{move}, {"planner", move.reason, {}, {}});
-        if (!result) {
-            Utils::Log::warning("planning",
-                                "a move could not be proposed",
-                                {{"host", move.host}, {"reason", result.error().message}});
-        }
+    std::map<std::string, std::int64_t> jobs;
+    for (const auto &host : hosts) {
+        const auto tasks = m_platform.tasksOn(host);
+        if (!tasks)
+            break; // Without an answer the order of racks is by name.
+        jobs[host] = std::int64_t(tasks.value().size());
     }
+    return jobs;
 }
 
-auto MoveRunner::step(const Move &move) -> void
+auto MoveRunner::stepProposed(const Move &move) -> void
 {
-    if (move.state == MoveState::Approved) {
-        advance(move, MoveState::Draining, "waiting for requests in flight");
-    } else if (move.state == MoveState::Draining && isDrained(move)) {
-        if (move.kind == Fleet::MoveKind::Reassign) {
-            advance(move, MoveState::Done, "assigned to pool " + move.toPool);
-        } else if (m_platform.startMaintenance(move.host)) {
-            advance(move, MoveState::InMaintenance, "maintenance started");
+    const auto isStale = m_replica.read([&](const Fleet::State &state) {
+        const auto wave = state.waves().find(move.wave);
+        return !move.wave.empty() && (wave == state.waves().end() || wave->second.paused);
+    });
+    if (isStale || age(move) > proposalLifetime) {
+        advance(move, MoveState::Expired, "the state it was proposed for is gone");
+        return;
+    }
+    const auto level = m_replica.read(
+        [&](const Fleet::State &state) { return state.autonomy().levelFor(move.fromPool); });
+    const auto isCovered =
+        level == Fleet::AutonomyLevel::Full
+        || (level == Fleet::AutonomyLevel::Guarded && move.kind == MoveKind::Maintenance);
+    if (!isCovered)
+        return;
+    const auto name = std::string(Utils::nameOf(level));
+    const auto decided =
+        m_gateway.execute(Fleet::DecideMove{move.id, true, true},
+                          {"policy:" + name, "autonomy " + name + ": " + move.rule, {}, {}});
+    if (!decided)
+        Utils::Log::info("planning",
+                         "a move could not be approved",
+                         {{"move", move.id}, {"reason", decided.error().message}});
+}
+
+auto MoveRunner::stepApproved(const Move &move) -> void
+{
+    if (move.kind == MoveKind::Maintenance) {
+        const auto plan = planJobs(move);
+        if (!plan)
+            return;
+        if (!plan.value().unplaced.empty()) {
+            reportUnplaced(move, plan.value());
+            advance(move, MoveState::Rejected, "a job of the host fits nowhere");
+            return;
         }
-    } else if (move.state == MoveState::InMaintenance) {
-        const auto maintained = m_platform.isMaintained(move.host);
-        if (maintained && maintained.value())
+    }
+    if (!advance(move, MoveState::Draining, "waiting for requests in flight"))
+        return;
+    if (const auto drained = m_platform.drain(move.host); !drained)
+        Utils::Log::warning("planning",
+                            "the platform did not take a drain",
+                            {{"host", move.host}, {"reason", drained.error().message}});
+}
+
+auto MoveRunner::stepDraining(const Move &move) -> void
+{
+    const auto inFlight = requestsInFlight(move);
+    if (inFlight > 0) {
+        askOperator(move, std::to_string(inFlight) + " requests in flight");
+        return;
+    }
+    if (move.kind == MoveKind::Reassign) {
+        advance(move, MoveState::Done, "assigned to pool " + move.toPool);
+        return;
+    }
+    const auto plan = planJobs(move);
+    if (!plan)
+        return;
+    if (!plan.value().unplaced.empty())
+        reportUnplaced(move, plan.value());
+    const auto moved = moveJobs(move, plan.value());
+    if (moved > 0)
+        execute(
+            Fleet::AdvanceMove{
+                move.id, move.state, move.state, move.detail, move.needsOperator, moved},
+            move);
+    const auto left = m_platform.tasksOn(move.host);
+    if (!left || !left.value().empty()) {
+        askOperator(move, "jobs on the host");
+        return;
+    }
+    if (advance(move, MoveState::InMaintenance, "maintenance starts"))
+        stepInMaintenance(move);
+}
+
+auto MoveRunner::stepInMaintenance(const Move &move) -> void
+{
+    // Repeated, since the leader that entered this state may have ended before the platform heard.
+    if (move.state != MoveState::InMaintenance || age(move) < m_timing.soak) {
+        if (const auto started = m_platform.startMaintenance(move.host); !started)
+            return;
+    }
+    if (move.state != MoveState::InMaintenance)
+        return;
+    const auto state = m_platform.maintenanceState(move.host);
+    if (state && state.value() == MaintenanceState::Failed)
+        advance(move, MoveState::Failed, "the platform reports that the maintenance failed");
+    else if (state && state.value() == MaintenanceState::Ended) {
+        if (m_platform.giveBack(move.host))
             advance(move, MoveState::Soaking, "maintenance ended");
-    } else if (move.state == MoveState::Soaking
-               && m_clock.wallTime() - move.changedMs >= m_soak.count()) {
+    } else if (age(move).count() > move.worstCaseHostS * millisecondsPerSecond)
+        advance(move, MoveState::Failed, "the host did not return within its worst case");
+}
+
+auto MoveRunner::stepSoaking(const Move &move) -> void
+{
+    if (age(move) >= m_timing.soak)
         advance(move, MoveState::Done, "returned to pool " + move.toPool);
+}
+
+auto MoveRunner::planJobs(const Move &move) const -> Utils::Result<JobPlan>
+{
+    BOOST_OUTCOME_TRY(tasks, m_platform.tasksOn(move.host));
+    if (tasks.empty())
+        return JobPlan();
+    return placeJobs(
+        tasks, targetsFor(move), m_timing.drainDeadline.count() / millisecondsPerSecond);
+}
+
+// Hosts of the pool that this wave stops no more, so that no job moves twice in it.
+auto MoveRunner::targetsFor(const Move &move) const -> std::vector<PlacementTarget>
+{
+    auto targets = m_replica.read([&](const Fleet::State &state) {
+        std::vector<PlacementTarget> targets;
+        const auto wave = state.waves().find(move.wave);
+        for (const auto &[id, host] : state.hosts()) {
+            const auto isAhead =
+                wave != state.waves().end()
+                && std::ranges::find(wave->second.hosts, id) != wave->second.hosts.end();
+            if (host.pool == move.fromPool && host.state == Fleet::HostState::Serving && !isAhead
+                && id != move.host)
+                targets.push_back({id, host.slots});
+        }
+        return targets;
+    });
+    for (auto &target : targets) {
+        const auto tasks = m_platform.tasksOn(target.host);
+        if (!tasks) {
+            target.freeSlots = 0;
+            continue;
+        }
+        for (const auto &task : tasks.value())
+            target.freeSlots -= slotsOf(task);
     }
+    return targets;
 }
 
-auto MoveRunner::isDrained(const Move &move) const -> bool
+auto MoveRunner::reportUnplaced(const Move &move, const JobPlan &plan) -> void
 {
-    const auto endpoints = m_directory.onHost(move.host);
-    return std::ranges::all_of(endpoints, [](const Membership::Endpoint &endpoint) {
-        return endpoint.announcement.inFlight == 0;
+    if (move.wave.empty())
+        return;
+    const auto isKnown = m_replica.read([&](const Fleet::State &state) {
+        const auto wave = state.waves().find(move.wave);
+        return wave != state.waves().end()
+               && std::ranges::all_of(plan.unplaced, [&](const std::string &job) {
+                      return std::ranges::find(wave->second.unplacedJobs, job)
+                             != wave->second.unplacedJobs.end();
+                  });
     });
+    if (!isKnown)
+        execute(Fleet::UpdateWave{move.wave, {}, plan.unplaced}, move);
 }
 
-auto MoveRunner::advance(const Move &move, MoveState to, std::string detail) -> void
+auto MoveRunner::moveJobs(const Move &move, const JobPlan &plan) -> std::int64_t
 {
-    const auto result =
-        m_gateway.execute(Fleet::AdvanceMove{move.id, move.state, to, std::move(detail)},
-                          {"planner", move.reason, {}, {}});
-    if (!result) {
+    std::int64_t moved = 0;
+    for (const auto &job : plan.moves)
+        moved += m_platform.moveTask(job.job, move.host, job.toHost) ? 1 : 0;
+    return moved;
+}
+
+auto MoveRunner::requestsInFlight(const Move &move) const -> std::int64_t
+{
+    std::int64_t inFlight = 0;
+    for (const auto &endpoint : m_directory.onHost(move.host))
+        inFlight += endpoint.announcement.inFlight;
+    return inFlight;
+}
+
+auto MoveRunner::askOperator(const Move &move, const std::string &waitsFor) -> void
+{
+    if (move.needsOperator || age(move) < m_timing.drainDeadline)
+        return;
+    execute(
+        Fleet::AdvanceMove{
+            move.id, move.state, move.state, "past its deadline, waits for " + waitsFor, true, 0},
+        move);
+}
+
+auto MoveRunner::age(const Move &move) const -> Utils::Milliseconds
+{
+    return Utils::Milliseconds(m_clock.wallTime() - move.changedMs);
+}
+
+auto MoveRunner::advance(const Move &move, MoveState to, std::string detail, std::int64_t jobMoves)
+    -> bool
+{
+    return execute(Fleet::AdvanceMove{move.id, move.state, to, std::move(detail), false, jobMoves},
+                   move);
+}
+
+auto MoveRunner::execute(Fleet::CommandBody body, const Move &move) -> bool
+{
+    const auto result = m_gateway.execute(std::move(body), {plannerActor, move.reason, {}, {}});
+    if (!result)
         Utils::Log::info("planning",
                          "a move waits",
                          {{"move", move.id},
+                          {"host", move.host},
                           {"reason", result.error().message},
                           {"details", result.error().details}});
-        return;
-    }
+    return bool(result);
 }
 
 } // namespace Planning
