Limit HTTP requests, add probes and metrics paths, supervise as a tree, stop gracefully

Cause: errors that the HTTP library finds had no typed body, header size and connections had no limit, a body without length was read until the connection ended, closing an idle connection could cut a request that had just arrived, a failed task was counted for ever, and SIGTERM closed the listeners at once. Change: heads are read under a byte limit and one deadline (431, 408), bodies are limited also when chunked, connections beyond twice the slots are refused (503), each typed and counted by trefoilshelf_http_refused_total; idle connections are shut down for reading only; /healthz and /readyz for callers and operators, /metrics for operators; restarts in a sliding window, subtrees that restart as a whole, and an escalated failure ends the process with exit code 3; SIGTERM fails /readyz and ends connections for the lame-duck time before listeners close. Conclusion: a planned stop and each refused request can be seen from outside.

--- a/src/app/commandline.h
+++ b/src/app/commandline.h
@@ -9,6 +9,7 @@
 constexpr auto exitDone = 0;
 constexpr auto exitRefused = 1;
 constexpr auto exitUsage = 2;
+constexpr auto exitEscalated = 3; //!< A part of the process failed too often.
 
 /*! \brief One command of the binary. */
 struct CommandEntry
--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -1,8 +1,11 @@
 #include "serveprocess.h"
 
+#include "commandline.h"
+
 #include "entry/callerinterface.h"
 #include "entry/endpointinterface.h"
 #include "entry/operatorinterface.h"
+#include "entry/probeinterface.h"
 #include "membership/peerupdates.h"
 #include "planning/failurewatch.h"
 #include "planning/moverunner.h"
@@ -13,8 +16,12 @@
 #include "utils/taskarena.h"
 #include "wire/peerserver.h"
 
+#include <unistd.h>
+
+#include <atomic>
 #include <csignal>
 #include <iostream>
+#include <thread>
 
 namespace App {
 namespace {
@@ -23,18 +30,25 @@
 constexpr Utils::Milliseconds releaseInterval{200};
 constexpr Utils::Milliseconds peerUpdateInterval{1000};
 constexpr Utils::Milliseconds leaseSweepInterval{500};
+constexpr auto callersListener = "callers";
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
 auto httpOptions(std::string name,
                  const std::string &address,
                  std::int64_t connections,
-                 const Settings::Limits &limits) -> Entry::HttpServerOptions
+                 const Settings::Limits &limits,
+                 Utils::Metrics &metrics) -> Entry::HttpServerOptions
 {
+    const auto tellsOutcome = name == callersListener;
     return {std::move(name),
             address,
             int(connections),
             limits.bodyBytes,
-            std::chrono::milliseconds(limits.slowClientTimeoutMs)};
+            Utils::Milliseconds(limits.slowClientTimeoutMs),
+            limits.headerBytes,
+            Utils::Milliseconds(limits.idleConnectionTimeoutMs),
+            &metrics,
+            tellsOutcome};
 }
 
 } // namespace
@@ -48,11 +62,15 @@
 
     auto startPeerLinks() -> void;
     auto plan() -> void;
+    auto escalate(const Utils::Error &error) -> void;
 
     Settings::Settings settings;
     Utils::SystemClock clock;
     std::int64_t incarnation = clock.wallTime();
     Utils::IdGenerator ids;
+    Utils::Metrics metrics;
+    std::atomic<bool> stopping = false;
+    std::atomic<bool> escalated = false;
     Fleet::Replica replica;
     Replication::SingleReplicaLog log{settings.id, settings.dataFolder, replica};
     Fleet::Gateway gateway{log, clock, ids, Utils::Milliseconds(settings.timing.commandTimeoutMs)};
@@ -86,22 +104,34 @@
         {Utils::Milliseconds(settings.timing.soakS * millisecondsPerSecond),
          Utils::Milliseconds(settings.timing.drainDeadlineS *millisecondsPerSecond)}};
     Planning::FailureWatch failureWatch{gateway, replica, directory, clock};
-    Entry::HttpServer callerServer{httpOptions(
-        "callers", settings.listen.callers, settings.limits.callerConnections, settings.limits)};
+    Entry::HttpServer callerServer{httpOptions(callersListener,
+                                               settings.listen.callers,
+                                               settings.limits.callerConnections,
+                                               settings.limits,
+                                               metrics)};
     Entry::HttpServer endpointServer{httpOptions("endpoints",
                                                  settings.listen.endpoints,
                                                  settings.limits.endpointConnections,
-                                                 settings.limits)};
+                                                 settings.limits,
+                                                 metrics)};
     Entry::HttpServer operatorServer{httpOptions("operators",
                                                  settings.listen.operators,
                                                  settings.limits.operatorConnections,
-                                                 settings.limits)};
+                                                 settings.limits,
+                                                 metrics)};
     Entry::CallerInterface callers{callerServer,
                                    {clock, ids, replica, dispatcher, claimedDispatch}};
     Entry::EndpointInterface endpoints{endpointServer, {replica, gateway, directory, settings.id}};
     Entry::OperatorInterface operators{operatorServer, {settings, replica, gateway, log, ids}};
     std::vector<std::unique_ptr<Membership::PeerLink>> peerLinks;
-    Supervision::Supervisor supervisor{"root", {}, [](const Utils::Error &) {}};
+    Entry::ProbeInterface probes{{settings.id,
+                                  settings.zone,
+                                  log,
+                                  metrics,
+                                  stopping,
+                                  {&callerServer, &endpointServer, &operatorServer}}};
+    Supervision::Supervisor supervisor{
+        "root", {}, clock, [this](const Utils::Error &error) { escalate(error); }};
 };
 
 auto ServeProcess::Private::plan() -> void
@@ -112,8 +142,17 @@
     moveRunner.runOnce();
 }
 
+auto ServeProcess::Private::escalate(const Utils::Error &error) -> void
+{
+    Utils::Log::error("app", "a failure ends the process", {{"reason", error.message}});
+    escalated = true;
+    // The signal that the main thread waits for.
+    ::kill(::getpid(), SIGTERM);
+}
+
 auto ServeProcess::Private::startPeerLinks() -> void
 {
+    std::vector<Supervision::ChildSpec> children;
     for (const auto &peer : settings.peers) {
         if (peer.id == settings.id)
             continue;
@@ -125,17 +164,18 @@
             Membership::ProcessIdentity{settings.id, settings.zone, incarnation},
             directory,
             [this] { return dispatcher.localLoad(); }));
-        supervisor.startChild(
+        children.push_back(
             {"peer " + peer.id, [link = peerLinks.back().get()](Utils::StopSignal &stop) {
                  link->run(stop);
                  return Utils::Result<void>(Utils::success());
              }});
     }
-    supervisor.startChild({"leases", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
-                               while (!stop.waitFor(leaseSweepInterval))
-                                   directory.sweep();
-                               return Utils::success();
-                           }});
+    children.push_back({"leases", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
+                            while (!stop.waitFor(leaseSweepInterval))
+                                directory.sweep();
+                            return Utils::success();
+                        }});
+    supervisor.startChild(Supervision::supervisorChild("peers", {}, clock, std::move(children)));
 }
 
 ServeProcess::ServeProcess(Settings::Settings settings)
@@ -149,6 +189,9 @@
 
 auto ServeProcess::start() -> Utils::Result<void>
 {
+    m_d->probes.addProbes(m_d->callerServer);
+    m_d->probes.addProbes(m_d->operatorServer);
+    m_d->probes.addMetrics(m_d->operatorServer);
     m_d->peerServer.addService(Membership::membershipServiceName,
                                Membership::makeMembershipProcessor(m_d->directory, m_d->demand));
     BOOST_OUTCOME_TRY(m_d->peerServer.start());
@@ -173,6 +216,18 @@
     return Utils::success();
 }
 
+auto ServeProcess::beginStop() -> void
+{
+    m_d->stopping = true;
+    m_d->callerServer.endConnections();
+    m_d->endpointServer.endConnections();
+}
+
+auto ServeProcess::hasEscalated() const -> bool
+{
+    return m_d->escalated;
+}
+
 auto ServeProcess::stop() -> void
 {
     m_d->callerServer.stop();
@@ -199,13 +254,17 @@
     ServeProcess process(settings);
     if (const auto started = process.start(); !started) {
         std::cerr << started.error().message << ": " << started.error().details << '\n';
-        return 1;
+        return exitRefused;
     }
     auto received = 0;
     sigwait(&signals, &received);
     Utils::Log::info("app", "stopping", {{"signal", received}});
+    process.beginStop();
+    // The balancer sees the failing probe meanwhile; further signals stay blocked.
+    std::this_thread::sleep_for(Utils::Milliseconds(settings.timing.lameDuckMs));
     process.stop();
-    return 0;
+    Utils::Log::info("app", "stopped");
+    return process.hasEscalated() ? exitEscalated : exitDone;
 }
 
 } // namespace App
--- a/src/app/serveprocess.h
+++ b/src/app/serveprocess.h
@@ -16,6 +16,10 @@
 
     /*! \brief Starts all parts, lowest first. */
     auto start() -> Utils::Result<void>;
+    /*! \brief Makes the readiness probe fail and asks callers to end their connections. */
+    auto beginStop() -> void;
+    /*! \brief Returns true if a part failed too often, so that the process cannot go on. */
+    auto hasEscalated() const -> bool;
     /*! \brief Stops all parts in reverse order; requests in flight finish first. */
     auto stop() -> void;
 
--- a/src/libs/entry/connectionserver.cpp
+++ b/src/libs/entry/connectionserver.cpp
@@ -5,10 +5,39 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <array>
+
 namespace Entry::Internal {
+namespace {
+
+constexpr auto requestTimeout = 408;
+constexpr auto headerTooLarge = 431;
+constexpr auto serviceUnavailable = 503;
+constexpr std::size_t chunkOverheadBytes = 64 * 1024;
+constexpr std::chrono::milliseconds lingerTimeout{500};
+
+// Reads what the client still sends, so that closing does not reset the connection before the
+// client has read its answer.
+auto discardUnread(socket_t socket, std::chrono::milliseconds timeout) -> void
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    ::shutdown(socket, SHUT_WR);
+    std::array<char, 4096> bytes{};
+    for (;;) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+            deadline - std::chrono::steady_clock::now());
+        if (left.count() <= 0 || !waitReadable(socket, left))
+            return;
+        if (::recv(socket, bytes.data(), bytes.size(), 0) <= 0)
+            return;
+    }
+}
+
+} // namespace
 
-ConnectionServer::ConnectionServer(ConnectionLimits limits)
+ConnectionServer::ConnectionServer(ConnectionLimits limits, Refuse refuse)
     : m_limits(limits)
+    , m_refuse(std::move(refuse))
 {}
 
 auto ConnectionServer::setHasWaiting(std::function<bool()> hasWaiting) -> void
@@ -22,7 +51,8 @@
     const std::scoped_lock lock(m_mutex);
     if (m_idle.empty())
         return;
-    ::shutdown(m_idle.begin()->second, SHUT_RDWR);
+    // The task still serves a request that has already arrived.
+    ::shutdown(m_idle.begin()->second, SHUT_RD);
     m_idle.erase(m_idle.begin());
 }
 
@@ -31,40 +61,88 @@
     const std::scoped_lock lock(m_mutex);
     m_closing = true;
     for (const auto &[order, socket] : m_idle)
-        ::shutdown(socket, SHUT_RDWR);
+        ::shutdown(socket, SHUT_RD);
+}
+
+auto ConnectionServer::setRefusing(bool refusing) -> void
+{
+    m_refusingThread = refusing ? std::this_thread::get_id() : std::thread::id();
+}
+
+auto ConnectionServer::enlargeBacklog() -> void
+{
+    constexpr auto backlog = 1024;
+    ::listen(svr_sock_, backlog);
 }
 
 auto ConnectionServer::process_and_close_socket(socket_t socket) -> bool
 {
-    serve(socket);
+    ConnectionStream stream(socket, m_limits.requestTimeout);
+    if (m_refusingThread.load() == std::this_thread::get_id()) {
+        stream.startRequest();
+        refuseRequest(stream, {"connections", serviceUnavailable});
+    } else {
+        ++m_open;
+        serve(stream);
+        --m_open;
+        if (stream.hasFailed())
+            discardUnread(socket, lingerTimeout);
+    }
     ::shutdown(socket, SHUT_RDWR);
     ::close(socket);
     return true;
 }
 
-auto ConnectionServer::serve(socket_t socket) -> void
+auto ConnectionServer::serve(ConnectionStream &stream) -> void
 {
-    ConnectionStream stream(socket, m_limits.requestTimeout);
-    for (auto left = keep_alive_max_count_; left > 0 && svr_sock_ != INVALID_SOCKET; --left) {
-        if (!stream.hasBufferedBytes() && !waitForRequest(socket))
+    for (auto left = keep_alive_max_count_; left > 0; --left) {
+        if (!stream.hasBufferedBytes() && !waitForRequest(stream.socket()))
             return;
-        stream.startRequest(m_limits.requestBytes);
-        auto connectionClosed = false;
-        const auto closeAfter = left == 1 || svr_sock_ == INVALID_SOCKET;
-        const auto processed = process_request(stream, closeAfter, connectionClosed, nullptr);
-        if (!processed || connectionClosed || stream.hasFailed())
+        const auto closeAfter = left == 1 || m_endsConnections || svr_sock_ == INVALID_SOCKET;
+        if (!serveRequest(stream, closeAfter) || closeAfter)
             return;
     }
 }
 
+auto ConnectionServer::serveRequest(ConnectionStream &stream, bool closeAfter) -> bool
+{
+    stream.startRequest();
+    const auto head = stream.receiveHead(m_limits.headBytes);
+    if (head == HeadResult::TooLarge)
+        refuseRequest(stream, {"header-bytes", headerTooLarge});
+    if (head == HeadResult::TooSlow)
+        refuseRequest(stream, {"slow-client", requestTimeout});
+    if (head != HeadResult::Complete)
+        return false;
+    stream.allowBytes(m_limits.headBytes + m_limits.bodyBytes + chunkOverheadBytes);
+    auto connectionClosed = false;
+    const auto processed =
+        process_request(stream, closeAfter, connectionClosed, [](httplib::Request &request) {
+            // The library would otherwise read a body until the connection ends.
+            if (!request.has_header("Content-Length") && !request.has_header("Transfer-Encoding"))
+                request.set_header("Content-Length", "0");
+        });
+    if (stream.hasFailed())
+        m_refuse({"incomplete-request", 0});
+    return processed && !connectionClosed && !stream.hasFailed();
+}
+
+auto ConnectionServer::refuseRequest(ConnectionStream &stream, const Refusal &refusal) -> void
+{
+    stream.markFailed();
+    const auto answer = m_refuse(refusal);
+    stream.write(answer.data(), answer.size());
+}
+
 auto ConnectionServer::waitForRequest(socket_t socket) -> bool
 {
     std::uint64_t order = 0;
     {
         const std::scoped_lock lock(m_mutex);
         const auto wanted = m_hasWaiting && m_hasWaiting();
+        // Only bytes that are already here are served then.
         if (m_closing || wanted)
-            return false;
+            return waitReadable(socket, std::chrono::milliseconds(0));
         order = m_nextIdle++;
         m_idle.emplace(order, socket);
     }
--- a/src/libs/entry/connectionstream.cpp
+++ b/src/libs/entry/connectionstream.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 
@@ -58,10 +59,28 @@
     , m_requestTimeout(requestTimeout)
 {}
 
-auto ConnectionStream::startRequest(std::size_t maximumBytes) -> void
+auto ConnectionStream::startRequest() -> void
 {
     m_deadline = std::chrono::steady_clock::now() + m_requestTimeout;
-    m_allowedBytes = maximumBytes;
+    m_buffer.erase(0, m_begin);
+    m_begin = 0;
+}
+
+auto ConnectionStream::receiveHead(std::size_t maximumBytes) -> HeadResult
+{
+    constexpr std::string_view endOfHead = "\r\n\r\n";
+    std::size_t searched = 0;
+    for (;;) {
+        const auto end = m_buffer.find(endOfHead, searched);
+        if (end != std::string::npos && end < maximumBytes)
+            return HeadResult::Complete;
+        if (m_buffer.size() >= maximumBytes)
+            return HeadResult::TooLarge;
+        searched = m_buffer.size() - std::min(m_buffer.size(), endOfHead.size() - 1);
+        if (!append())
+            return remaining().count() > 0 || m_buffer.empty() ? HeadResult::Closed
+                                                               : HeadResult::TooSlow;
+    }
 }
 
 auto ConnectionStream::remaining() const -> std::chrono::milliseconds
@@ -82,20 +101,28 @@
 
 auto ConnectionStream::fill() -> bool
 {
+    m_buffer.clear();
+    m_begin = 0;
+    return append();
+}
+
+auto ConnectionStream::append() -> bool
+{
+    constexpr std::size_t chunkBytes = 4096;
     if (!waitFor(m_socket, POLLIN, remaining()))
         return false;
-    const auto count = ::recv(m_socket, m_buffer.data(), m_buffer.size(), 0);
+    std::array<char, chunkBytes> chunk{};
+    const auto count = ::recv(m_socket, chunk.data(), chunk.size(), 0);
     if (count <= 0)
         return false;
-    m_begin = 0;
-    m_end = std::size_t(count);
+    m_buffer.append(chunk.data(), std::size_t(count));
     return true;
 }
 
 auto ConnectionStream::read(char *data, size_t size) -> ssize_t
 {
     m_failed = m_failed || (!hasBufferedBytes() && !fill());
-    const auto count = std::min(size, m_end - m_begin);
+    const auto count = std::min(size, m_buffer.size() - m_begin);
     m_failed = m_failed || count > m_allowedBytes;
     if (m_failed)
         return -1;
--- a/src/libs/entry/connectionstream.h
+++ b/src/libs/entry/connectionstream.h
@@ -2,11 +2,13 @@
 
 #include <httplib.h>
 
-#include <array>
 #include <chrono>
+#include <string>
 
 namespace Entry::Internal {
 
+enum class HeadResult { Complete, Closed, TooLarge, TooSlow };
+
 /*!
     \brief A connection's socket as the HTTP library reads and writes it.
 
@@ -18,10 +20,15 @@
 public:
     ConnectionStream(socket_t socket, std::chrono::milliseconds requestTimeout);
 
-    /*! \brief Starts the deadline and the byte count of the next request. */
-    auto startRequest(std::size_t maximumBytes) -> void;
+    /*! \brief Starts the deadline of the next request. */
+    auto startRequest() -> void;
+    /*! \brief Reads a request's line and header lines into the buffer. */
+    auto receiveHead(std::size_t maximumBytes) -> HeadResult;
+    /*! \brief Allows \a bytes for the part of the request that is not read yet. */
+    auto allowBytes(std::size_t bytes) -> void { m_allowedBytes = bytes; }
     /*! \brief Returns true if bytes of the next request are already here. */
-    auto hasBufferedBytes() const -> bool { return m_begin < m_end; }
+    auto hasBufferedBytes() const -> bool { return m_begin < m_buffer.size(); }
+    auto markFailed() -> void { m_failed = true; }
     /*! \brief Returns true once a read failed; the connection is of no further use then. */
     auto hasFailed() const -> bool { return m_failed; }
 
@@ -35,17 +42,15 @@
 
 private:
     auto fill() -> bool;
+    auto append() -> bool;
     auto remaining() const -> std::chrono::milliseconds;
 
-    static constexpr std::size_t bufferBytes = 4096;
-
     socket_t m_socket;
     std::chrono::milliseconds m_requestTimeout;
     std::chrono::steady_clock::time_point m_deadline;
     std::size_t m_allowedBytes = 0;
-    std::array<char, bufferBytes> m_buffer{};
+    std::string m_buffer;
     std::size_t m_begin = 0;
-    std::size_t m_end = 0;
     bool m_failed = false;
 };
 
--- a/src/libs/entry/httpserver.cpp
+++ b/src/libs/entry/httpserver.cpp
@@ -6,15 +6,15 @@
 #include "utils/log.h"
 #include "utils/taskarena.h"
 
+#include <algorithm>
 #include <array>
+#include <exception>
 #include <thread>
 
 namespace Entry {
 namespace {
 
 constexpr std::size_t keepAliveRequests = 1'000'000;
-constexpr std::size_t maximumHeaderBytes = 64 * 1024;
-constexpr std::chrono::milliseconds keptConnectionTimeout{60'000};
 constexpr auto jsonType = "application/json";
 
 // Runs each accepted connection as a task of an arena.
@@ -30,6 +30,12 @@
     ~ArenaTaskQueue() override { m_server.setHasWaiting({}); }
     auto enqueue(std::function<void()> task) -> void override
     {
+        if (m_arena.running() >= m_arena.slots() * connectionsPerSlot) {
+            m_server.setRefusing(true);
+            task();
+            m_server.setRefusing(false);
+            return;
+        }
         m_arena.enqueue(std::move(task));
         if (m_arena.running() > m_arena.slots())
             m_server.closeOldestIdle();
@@ -37,6 +43,9 @@
     auto shutdown() -> void override { m_arena.waitForAll(); }
 
 private:
+    // A connection is served or waits for one that is.
+    static constexpr auto connectionsPerSlot = 2;
+
     Internal::ConnectionServer &m_server;
     Utils::TaskArena m_arena;
 };
@@ -60,6 +69,37 @@
     StatusOfError{Utils::ErrorType::Timeout, 504},
 };
 
+// What the library refuses by itself; the first entry stands for all others.
+struct LibraryError
+{
+    int status;
+    Utils::ErrorType type;
+    std::string_view reason;
+    const char *message;
+};
+
+constexpr std::array libraryErrors{
+    LibraryError{400,
+                 Utils::ErrorType::InvalidInput,
+                 "bad-request",
+                 "the request is incomplete or not valid HTTP"},
+    LibraryError{404,
+                 Utils::ErrorType::NotFound,
+                 "unknown-path",
+                 "this listener has no such path or method"},
+    LibraryError{413, Utils::ErrorType::LimitReached, "body-bytes", "the body is too large"},
+    LibraryError{414, Utils::ErrorType::LimitReached, "path-bytes", "the path is too long"},
+};
+
+auto errorBody(const Utils::Error &error) -> std::string
+{
+    const Utils::Json json{{"error",
+                            {{"type", std::string(Utils::errorTypeName(error.type))},
+                             {"message", error.message},
+                             {"details", error.details}}}};
+    return json.dump(-1, ' ', false, Utils::Json::error_handler_t::replace);
+}
+
 auto statusOf(Utils::ErrorType type) -> int
 {
     constexpr auto serviceUnavailable = 503;
@@ -78,10 +118,73 @@
     explicit Private(HttpServerOptions serverOptions)
         : options(std::move(serverOptions))
         , server({options.slowClientTimeout,
-                  keptConnectionTimeout,
-                  std::size_t(options.bodyBytes) + maximumHeaderBytes})
+                  options.idleConnectionTimeout,
+                  std::size_t(options.headerBytes),
+                  std::size_t(options.bodyBytes)},
+                 [this](const Internal::Refusal &refusal) { return refuse(refusal); })
     {}
 
+    auto count(std::string_view reason) const -> void
+    {
+        if (options.metrics) {
+            options.metrics->count("trefoilshelf_http_refused_total",
+                                   {{"listener", options.name}, {"reason", std::string(reason)}});
+        }
+    }
+
+    auto refuse(const Internal::Refusal &refusal) const -> std::string
+    {
+        count(refusal.reason);
+        const auto body = errorBody({Utils::ErrorType::LimitReached,
+                                     "the request passes a limit of the listener",
+                                     std::string(refusal.reason)});
+        auto text = "HTTP/1.1 " + std::to_string(refusal.status) + " Refused\r\n";
+        if (options.tellsOutcome)
+            text += "Trefoilshelf-Outcome: not-run\r\nRetry-After: 1\r\n";
+        return text + "Connection: close\r\nContent-Type: " + jsonType
+               + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    // Fills in the errors that the library finds; those of handlers have a body already.
+    auto completeError(const httplib::Request &request, httplib::Response &response) const -> void
+    {
+        if (!response.body.empty() || response.has_header("Trefoilshelf-Outcome"))
+            return;
+        const auto status = response.status;
+        const auto error = std::ranges::find(libraryErrors, status, &LibraryError::status);
+        const auto &found = error == libraryErrors.end() ? libraryErrors.front() : *error;
+        count(found.reason);
+        setError(response, {found.type, found.message, request.path});
+        response.status = status;
+        if (options.tellsOutcome) {
+            response.set_header("Trefoilshelf-Outcome", "not-run");
+            response.set_header("Retry-After", "1");
+        }
+    }
+
+    // The handler may have acted before it failed.
+    auto reportException(const httplib::Request &request,
+                         httplib::Response &response,
+                         std::exception_ptr exception) const -> void
+    {
+        constexpr auto internalServerError = 500;
+        std::string reason = "unknown";
+        try {
+            std::rethrow_exception(std::move(exception));
+        } catch (const std::exception &caught) {
+            reason = caught.what();
+        } catch (...) {
+        }
+        Utils::Log::error("entry",
+                          "a handler failed",
+                          {{"listener", options.name}, {"path", request.path}, {"reason", reason}});
+        count("internal-error");
+        setError(response, {Utils::ErrorType::OutcomeUnknown, "the request failed inside", {}});
+        response.status = internalServerError;
+        if (options.tellsOutcome)
+            response.set_header("Trefoilshelf-Outcome", "unknown");
+    }
+
     HttpServerOptions options;
     Internal::ConnectionServer server;
     int port = 0;
@@ -95,6 +198,18 @@
     server.new_task_queue = [this] {
         return new ArenaTaskQueue(m_d->server, m_d->options.name, m_d->options.connections);
     };
+    const httplib::Server::Handler errorHandler = [this](const auto &request, auto &response) {
+        m_d->completeError(request, response);
+    };
+    server.set_error_handler(errorHandler);
+    server.set_exception_handler([this](const httplib::Request &request,
+                                        httplib::Response &response,
+                                        std::exception_ptr exception) {
+        m_d->reportException(request, response, std::move(exception));
+    });
+    server.set_keep_alive_timeout(
+        std::chrono::duration_cast<std::chrono::seconds>(m_d->options.idleConnectionTimeout)
+            .count());
     server.set_payload_max_length(std::size_t(m_d->options.bodyBytes));
     server.set_keep_alive_max_count(keepAliveRequests);
     server.set_tcp_nodelay(true);
@@ -122,11 +237,22 @@
                               "cannot listen for " + m_d->options.name,
                               m_d->options.address);
     }
+    m_d->server.enlargeBacklog();
     m_d->acceptor = std::jthread([this] { m_d->server.listen_after_bind(); });
     Utils::Log::info("entry", "listening", {{"listener", m_d->options.name}, {"port", m_d->port}});
     return Utils::success();
 }
 
+auto HttpServer::endConnections() -> void
+{
+    m_d->server.setClosing();
+}
+
+auto HttpServer::openConnections() const -> int
+{
+    return m_d->server.openConnections();
+}
+
 auto HttpServer::stop() -> void
 {
     if (!m_d->acceptor.joinable())
@@ -138,6 +264,11 @@
     m_d->acceptor.join();
 }
 
+auto HttpServer::name() const -> const std::string &
+{
+    return m_d->options.name;
+}
+
 auto HttpServer::port() const -> int
 {
     return m_d->port;
@@ -146,11 +277,7 @@
 auto setError(httplib::Response &response, const Utils::Error &error) -> void
 {
     response.status = statusOf(error.type);
-    setJson(response,
-            {{"error",
-              {{"type", std::string(Utils::errorTypeName(error.type))},
-               {"message", error.message},
-               {"details", error.details}}}});
+    response.set_content(errorBody(error), jsonType);
 }
 
 auto setJson(httplib::Response &response, const Utils::Json &json) -> void
--- a/src/libs/entry/httpserver.h
+++ b/src/libs/entry/httpserver.h
@@ -2,6 +2,7 @@
 
 #include "utils/error.h"
 #include "utils/fields.h"
+#include "utils/metrics.h"
 
 #include <chrono>
 #include <cstdint>
@@ -25,7 +26,11 @@
     std::string address; //!< HOST:PORT; port 0 takes a free port.
     int connections = 64;
     std::int64_t bodyBytes = 4 * 1024 * 1024;
-    std::chrono::milliseconds slowClientTimeout{5000};
+    std::chrono::milliseconds slowClientTimeout{5000}; //!< For reading one whole request.
+    std::int64_t headerBytes = 16 * 1024;
+    std::chrono::milliseconds idleConnectionTimeout{30'000};
+    Utils::Metrics *metrics = nullptr; //!< Counts refused requests, if set.
+    bool tellsOutcome = false;         //!< The server's own errors carry Trefoilshelf-Outcome.
 };
 
 /*! \brief One HTTP listener whose connections run as tasks in an arena of their own. */
@@ -40,9 +45,13 @@
     /*! \brief Returns the library's server, to add handlers before start(). */
     auto routes() -> httplib::Server &;
     auto start() -> Utils::Result<void>;
+    /*! \brief Goes on serving, but ends each connection after its next answer. */
+    auto endConnections() -> void;
+    auto openConnections() const -> int;
     /*! \brief Accepts no more connections and waits for requests in progress. */
     auto stop() -> void;
     auto port() const -> int;
+    auto name() const -> const std::string &;
 
 private:
     class Private;
--- a/src/libs/supervision/supervisor.cpp
+++ b/src/libs/supervision/supervisor.cpp
@@ -2,15 +2,36 @@
 
 #include "utils/log.h"
 
-#include <algorithm>
+#include <exception>
+#include <mutex>
+#include <optional>
 
 namespace Supervision {
+namespace {
+
+using Utils::Error;
+using Utils::ErrorType;
+
+auto runOnce(const ChildSpec &spec, Utils::StopSignal &stop) -> Error
+{
+    try {
+        const auto result = spec.run(stop);
+        return result ? Error{ErrorType::Unavailable, "the task ended by itself", {}}
+                      : result.error();
+    } catch (const std::exception &exception) {
+        return Error{ErrorType::Unavailable, "the task threw an exception", exception.what()};
+    }
+}
+
+} // namespace
 
 Supervisor::Supervisor(std::string name,
                        RestartPolicy policy,
-                       std::function<void(const Utils::Error &)> escalate)
+                       const Utils::Clock &clock,
+                       Escalation escalate)
     : m_name(std::move(name))
     , m_policy(policy)
+    , m_clock(clock)
     , m_escalate(std::move(escalate))
 {}
 
@@ -39,27 +60,55 @@
 
 auto Supervisor::supervise(Child &child) -> void
 {
-    auto backoff = m_policy.initialBackoff;
-    auto restarts = 0;
+    RestartBudget budget(m_policy);
     while (!child.stop.isRequested()) {
-        const auto result = child.spec.run(child.stop);
+        const auto error = runOnce(child.spec, child.stop);
         if (child.stop.isRequested())
             return;
-        const auto error =
-            result ? Utils::Error{Utils::ErrorType::Unavailable, "the task ended by itself", {}}
-                   : result.error();
-        Utils::Log::error(
-            "supervision",
-            "a supervised task failed",
-            {{"supervisor", m_name}, {"task", child.spec.name}, {"reason", error.message}});
-        if (++restarts > m_policy.maximumRestarts) {
+        const auto backoff = budget.addFailure(m_clock.now());
+        Utils::Log::error("supervision",
+                          backoff ? "a task failed and is restarted" : "a task failed too often",
+                          {{"supervisor", m_name},
+                           {"task", child.spec.name},
+                           {"reason", error.message},
+                           {"details", error.details}});
+        if (!backoff) {
             m_escalate(error);
             return;
         }
-        if (child.stop.waitFor(backoff))
+        if (child.stop.waitFor(*backoff))
             return;
-        backoff = std::min(backoff * 2, m_policy.maximumBackoff);
     }
 }
 
+auto supervisorChild(std::string name,
+                     RestartPolicy policy,
+                     const Utils::Clock &clock,
+                     std::vector<ChildSpec> children) -> ChildSpec
+{
+    auto run = [name, policy, &clock, children = std::move(children)](
+                   Utils::StopSignal &stop) -> Utils::Result<void> {
+        std::mutex mutex;
+        std::optional<Error> failed;
+        Supervisor supervisor(name, policy, clock, [&](const Error &error) {
+            {
+                const std::scoped_lock lock(mutex);
+                failed = error;
+            }
+            stop.notify();
+        });
+        for (const auto &child : children)
+            supervisor.startChild(child);
+        stop.waitUntil([&] {
+            const std::scoped_lock lock(mutex);
+            return failed.has_value();
+        });
+        supervisor.stop();
+        if (failed)
+            return *failed;
+        return Utils::success();
+    };
+    return {std::move(name), std::move(run)};
+}
+
 } // namespace Supervision
--- a/src/libs/supervision/supervisor.h
+++ b/src/libs/supervision/supervisor.h
@@ -1,6 +1,7 @@
 #pragma once
 
-#include "utils/clock.h"
+#include "restartbudget.h"
+
 #include "utils/error.h"
 #include "utils/stopsignal.h"
 
@@ -20,28 +21,25 @@
     std::function<Utils::Result<void>(Utils::StopSignal &stop)> run;
 };
 
-/*! \brief When a child is restarted, and when its supervisor gives up. */
-struct RestartPolicy
-{
-    Utils::Milliseconds initialBackoff{100};
-    Utils::Milliseconds maximumBackoff{5000};
-    int maximumRestarts = 5; //!< Within the window; one more escalates.
-    Utils::Milliseconds window{60'000};
-};
+/*! \brief Called on a child's thread when the child fails more often than the policy allows. */
+using Escalation = std::function<void(const Utils::Error &)>;
 
 /*!
     \brief Runs children in order, restarts a failed one, and stops them in reverse order.
 
-    A child that fails more often than the policy allows ends the supervisor, whose
-    escalation callback tells the level above.
+    A child that ends by itself or throws has failed. One that fails more often than the policy
+    allows is not started again; the escalation callback tells the level above.
 */
 class Supervisor
 {
 public:
     Supervisor(std::string name,
                RestartPolicy policy,
-               std::function<void(const Utils::Error &)> escalate);
+               const Utils::Clock &clock,
+               Escalation escalate);
     ~Supervisor();
+    Supervisor(const Supervisor &) = delete;
+    auto operator=(const Supervisor &) -> Supervisor & = delete;
 
     auto startChild(ChildSpec spec) -> void;
     auto stop() -> void;
@@ -58,8 +56,20 @@
 
     std::string m_name;
     RestartPolicy m_policy;
-    std::function<void(const Utils::Error &)> m_escalate;
+    const Utils::Clock &m_clock;
+    Escalation m_escalate;
     std::vector<std::unique_ptr<Child>> m_children;
 };
 
+/*!
+    \brief Returns a child that is itself a supervisor of \a children.
+
+    When one of them escalates, all of them are stopped in reverse order and the child fails, so
+    that the supervisor above restarts them together.
+*/
+auto supervisorChild(std::string name,
+                     RestartPolicy policy,
+                     const Utils::Clock &clock,
+                     std::vector<ChildSpec> children) -> ChildSpec;
+
 } // namespace Supervision
--- a/src/libs/utils/stopsignal.cpp
+++ b/src/libs/utils/stopsignal.cpp
@@ -27,4 +27,16 @@
     m_requestedCondition.wait(lock, [this] { return m_requested; });
 }
 
+auto StopSignal::waitUntil(const std::function<bool()> &condition) -> void
+{
+    std::unique_lock lock(m_mutex);
+    m_requestedCondition.wait(lock, [&] { return m_requested || condition(); });
+}
+
+auto StopSignal::notify() -> void
+{
+    const std::scoped_lock lock(m_mutex);
+    m_requestedCondition.notify_all();
+}
+
 } // namespace Utils
--- a/src/libs/utils/stopsignal.h
+++ b/src/libs/utils/stopsignal.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <condition_variable>
+#include <functional>
 #include <mutex>
 
 namespace Utils {
@@ -16,6 +17,9 @@
     auto waitFor(std::chrono::milliseconds duration) -> bool;
     /*! \brief Waits until a stop is requested. */
     auto wait() -> void;
+    /*! \brief Waits until a stop is requested or \a condition, checked at each notify(), is true. */
+    auto waitUntil(const std::function<bool()> &condition) -> void;
+    auto notify() -> void;
 
 private:
     mutable std::mutex m_mutex;
