--- /dev/null
+++ b/tests/benchmarks/bench_capacity.cpp
@@ -0,0 +1,282 @@
+// Measures what one process of the real binary spends on announcements, hosts and contracts.
+// Usage: bench_capacity PATH-TO-TREFOILSHELF. Prints CSV lines; takes about 30 s.
+
+#include "utils/fields.h"
+
+#include <httplib.h>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+extern char **environ;
+
+namespace {
+
+using Utils::Json;
+
+constexpr auto startTimeout = std::chrono::seconds(20);
+constexpr auto pollInterval = std::chrono::milliseconds(20);
+constexpr auto idleTime = std::chrono::seconds(5);
+constexpr double kilobyte = 1024;
+
+/*! \brief One process of the product, stopped by SIGKILL at the end. */
+class Process
+{
+public:
+    explicit Process(const std::string &binary)
+    {
+        std::string folder = "/tmp/bench-capacity-XXXXXX";
+        m_folder = ::mkdtemp(folder.data());
+        const Json settings{{"id", "bench"},
+                            {"zone", "z1"},
+                            {"data_folder", m_folder + "/data"},
+                            {"log", {{"file", m_folder + "/log"}}},
+                            {"listen",
+                             {{"callers", "127.0.0.1:0"},
+                              {"endpoints", "127.0.0.1:0"},
+                              {"operators", "127.0.0.1:0"},
+                              {"peers", "127.0.0.1:0"}}},
+                            {"limits", {{"endpoint_connections", 1024}}}};
+        std::ofstream(m_folder + "/settings.json") << settings.dump();
+        std::string path = m_folder + "/settings.json";
+        std::string name = binary;
+        std::string command = "serve";
+        std::string option = "--settings";
+        std::array<char *, 5> arguments{
+            name.data(), command.data(), option.data(), path.data(), nullptr};
+        ::posix_spawn(&m_pid, binary.c_str(), nullptr, nullptr, arguments.data(), environ);
+    }
+    ~Process()
+    {
+        ::kill(m_pid, SIGKILL);
+        ::waitpid(m_pid, nullptr, 0);
+        std::filesystem::remove_all(m_folder);
+    }
+    Process(const Process &) = delete;
+    auto operator=(const Process &) -> Process & = delete;
+
+    /*! \brief Returns the port of \a listener as the log tells it. */
+    auto port(const std::string &listener) const -> int
+    {
+        const auto deadline = std::chrono::steady_clock::now() + startTimeout;
+        while (std::chrono::steady_clock::now() < deadline) {
+            std::ifstream log(m_folder + "/log");
+            for (std::string line; std::getline(log, line);) {
+                const auto json = Json::parse(line, nullptr, false);
+                if (json.is_object() && json.value("listener", "") == listener)
+                    return json.value("port", 0);
+            }
+            std::this_thread::sleep_for(pollInterval);
+        }
+        return 0;
+    }
+    /*! \brief Returns the processor time used so far, in seconds. */
+    auto cpuSeconds() const -> double
+    {
+        std::ifstream file("/proc/" + std::to_string(m_pid) + "/stat");
+        std::string text((std::istreambuf_iterator<char>(file)), {});
+        std::istringstream fields(text.substr(text.rfind(')') + 2));
+        std::string skipped;
+        constexpr auto fieldsBeforeUserTime = 11;
+        for (auto index = 0; index < fieldsBeforeUserTime; ++index)
+            fields >> skipped;
+        double user = 0;
+        double system = 0;
+        fields >> user >> system;
+        return (user + system) / double(::sysconf(_SC_CLK_TCK));
+    }
+    auto residentKilobytes() const -> double
+    {
+        std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
+        double total = 0;
+        double resident = 0;
+        file >> total >> resident;
+        return resident * double(::sysconf(_SC_PAGESIZE)) / kilobyte;
+    }
+
+private:
+    std::string m_folder;
+    pid_t m_pid = 0;
+};
+
+/*! \brief One worker's kept connection to the endpoints' listener, which counts its bytes. */
+class Worker
+{
+public:
+    Worker(int number, int port)
+        : m_number(number)
+        , m_socket(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(std::uint16_t(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        if (::connect(m_socket, reinterpret_cast<sockaddr *>(&address), sizeof address) != 0)
+            std::perror("connect");
+    }
+    ~Worker() { ::close(m_socket); }
+    Worker(const Worker &) = delete;
+    auto operator=(const Worker &) -> Worker & = delete;
+
+    /*! \brief Sends one announcement and returns the bytes sent and received; 0 if it failed. */
+    auto announce() -> std::size_t
+    {
+        const auto name = std::to_string(m_number);
+        const Json body{{"service", "dispatch"},
+                        {"address", "127.0.0.1:9"},
+                        {"host", "host-" + name},
+                        {"rack", "rack-" + std::to_string(m_number / hostsPerRack)},
+                        {"zone", "z1"},
+                        {"slots", 8},
+                        {"connections", 64},
+                        {"incarnation", 1},
+                        {"sequence", ++m_sequence},
+                        {"state", "serving"},
+                        {"in_flight", 0}};
+        const auto text = body.dump();
+        const auto request =
+            "POST /v1/endpoints/endpoint-" + name
+            + "/announce HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: "
+            + std::to_string(text.size()) + "\r\n\r\n" + text;
+        if (::send(m_socket, request.data(), request.size(), MSG_NOSIGNAL)
+            != ssize_t(request.size())) {
+            return 0;
+        }
+        const auto answer = readAnswer();
+        return answer.starts_with("HTTP/1.1 200") ? request.size() + answer.size() : 0;
+    }
+
+private:
+    static constexpr auto hostsPerRack = 4;
+
+    auto readAnswer() const -> std::string
+    {
+        std::string answer;
+        std::array<char, 4096> buffer{};
+        while (!isComplete(answer)) {
+            const auto count = ::recv(m_socket, buffer.data(), buffer.size(), 0);
+            if (count <= 0)
+                return {};
+            answer.append(buffer.data(), std::size_t(count));
+        }
+        return answer;
+    }
+    static auto isComplete(const std::string &answer) -> bool
+    {
+        constexpr std::string_view lengthHeader = "Content-Length: ";
+        const auto end = answer.find("\r\n\r\n");
+        const auto length = answer.find(lengthHeader);
+        if (end == std::string::npos || length == std::string::npos)
+            return false;
+        const auto body = std::stoul(answer.substr(length + lengthHeader.size()));
+        return answer.size() >= end + 4 + body;
+    }
+
+    int m_number;
+    int m_socket;
+    std::int64_t m_sequence = 0;
+};
+
+auto print(const std::string &quantity, int parameter, double value, const std::string &unit)
+    -> void
+{
+    std::cout << "csv,bench_capacity," << quantity << ',' << parameter << ',' << value << ','
+              << unit << std::endl;
+}
+
+auto putContract(int operatorsPort) -> bool
+{
+    const Json contract{{"customer", "bench"},
+                        {"services",
+                         {{{"service", "dispatch"},
+                           {"pool", "dispatch"},
+                           {"guaranteed_slots", 1},
+                           {"max_slots", 64}}}},
+                        {"disruption",
+                         {{"max_unavailable_hosts", 100},
+                          {"budget_host_s", 100'000'000},
+                          {"window_s", 2'419'200}}}};
+    httplib::Client client("127.0.0.1", operatorsPort);
+    const auto result =
+        client.Put("/v1/contracts/bench?accept_warnings=true", contract.dump(), "application/json");
+    constexpr auto statusOk = 200;
+    return result && result->status == statusOk;
+}
+
+auto cpuPercent(const Process &process, std::chrono::seconds duration) -> double
+{
+    const auto before = process.cpuSeconds();
+    std::this_thread::sleep_for(duration);
+    return (process.cpuSeconds() - before) / double(duration.count()) * 100;
+}
+
+auto measureWorkers(const Process &process, int port, int workers) -> bool
+{
+    constexpr auto rounds = 10;
+    const auto residentBefore = process.residentKilobytes();
+    std::vector<std::unique_ptr<Worker>> connections;
+    std::size_t bytes = 0;
+    for (auto number = 0; number < workers; ++number) {
+        auto &worker = *connections.emplace_back(std::make_unique<Worker>(number, port));
+        if (worker.announce() == 0)
+            return false;
+    }
+    const auto cpuBefore = process.cpuSeconds();
+    for (auto round = 0; round < rounds; ++round) {
+        for (const auto &worker : connections)
+            bytes += worker->announce();
+    }
+    const auto announcements = double(rounds * workers);
+    print("announcement_cpu",
+          workers,
+          (process.cpuSeconds() - cpuBefore) / announcements * 1e6,
+          "us");
+    print("announcement_bytes", workers, double(bytes) / announcements, "B");
+    print("resident_per_worker",
+          workers,
+          (process.residentKilobytes() - residentBefore) / workers,
+          "kB");
+    print("resident", workers, process.residentKilobytes(), "kB");
+    print("idle_kept_connections_cpu", workers, cpuPercent(process, idleTime), "percent");
+    return true;
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    if (argc != 2) {
+        std::cerr << "usage: bench_capacity PATH-TO-TREFOILSHELF\n";
+        return 2;
+    }
+    for (const auto workers : {100, 400, 700}) {
+        const Process process(argv[1]);
+        const auto operatorsPort = process.port("operators");
+        const auto endpointsPort = process.port("endpoints");
+        if (operatorsPort == 0 || endpointsPort == 0 || !putContract(operatorsPort)) {
+            std::cerr << "the process did not start\n";
+            return 1;
+        }
+        print("idle_cpu", 0, cpuPercent(process, std::chrono::seconds(2)), "percent");
+        print("idle_resident", 0, process.residentKilobytes(), "kB");
+        if (!measureWorkers(process, endpointsPort, workers)) {
+            std::cerr << "an announcement failed\n";
+            return 1;
+        }
+    }
+    return 0;
+}
