Start threads of a task arena only as its tasks need them

Cause: oneTBB starts all threads of an arena at its first task. With 1024 slots, 100 kept connections took a process from 12 to 42 MB. Change: the slots of a TaskArena are spread over arenas of 16; one is used only when those before it are full, and waiting tasks take the next free slot of any. bench_capacity also measures announcements on connections of their own.

--- a/src/libs/utils/taskarena.cpp
+++ b/src/libs/utils/taskarena.cpp
@@ -2,15 +2,22 @@
 
 #include "log.h"
 
+#include <algorithm>
 #include <exception>
 
 namespace Utils {
 
+namespace {
+constexpr auto slotsPerShard = 16;
+}
+
 TaskArena::TaskArena(std::string name, int slots)
     : m_name(std::move(name))
     , m_slots(slots)
-    , m_arena(slots, 0)
-{}
+{
+    for (auto left = slots; left > 0; left -= slotsPerShard)
+        m_shards.push_back(std::make_unique<Shard>(std::min(left, slotsPerShard)));
+}
 
 TaskArena::~TaskArena()
 {
@@ -19,30 +26,74 @@
 
 auto TaskArena::enqueue(std::function<void()> task) -> void
 {
-    ++m_pending;
-    m_arena.enqueue([this, task = std::move(task)] {
-        try {
-            task();
-        } catch (const std::exception &exception) {
-            Log::error("utils",
-                       "a task ended with an exception",
-                       {{"arena", m_name}, {"reason", exception.what()}});
+    Shard *shard = nullptr;
+    {
+        const std::scoped_lock lock(m_mutex);
+        ++m_pending;
+        shard = freeShard();
+        if (!shard) {
+            m_waiting.push_back(std::move(task));
+            return;
         }
-        finishOne();
-    });
+        ++shard->used;
+    }
+    shard->arena.enqueue([this, shard, task = std::move(task)] { runFrom(*shard, task); });
 }
 
 auto TaskArena::waitForAll() -> void
 {
     std::unique_lock lock(m_mutex);
-    m_idle.wait(lock, [this] { return m_pending.load() == 0; });
+    m_idle.wait(lock, [this] { return m_pending == 0; });
+}
+
+auto TaskArena::running() const -> int
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_pending;
+}
+
+auto TaskArena::freeShard() -> Shard *
+{
+    for (const auto &shard : m_shards) {
+        if (shard->used < shard->slots)
+            return shard.get();
+    }
+    return nullptr;
+}
+
+auto TaskArena::runFrom(Shard &shard, Task task) -> void
+{
+    while (task) {
+        runGuarded(task);
+        task = nullptr;
+        task = finish(shard);
+    }
+}
+
+auto TaskArena::runGuarded(const Task &task) const -> void
+{
+    try {
+        task();
+    } catch (const std::exception &exception) {
+        Log::error("utils",
+                   "a task ended with an exception",
+                   {{"arena", m_name}, {"reason", exception.what()}});
+    }
 }
 
-auto TaskArena::finishOne() -> void
+// Returns the next waiting task, which then keeps the slot, or gives the slot back.
+auto TaskArena::finish(Shard &shard) -> Task
 {
     const std::scoped_lock lock(m_mutex);
     --m_pending;
-    m_idle.notify_all();
+    if (m_waiting.empty()) {
+        --shard.used;
+        m_idle.notify_all();
+        return {};
+    }
+    auto next = std::move(m_waiting.front());
+    m_waiting.pop_front();
+    return next;
 }
 
 ThreadLimit::ThreadLimit(int threads)
--- a/tests/benchmarks/bench_capacity.cpp
+++ b/tests/benchmarks/bench_capacity.cpp
@@ -37,7 +37,7 @@
 class Process
 {
 public:
-    explicit Process(const std::string &binary)
+    Process(const std::string &binary, int endpointConnections)
     {
         std::string folder = "/tmp/bench-capacity-XXXXXX";
         m_folder = ::mkdtemp(folder.data());
@@ -50,7 +50,7 @@
                               {"endpoints", "127.0.0.1:0"},
                               {"operators", "127.0.0.1:0"},
                               {"peers", "127.0.0.1:0"}}},
-                            {"limits", {{"endpoint_connections", 1024}}}};
+                            {"limits", {{"endpoint_connections", endpointConnections}}}};
         std::ofstream(m_folder + "/settings.json") << settings.dump();
         std::string path = m_folder + "/settings.json";
         std::string name = binary;
@@ -117,8 +117,9 @@
 class Worker
 {
 public:
-    Worker(int number, int port)
+    Worker(int number, int port, std::int64_t sequence = 0)
         : m_number(number)
+        , m_sequence(sequence)
         , m_socket(::socket(AF_INET, SOCK_STREAM, 0))
     {
         sockaddr_in address{};
@@ -187,8 +188,8 @@
     }
 
     int m_number;
+    std::int64_t m_sequence;
     int m_socket;
-    std::int64_t m_sequence = 0;
 };
 
 auto print(const std::string &quantity, int parameter, double value, const std::string &unit)
@@ -255,6 +256,46 @@
     return true;
 }
 
+// Each announcement comes on a connection of its own.
+auto measureFreshConnections(const Process &process, int port, int workers) -> bool
+{
+    constexpr auto rounds = 10;
+    const auto cpuBefore = process.cpuSeconds();
+    for (auto round = 0; round < rounds; ++round) {
+        for (auto number = 0; number < workers; ++number) {
+            if (Worker(number, port, round).announce() == 0)
+                return false;
+        }
+    }
+    const auto announcements = double(rounds * workers);
+    print("fresh_announcement_cpu",
+          workers,
+          (process.cpuSeconds() - cpuBefore) / announcements * 1e6,
+          "us");
+    print("fresh_resident", workers, process.residentKilobytes(), "kB");
+    return true;
+}
+
+using Measurement = auto(*)(const Process &, int, int) -> bool;
+
+auto runMeasurement(const std::string &binary, int connections, int workers, Measurement measure)
+    -> bool
+{
+    const Process process(binary, connections);
+    const auto operatorsPort = process.port("operators");
+    const auto endpointsPort = process.port("endpoints");
+    if (operatorsPort == 0 || endpointsPort == 0 || !putContract(operatorsPort)) {
+        std::cerr << "the process did not start\n";
+        return false;
+    }
+    print("idle_cpu", 0, cpuPercent(process, std::chrono::seconds(2)), "percent");
+    print("idle_resident", 0, process.residentKilobytes(), "kB");
+    if (measure(process, endpointsPort, workers))
+        return true;
+    std::cerr << "an announcement failed\n";
+    return false;
+}
+
 } // namespace
 
 auto main(int argc, char **argv) -> int
@@ -263,20 +304,14 @@
         std::cerr << "usage: bench_capacity PATH-TO-TREFOILSHELF\n";
         return 2;
     }
-    for (const auto workers : {100, 400, 700}) {
-        const Process process(argv[1]);
-        const auto operatorsPort = process.port("operators");
-        const auto endpointsPort = process.port("endpoints");
-        if (operatorsPort == 0 || endpointsPort == 0 || !putContract(operatorsPort)) {
-            std::cerr << "the process did not start\n";
+    constexpr auto keptSlots = 1024;
+    constexpr auto freshSlots = 64;
+    constexpr auto workersOfOneProcess = 700;
+    for (const auto workers : {100, 400, workersOfOneProcess}) {
+        if (!runMeasurement(argv[1], keptSlots, workers, &measureWorkers))
             return 1;
-        }
-        print("idle_cpu", 0, cpuPercent(process, std::chrono::seconds(2)), "percent");
-        print("idle_resident", 0, process.residentKilobytes(), "kB");
-        if (!measureWorkers(process, endpointsPort, workers)) {
-            std::cerr << "an announcement failed\n";
-            return 1;
-        }
     }
-    return 0;
+    const auto measured =
+        runMeasurement(argv[1], freshSlots, workersOfOneProcess, &measureFreshConnections);
+    return measured ? 0 : 1;
 }
