--- a/src/libs/entry/httpserver.cpp
+++ b/src/libs/entry/httpserver.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t keepAliveRequests = 1'000'000;
+constexpr auto unauthorized = 401;
 constexpr auto jsonType = "application/json";
 
 // Runs each accepted connection as a task of an arena.
@@ -148,6 +149,8 @@
     // Fills in the errors that the library finds; those of handlers have a body already.
     auto completeError(const httplib::Request &request, httplib::Response &response) const -> void
     {
+        if (response.status == unauthorized)
+            count("unauthorized");
         if (!response.body.empty() || response.has_header("Trefoilshelf-Outcome"))
             return;
         const auto status = response.status;
