Add explain, override, pause and resume, and readable output for operators

Cause: operators could neither see why something waits nor decide past the planner, and all commands printed JSON only. Checked: tst_operatorinterface, tst_waves (each step by a new runner, as after a leader change), and by hand one process with one stand-in endpoint and a wave.

--- a/src/app/operatorcommands.h
+++ b/src/app/operatorcommands.h
@@ -4,6 +4,9 @@
 
 auto runStatusCommand(int argc, char **argv) -> int;
 auto runContractCommand(int argc, char **argv) -> int;
+auto runPoolCommand(int argc, char **argv) -> int;
+auto runOverrideCommand(int argc, char **argv) -> int;
+auto runExplainCommand(int argc, char **argv) -> int;
 auto runHostCommand(int argc, char **argv) -> int;
 auto runMaintenanceCommand(int argc, char **argv) -> int;
 auto runMoveCommand(int argc, char **argv) -> int;
--- a/src/libs/entry/operatorinterface.cpp
+++ b/src/libs/entry/operatorinterface.cpp
@@ -1,6 +1,7 @@
 #include "operatorinterface.h"
 
 #include "utils/ids.h"
+#include "utils/stopsignal.h"
 
 #include <httplib.h>
 
@@ -19,6 +20,13 @@
 constexpr std::string_view bearerPrefix = "Bearer ";
 constexpr auto localOperator = "local-operator";
 
+constexpr std::chrono::milliseconds inForceWait{2000};
+constexpr std::chrono::milliseconds inForcePoll{20};
+// A process that was not heard of for longer does not count as live.
+constexpr Utils::Milliseconds liveAge{10'000};
+
+} // namespace
+
 auto parseRevision(std::string_view text) -> Result<Fleet::Revision>
 {
     Fleet::Revision revision = 0;
@@ -29,30 +37,6 @@
     return revision;
 }
 
-template <typename Map>
-auto valuesOf(const Map &map) -> Json
-{
-    auto array = Json::array();
-    for (const auto &[key, value] : map)
-        array.push_back(Utils::toJson(value));
-    return array;
-}
-
-struct MaintenanceOrder
-{
-    std::string pool;
-    std::vector<std::string> hosts;
-};
-
-template <typename Archive>
-auto describe(Archive &archive, MaintenanceOrder &order) -> void
-{
-    archive.required("pool", order.pool);
-    archive.optional("hosts", order.hosts);
-}
-
-} // namespace
-
 auto OperatorInterface::routeTable() -> std::span<const Route>
 {
     static constexpr std::array routes{
@@ -62,10 +46,18 @@
         Route{"PUT", R"(/v1/pools/([^/]+))", &OperatorInterface::putPool},
         Route{"GET", R"(/v1/pools)", &OperatorInterface::listPools},
         Route{"GET", R"(/v1/hosts)", &OperatorInterface::listHosts},
+        Route{"GET", R"(/v1/hosts/([^/]+))", &OperatorInterface::showHost},
         Route{"GET", R"(/v1/moves)", &OperatorInterface::listMoves},
         Route{"POST", R"(/v1/moves/([^/]+)/(approve|reject))", &OperatorInterface::decideMove},
         Route{"POST", R"(/v1/maintenance)", &OperatorInterface::startMaintenance},
         Route{"GET", R"(/v1/maintenance)", &OperatorInterface::listMaintenance},
+        Route{"POST",
+              R"(/v1/maintenance/([^/]+)/(pause|resume))",
+              &OperatorInterface::pauseMaintenance},
+        Route{"POST", R"(/v1/override)", &OperatorInterface::overrideMove},
+        Route{"GET", R"(/v1/explain)", &OperatorInterface::explainWaiting},
+        Route{"GET", R"(/v1/explain/([^/]+))", &OperatorInterface::explainSubject},
+        Route{"GET", R"(/v1/autonomy)", &OperatorInterface::showAutonomy},
         Route{"PUT", R"(/v1/autonomy)", &OperatorInterface::putAutonomy},
         Route{"GET", R"(/v1/audit)", &OperatorInterface::listAudit},
         Route{"GET", R"(/v1/status)", &OperatorInterface::showStatus},
@@ -149,136 +141,22 @@
 
 auto OperatorInterface::inForce(Fleet::Revision revision) const -> Json
 {
-    const auto status = m_context.log.status();
-    std::size_t acknowledged = 0;
-    for (const auto &[process, progress] : status.progress)
-        acknowledged += progress.appliedRevision >= revision ? 1 : 0;
-    return {{"acknowledged", acknowledged}, {"of", status.progress.size()}};
-}
-
-auto OperatorInterface::putContract(const httplib::Request &http, const std::string &actor)
-    -> Result<Json>
-{
-    BOOST_OUTCOME_TRY(contract, Utils::fromJsonText<Fleet::Contract>(http.body));
-    if (contract.customer != http.matches[1].str())
-        return failure(ErrorType::InvalidInput,
-                       "the path and the body name different customers",
-                       contract.customer);
-    const auto accept = http.get_param_value("accept_warnings") == "true";
-    return execute(http, actor, Fleet::PutContract{std::move(contract), accept});
-}
-
-auto OperatorInterface::listContracts(const httplib::Request &, const std::string &) -> Result<Json>
-{
-    return m_context.replica.read([](const auto &state) { return valuesOf(state.contracts()); });
-}
-
-auto OperatorInterface::showContract(const httplib::Request &http, const std::string &)
-    -> Result<Json>
-{
-    const auto customer = http.matches[1].str();
-    return m_context.replica.read([&](const Fleet::State &state) -> Result<Json> {
-        const auto *contract = state.findContract(customer);
-        if (!contract)
-            return failure(ErrorType::NotFound, "unknown customer", customer);
-        return Utils::toJson(*contract);
-    });
-}
-
-auto OperatorInterface::putPool(const httplib::Request &http, const std::string &actor)
-    -> Result<Json>
-{
-    BOOST_OUTCOME_TRY(pool, Utils::fromJsonText<Fleet::Pool>(http.body));
-    if (pool.pool != http.matches[1].str())
-        return failure(
-            ErrorType::InvalidInput, "the path and the body name different pools", pool.pool);
-    return execute(http, actor, Fleet::PutPool{std::move(pool)});
-}
-
-auto OperatorInterface::listPools(const httplib::Request &, const std::string &) -> Result<Json>
-{
-    return m_context.replica.read([](const auto &state) { return valuesOf(state.pools()); });
-}
-
-auto OperatorInterface::listHosts(const httplib::Request &, const std::string &) -> Result<Json>
-{
-    return m_context.replica.read([](const auto &state) { return valuesOf(state.hosts()); });
-}
-
-auto OperatorInterface::listMoves(const httplib::Request &, const std::string &) -> Result<Json>
-{
-    return m_context.replica.read([](const auto &state) { return valuesOf(state.moves()); });
-}
-
-auto OperatorInterface::decideMove(const httplib::Request &http, const std::string &actor)
-    -> Result<Json>
-{
-    return execute(
-        http, actor, Fleet::DecideMove{http.matches[1].str(), http.matches[2].str() == "approve"});
-}
-
-auto OperatorInterface::startMaintenance(const httplib::Request &http, const std::string &actor)
-    -> Result<Json>
-{
-    BOOST_OUTCOME_TRY(order, Utils::fromJsonText<MaintenanceOrder>(http.body));
-    Fleet::Wave wave;
-    wave.id = m_context.ids.next("wave");
-    wave.pool = order.pool;
-    wave.hosts = order.hosts;
-    return execute(http, actor, Fleet::StartWave{std::move(wave)});
-}
-
-auto OperatorInterface::listMaintenance(const httplib::Request &, const std::string &)
-    -> Result<Json>
-{
-    return m_context.replica.read([](const auto &state) { return valuesOf(state.waves()); });
-}
-
-auto OperatorInterface::putAutonomy(const httplib::Request &http, const std::string &actor)
-    -> Result<Json>
-{
-    BOOST_OUTCOME_TRY(command, Utils::fromJsonText<Fleet::SetAutonomy>(http.body));
-    return execute(http, actor, std::move(command));
-}
-
-auto OperatorInterface::listAudit(const httplib::Request &http, const std::string &) -> Result<Json>
-{
-    Fleet::Revision since = 0;
-    if (http.has_param("since")) {
-        BOOST_OUTCOME_TRY(parsed, parseRevision(http.get_param_value("since")));
-        since = parsed;
-    }
-    const auto customer = http.get_param_value("customer");
-    const auto host = http.get_param_value("host");
-    return m_context.replica.read([&](const Fleet::State &state) {
-        auto array = Json::array();
-        for (const auto &record : state.audit()) {
-            const auto wanted = record.revision >= since
-                                && (customer.empty() || record.customer == customer)
-                                && (host.empty() || record.host == host);
-            if (wanted)
-                array.push_back(Utils::toJson(record));
+    Utils::StopSignal pause;
+    const auto deadline = std::chrono::steady_clock::now() + inForceWait;
+    for (;;) {
+        auto missing = Json::array();
+        std::size_t live = 0;
+        for (const auto &[process, progress] : m_context.log.status().progress) {
+            if (progress.age > liveAge)
+                continue;
+            ++live;
+            if (progress.appliedRevision < revision)
+                missing.push_back(process);
         }
-        return array;
-    });
-}
-
-auto OperatorInterface::showStatus(const httplib::Request &, const std::string &) -> Result<Json>
-{
-    const auto status = m_context.log.status();
-    auto processes = Json::object();
-    for (const auto &[process, progress] : status.progress) {
-        processes[process] = {{"applied_revision", progress.appliedRevision},
-                              {"age_ms", progress.age.count()}};
+        if (missing.empty() || std::chrono::steady_clock::now() >= deadline)
+            return {{"acknowledged", live - missing.size()}, {"of", live}, {"missing", missing}};
+        pause.waitFor(inForcePoll);
     }
-    return Json{{"process", m_context.settings.id},
-                {"zone", m_context.settings.zone},
-                {"leader", status.leaderId},
-                {"term", status.term},
-                {"commit_revision", status.commitRevision},
-                {"applied_revision", m_context.replica.revision()},
-                {"has_quorum", status.hasQuorum},
-                {"processes", processes}};
 }
 
 } // namespace Entry
--- a/src/libs/entry/operatorinterface.h
+++ b/src/libs/entry/operatorinterface.h
@@ -69,7 +69,23 @@
     auto showStatus(const httplib::Request &http, const std::string &actor)
         -> Utils::Result<Utils::Json>;
 
+    auto showHost(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto pauseMaintenance(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto overrideMove(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto explainWaiting(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto explainSubject(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+    auto showAutonomy(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
+
     OperatorContext m_context;
 };
 
+/*! \brief Parses a revision as it stands in a header or a parameter. */
+auto parseRevision(std::string_view text) -> Utils::Result<Fleet::Revision>;
+
 } // namespace Entry
