Add deferred jobs

Cause: jobs had a type but neither commands nor interfaces.

Change: a job table in the state with attempts, leases in command time, checkpoints, one commit by the current attempt, cancellation, failure after three healthy hosts, and an operator's decision on a job that is not idempotent and lost its worker; the callers' and the endpoints' listeners serve it under /v1/jobs. The leader ends leases and drops claims and jobs after their retention.

--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -4,8 +4,10 @@
 
 #include "entry/callerinterface.h"
 #include "entry/endpointinterface.h"
+#include "entry/jobinterface.h"
 #include "entry/operatorinterface.h"
 #include "entry/probeinterface.h"
+#include "fleet/expirytask.h"
 #include "membership/peerupdates.h"
 #include "planning/failurewatch.h"
 #include "planning/moverunner.h"
@@ -123,6 +125,15 @@
                                    {clock, ids, replica, dispatcher, claimedDispatch}};
     Entry::EndpointInterface endpoints{endpointServer, {replica, gateway, directory, settings.id}};
     Entry::OperatorInterface operators{operatorServer, {settings, replica, gateway, log, ids}};
+    Entry::JobInterface jobs{
+        callerServer, endpointServer, {replica, gateway, ids, settings.id, settings.limits.claims}};
+    Fleet::ExpiryTask expiryTask{log,
+                                 gateway,
+                                 replica,
+                                 clock,
+                                 settings.id,
+                                 {settings.timing.claimRetentionS * millisecondsPerSecond,
+                                  settings.timing.claimRetentionS *millisecondsPerSecond}};
     std::vector<std::unique_ptr<Membership::PeerLink>> peerLinks;
     Entry::ProbeInterface probes{{settings.id,
                                   settings.zone,
@@ -210,6 +221,7 @@
              do {
                  m_d->releaseTask.runOnce();
                  m_d->claimSettler.runOnce();
+                 m_d->expiryTask.runOnce();
              } while (!stop.waitFor(releaseInterval));
              return Utils::success();
          }});
--- a/src/libs/fleet/commands.h
+++ b/src/libs/fleet/commands.h
@@ -3,6 +3,7 @@
 #include "claimcommands.h"
 #include "commandresult.h"
 #include "contractcommands.h"
+#include "jobcommands.h"
 #include "movecommands.h"
 #include "releasecommands.h"
 #include "types.h"
@@ -29,7 +30,14 @@
                                  RegisterProcess,
                                  RetireProcess,
                                  ReleaseHost,
-                                 OverrideRelease>;
+                                 OverrideRelease,
+                                 SubmitJob,
+                                 StartJob,
+                                 CheckpointJob,
+                                 FinishJob,
+                                 CancelJob,
+                                 ResolveJob,
+                                 ExpireJobs>;
 
 /*! \brief A command with what every command carries. */
 struct Command
--- a/src/libs/fleet/jobtypes.h
+++ b/src/libs/fleet/jobtypes.h
@@ -21,11 +21,19 @@
     JobState state = JobState::Queued;
     std::int64_t attempt = 0;
     std::string host;
+    std::string startId; //!< The worker's own id of the current attempt.
     WallTimeMs leaseUntilMs = 0;
     Utils::Bytes checkpoint;
     std::optional<StoredAnswer> answer;
+    std::string fingerprint;              //!< Digest of what the customer asked for.
+    std::vector<std::string> failedHosts; //!< Healthy hosts that it failed on.
+    std::string detail;                   //!< Why it is in its present state.
     WallTimeMs createdMs = 0;
+    WallTimeMs endedMs = 0; //!< 0 while it is not ended.
+    Revision submittedRevision = 0;
     Revision revision = 0;
+
+    auto isEnded() const -> bool;
 };
 
 template <typename Archive>
@@ -40,10 +48,16 @@
     archive.optional("state", job.state);
     archive.optional("attempt", job.attempt);
     archive.optional("host", job.host);
+    archive.optional("start_id", job.startId);
     archive.optional("lease_until_ms", job.leaseUntilMs);
     archive.optional("checkpoint", job.checkpoint);
     archive.optional("answer", job.answer);
+    archive.optional("fingerprint", job.fingerprint);
+    archive.optional("failed_hosts", job.failedHosts);
+    archive.optional("detail", job.detail);
     archive.optional("created_ms", job.createdMs);
+    archive.optional("ended_ms", job.endedMs);
+    archive.optional("submitted_revision", job.submittedRevision);
     archive.optional("revision", job.revision);
 }
 
--- a/src/libs/fleet/state.h
+++ b/src/libs/fleet/state.h
@@ -3,6 +3,7 @@
 #include "claimtable.h"
 #include "commands.h"
 #include "disruptionledger.h"
+#include "jobtable.h"
 #include "releasetable.h"
 #include "resulttable.h"
 
@@ -43,6 +44,7 @@
         -> const RequestClaim *;
     /*! \brief Returns the state of \a claim, which is Unknown once its owner is gone. */
     auto stateOf(const RequestClaim &claim) const -> ClaimState;
+    auto jobs() const -> const JobTable & { return m_jobs; }
     auto processes() const -> const ProcessTable & { return m_processes; }
     auto releases() const -> const ReleaseTable & { return m_releases; }
     auto results() const -> const ResultTable & { return m_results; }
@@ -66,6 +68,7 @@
         archive.optional("claims", state.m_claims);
         archive.optional("audit", state.m_audit);
         archive.optional("results", state.m_results);
+        archive.optional("jobs", state.m_jobs);
         archive.optional("processes", state.m_processes);
         archive.optional("releases", state.m_releases);
         archive.optional("time_ms", state.m_timeMs);
@@ -108,6 +111,14 @@
     auto run(const ReleaseHost &body, const Context &context) -> Utils::Result<Change>;
     auto run(const OverrideRelease &body, const Context &context) -> Utils::Result<Change>;
 
+    auto run(const SubmitJob &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const StartJob &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const CheckpointJob &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const FinishJob &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const CancelJob &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const ResolveJob &body, const Context &context) -> Utils::Result<Change>;
+    auto run(const ExpireJobs &body, const Context &context) -> Utils::Result<Change>;
+
     auto applyNew(const Command &command, Revision revision) -> CommandResult;
     auto drainingMove(const std::string &id) -> Utils::Result<Move *>;
     auto checkDrainEnd(const Move &move, const AdvanceMove &body, const Context &context)
@@ -131,6 +142,7 @@
     Autonomy m_autonomy;
     ClaimTable m_claims;
     std::vector<AuditRecord> m_audit;
+    JobTable m_jobs;
     ResultTable m_results;
     ProcessTable m_processes;
     ReleaseTable m_releases;
--- a/src/libs/fleet/types.cpp
+++ b/src/libs/fleet/types.cpp
@@ -1,6 +1,7 @@
 #include "types.h"
 
 #include "claimcommands.h"
+#include "jobcommands.h"
 #include "movecommands.h"
 
 #include <algorithm>
@@ -69,6 +70,12 @@
     EnumName<JobState>{JobState::NeedsOperator, "needs-operator"},
 };
 
+constexpr std::array jobOutcomeNames{
+    EnumName<JobOutcome>{JobOutcome::Done, "done"},
+    EnumName<JobOutcome>{JobOutcome::Failed, "failed"},
+    EnumName<JobOutcome>{JobOutcome::NotRun, "not-run"},
+};
+
 } // namespace
 
 auto enumNames(HostState) -> std::span<const EnumName<HostState>>
@@ -106,6 +113,11 @@
     return claimOutcomeNames;
 }
 
+auto enumNames(JobOutcome) -> std::span<const EnumName<JobOutcome>>
+{
+    return jobOutcomeNames;
+}
+
 auto enumNames(JobState) -> std::span<const EnumName<JobState>>
 {
     return jobStateNames;
@@ -130,6 +142,12 @@
     return std::ranges::find(services, pool, &ServiceTerms::pool) != services.end();
 }
 
+auto Job::isEnded() const -> bool
+{
+    return state == JobState::Committed || state == JobState::Cancelled
+           || state == JobState::Failed;
+}
+
 auto Move::isOpen() const -> bool
 {
     return state <= MoveState::Soaking;
