--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -17,6 +17,7 @@
 #include "utils/log.h"
 #include "utils/taskarena.h"
 #include "wire/peerserver.h"
+#include "wire/thriftlog.h"
 
 #include <unistd.h>
 
@@ -259,6 +260,7 @@
     // Blocked before any thread starts, so that all threads inherit it.
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
+    Wire::routeThriftLog();
 
     const auto &limits = settings.limits;
     const Utils::ThreadLimit threads(int(limits.callerConnections + limits.endpointConnections
