--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -66,6 +66,7 @@
     auto startPeerLinks() -> void;
     auto plan() -> void;
     auto escalate(const Utils::Error &error) -> void;
+    auto dispatcherOptions() -> Routing::DispatcherOptions;
 
     Settings::Settings settings;
     Utils::SystemClock clock;
@@ -81,7 +82,7 @@
                                             Utils::Milliseconds(settings.timing.routingLeaseMs)};
     Membership::DemandTable demand{clock, Utils::Milliseconds(settings.timing.routingLeaseMs)};
     Wire::PeerServer peerServer{{settings.listen.peers, int(settings.limits.peerConnections)}};
-    Routing::Dispatcher dispatcher{clock, replica, directory};
+    Routing::Dispatcher dispatcher{clock, replica, directory, dispatcherOptions()};
     Routing::ClaimSettler claimSettler{gateway, settings.id};
     Routing::ClaimedDispatch claimedDispatch{clock,
                                              dispatcher,
@@ -125,7 +126,8 @@
     Entry::CallerInterface callers{callerServer,
                                    {clock, ids, replica, dispatcher, claimedDispatch}};
     Entry::EndpointInterface endpoints{endpointServer, {replica, gateway, directory, settings.id}};
-    Entry::OperatorInterface operators{operatorServer, {settings, replica, gateway, log, ids}};
+    Entry::OperatorInterface operators{operatorServer,
+                                       {settings, replica, gateway, log, ids, &dispatcher}};
     Entry::JobInterface jobs{
         callerServer, endpointServer, {replica, gateway, ids, settings.id, settings.limits.claims}};
     Fleet::ExpiryTask expiryTask{log,
@@ -162,6 +164,18 @@
     ::kill(::getpid(), SIGTERM);
 }
 
+auto ServeProcess::Private::dispatcherOptions() -> Routing::DispatcherOptions
+{
+    Routing::DispatcherOptions options;
+    options.zone = settings.zone;
+    options.seed = ids.nextNumber();
+    options.queuedRequests = std::size_t(settings.limits.queuedRequests);
+    options.hasQuorum = [this] { return log.status().hasQuorum; };
+    options.peers = &demand;
+    options.metrics = &metrics;
+    return options;
+}
+
 auto ServeProcess::Private::startPeerLinks() -> void
 {
     std::vector<Supervision::ChildSpec> children;
--- a/src/libs/entry/operatorinterface.cpp
+++ b/src/libs/entry/operatorinterface.cpp
@@ -60,6 +60,7 @@
         Route{"GET", R"(/v1/autonomy)", &OperatorInterface::showAutonomy},
         Route{"PUT", R"(/v1/autonomy)", &OperatorInterface::putAutonomy},
         Route{"GET", R"(/v1/audit)", &OperatorInterface::listAudit},
+        Route{"GET", R"(/v1/events)", &OperatorInterface::listEvents},
         Route{"GET", R"(/v1/status)", &OperatorInterface::showStatus},
     };
     return routes;
--- a/src/libs/entry/operatorinterface.h
+++ b/src/libs/entry/operatorinterface.h
@@ -4,6 +4,7 @@
 
 #include "fleet/gateway.h"
 #include "fleet/replica.h"
+#include "routing/dispatcher.h"
 #include "settings/settings.h"
 
 namespace Entry {
@@ -16,6 +17,7 @@
     Fleet::Gateway &gateway;
     Replication::ReplicatedLog &log;
     Utils::IdGenerator &ids;
+    const Routing::Dispatcher *dispatcher = nullptr; //!< Source of /v1/events.
 };
 
 /*! \brief Serves operators: contracts, pools, hosts, moves, maintenance, autonomy, audit and status. */
@@ -66,6 +68,8 @@
         -> Utils::Result<Utils::Json>;
     auto listAudit(const httplib::Request &http, const std::string &actor)
         -> Utils::Result<Utils::Json>;
+    auto listEvents(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
     auto showStatus(const httplib::Request &http, const std::string &actor)
         -> Utils::Result<Utils::Json>;
 
--- a/src/libs/entry/operatorqueries.cpp
+++ b/src/libs/entry/operatorqueries.cpp
@@ -97,6 +97,16 @@
     });
 }
 
+auto OperatorInterface::listEvents(const httplib::Request &, const std::string &) -> Result<Json>
+{
+    auto array = Json::array();
+    if (!m_context.dispatcher)
+        return array;
+    for (const auto &event : m_context.dispatcher->recentEvents())
+        array.push_back(Utils::toJson(event));
+    return array;
+}
+
 auto OperatorInterface::showStatus(const httplib::Request &, const std::string &) -> Result<Json>
 {
     const auto status = m_context.log.status();
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -1,94 +1,260 @@
 #include "dispatcher.h"
 
-#include <set>
+#include <algorithm>
+#include <cmath>
 
 namespace Routing {
 
 namespace {
-constexpr auto maximumAttempts = 3;
+
+constexpr auto maximumAttempts = 4;
+constexpr auto statusBadGateway = 502;
+// Until peers report demand, each process gets an equal part weighing this part of the slots.
+constexpr auto idleWeightPart = 0.25;
+
+auto fingerprintOf(const Request &request) -> std::size_t
+{
+    return std::hash<std::string>()(request.customer + '\n' + request.service + '\n'
+                                    + request.method + '\n' + request.path + '\n' + request.body);
 }
 
+auto blamesEndpoint(AttemptFailure failure) -> bool
+{
+    return failure != AttemptFailure::Busy && failure != AttemptFailure::ShortDeadline;
+}
+
+// The part of a process whose own demand is \a own among peers.
+auto demandPart(double own, int processes, double others, int slots) -> double
+{
+    if (processes == 0)
+        return 1;
+    const auto idleWeight = std::max(1.0, idleWeightPart * slots / (processes + 1));
+    return (own + idleWeight) / (own + others + idleWeight * (processes + 1));
+}
+
+auto partOf(double part, std::int64_t slots) -> int
+{
+    return slots == 0 ? 0 : std::max(1, int(std::ceil(part * double(slots))));
+}
+
+} // namespace
+
 Dispatcher::Dispatcher(const Utils::Clock &clock,
                        const Fleet::Replica &replica,
-                       const Membership::EndpointDirectory &directory)
+                       const Membership::EndpointDirectory &directory,
+                       DispatcherOptions options)
     : m_clock(clock)
     , m_replica(replica)
-    , m_directory(directory)
+    , m_options(std::move(options))
+    , m_events(clock, m_options.metrics)
+    , m_selector(clock,
+                 replica,
+                 directory,
+                 {m_options.zone, m_options.strategy, m_options.seed, m_options.hasQuorum})
     , m_client(m_clock)
+    , m_gate(clock,
+             m_options.queuedRequests,
+             [this](const std::string &service, const std::string &customer) {
+                 return shareOf(service, customer);
+             })
+    , m_rates(clock)
+    , m_jitter(m_options.seed)
 {}
 
 auto Dispatcher::dispatch(const Request &request) -> Reply
 {
-    std::set<std::string> tried;
+    if (auto refusal = checkLimits(request))
+        return refused(request, std::move(*refusal));
+    m_budget.addRequest();
+    const auto ticket = m_gate.acquire(request);
+    if (!ticket) {
+        const auto &error = ticket.error();
+        return refused(request, Reply::notRun(error.type, error.message, error.details));
+    }
+    auto reply = runAttempts(request);
+    m_gate.release(request, ticket.value());
+    if (reply.outcome == Outcome::NotRun)
+        return refused(request, std::move(reply));
+    return reply;
+}
+
+auto Dispatcher::checkLimits(const Request &request) -> std::optional<Reply>
+{
+    if (!m_failedRequests.isEmpty()
+        && m_failedRequests.isRejected(fingerprintOf(request), m_clock.now())) {
+        return Reply::notRun(Utils::ErrorType::Mismatch,
+                             "the request failed on three healthy endpoints",
+                             "it is refused for some seconds");
+    }
+    const auto perSecond = m_replica.read([&](const Fleet::State &state) -> std::int64_t {
+        const auto *contract = state.findContract(request.customer);
+        const auto *terms = contract ? contract->findService(request.service) : nullptr;
+        return terms ? terms->requestsPerS : 0;
+    });
+    if (perSecond == 0)
+        return std::nullopt;
+    const auto processes = 1 + (m_options.peers ? m_options.peers->livePeers() : 0);
+    if (m_rates.take(request.customer + '/' + request.service, double(perSecond) / processes))
+        return std::nullopt;
+    return Reply::notRun(Utils::ErrorType::LimitReached,
+                         "the customer's requests per second are used up");
+}
+
+// This process's part of the slots goes by the demand that it and its zone's peers have.
+auto Dispatcher::shareOf(const std::string &service, const std::string &customer) -> ServiceShare
+{
+    const auto slots = m_selector.slots(service);
+    ServiceShare share;
+    const auto terms = m_replica.read([&](const Fleet::State &state) {
+        const auto *contract = state.findContract(customer);
+        const auto *found = contract ? contract->findService(service) : nullptr;
+        return found ? *found : Fleet::ServiceTerms{service, {}, 0, slots.ownZone, 0};
+    });
+    Membership::PeerDemand others;
+    if (m_options.peers)
+        others = m_options.peers->inZone(m_options.zone, service, customer);
+    const auto own =
+        m_options.peers ? m_gate.reportedDemand(service, customer) : AdmissionGate::Reported{};
+    const auto part =
+        demandPart(own.service, others.processes, others.serviceRequests, slots.ownZone);
+    const auto customerPart =
+        demandPart(own.customer, others.processes, others.customerRequests, slots.ownZone);
+    share.slots = partOf(part, slots.ownZone) + slots.otherZonesFree / (others.processes + 1);
+    share.customer = {partOf(customerPart, terms.guaranteedSlots),
+                      partOf(customerPart, terms.maxSlots)};
+    share.ownZoneSlots = partOf(part, slots.ownZone);
+    share.endpoints = slots.endpoints;
+    share.racks = slots.racks;
+    return share;
+}
+
+auto Dispatcher::runAttempts(const Request &request) -> Reply
+{
+    Trail trail;
     auto reply =
         Reply::notRun(Utils::ErrorType::Unavailable, "no endpoint of the service is available");
     for (auto number = 1; number <= maximumAttempts; ++number) {
-        auto choice = choose(request, tried);
+        const auto share = shareOf(request.service, request.customer);
+        auto choice = m_selector.choose(request, trail.tried, share.ownZoneSlots);
         if (!choice)
-            return reply;
-        choice->attempt.number = number;
-        tried.insert(choice->endpoint);
-        reply = m_client.send(request, choice->attempt);
-        finish(choice->endpoint);
-        const auto mayRepeat = reply.outcome == Outcome::NotRun
-                               || (reply.outcome == Outcome::Unknown && request.idempotent);
-        if (!mayRepeat)
-            return reply;
+            break;
+        auto result = attempt(request, *choice, number);
+        if (result.failure == AttemptFailure::None) {
+            succeed(request, *choice, trail);
+            return std::move(result.reply);
+        }
+        reply = std::move(result.reply);
+        trail.tried.endpoints.insert(choice->endpoint);
+        trail.tried.racks.insert(choice->rack);
+        if (blamesEndpoint(result.failure))
+            trail.failures.push_back({*choice, result.failure});
+        if (isAtFault(request, trail))
+            return rejected(request);
+        const auto mayRetry = (reply.outcome == Outcome::NotRun || request.idempotent)
+                              && number < maximumAttempts && m_clock.now() < request.deadline
+                              && m_budget.takeRetry();
+        if (!mayRetry)
+            break;
+        report(EventKind::Retried, request, choice->endpoint, Utils::nameOf(result.failure));
     }
+    blame(request, trail);
     return reply;
 }
 
-auto Dispatcher::choose(const Request &request, const std::set<std::string> &excluded)
-    -> std::optional<Choice>
-{
-    const auto endpoints = m_directory.available(request.service);
-    const std::scoped_lock lock(m_mutex);
-    std::optional<Choice> best;
-    auto bestLoad = 0;
-    for (const auto &endpoint : endpoints) {
-        const auto &announcement = endpoint.announcement;
-        if (excluded.contains(announcement.id))
-            continue;
-        const auto epoch = m_replica.read([&](const Fleet::State &state) -> std::int64_t {
-            const auto *host = state.findHost(announcement.host);
-            const auto serves = host
-                                && (host->state == Fleet::HostState::Serving
-                                    || host->state == Fleet::HostState::Soaking);
-            return serves ? host->assignmentEpoch : 0;
-        });
-        if (epoch == 0)
-            continue;
-        const auto load = m_inFlight[announcement.id];
-        if (!best || load < bestLoad) {
-            best = Choice{announcement.id, {announcement.address, epoch, 1}};
-            bestLoad = load;
+auto Dispatcher::attempt(const Request &request, Choice &choice, int number) -> AttemptResult
+{
+    choice.attempt.number = number;
+    if (choice.spilled)
+        report(EventKind::Spilled, request, choice.endpoint, "the own zone is full");
+    const auto start = m_clock.now();
+    auto result = m_client.send(request, choice.attempt);
+    m_selector.finish(choice);
+    const auto elapsed = m_clock.now() - start;
+    if (result.failure == AttemptFailure::None)
+        m_gate.observeRun(request.service, elapsed);
+    // A deadline below the usual run time tells nothing about the endpoint.
+    if (result.failure == AttemptFailure::TimedOut
+        && elapsed < 2 * m_gate.meanRun(request.service)) {
+        result.failure = AttemptFailure::ShortDeadline;
+    }
+    return result;
+}
+
+auto Dispatcher::succeed(const Request &request, const Choice &choice, const Trail &trail) -> void
+{
+    if (m_selector.addSuccess(choice))
+        report(EventKind::Returned, request, choice.endpoint, "a probe succeeded");
+    if (!m_failedRequests.isEmpty())
+        m_failedRequests.addSuccess(fingerprintOf(request));
+    if (!trail.failures.empty())
+        blame(request, trail);
+}
+
+// True if the request failed on enough endpoints that answered it badly.
+auto Dispatcher::isAtFault(const Request &request, const Trail &trail) -> bool
+{
+    if (!request.idempotent || trail.failures.empty())
+        return false;
+    const auto &last = trail.failures.back().choice;
+    if (!last.healthy || trail.failures.back().kind == AttemptFailure::Unreachable)
+        return false;
+    const auto racks = m_selector.slots(request.service).racks;
+    return m_failedRequests.addFailure(
+        fingerprintOf(request), last.endpoint, last.rack, racks, m_clock.now());
+}
+
+auto Dispatcher::blame(const Request &request, const Trail &trail) -> void
+{
+    if (trail.failures.empty())
+        return;
+    const auto poolSize = m_selector.slots(request.service).endpoints;
+    for (const auto &failure : trail.failures) {
+        if (m_selector.addFailure(failure.choice, poolSize)) {
+            report(
+                EventKind::Ejected, request, failure.choice.endpoint, Utils::nameOf(failure.kind));
         }
     }
-    if (best)
-        ++m_inFlight[best->endpoint];
-    return best;
 }
 
-auto Dispatcher::inFlightOnHost(std::string_view host) -> int
+auto Dispatcher::rejected(const Request &request) -> Reply
 {
-    const auto endpoints = m_directory.onHost(host);
-    const std::scoped_lock lock(m_mutex);
-    auto inFlight = 0;
-    for (const auto &endpoint : endpoints)
-        inFlight += m_inFlight[endpoint.announcement.id];
-    return inFlight;
+    report(EventKind::RequestRejected, request, {}, "failed on three healthy endpoints");
+    auto reply = Reply::unknown("the request failed on three healthy endpoints");
+    reply.status = statusBadGateway;
+    reply.error->type = Utils::ErrorType::Refused;
+    return reply;
 }
 
-auto Dispatcher::localLoad() -> Membership::LocalLoad
+auto Dispatcher::refused(const Request &request, Reply reply) -> Reply
+{
+    constexpr std::uint64_t jitterSteps = 1000;
+    const auto base = m_gate.retryAfter(request.service);
+    const auto jitter = double(m_jitter.nextNumber() % jitterSteps) / jitterSteps;
+    reply.retryAfter = base + Utils::Milliseconds(std::int64_t(jitter * double(base.count())));
+    report(EventKind::Refused,
+           request,
+           {},
+           reply.error ? std::string_view(reply.error->message) : std::string_view());
+    return reply;
+}
+
+auto Dispatcher::report(EventKind kind,
+                        const Request &request,
+                        const std::string &endpoint,
+                        std::string_view reason) -> void
+{
+    m_events.add(
+        {0, kind, request.id, request.customer, request.service, endpoint, std::string(reason)});
+}
+
+auto Dispatcher::inFlightOnHost(std::string_view host) -> int
 {
-    const std::scoped_lock lock(m_mutex);
-    return {m_inFlight, {}};
+    return m_selector.inFlightOnHost(host);
 }
 
-auto Dispatcher::finish(const std::string &endpoint) -> void
+auto Dispatcher::localLoad() -> Membership::LocalLoad
 {
-    const std::scoped_lock lock(m_mutex);
-    --m_inFlight[endpoint];
+    return {m_selector.inFlight(), m_gate.demand()};
 }
 
 } // namespace Routing
--- a/src/libs/routing/endpointclient.cpp
+++ b/src/libs/routing/endpointclient.cpp
@@ -4,6 +4,8 @@
 
 #include <httplib.h>
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 
@@ -13,6 +15,28 @@
 constexpr auto statusServiceUnavailable = 503;
 constexpr Utils::Milliseconds connectTimeout{500};
 constexpr std::size_t idleConnectionsPerEndpoint = 64;
+// Below the time after which endpoints usually close an idle connection.
+constexpr Utils::Milliseconds longestIdle{2000};
+constexpr auto firstServerError = 500;
+
+using Utils::EnumName;
+
+constexpr std::array attemptFailureNames{
+    EnumName<AttemptFailure>{AttemptFailure::None, "none"},
+    EnumName<AttemptFailure>{AttemptFailure::Busy, "busy"},
+    EnumName<AttemptFailure>{AttemptFailure::Unreachable, "unreachable"},
+    EnumName<AttemptFailure>{AttemptFailure::Broken, "broken"},
+    EnumName<AttemptFailure>{AttemptFailure::TimedOut, "timed-out"},
+    EnumName<AttemptFailure>{AttemptFailure::ShortDeadline, "short-deadline"},
+    EnumName<AttemptFailure>{AttemptFailure::ServerError, "server-error"},
+};
+
+// An idle connection that can be read from was closed or carries a late answer.
+auto isQuiet(httplib::Client &client) -> bool
+{
+    pollfd waiting{client.socket(), POLLIN, 0};
+    return waiting.fd >= 0 && poll(&waiting, 1, 0) == 0;
+}
 
 // Headers of one connection or of the answer's framing, which are not passed on.
 constexpr std::array<std::string_view, 5> hopHeaders{
@@ -44,21 +68,28 @@
 {
     constexpr auto noContent = 204;
     constexpr auto notModified = 304;
-    return response.has_header("Content-Length") || response.has_header("Transfer-Encoding")
+    return response.has_header("Content-Length")
+           || response.get_header_value("Transfer-Encoding") == "chunked"
            || request.method == "HEAD" || response.status == noContent
            || response.status == notModified;
 }
 
-auto toReply(const Request &request, const httplib::Response &response) -> Reply
+auto brokenAnswer(std::string reason) -> AttemptResult
+{
+    return {Reply::unknown(std::move(reason)), AttemptFailure::Broken};
+}
+
+auto toResult(const Request &request, const httplib::Response &response) -> AttemptResult
 {
     const auto echoed = response.get_header_value("Trefoilshelf-Request-Id");
     if (!echoed.empty() && echoed != request.id)
-        return Reply::unknown("the endpoint answered another request");
+        return brokenAnswer("the endpoint answered another request");
     if (!hasDefiniteEnd(request, response))
-        return Reply::unknown("the endpoint's answer has no definite end");
+        return brokenAnswer("the endpoint's answer has no definite end");
     if (response.status == statusServiceUnavailable
         && response.get_header_value("Trefoilshelf-Outcome") == "not-run") {
-        return Reply::notRun(Utils::ErrorType::Unavailable, "the endpoint refused the request");
+        return {Reply::notRun(Utils::ErrorType::Unavailable, "the endpoint refused the request"),
+                AttemptFailure::Busy};
     }
     Reply reply;
     reply.outcome = Outcome::Ran;
@@ -69,54 +100,76 @@
         if (!isHopHeader(name))
             reply.headers.push_back({name, value});
     }
-    return reply;
+    const auto failed = response.status >= firstServerError;
+    return {std::move(reply), failed ? AttemptFailure::ServerError : AttemptFailure::None};
 }
 
-auto failedReply(httplib::Error error) -> Reply
+auto failedResult(httplib::Error error, bool deadlinePassed) -> AttemptResult
 {
-    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout)
-        return Reply::notRun(Utils::ErrorType::Unavailable, "cannot connect to the endpoint");
-    return Reply::unknown("the endpoint did not answer: " + httplib::to_string(error));
+    if (error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout) {
+        return {Reply::notRun(Utils::ErrorType::Unavailable, "cannot connect to the endpoint"),
+                AttemptFailure::Unreachable};
+    }
+    return {Reply::unknown("the endpoint did not answer: " + httplib::to_string(error)),
+            deadlinePassed ? AttemptFailure::TimedOut : AttemptFailure::Broken};
 }
 
 } // namespace
 
+auto enumNames(AttemptFailure) -> std::span<const EnumName<AttemptFailure>>
+{
+    return attemptFailureNames;
+}
+
+struct EndpointClient::IdleConnection
+{
+    std::unique_ptr<httplib::Client> client;
+    Utils::Instant since;
+};
+
 EndpointClient::EndpointClient(const Utils::Clock &clock)
     : m_clock(clock)
 {}
 
 EndpointClient::~EndpointClient() = default;
 
-auto EndpointClient::send(const Request &request, const Attempt &attempt) -> Reply
+auto EndpointClient::send(const Request &request, const Attempt &attempt) -> AttemptResult
 {
     const auto remaining = request.deadline - m_clock.now();
-    if (remaining <= Utils::Milliseconds(0))
-        return Reply::notRun(Utils::ErrorType::Timeout,
-                             "the deadline passed before the request was sent");
+    if (remaining <= Utils::Milliseconds(0)) {
+        return {Reply::notRun(Utils::ErrorType::Timeout,
+                              "the deadline passed before the request was sent"),
+                AttemptFailure::Busy};
+    }
     auto client = takeConnection(attempt.address);
-    if (!client)
-        return Reply::notRun(Utils::ErrorType::Unavailable, "the endpoint's address is not valid");
+    if (!client) {
+        return {Reply::notRun(Utils::ErrorType::Unavailable, "the endpoint's address is not valid"),
+                AttemptFailure::Unreachable};
+    }
     client->set_connection_timeout(std::min(remaining, connectTimeout));
     client->set_read_timeout(remaining);
     client->set_write_timeout(remaining);
-    auto result = client->send(toHttpRequest(request, attempt));
+    const auto result = client->send(toHttpRequest(request, attempt));
     if (!result)
-        return failedReply(result.error());
-    auto reply = toReply(request, *result);
-    if (reply.outcome != Outcome::Unknown)
+        return failedResult(result.error(), m_clock.now() >= request.deadline);
+    auto outcome = toResult(request, *result);
+    if (outcome.reply.outcome != Outcome::Unknown)
         keepConnection(attempt.address, std::move(client));
-    return reply;
+    return outcome;
 }
 
 auto EndpointClient::takeConnection(const std::string &address) -> std::unique_ptr<httplib::Client>
 {
+    std::vector<IdleConnection> discarded; // Closed after the lock is released.
     {
         const std::scoped_lock lock(m_mutex);
         auto &idle = m_idle[address];
-        if (!idle.empty()) {
-            auto client = std::move(idle.back());
+        while (!idle.empty()) {
+            auto connection = std::move(idle.back());
             idle.pop_back();
-            return client;
+            if (connection.since + longestIdle > m_clock.now() && isQuiet(*connection.client))
+                return std::move(connection.client);
+            discarded.push_back(std::move(connection));
         }
     }
     const auto parsed = Utils::parseAddress(address);
@@ -135,7 +188,7 @@
     const std::scoped_lock lock(m_mutex);
     auto &idle = m_idle[address];
     if (idle.size() < idleConnectionsPerEndpoint)
-        idle.push_back(std::move(client));
+        idle.push_back({std::move(client), m_clock.now()});
 }
 
 } // namespace Routing
