--- a/src/libs/routing/admissiongate.cpp
+++ b/src/libs/routing/admissiongate.cpp
@@ -63,7 +63,10 @@
     auto &service = serviceOf(request.service);
     std::unique_lock lock(service.mutex);
     service.customers.insert(request.customer);
-    refresh(service, request);
+    if (refresh(service, request) == 0) {
+        return Utils::failure(Utils::ErrorType::Unavailable,
+                              "no endpoint of the service is available");
+    }
     const auto decision = service.admission.offer(
         {request.customer, request.priority, request.deadline}, m_clock.now());
     if (decision.state == AdmissionState::Queued)
@@ -95,11 +98,12 @@
     return refusalOf(waiter.reason);
 }
 
-auto AdmissionGate::refresh(Service &service, const Request &request) -> void
+auto AdmissionGate::refresh(Service &service, const Request &request) -> int
 {
     const auto share = m_share(request.service, request.customer);
     service.admission.setCapacity(share.slots);
     service.admission.setCustomer(request.customer, share.customer);
+    return share.slots;
 }
 
 // Wakes the requests whose waiting ended.
--- a/src/libs/routing/admissiongate.h
+++ b/src/libs/routing/admissiongate.h
@@ -55,7 +55,8 @@
     struct Service;
 
     auto serviceOf(const std::string &name) -> Service &;
-    auto refresh(Service &service, const Request &request) -> void;
+    /*! \brief Takes in the present share and returns its slots. */
+    auto refresh(Service &service, const Request &request) -> int;
     auto advance(Service &service) -> void;
     auto wait(Service &service,
               const Request &request,
--- a/tests/auto/routing/tst_dispatcher.cpp
+++ b/tests/auto/routing/tst_dispatcher.cpp
@@ -239,6 +239,13 @@
     EXPECT_EQ(count(EventKind::Refused), 1);
 }
 
+TEST_F(Dispatcher, RefusesAtOnceWithoutAnyEndpoint)
+{
+    const auto reply = dispatcher.dispatch(request(true));
+    EXPECT_EQ(reply.outcome, Outcome::NotRun);
+    EXPECT_EQ(reply.status, 503);
+}
+
 TEST_F(Dispatcher, RetriesAtAnotherRackOnlyWhatMayRunAgain)
 {
     RawEndpoint closing([](const Exchange &) { return false; });
