--- /dev/null
+++ b/tests/process/runningprocess.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "utils/fields.h"
+
+#include <filesystem>
+#include <optional>
+#include <string>
+
+/*! \brief A process of the product in a folder of its own, listening on free ports. */
+class RunningProcess
+{
+public:
+    explicit RunningProcess(const std::string &name);
+    ~RunningProcess();
+    RunningProcess(const RunningProcess &) = delete;
+    auto operator=(const RunningProcess &) -> RunningProcess & = delete;
+
+    /*! \brief Returns the port of a listener once the process has logged it; 0 if it never does. */
+    auto port(const std::string &listener) const -> int;
+    auto sendSignal(int signal) const -> void;
+    /*! \brief Waits for the end; returns the exit code, or -1 if a signal ended it. */
+    auto waitForExit() -> int;
+
+private:
+    std::filesystem::path m_folder;
+    int m_pid = 0;
+};
