--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -1,6 +1,7 @@
 #include "serveprocess.h"
 
 #include "commandline.h"
+#include "processlog.h"
 
 #include "entry/callerinterface.h"
 #include "entry/endpointinterface.h"
@@ -11,7 +12,7 @@
 #include "membership/peerupdates.h"
 #include "planning/failurewatch.h"
 #include "planning/moverunner.h"
-#include "replication/singlereplicalog.h"
+#include "replication/replicaoptions.h"
 #include "routing/releasetask.h"
 #include "supervision/supervisor.h"
 #include "utils/log.h"
@@ -76,7 +77,8 @@
     std::atomic<bool> stopping = false;
     std::atomic<bool> escalated = false;
     Fleet::Replica replica;
-    Replication::SingleReplicaLog log{settings.id, settings.dataFolder, replica};
+    ProcessLog processLog = makeProcessLog(settings, replica, clock, ids.nextNumber());
+    Replication::ReplicatedLog &log = *processLog.log;
     Fleet::Gateway gateway{log, clock, ids, Utils::Milliseconds(settings.timing.commandTimeoutMs)};
     Membership::EndpointDirectory directory{clock,
                                             Utils::Milliseconds(settings.timing.routingLeaseMs)};
@@ -220,6 +222,7 @@
     m_d->probes.addMetrics(m_d->operatorServer);
     m_d->peerServer.addService(Membership::membershipServiceName,
                                Membership::makeMembershipProcessor(m_d->directory, m_d->demand));
+    m_d->peerServer.addService(Replication::serviceName, m_d->processLog.processor);
     BOOST_OUTCOME_TRY(m_d->peerServer.start());
     BOOST_OUTCOME_TRY(m_d->log.start());
     m_d->startPeerLinks();
@@ -261,8 +264,8 @@
     m_d->endpointServer.stop();
     m_d->operatorServer.stop();
     m_d->supervisor.stop();
-    m_d->peerServer.stop();
     m_d->log.stop();
+    m_d->peerServer.stop();
 }
 
 auto runServe(const Settings::Settings &settings) -> int
--- /dev/null
+++ b/src/libs/replication/applier.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "replicatedlog.h"
+
+#include "store/snapshotstore.h"
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+namespace Replication::Internal {
+
+/*! \brief A part of a snapshot, as one message carries it. */
+struct SnapshotPart
+{
+    std::shared_ptr<const Store::Snapshot> snapshot; //!< Null if it is no longer kept.
+    std::string_view data;
+    bool last = false;
+};
+
+/*!
+    \brief Owns the use of the state machine: applies entries in order and takes snapshots.
+
+    Callers lock mutex() around apply() and restore(); the other functions lock it themselves.
+*/
+class Applier
+{
+public:
+    explicit Applier(StateMachine &machine);
+
+    auto mutex() -> std::mutex & { return m_mutex; }
+    /*! \brief Applies \a entry, which must be the next one, and returns the reply. */
+    auto apply(const Entry &entry) -> std::string;
+    auto restore(const Store::Snapshot &snapshot) -> Utils::Result<void>;
+    auto voters() const -> const VoterSet & { return m_voters; }
+    auto setVoters(VoterSet voters) -> void { m_voters = std::move(voters); }
+
+    /*! \brief Takes a snapshot at the applied revision. */
+    auto takeSnapshot() -> std::shared_ptr<const Store::Snapshot>;
+    /*! \brief Returns bytes from \a offset of the snapshot at \a revision, or of a new one for 0. */
+    auto snapshotPart(Revision revision, std::uint64_t offset) -> SnapshotPart;
+
+private:
+    StateMachine &m_machine;
+    std::mutex m_mutex;
+    Revision m_revision = 0;
+    std::uint64_t m_term = 0;
+    VoterSet m_voters;
+    std::shared_ptr<const Store::Snapshot> m_served;
+};
+
+} // namespace Replication::Internal
--- /dev/null
+++ b/src/libs/replication/replica.h
@@ -0,0 +1,243 @@
+#pragma once
+
+#include "applier.h"
+#include "entrylog.h"
+#include "leaderforwarder.h"
+#include "replicaoptions.h"
+
+#include "ReplicationService.h"
+#include "store/segmentlog.h"
+#include "store/snapshotstore.h"
+#include "store/votefile.h"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+namespace Replication::Internal {
+
+/*! \brief What became of a payload that the leader took. */
+enum class ProposalState { Waiting, Committed, NotCommitted, Unknown };
+
+/*! \brief A payload on its way through the leader. */
+struct Proposal
+{
+    Entry entry;
+    ProposalState state = ProposalState::Waiting;
+    std::string reply;
+};
+
+/*! \brief What this process knows of another voter. */
+struct ReplicaPeer
+{
+    Voter voter;
+    Revision nextRevision = 1;
+    Revision matchRevision = 0;
+    Revision toldCommit = 0;
+    Revision appliedRevision = 0;
+    Utils::Instant heardAt;     //!< Of its last reply.
+    Utils::Instant confirmedAt; //!< When the last request that it accepted in this term was sent.
+    Utils::Instant nextSend;    //!< When a heartbeat is due.
+    Utils::Instant retryAt;     //!< Not called before, after a failure.
+    std::uint64_t ballot = 0;   //!< The last ballot it was asked in.
+    bool removed = false;
+    std::jthread task;
+};
+
+/*! \brief A round of vote requests. */
+struct Ballot
+{
+    std::uint64_t number = 0;
+    std::uint64_t term = 0;
+    bool open = false;
+    bool preVote = false;
+    bool leadershipTransfer = false;
+    std::set<std::string> granted;
+};
+
+using StateLock = std::unique_lock<std::mutex>;
+
+/*!
+    \brief A voter of the replication group. Thread-safe.
+
+    Locks are taken in the order: the applier's mutex, m_diskMutex, m_mutex. Term, vote and
+    the tail of the log change only under m_diskMutex and m_mutex together; m_mutex is never
+    held over a file operation or a call to a peer.
+*/
+class Replica final
+    : public Wire::ReplicationServiceIf
+    , private LeaderLocator
+{
+public:
+    Replica(ReplicaOptions options, StateMachine &machine, const Utils::Clock &clock);
+    ~Replica() override;
+
+    auto start() -> Utils::Result<void>;
+    auto stop() -> void;
+    auto submit(std::string payload, Utils::Milliseconds timeout) -> Utils::Result<SubmitReply>;
+    auto confirm(Utils::Milliseconds timeout) -> Utils::Result<Revision>;
+    auto currentStatus() const -> LogStatus;
+    auto leaderStatus(Utils::Milliseconds timeout) -> Utils::Result<LogStatus>;
+    auto replaceVoterAnywhere(const std::string &removedId,
+                              const Voter &added,
+                              Utils::Milliseconds timeout) -> Utils::Result<void>;
+
+    auto requestVote(Wire::VoteReply &reply, const Wire::VoteRequest &request) -> void override;
+    auto appendEntries(Wire::AppendReply &reply, const Wire::AppendRequest &request)
+        -> void override;
+    auto installSnapshot(Wire::SnapshotReply &reply, const Wire::SnapshotRequest &request)
+        -> void override;
+    auto takeLeadership(Wire::TransferReply &reply, const Wire::TransferRequest &request)
+        -> void override;
+    auto observe(Wire::ObserveReply &reply, const Wire::ObserveRequest &request) -> void override;
+    auto readSnapshot(Wire::SnapshotChunk &reply, const Wire::SnapshotChunkRequest &request)
+        -> void override;
+    auto submit(Wire::SubmitReply &reply, const Wire::SubmitRequest &request) -> void override;
+    auto confirmRevision(Wire::ConfirmReply &reply, const Wire::ConfirmRequest &request)
+        -> void override;
+    auto status(Wire::StatusReply &reply, const Wire::StatusRequest &request) -> void override;
+    auto replaceVoter(Wire::ReplaceVoterReply &reply, const Wire::ReplaceVoterRequest &request)
+        -> void override;
+
+private:
+    using PeerPointer = std::shared_ptr<ReplicaPeer>;
+    using Connection = Wire::PeerClient<Wire::ReplicationServiceClient>;
+
+    struct VoterChange
+    {
+        Revision revision = 0;
+        VoterSet voters;
+    };
+    struct ObserverProgress
+    {
+        Revision appliedRevision = 0;
+        Utils::Instant heardAt;
+        bool reported = true; //!< Told to the leader.
+    };
+
+    // replica.cpp: start and stop, voters, status
+    auto load() -> Utils::Result<void>;
+    auto loadEntries(std::vector<Store::LogRecord> records) -> void;
+    auto startTasks() -> void;
+    auto handOver(StateLock &lock) -> void;
+    auto voters() const -> const VoterSet & { return m_voterChanges.back().voters; }
+    auto setVoters(Revision revision, VoterSet voters) -> void;
+    auto updatePeers() -> void;
+    auto removedPeer(const ReplicaPeer &peer) const -> bool;
+    auto leaderToAsk() -> std::optional<Voter> override;
+    auto noteNotLeader(const std::string &asked, const std::string &leaderId) -> void override;
+    auto storageFailed(const Utils::Error &error) -> void;
+    auto hasQuorum(Utils::Instant now) const -> bool;
+    auto progress(Utils::Instant now) const -> std::map<std::string, ProcessProgress>;
+
+    // replicaelection.cpp
+    auto runElector() -> void;
+    auto campaign(StateLock &lock) -> void;
+    auto startTerm(StateLock &lock) -> bool;
+    auto runBallot(StateLock &lock, Ballot ballot) -> bool;
+    auto becomeLeader() -> void;
+    auto stepDown(std::string_view reason) -> void;
+    auto adoptTerm(std::uint64_t term) -> void;
+    auto saveVote(const Store::Vote &vote) -> bool;
+    auto isUpToDate(const Wire::VoteRequest &request) const -> bool;
+    auto refusesElections(Utils::Instant now) const -> bool;
+    auto delayElection(Utils::Instant now) -> void;
+    auto askVote(StateLock &lock, ReplicaPeer &peer, Connection &connection) -> void;
+
+    // replicaleader.cpp
+    auto runPeer(ReplicaPeer &peer) -> void;
+    auto wakeTime(const ReplicaPeer &peer, Utils::Instant now) const -> Utils::Instant;
+    auto hasBallotFor(const ReplicaPeer &peer) const -> bool;
+    auto replicate(StateLock &lock, ReplicaPeer &peer, Connection &connection) -> void;
+    auto appendRequestFor(const ReplicaPeer &peer, Utils::Instant now) const -> Wire::AppendRequest;
+    auto takeAppendReply(ReplicaPeer &peer, const Wire::AppendReply &reply) -> void;
+    auto sendSnapshot(StateLock &lock, ReplicaPeer &peer, Connection &connection) -> void;
+    auto stillLeads(std::uint64_t term) const -> bool;
+    auto runWriter() -> void;
+    auto writeProposals(std::deque<std::shared_ptr<Proposal>> batch) -> void;
+    auto propose(std::string payload, EntryKind kind = EntryKind::Command)
+        -> std::shared_ptr<Proposal>;
+    auto waitForProposal(StateLock &lock, const Proposal &proposal, Utils::Instant deadline)
+        -> void;
+    auto submitHere(std::string payload, Utils::Instant deadline) -> Utils::Result<SubmitReply>;
+    auto advanceCommit() -> void;
+    auto majorityConfirmedAt() const -> Utils::Instant;
+    auto hasLease(Utils::Instant now) const -> bool;
+    auto confirmHere(StateLock &lock, Utils::Instant deadline) -> std::optional<Revision>;
+    auto waitApplied(StateLock &lock, Revision revision, Utils::Instant deadline) -> bool;
+
+    // replicavoters.cpp
+    auto changeVoters(const std::string &removedId, const Voter &added, Utils::Milliseconds timeout)
+        -> Utils::Result<void>;
+    auto proposeVoters(VoterSet voters, Utils::Instant deadline) -> Utils::Result<void>;
+
+    // replicafollower.cpp
+    auto acceptLeader(const std::string &leaderId, std::uint64_t term) -> bool;
+    auto mismatchRevision(const Wire::AppendRequest &request) const -> std::optional<Revision>;
+    auto newEntries(const Wire::AppendRequest &request) const -> std::vector<Entry>;
+    auto appendToLog(std::vector<Entry> entries) -> bool;
+    auto takeObserverReports() -> std::vector<Wire::ProcessApplied>;
+    auto restoreSnapshot(const Store::Snapshot &snapshot) -> bool;
+
+    // replicaapply.cpp
+    auto runApplier() -> void;
+    auto applyNext() -> void;
+    auto finishProposals(const std::vector<Entry> &entries, std::vector<std::string> replies)
+        -> void;
+    auto saveSnapshotIfDue() -> void;
+
+    const ReplicaOptions m_options;
+    const Utils::Clock &m_clock;
+    Applier m_applier;
+    LeaderForwarder m_forwarder;
+
+    std::mutex m_diskMutex;
+    Store::SegmentLog m_segments;
+    Store::SnapshotStore m_snapshots;
+    Store::VoteFile m_voteFile;
+
+    mutable std::mutex m_mutex;
+    std::condition_variable m_workChanged;    //!< For the peers' tasks and the elector.
+    std::condition_variable m_queueChanged;   //!< For the writer.
+    std::condition_variable m_commitChanged;  //!< For the applier and observers' requests.
+    std::condition_variable m_appliedChanged; //!< For submitters.
+    bool m_stopping = false;
+    bool m_failed = false;
+    Role m_role = Role::Follower;
+    Store::Vote m_vote;
+    std::string m_leaderId;
+    EntryLog m_entries;
+    Revision m_syncedRevision = 0;
+    Revision m_commitRevision = 0;
+    Revision m_appliedRevision = 0;
+    Revision m_snapshotRevision = 0;
+    std::uint64_t m_snapshotBytes = 0;
+    std::uint64_t m_bytesSinceSnapshot = 0;
+    std::vector<VoterChange> m_voterChanges;
+    std::map<std::string, PeerPointer> m_peers;
+    std::vector<PeerPointer> m_removedPeers; //!< Kept until stop() joins their tasks.
+    Ballot m_ballot;
+    std::uint64_t m_ballots = 0;
+    Utils::Instant m_startedAt;
+    Utils::Instant m_leaderContact;
+    Utils::Instant m_quorumSeen; //!< When a majority last confirmed the leader.
+    Utils::Instant m_electionDue;
+    Utils::Instant m_leaderSince;
+    Revision m_termStart = 0; //!< Revision of the first entry of this leader's term.
+    bool m_transferring = false;
+    bool m_takeLeadership = false;
+    bool m_ready = false;
+    std::deque<std::shared_ptr<Proposal>> m_queue;
+    std::map<Revision, std::shared_ptr<Proposal>> m_proposals;
+    std::map<std::string, ObserverProgress> m_observers;
+    std::optional<Store::Snapshot> m_incoming; //!< A snapshot that is being received.
+    std::mt19937_64 m_random;
+    std::vector<std::jthread> m_tasks;
+};
+
+} // namespace Replication::Internal
--- a/src/libs/replication/replicatedlog.h
+++ b/src/libs/replication/replicatedlog.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "voterset.h"
+
 #include "utils/clock.h"
 #include "utils/error.h"
 
@@ -14,12 +16,19 @@
 
 using Revision = std::uint64_t;
 
+/*! \brief What an entry's payload is. */
+enum class EntryKind {
+    Command, //!< For the state machine; empty at the start of a leader's term.
+    Voters,  //!< The encoded voter set from this entry on.
+};
+
 /*! \brief A committed entry. Revisions start at 1 and have no gaps. */
 struct Entry
 {
     Revision revision = 0;
     std::uint64_t term = 0;
     std::string payload;
+    EntryKind kind = EntryKind::Command;
 };
 
 /*!
@@ -62,8 +71,10 @@
     std::string leaderId; //!< Empty if no leader is known.
     Revision commitRevision = 0;
     Revision appliedRevision = 0;
-    bool hasQuorum =
-        false; //!< True if this process recently had contact with a leader that has a majority, or is one.
+    //! True if this process recently had contact with a leader that has a majority, or is one.
+    bool hasQuorum = false;
+    //! True once the state here was confirmed by the leader or, cut off, taken from zone peers.
+    bool ready = false;
     std::map<std::string, ProcessProgress>
         progress; //!< By process id, complete at the leader only.
 };
@@ -91,6 +102,16 @@
     /*! \brief Waits until a revision confirmed by the leader is applied here, and returns it. */
     virtual auto confirmRevision(Utils::Milliseconds timeout) -> Utils::Result<Revision> = 0;
     virtual auto status() const -> LogStatus = 0;
+    /*! \brief Returns the leader's status, whose progress covers all processes. */
+    virtual auto leaderStatus(Utils::Milliseconds) -> Utils::Result<LogStatus> { return status(); }
+    /*!
+        \brief Adds \a added to the voters once it has caught up, then removes \a removedId.
+
+        An empty \a removedId removes none. Safe to repeat after any failure.
+    */
+    virtual auto replaceVoter(const std::string &removedId,
+                              const Voter &added,
+                              Utils::Milliseconds timeout) -> Utils::Result<void>;
 };
 
 } // namespace Replication
--- /dev/null
+++ b/src/libs/store/segmentlog.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "filesystem.h"
+
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace Store {
+
+/*! \brief One entry of the replicated log as it stands in a file. */
+struct LogRecord
+{
+    std::uint64_t revision = 0;
+    std::uint64_t term = 0;
+    std::uint32_t kind = 0;
+    std::string payload;
+};
+
+struct SegmentLogOptions
+{
+    std::string folder;
+    std::uint64_t segmentBytes = 8 * 1024 * 1024; //!< A segment above this size is closed.
+};
+
+/*!
+    \brief The write-ahead log: numbered segment files of checksummed batches. Not thread-safe.
+
+    A batch is written and synced as a whole. A batch that starts at or below the last revision
+    replaces all entries from its first revision on, so a suffix is cut by what replaces it.
+    After a failed write or sync every later call fails.
+*/
+class SegmentLog
+{
+public:
+    SegmentLog(FileSystem &files, SegmentLogOptions options);
+
+    /*!
+        \brief Reads all segments and returns the entries in force.
+
+        An incomplete batch at the end of the last segment is cut off. Any other damage fails
+        with Corruption and names file and offset. \a snapshotRevision covers revisions that
+        the segments may lack.
+    */
+    auto open(std::uint64_t snapshotRevision) -> Utils::Result<std::vector<LogRecord>>;
+    /*! \brief Appends \a records as one batch and syncs once. */
+    auto append(std::span<const LogRecord> records) -> Utils::Result<void>;
+    /*! \brief Removes closed segments that hold only revisions up to \a revision. */
+    auto removeThrough(std::uint64_t revision) -> Utils::Result<void>;
+    /*! \brief Removes all entries; the next append may start at any revision. */
+    auto reset() -> Utils::Result<void>;
+    /*! \brief Bytes in all segments. */
+    auto size() const -> std::uint64_t;
+
+private:
+    struct Segment
+    {
+        std::uint64_t number = 0;
+        std::uint64_t highestRevision = 0;
+        std::uint64_t size = 0;
+    };
+
+    auto pathOf(std::uint64_t number) const -> std::string;
+    auto readSegment(Segment &segment,
+                     bool last,
+                     std::uint64_t snapshotRevision,
+                     std::vector<LogRecord> &records) -> Utils::Result<void>;
+    auto startSegment() -> Utils::Result<void>;
+    auto writeBatch(std::string_view batch) -> Utils::Result<void>;
+
+    FileSystem &m_files;
+    SegmentLogOptions m_options;
+    std::vector<Segment> m_segments;
+    std::unique_ptr<File> m_current;
+    bool m_failed = false;
+};
+
+} // namespace Store
--- /dev/null
+++ b/src/libs/store/snapshotstore.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "filesystem.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace Store {
+
+/*! \brief The whole state at one revision. */
+struct Snapshot
+{
+    std::uint64_t revision = 0;
+    std::uint64_t term = 0;
+    std::string voters; //!< The encoded voter set at the revision.
+    std::string state;
+};
+
+/*! \brief Keeps the newest snapshot in a folder. Not thread-safe. */
+class SnapshotStore
+{
+public:
+    SnapshotStore(FileSystem &files, std::string folder);
+
+    /*! \brief Returns the newest snapshot; fails with Corruption if it is damaged. */
+    auto load() -> Utils::Result<std::optional<Snapshot>>;
+    /*! \brief Writes \a snapshot, all or nothing, and removes older ones. */
+    auto save(const Snapshot &snapshot) -> Utils::Result<void>;
+
+private:
+    auto removeOlder(const std::string &newest) -> Utils::Result<void>;
+
+    FileSystem &m_files;
+    std::string m_folder;
+};
+
+} // namespace Store
--- a/src/libs/wire/gen/ReplicationService.cpp
+++ b/src/libs/wire/gen/ReplicationService.cpp
@@ -121,6 +121,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -143,6 +151,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
     xfer += this->success.write(oprot);
     xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.wrongGroup) {
+    xfer += oprot->writeFieldBegin("wrongGroup", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->wrongGroup.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
@@ -183,6 +195,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -308,6 +328,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -330,6 +358,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
     xfer += this->success.write(oprot);
     xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.wrongGroup) {
+    xfer += oprot->writeFieldBegin("wrongGroup", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->wrongGroup.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
@@ -370,6 +402,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -495,6 +535,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -517,6 +565,10 @@
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
     xfer += this->success.write(oprot);
     xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.wrongGroup) {
+    xfer += oprot->writeFieldBegin("wrongGroup", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->wrongGroup.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
@@ -557,6 +609,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -570,11 +630,11 @@
 }
 
 
-ReplicationService_observe_args::~ReplicationService_observe_args() noexcept {
+ReplicationService_takeLeadership_args::~ReplicationService_takeLeadership_args() noexcept {
 }
 
 
-uint32_t ReplicationService_observe_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReplicationService_takeLeadership_args::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -615,10 +675,10 @@
   return xfer;
 }
 
-uint32_t ReplicationService_observe_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReplicationService_takeLeadership_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReplicationService_observe_args");
+  xfer += oprot->writeStructBegin("ReplicationService_takeLeadership_args");
 
   xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request.write(oprot);
@@ -630,14 +690,14 @@
 }
 
 
-ReplicationService_observe_pargs::~ReplicationService_observe_pargs() noexcept {
+ReplicationService_takeLeadership_pargs::~ReplicationService_takeLeadership_pargs() noexcept {
 }
 
 
-uint32_t ReplicationService_observe_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReplicationService_takeLeadership_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReplicationService_observe_pargs");
+  xfer += oprot->writeStructBegin("ReplicationService_takeLeadership_pargs");
 
   xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += (*(this->request)).write(oprot);
@@ -649,11 +709,11 @@
 }
 
 
-ReplicationService_observe_result::~ReplicationService_observe_result() noexcept {
+ReplicationService_takeLeadership_result::~ReplicationService_takeLeadership_result() noexcept {
 }
 
 
-uint32_t ReplicationService_observe_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReplicationService_takeLeadership_result::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -682,6 +742,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -694,16 +762,20 @@
   return xfer;
 }
 
-uint32_t ReplicationService_observe_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReplicationService_takeLeadership_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
 
   uint32_t xfer = 0;
 
-  xfer += oprot->writeStructBegin("ReplicationService_observe_result");
+  xfer += oprot->writeStructBegin("ReplicationService_takeLeadership_result");
 
   if (this->__isset.success) {
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
     xfer += this->success.write(oprot);
     xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.wrongGroup) {
+    xfer += oprot->writeFieldBegin("wrongGroup", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->wrongGroup.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
@@ -711,11 +783,11 @@
 }
 
 
-ReplicationService_observe_presult::~ReplicationService_observe_presult() noexcept {
+ReplicationService_takeLeadership_presult::~ReplicationService_takeLeadership_presult() noexcept {
 }
 
 
-uint32_t ReplicationService_observe_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReplicationService_takeLeadership_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -744,6 +816,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -757,11 +837,11 @@
 }
 
 
-ReplicationService_submit_args::~ReplicationService_submit_args() noexcept {
+ReplicationService_observe_args::~ReplicationService_observe_args() noexcept {
 }
 
 
-uint32_t ReplicationService_submit_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReplicationService_observe_args::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -802,10 +882,10 @@
   return xfer;
 }
 
-uint32_t ReplicationService_submit_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReplicationService_observe_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReplicationService_submit_args");
+  xfer += oprot->writeStructBegin("ReplicationService_observe_args");
 
   xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request.write(oprot);
@@ -817,14 +897,14 @@
 }
 
 
-ReplicationService_submit_pargs::~ReplicationService_submit_pargs() noexcept {
+ReplicationService_observe_pargs::~ReplicationService_observe_pargs() noexcept {
 }
 
 
-uint32_t ReplicationService_submit_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReplicationService_observe_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReplicationService_submit_pargs");
+  xfer += oprot->writeStructBegin("ReplicationService_observe_pargs");
 
   xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += (*(this->request)).write(oprot);
@@ -836,11 +916,11 @@
 }
 
 
-ReplicationService_submit_result::~ReplicationService_submit_result() noexcept {
+ReplicationService_observe_result::~ReplicationService_observe_result() noexcept {
 }
 
 
-uint32_t ReplicationService_submit_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReplicationService_observe_result::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -869,6 +949,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -881,16 +969,20 @@
   return xfer;
 }
 
-uint32_t ReplicationService_submit_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReplicationService_observe_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
 
   uint32_t xfer = 0;
 
-  xfer += oprot->writeStructBegin("ReplicationService_submit_result");
+  xfer += oprot->writeStructBegin("ReplicationService_observe_result");
 
   if (this->__isset.success) {
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
     xfer += this->success.write(oprot);
     xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.wrongGroup) {
+    xfer += oprot->writeFieldBegin("wrongGroup", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->wrongGroup.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
@@ -898,11 +990,11 @@
 }
 
 
-ReplicationService_submit_presult::~ReplicationService_submit_presult() noexcept {
+ReplicationService_observe_presult::~ReplicationService_observe_presult() noexcept {
 }
 
 
-uint32_t ReplicationService_submit_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReplicationService_observe_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -931,6 +1023,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -944,11 +1044,11 @@
 }
 
 
-ReplicationService_confirmRevision_args::~ReplicationService_confirmRevision_args() noexcept {
+ReplicationService_readSnapshot_args::~ReplicationService_readSnapshot_args() noexcept {
 }
 
 
-uint32_t ReplicationService_confirmRevision_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReplicationService_readSnapshot_args::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -989,10 +1089,10 @@
   return xfer;
 }
 
-uint32_t ReplicationService_confirmRevision_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReplicationService_readSnapshot_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReplicationService_confirmRevision_args");
+  xfer += oprot->writeStructBegin("ReplicationService_readSnapshot_args");
 
   xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += this->request.write(oprot);
@@ -1004,14 +1104,14 @@
 }
 
 
-ReplicationService_confirmRevision_pargs::~ReplicationService_confirmRevision_pargs() noexcept {
+ReplicationService_readSnapshot_pargs::~ReplicationService_readSnapshot_pargs() noexcept {
 }
 
 
-uint32_t ReplicationService_confirmRevision_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReplicationService_readSnapshot_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ReplicationService_confirmRevision_pargs");
+  xfer += oprot->writeStructBegin("ReplicationService_readSnapshot_pargs");
 
   xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
   xfer += (*(this->request)).write(oprot);
@@ -1023,11 +1123,11 @@
 }
 
 
-ReplicationService_confirmRevision_result::~ReplicationService_confirmRevision_result() noexcept {
+ReplicationService_readSnapshot_result::~ReplicationService_readSnapshot_result() noexcept {
 }
 
 
-uint32_t ReplicationService_confirmRevision_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReplicationService_readSnapshot_result::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1056,6 +1156,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1068,16 +1176,20 @@
   return xfer;
 }
 
-uint32_t ReplicationService_confirmRevision_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t ReplicationService_readSnapshot_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
 
   uint32_t xfer = 0;
 
-  xfer += oprot->writeStructBegin("ReplicationService_confirmRevision_result");
+  xfer += oprot->writeStructBegin("ReplicationService_readSnapshot_result");
 
   if (this->__isset.success) {
     xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
     xfer += this->success.write(oprot);
     xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.wrongGroup) {
+    xfer += oprot->writeFieldBegin("wrongGroup", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->wrongGroup.write(oprot);
+    xfer += oprot->writeFieldEnd();
   }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
@@ -1085,11 +1197,11 @@
 }
 
 
-ReplicationService_confirmRevision_presult::~ReplicationService_confirmRevision_presult() noexcept {
+ReplicationService_readSnapshot_presult::~ReplicationService_readSnapshot_presult() noexcept {
 }
 
 
-uint32_t ReplicationService_confirmRevision_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t ReplicationService_readSnapshot_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1118,6 +1230,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1130,104 +1250,935 @@
   return xfer;
 }
 
-void ReplicationServiceClient::requestVote(VoteReply& _return, const VoteRequest& request)
-{
-  send_requestVote(request);
-  recv_requestVote(_return);
+
+ReplicationService_submit_args::~ReplicationService_submit_args() noexcept {
 }
 
-void ReplicationServiceClient::send_requestVote(const VoteRequest& request)
-{
-  int32_t cseqid = 0;
-  oprot_->writeMessageBegin("requestVote", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ReplicationService_requestVote_pargs args;
-  args.request = &request;
-  args.write(oprot_);
+uint32_t ReplicationService_submit_args::read(::apache::thrift::protocol::TProtocol* iprot) {
 
-  oprot_->writeMessageEnd();
-  oprot_->getTransport()->writeEnd();
-  oprot_->getTransport()->flush();
-}
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
 
-void ReplicationServiceClient::recv_requestVote(VoteReply& _return)
-{
+  xfer += iprot->readStructBegin(fname);
 
-  int32_t rseqid = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TMessageType mtype;
+  using ::apache::thrift::protocol::TProtocolException;
 
-  iprot_->readMessageBegin(fname, mtype, rseqid);
-  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
-    ::apache::thrift::TApplicationException x;
-    x.read(iprot_);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-    throw x;
-  }
-  if (mtype != ::apache::thrift::protocol::T_REPLY) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
-  if (fname.compare("requestVote") != 0) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
-  ReplicationService_requestVote_presult result;
-  result.success = &_return;
-  result.read(iprot_);
-  iprot_->readMessageEnd();
-  iprot_->getTransport()->readEnd();
 
-  if (result.__isset.success) {
-    // _return pointer has now been filled
-    return;
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "requestVote failed: unknown result");
-}
 
-void ReplicationServiceClient::appendEntries(AppendReply& _return, const AppendRequest& request)
-{
-  send_appendEntries(request);
-  recv_appendEntries(_return);
+  xfer += iprot->readStructEnd();
+
+  return xfer;
 }
 
-void ReplicationServiceClient::send_appendEntries(const AppendRequest& request)
-{
-  int32_t cseqid = 0;
-  oprot_->writeMessageBegin("appendEntries", ::apache::thrift::protocol::T_CALL, cseqid);
+uint32_t ReplicationService_submit_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicationService_submit_args");
 
-  ReplicationService_appendEntries_pargs args;
-  args.request = &request;
-  args.write(oprot_);
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
 
-  oprot_->writeMessageEnd();
-  oprot_->getTransport()->writeEnd();
-  oprot_->getTransport()->flush();
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
 }
 
-void ReplicationServiceClient::recv_appendEntries(AppendReply& _return)
-{
 
-  int32_t rseqid = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TMessageType mtype;
+ReplicationService_submit_pargs::~ReplicationService_submit_pargs() noexcept {
+}
 
-  iprot_->readMessageBegin(fname, mtype, rseqid);
-  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
-    ::apache::thrift::TApplicationException x;
-    x.read(iprot_);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-    throw x;
-  }
-  if (mtype != ::apache::thrift::protocol::T_REPLY) {
-    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
-    iprot_->readMessageEnd();
-    iprot_->getTransport()->readEnd();
-  }
+
+uint32_t ReplicationService_submit_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicationService_submit_pargs");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->request)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_submit_result::~ReplicationService_submit_result() noexcept {
+}
+
+
+uint32_t ReplicationService_submit_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicationService_submit_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("ReplicationService_submit_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.wrongGroup) {
+    xfer += oprot->writeFieldBegin("wrongGroup", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->wrongGroup.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_submit_presult::~ReplicationService_submit_presult() noexcept {
+}
+
+
+uint32_t ReplicationService_submit_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+ReplicationService_confirmRevision_args::~ReplicationService_confirmRevision_args() noexcept {
+}
+
+
+uint32_t ReplicationService_confirmRevision_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicationService_confirmRevision_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicationService_confirmRevision_args");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_confirmRevision_pargs::~ReplicationService_confirmRevision_pargs() noexcept {
+}
+
+
+uint32_t ReplicationService_confirmRevision_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicationService_confirmRevision_pargs");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->request)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_confirmRevision_result::~ReplicationService_confirmRevision_result() noexcept {
+}
+
+
+uint32_t ReplicationService_confirmRevision_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicationService_confirmRevision_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("ReplicationService_confirmRevision_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.wrongGroup) {
+    xfer += oprot->writeFieldBegin("wrongGroup", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->wrongGroup.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_confirmRevision_presult::~ReplicationService_confirmRevision_presult() noexcept {
+}
+
+
+uint32_t ReplicationService_confirmRevision_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+ReplicationService_status_args::~ReplicationService_status_args() noexcept {
+}
+
+
+uint32_t ReplicationService_status_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicationService_status_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicationService_status_args");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_status_pargs::~ReplicationService_status_pargs() noexcept {
+}
+
+
+uint32_t ReplicationService_status_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicationService_status_pargs");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->request)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_status_result::~ReplicationService_status_result() noexcept {
+}
+
+
+uint32_t ReplicationService_status_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicationService_status_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("ReplicationService_status_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.wrongGroup) {
+    xfer += oprot->writeFieldBegin("wrongGroup", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->wrongGroup.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_status_presult::~ReplicationService_status_presult() noexcept {
+}
+
+
+uint32_t ReplicationService_status_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+
+ReplicationService_replaceVoter_args::~ReplicationService_replaceVoter_args() noexcept {
+}
+
+
+uint32_t ReplicationService_replaceVoter_args::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->request.read(iprot);
+          this->__isset.request = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicationService_replaceVoter_args::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicationService_replaceVoter_args");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += this->request.write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_replaceVoter_pargs::~ReplicationService_replaceVoter_pargs() noexcept {
+}
+
+
+uint32_t ReplicationService_replaceVoter_pargs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplicationService_replaceVoter_pargs");
+
+  xfer += oprot->writeFieldBegin("request", ::apache::thrift::protocol::T_STRUCT, 1);
+  xfer += (*(this->request)).write(oprot);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_replaceVoter_result::~ReplicationService_replaceVoter_result() noexcept {
+}
+
+
+uint32_t ReplicationService_replaceVoter_result::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->success.read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplicationService_replaceVoter_result::write(::apache::thrift::protocol::TProtocol* oprot) const {
+
+  uint32_t xfer = 0;
+
+  xfer += oprot->writeStructBegin("ReplicationService_replaceVoter_result");
+
+  if (this->__isset.success) {
+    xfer += oprot->writeFieldBegin("success", ::apache::thrift::protocol::T_STRUCT, 0);
+    xfer += this->success.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  } else if (this->__isset.wrongGroup) {
+    xfer += oprot->writeFieldBegin("wrongGroup", ::apache::thrift::protocol::T_STRUCT, 1);
+    xfer += this->wrongGroup.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+
+ReplicationService_replaceVoter_presult::~ReplicationService_replaceVoter_presult() noexcept {
+}
+
+
+uint32_t ReplicationService_replaceVoter_presult::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 0:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += (*(this->success)).read(iprot);
+          this->__isset.success = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->wrongGroup.read(iprot);
+          this->__isset.wrongGroup = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+void ReplicationServiceClient::requestVote(VoteReply& _return, const VoteRequest& request)
+{
+  send_requestVote(request);
+  recv_requestVote(_return);
+}
+
+void ReplicationServiceClient::send_requestVote(const VoteRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("requestVote", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ReplicationService_requestVote_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ReplicationServiceClient::recv_requestVote(VoteReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("requestVote") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  ReplicationService_requestVote_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.wrongGroup) {
+    throw result.wrongGroup;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "requestVote failed: unknown result");
+}
+
+void ReplicationServiceClient::appendEntries(AppendReply& _return, const AppendRequest& request)
+{
+  send_appendEntries(request);
+  recv_appendEntries(_return);
+}
+
+void ReplicationServiceClient::send_appendEntries(const AppendRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("appendEntries", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ReplicationService_appendEntries_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ReplicationServiceClient::recv_appendEntries(AppendReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
   if (fname.compare("appendEntries") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
@@ -1243,6 +2194,9 @@
     // _return pointer has now been filled
     return;
   }
+  if (result.__isset.wrongGroup) {
+    throw result.wrongGroup;
+  }
   throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "appendEntries failed: unknown result");
 }
 
@@ -1257,7 +2211,251 @@
   int32_t cseqid = 0;
   oprot_->writeMessageBegin("installSnapshot", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ReplicationService_installSnapshot_pargs args;
+  ReplicationService_installSnapshot_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ReplicationServiceClient::recv_installSnapshot(SnapshotReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("installSnapshot") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  ReplicationService_installSnapshot_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.wrongGroup) {
+    throw result.wrongGroup;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "installSnapshot failed: unknown result");
+}
+
+void ReplicationServiceClient::takeLeadership(TransferReply& _return, const TransferRequest& request)
+{
+  send_takeLeadership(request);
+  recv_takeLeadership(_return);
+}
+
+void ReplicationServiceClient::send_takeLeadership(const TransferRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("takeLeadership", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ReplicationService_takeLeadership_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ReplicationServiceClient::recv_takeLeadership(TransferReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("takeLeadership") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  ReplicationService_takeLeadership_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.wrongGroup) {
+    throw result.wrongGroup;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "takeLeadership failed: unknown result");
+}
+
+void ReplicationServiceClient::observe(ObserveReply& _return, const ObserveRequest& request)
+{
+  send_observe(request);
+  recv_observe(_return);
+}
+
+void ReplicationServiceClient::send_observe(const ObserveRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("observe", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ReplicationService_observe_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ReplicationServiceClient::recv_observe(ObserveReply& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("observe") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  ReplicationService_observe_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.wrongGroup) {
+    throw result.wrongGroup;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "observe failed: unknown result");
+}
+
+void ReplicationServiceClient::readSnapshot(SnapshotChunk& _return, const SnapshotChunkRequest& request)
+{
+  send_readSnapshot(request);
+  recv_readSnapshot(_return);
+}
+
+void ReplicationServiceClient::send_readSnapshot(const SnapshotChunkRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("readSnapshot", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ReplicationService_readSnapshot_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+}
+
+void ReplicationServiceClient::recv_readSnapshot(SnapshotChunk& _return)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  iprot_->readMessageBegin(fname, mtype, rseqid);
+  if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+    ::apache::thrift::TApplicationException x;
+    x.read(iprot_);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+    throw x;
+  }
+  if (mtype != ::apache::thrift::protocol::T_REPLY) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  if (fname.compare("readSnapshot") != 0) {
+    iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+    iprot_->readMessageEnd();
+    iprot_->getTransport()->readEnd();
+  }
+  ReplicationService_readSnapshot_presult result;
+  result.success = &_return;
+  result.read(iprot_);
+  iprot_->readMessageEnd();
+  iprot_->getTransport()->readEnd();
+
+  if (result.__isset.success) {
+    // _return pointer has now been filled
+    return;
+  }
+  if (result.__isset.wrongGroup) {
+    throw result.wrongGroup;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "readSnapshot failed: unknown result");
+}
+
+void ReplicationServiceClient::submit(SubmitReply& _return, const SubmitRequest& request)
+{
+  send_submit(request);
+  recv_submit(_return);
+}
+
+void ReplicationServiceClient::send_submit(const SubmitRequest& request)
+{
+  int32_t cseqid = 0;
+  oprot_->writeMessageBegin("submit", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ReplicationService_submit_pargs args;
   args.request = &request;
   args.write(oprot_);
 
@@ -1266,7 +2464,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ReplicationServiceClient::recv_installSnapshot(SnapshotReply& _return)
+void ReplicationServiceClient::recv_submit(SubmitReply& _return)
 {
 
   int32_t rseqid = 0;
@@ -1286,12 +2484,12 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("installSnapshot") != 0) {
+  if (fname.compare("submit") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  ReplicationService_installSnapshot_presult result;
+  ReplicationService_submit_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -1301,21 +2499,24 @@
     // _return pointer has now been filled
     return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "installSnapshot failed: unknown result");
+  if (result.__isset.wrongGroup) {
+    throw result.wrongGroup;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "submit failed: unknown result");
 }
 
-void ReplicationServiceClient::observe(ObserveReply& _return, const ObserveRequest& request)
+void ReplicationServiceClient::confirmRevision(ConfirmReply& _return, const ConfirmRequest& request)
 {
-  send_observe(request);
-  recv_observe(_return);
+  send_confirmRevision(request);
+  recv_confirmRevision(_return);
 }
 
-void ReplicationServiceClient::send_observe(const ObserveRequest& request)
+void ReplicationServiceClient::send_confirmRevision(const ConfirmRequest& request)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("observe", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("confirmRevision", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ReplicationService_observe_pargs args;
+  ReplicationService_confirmRevision_pargs args;
   args.request = &request;
   args.write(oprot_);
 
@@ -1324,7 +2525,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ReplicationServiceClient::recv_observe(ObserveReply& _return)
+void ReplicationServiceClient::recv_confirmRevision(ConfirmReply& _return)
 {
 
   int32_t rseqid = 0;
@@ -1344,12 +2545,12 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("observe") != 0) {
+  if (fname.compare("confirmRevision") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  ReplicationService_observe_presult result;
+  ReplicationService_confirmRevision_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -1359,21 +2560,24 @@
     // _return pointer has now been filled
     return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "observe failed: unknown result");
+  if (result.__isset.wrongGroup) {
+    throw result.wrongGroup;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "confirmRevision failed: unknown result");
 }
 
-void ReplicationServiceClient::submit(SubmitReply& _return, const SubmitRequest& request)
+void ReplicationServiceClient::status(StatusReply& _return, const StatusRequest& request)
 {
-  send_submit(request);
-  recv_submit(_return);
+  send_status(request);
+  recv_status(_return);
 }
 
-void ReplicationServiceClient::send_submit(const SubmitRequest& request)
+void ReplicationServiceClient::send_status(const StatusRequest& request)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("submit", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("status", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ReplicationService_submit_pargs args;
+  ReplicationService_status_pargs args;
   args.request = &request;
   args.write(oprot_);
 
@@ -1382,7 +2586,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ReplicationServiceClient::recv_submit(SubmitReply& _return)
+void ReplicationServiceClient::recv_status(StatusReply& _return)
 {
 
   int32_t rseqid = 0;
@@ -1402,12 +2606,12 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("submit") != 0) {
+  if (fname.compare("status") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  ReplicationService_submit_presult result;
+  ReplicationService_status_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -1417,21 +2621,24 @@
     // _return pointer has now been filled
     return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "submit failed: unknown result");
+  if (result.__isset.wrongGroup) {
+    throw result.wrongGroup;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "status failed: unknown result");
 }
 
-void ReplicationServiceClient::confirmRevision(ConfirmReply& _return, const ConfirmRequest& request)
+void ReplicationServiceClient::replaceVoter(ReplaceVoterReply& _return, const ReplaceVoterRequest& request)
 {
-  send_confirmRevision(request);
-  recv_confirmRevision(_return);
+  send_replaceVoter(request);
+  recv_replaceVoter(_return);
 }
 
-void ReplicationServiceClient::send_confirmRevision(const ConfirmRequest& request)
+void ReplicationServiceClient::send_replaceVoter(const ReplaceVoterRequest& request)
 {
   int32_t cseqid = 0;
-  oprot_->writeMessageBegin("confirmRevision", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("replaceVoter", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ReplicationService_confirmRevision_pargs args;
+  ReplicationService_replaceVoter_pargs args;
   args.request = &request;
   args.write(oprot_);
 
@@ -1440,7 +2647,7 @@
   oprot_->getTransport()->flush();
 }
 
-void ReplicationServiceClient::recv_confirmRevision(ConfirmReply& _return)
+void ReplicationServiceClient::recv_replaceVoter(ReplaceVoterReply& _return)
 {
 
   int32_t rseqid = 0;
@@ -1460,12 +2667,12 @@
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  if (fname.compare("confirmRevision") != 0) {
+  if (fname.compare("replaceVoter") != 0) {
     iprot_->skip(::apache::thrift::protocol::T_STRUCT);
     iprot_->readMessageEnd();
     iprot_->getTransport()->readEnd();
   }
-  ReplicationService_confirmRevision_presult result;
+  ReplicationService_replaceVoter_presult result;
   result.success = &_return;
   result.read(iprot_);
   iprot_->readMessageEnd();
@@ -1475,7 +2682,10 @@
     // _return pointer has now been filled
     return;
   }
-  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "confirmRevision failed: unknown result");
+  if (result.__isset.wrongGroup) {
+    throw result.wrongGroup;
+  }
+  throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "replaceVoter failed: unknown result");
 }
 
 bool ReplicationServiceProcessor::dispatchCall(::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, const std::string& fname, int32_t seqid, void* callContext) {
@@ -1522,13 +2732,244 @@
   try {
     iface_->requestVote(result.success, args.request);
     result.__isset.success = true;
+  } catch (WrongGroup &wrongGroup) {
+    result.wrongGroup = std::move(wrongGroup);
+    result.__isset.wrongGroup = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
       this->eventHandler_->handlerError(ctx, "ReplicationService.requestVote");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("requestVote", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("requestVote", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "ReplicationService.requestVote");
+  }
+
+  oprot->writeMessageBegin("requestVote", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "ReplicationService.requestVote", bytes);
+  }
+}
+
+void ReplicationServiceProcessor::process_appendEntries(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("ReplicationService.appendEntries", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.appendEntries");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "ReplicationService.appendEntries");
+  }
+
+  ReplicationService_appendEntries_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "ReplicationService.appendEntries", bytes);
+  }
+
+  ReplicationService_appendEntries_result result;
+  try {
+    iface_->appendEntries(result.success, args.request);
+    result.__isset.success = true;
+  } catch (WrongGroup &wrongGroup) {
+    result.wrongGroup = std::move(wrongGroup);
+    result.__isset.wrongGroup = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "ReplicationService.appendEntries");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("appendEntries", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "ReplicationService.appendEntries");
+  }
+
+  oprot->writeMessageBegin("appendEntries", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "ReplicationService.appendEntries", bytes);
+  }
+}
+
+void ReplicationServiceProcessor::process_installSnapshot(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("ReplicationService.installSnapshot", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.installSnapshot");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "ReplicationService.installSnapshot");
+  }
+
+  ReplicationService_installSnapshot_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "ReplicationService.installSnapshot", bytes);
+  }
+
+  ReplicationService_installSnapshot_result result;
+  try {
+    iface_->installSnapshot(result.success, args.request);
+    result.__isset.success = true;
+  } catch (WrongGroup &wrongGroup) {
+    result.wrongGroup = std::move(wrongGroup);
+    result.__isset.wrongGroup = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "ReplicationService.installSnapshot");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("installSnapshot", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "ReplicationService.installSnapshot");
+  }
+
+  oprot->writeMessageBegin("installSnapshot", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "ReplicationService.installSnapshot", bytes);
+  }
+}
+
+void ReplicationServiceProcessor::process_takeLeadership(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("ReplicationService.takeLeadership", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.takeLeadership");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "ReplicationService.takeLeadership");
+  }
+
+  ReplicationService_takeLeadership_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "ReplicationService.takeLeadership", bytes);
+  }
+
+  ReplicationService_takeLeadership_result result;
+  try {
+    iface_->takeLeadership(result.success, args.request);
+    result.__isset.success = true;
+  } catch (WrongGroup &wrongGroup) {
+    result.wrongGroup = std::move(wrongGroup);
+    result.__isset.wrongGroup = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "ReplicationService.takeLeadership");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("takeLeadership", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    x.write(oprot);
+    oprot->writeMessageEnd();
+    oprot->getTransport()->writeEnd();
+    oprot->getTransport()->flush();
+    return;
+  }
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preWrite(ctx, "ReplicationService.takeLeadership");
+  }
+
+  oprot->writeMessageBegin("takeLeadership", ::apache::thrift::protocol::T_REPLY, seqid);
+  result.write(oprot);
+  oprot->writeMessageEnd();
+  bytes = oprot->getTransport()->writeEnd();
+  oprot->getTransport()->flush();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "ReplicationService.takeLeadership", bytes);
+  }
+}
+
+void ReplicationServiceProcessor::process_observe(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+{
+  void* ctx = nullptr;
+  if (this->eventHandler_.get() != nullptr) {
+    ctx = this->eventHandler_->getContext("ReplicationService.observe", callContext);
+  }
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.observe");
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->preRead(ctx, "ReplicationService.observe");
+  }
+
+  ReplicationService_observe_args args;
+  args.read(iprot);
+  iprot->readMessageEnd();
+  uint32_t bytes = iprot->getTransport()->readEnd();
+
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postRead(ctx, "ReplicationService.observe", bytes);
+  }
+
+  ReplicationService_observe_result result;
+  try {
+    iface_->observe(result.success, args.request);
+    result.__isset.success = true;
+  } catch (WrongGroup &wrongGroup) {
+    result.wrongGroup = std::move(wrongGroup);
+    result.__isset.wrongGroup = true;
+  } catch (const std::exception& e) {
+    if (this->eventHandler_.get() != nullptr) {
+      this->eventHandler_->handlerError(ctx, "ReplicationService.observe");
+    }
+
+    ::apache::thrift::TApplicationException x(e.what());
+    oprot->writeMessageBegin("observe", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -1537,52 +2978,55 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "ReplicationService.requestVote");
+    this->eventHandler_->preWrite(ctx, "ReplicationService.observe");
   }
 
-  oprot->writeMessageBegin("requestVote", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("observe", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "ReplicationService.requestVote", bytes);
+    this->eventHandler_->postWrite(ctx, "ReplicationService.observe", bytes);
   }
 }
 
-void ReplicationServiceProcessor::process_appendEntries(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+void ReplicationServiceProcessor::process_readSnapshot(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
-    ctx = this->eventHandler_->getContext("ReplicationService.appendEntries", callContext);
+    ctx = this->eventHandler_->getContext("ReplicationService.readSnapshot", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.appendEntries");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.readSnapshot");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "ReplicationService.appendEntries");
+    this->eventHandler_->preRead(ctx, "ReplicationService.readSnapshot");
   }
 
-  ReplicationService_appendEntries_args args;
+  ReplicationService_readSnapshot_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "ReplicationService.appendEntries", bytes);
+    this->eventHandler_->postRead(ctx, "ReplicationService.readSnapshot", bytes);
   }
 
-  ReplicationService_appendEntries_result result;
+  ReplicationService_readSnapshot_result result;
   try {
-    iface_->appendEntries(result.success, args.request);
+    iface_->readSnapshot(result.success, args.request);
     result.__isset.success = true;
+  } catch (WrongGroup &wrongGroup) {
+    result.wrongGroup = std::move(wrongGroup);
+    result.__isset.wrongGroup = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "ReplicationService.appendEntries");
+      this->eventHandler_->handlerError(ctx, "ReplicationService.readSnapshot");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("appendEntries", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("readSnapshot", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -1591,52 +3035,55 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "ReplicationService.appendEntries");
+    this->eventHandler_->preWrite(ctx, "ReplicationService.readSnapshot");
   }
 
-  oprot->writeMessageBegin("appendEntries", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("readSnapshot", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "ReplicationService.appendEntries", bytes);
+    this->eventHandler_->postWrite(ctx, "ReplicationService.readSnapshot", bytes);
   }
 }
 
-void ReplicationServiceProcessor::process_installSnapshot(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+void ReplicationServiceProcessor::process_submit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
-    ctx = this->eventHandler_->getContext("ReplicationService.installSnapshot", callContext);
+    ctx = this->eventHandler_->getContext("ReplicationService.submit", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.installSnapshot");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.submit");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "ReplicationService.installSnapshot");
+    this->eventHandler_->preRead(ctx, "ReplicationService.submit");
   }
 
-  ReplicationService_installSnapshot_args args;
+  ReplicationService_submit_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "ReplicationService.installSnapshot", bytes);
+    this->eventHandler_->postRead(ctx, "ReplicationService.submit", bytes);
   }
 
-  ReplicationService_installSnapshot_result result;
+  ReplicationService_submit_result result;
   try {
-    iface_->installSnapshot(result.success, args.request);
+    iface_->submit(result.success, args.request);
     result.__isset.success = true;
+  } catch (WrongGroup &wrongGroup) {
+    result.wrongGroup = std::move(wrongGroup);
+    result.__isset.wrongGroup = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "ReplicationService.installSnapshot");
+      this->eventHandler_->handlerError(ctx, "ReplicationService.submit");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("installSnapshot", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("submit", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -1645,52 +3092,55 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "ReplicationService.installSnapshot");
+    this->eventHandler_->preWrite(ctx, "ReplicationService.submit");
   }
 
-  oprot->writeMessageBegin("installSnapshot", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("submit", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "ReplicationService.installSnapshot", bytes);
+    this->eventHandler_->postWrite(ctx, "ReplicationService.submit", bytes);
   }
 }
 
-void ReplicationServiceProcessor::process_observe(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+void ReplicationServiceProcessor::process_confirmRevision(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
-    ctx = this->eventHandler_->getContext("ReplicationService.observe", callContext);
+    ctx = this->eventHandler_->getContext("ReplicationService.confirmRevision", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.observe");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.confirmRevision");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "ReplicationService.observe");
+    this->eventHandler_->preRead(ctx, "ReplicationService.confirmRevision");
   }
 
-  ReplicationService_observe_args args;
+  ReplicationService_confirmRevision_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "ReplicationService.observe", bytes);
+    this->eventHandler_->postRead(ctx, "ReplicationService.confirmRevision", bytes);
   }
 
-  ReplicationService_observe_result result;
+  ReplicationService_confirmRevision_result result;
   try {
-    iface_->observe(result.success, args.request);
+    iface_->confirmRevision(result.success, args.request);
     result.__isset.success = true;
+  } catch (WrongGroup &wrongGroup) {
+    result.wrongGroup = std::move(wrongGroup);
+    result.__isset.wrongGroup = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "ReplicationService.observe");
+      this->eventHandler_->handlerError(ctx, "ReplicationService.confirmRevision");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("observe", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("confirmRevision", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -1699,52 +3149,55 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "ReplicationService.observe");
+    this->eventHandler_->preWrite(ctx, "ReplicationService.confirmRevision");
   }
 
-  oprot->writeMessageBegin("observe", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("confirmRevision", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "ReplicationService.observe", bytes);
+    this->eventHandler_->postWrite(ctx, "ReplicationService.confirmRevision", bytes);
   }
 }
 
-void ReplicationServiceProcessor::process_submit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+void ReplicationServiceProcessor::process_status(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
-    ctx = this->eventHandler_->getContext("ReplicationService.submit", callContext);
+    ctx = this->eventHandler_->getContext("ReplicationService.status", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.submit");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.status");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "ReplicationService.submit");
+    this->eventHandler_->preRead(ctx, "ReplicationService.status");
   }
 
-  ReplicationService_submit_args args;
+  ReplicationService_status_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "ReplicationService.submit", bytes);
+    this->eventHandler_->postRead(ctx, "ReplicationService.status", bytes);
   }
 
-  ReplicationService_submit_result result;
+  ReplicationService_status_result result;
   try {
-    iface_->submit(result.success, args.request);
+    iface_->status(result.success, args.request);
     result.__isset.success = true;
+  } catch (WrongGroup &wrongGroup) {
+    result.wrongGroup = std::move(wrongGroup);
+    result.__isset.wrongGroup = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "ReplicationService.submit");
+      this->eventHandler_->handlerError(ctx, "ReplicationService.status");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("submit", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("status", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -1753,52 +3206,55 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "ReplicationService.submit");
+    this->eventHandler_->preWrite(ctx, "ReplicationService.status");
   }
 
-  oprot->writeMessageBegin("submit", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("status", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "ReplicationService.submit", bytes);
+    this->eventHandler_->postWrite(ctx, "ReplicationService.status", bytes);
   }
 }
 
-void ReplicationServiceProcessor::process_confirmRevision(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
+void ReplicationServiceProcessor::process_replaceVoter(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext)
 {
   void* ctx = nullptr;
   if (this->eventHandler_.get() != nullptr) {
-    ctx = this->eventHandler_->getContext("ReplicationService.confirmRevision", callContext);
+    ctx = this->eventHandler_->getContext("ReplicationService.replaceVoter", callContext);
   }
-  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.confirmRevision");
+  ::apache::thrift::TProcessorContextFreer freer(this->eventHandler_.get(), ctx, "ReplicationService.replaceVoter");
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preRead(ctx, "ReplicationService.confirmRevision");
+    this->eventHandler_->preRead(ctx, "ReplicationService.replaceVoter");
   }
 
-  ReplicationService_confirmRevision_args args;
+  ReplicationService_replaceVoter_args args;
   args.read(iprot);
   iprot->readMessageEnd();
   uint32_t bytes = iprot->getTransport()->readEnd();
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postRead(ctx, "ReplicationService.confirmRevision", bytes);
+    this->eventHandler_->postRead(ctx, "ReplicationService.replaceVoter", bytes);
   }
 
-  ReplicationService_confirmRevision_result result;
+  ReplicationService_replaceVoter_result result;
   try {
-    iface_->confirmRevision(result.success, args.request);
+    iface_->replaceVoter(result.success, args.request);
     result.__isset.success = true;
+  } catch (WrongGroup &wrongGroup) {
+    result.wrongGroup = std::move(wrongGroup);
+    result.__isset.wrongGroup = true;
   } catch (const std::exception& e) {
     if (this->eventHandler_.get() != nullptr) {
-      this->eventHandler_->handlerError(ctx, "ReplicationService.confirmRevision");
+      this->eventHandler_->handlerError(ctx, "ReplicationService.replaceVoter");
     }
 
     ::apache::thrift::TApplicationException x(e.what());
-    oprot->writeMessageBegin("confirmRevision", ::apache::thrift::protocol::T_EXCEPTION, seqid);
+    oprot->writeMessageBegin("replaceVoter", ::apache::thrift::protocol::T_EXCEPTION, seqid);
     x.write(oprot);
     oprot->writeMessageEnd();
     oprot->getTransport()->writeEnd();
@@ -1807,40 +3263,216 @@
   }
 
   if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->preWrite(ctx, "ReplicationService.confirmRevision");
+    this->eventHandler_->preWrite(ctx, "ReplicationService.replaceVoter");
   }
 
-  oprot->writeMessageBegin("confirmRevision", ::apache::thrift::protocol::T_REPLY, seqid);
+  oprot->writeMessageBegin("replaceVoter", ::apache::thrift::protocol::T_REPLY, seqid);
   result.write(oprot);
   oprot->writeMessageEnd();
   bytes = oprot->getTransport()->writeEnd();
   oprot->getTransport()->flush();
 
-  if (this->eventHandler_.get() != nullptr) {
-    this->eventHandler_->postWrite(ctx, "ReplicationService.confirmRevision", bytes);
-  }
-}
+  if (this->eventHandler_.get() != nullptr) {
+    this->eventHandler_->postWrite(ctx, "ReplicationService.replaceVoter", bytes);
+  }
+}
+
+::std::shared_ptr< ::apache::thrift::TProcessor > ReplicationServiceProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
+  ::apache::thrift::ReleaseHandler< ReplicationServiceIfFactory > cleanup(handlerFactory_);
+  ::std::shared_ptr< ReplicationServiceIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
+  ::std::shared_ptr< ::apache::thrift::TProcessor > processor(new ReplicationServiceProcessor(handler));
+  return processor;
+}
+
+void ReplicationServiceConcurrentClient::requestVote(VoteReply& _return, const VoteRequest& request)
+{
+  int32_t seqid = send_requestVote(request);
+  recv_requestVote(_return, seqid);
+}
+
+int32_t ReplicationServiceConcurrentClient::send_requestVote(const VoteRequest& request)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("requestVote", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ReplicationService_requestVote_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ReplicationServiceConcurrentClient::recv_requestVote(VoteReply& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("requestVote") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      ReplicationService_requestVote_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.wrongGroup) {
+        sentry.commit();
+        throw result.wrongGroup;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "requestVote failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
+void ReplicationServiceConcurrentClient::appendEntries(AppendReply& _return, const AppendRequest& request)
+{
+  int32_t seqid = send_appendEntries(request);
+  recv_appendEntries(_return, seqid);
+}
+
+int32_t ReplicationServiceConcurrentClient::send_appendEntries(const AppendRequest& request)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("appendEntries", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ReplicationService_appendEntries_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ReplicationServiceConcurrentClient::recv_appendEntries(AppendReply& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("appendEntries") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      ReplicationService_appendEntries_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.wrongGroup) {
+        sentry.commit();
+        throw result.wrongGroup;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "appendEntries failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
 
-::std::shared_ptr< ::apache::thrift::TProcessor > ReplicationServiceProcessorFactory::getProcessor(const ::apache::thrift::TConnectionInfo& connInfo) {
-  ::apache::thrift::ReleaseHandler< ReplicationServiceIfFactory > cleanup(handlerFactory_);
-  ::std::shared_ptr< ReplicationServiceIf > handler(handlerFactory_->getHandler(connInfo), cleanup);
-  ::std::shared_ptr< ::apache::thrift::TProcessor > processor(new ReplicationServiceProcessor(handler));
-  return processor;
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
 }
 
-void ReplicationServiceConcurrentClient::requestVote(VoteReply& _return, const VoteRequest& request)
+void ReplicationServiceConcurrentClient::installSnapshot(SnapshotReply& _return, const SnapshotRequest& request)
 {
-  int32_t seqid = send_requestVote(request);
-  recv_requestVote(_return, seqid);
+  int32_t seqid = send_installSnapshot(request);
+  recv_installSnapshot(_return, seqid);
 }
 
-int32_t ReplicationServiceConcurrentClient::send_requestVote(const VoteRequest& request)
+int32_t ReplicationServiceConcurrentClient::send_installSnapshot(const SnapshotRequest& request)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
-  oprot_->writeMessageBegin("requestVote", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("installSnapshot", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ReplicationService_requestVote_pargs args;
+  ReplicationService_installSnapshot_pargs args;
   args.request = &request;
   args.write(oprot_);
 
@@ -1852,7 +3484,7 @@
   return cseqid;
 }
 
-void ReplicationServiceConcurrentClient::recv_requestVote(VoteReply& _return, const int32_t seqid)
+void ReplicationServiceConcurrentClient::recv_installSnapshot(SnapshotReply& _return, const int32_t seqid)
 {
 
   int32_t rseqid = 0;
@@ -1881,7 +3513,7 @@
         iprot_->readMessageEnd();
         iprot_->getTransport()->readEnd();
       }
-      if (fname.compare("requestVote") != 0) {
+      if (fname.compare("installSnapshot") != 0) {
         iprot_->skip(::apache::thrift::protocol::T_STRUCT);
         iprot_->readMessageEnd();
         iprot_->getTransport()->readEnd();
@@ -1890,7 +3522,7 @@
         using ::apache::thrift::protocol::TProtocolException;
         throw TProtocolException(TProtocolException::INVALID_DATA);
       }
-      ReplicationService_requestVote_presult result;
+      ReplicationService_installSnapshot_presult result;
       result.success = &_return;
       result.read(iprot_);
       iprot_->readMessageEnd();
@@ -1901,8 +3533,12 @@
         sentry.commit();
         return;
       }
+      if (result.__isset.wrongGroup) {
+        sentry.commit();
+        throw result.wrongGroup;
+      }
       // in a bad state, don't commit
-      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "requestVote failed: unknown result");
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "installSnapshot failed: unknown result");
     }
     // seqid != rseqid
     this->sync_->updatePending(fname, mtype, rseqid);
@@ -1912,19 +3548,19 @@
   } // end while(true)
 }
 
-void ReplicationServiceConcurrentClient::appendEntries(AppendReply& _return, const AppendRequest& request)
+void ReplicationServiceConcurrentClient::takeLeadership(TransferReply& _return, const TransferRequest& request)
 {
-  int32_t seqid = send_appendEntries(request);
-  recv_appendEntries(_return, seqid);
+  int32_t seqid = send_takeLeadership(request);
+  recv_takeLeadership(_return, seqid);
 }
 
-int32_t ReplicationServiceConcurrentClient::send_appendEntries(const AppendRequest& request)
+int32_t ReplicationServiceConcurrentClient::send_takeLeadership(const TransferRequest& request)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
-  oprot_->writeMessageBegin("appendEntries", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("takeLeadership", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ReplicationService_appendEntries_pargs args;
+  ReplicationService_takeLeadership_pargs args;
   args.request = &request;
   args.write(oprot_);
 
@@ -1936,7 +3572,7 @@
   return cseqid;
 }
 
-void ReplicationServiceConcurrentClient::recv_appendEntries(AppendReply& _return, const int32_t seqid)
+void ReplicationServiceConcurrentClient::recv_takeLeadership(TransferReply& _return, const int32_t seqid)
 {
 
   int32_t rseqid = 0;
@@ -1965,7 +3601,7 @@
         iprot_->readMessageEnd();
         iprot_->getTransport()->readEnd();
       }
-      if (fname.compare("appendEntries") != 0) {
+      if (fname.compare("takeLeadership") != 0) {
         iprot_->skip(::apache::thrift::protocol::T_STRUCT);
         iprot_->readMessageEnd();
         iprot_->getTransport()->readEnd();
@@ -1974,7 +3610,7 @@
         using ::apache::thrift::protocol::TProtocolException;
         throw TProtocolException(TProtocolException::INVALID_DATA);
       }
-      ReplicationService_appendEntries_presult result;
+      ReplicationService_takeLeadership_presult result;
       result.success = &_return;
       result.read(iprot_);
       iprot_->readMessageEnd();
@@ -1985,8 +3621,12 @@
         sentry.commit();
         return;
       }
+      if (result.__isset.wrongGroup) {
+        sentry.commit();
+        throw result.wrongGroup;
+      }
       // in a bad state, don't commit
-      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "appendEntries failed: unknown result");
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "takeLeadership failed: unknown result");
     }
     // seqid != rseqid
     this->sync_->updatePending(fname, mtype, rseqid);
@@ -1996,19 +3636,19 @@
   } // end while(true)
 }
 
-void ReplicationServiceConcurrentClient::installSnapshot(SnapshotReply& _return, const SnapshotRequest& request)
+void ReplicationServiceConcurrentClient::observe(ObserveReply& _return, const ObserveRequest& request)
 {
-  int32_t seqid = send_installSnapshot(request);
-  recv_installSnapshot(_return, seqid);
+  int32_t seqid = send_observe(request);
+  recv_observe(_return, seqid);
 }
 
-int32_t ReplicationServiceConcurrentClient::send_installSnapshot(const SnapshotRequest& request)
+int32_t ReplicationServiceConcurrentClient::send_observe(const ObserveRequest& request)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
-  oprot_->writeMessageBegin("installSnapshot", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("observe", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ReplicationService_installSnapshot_pargs args;
+  ReplicationService_observe_pargs args;
   args.request = &request;
   args.write(oprot_);
 
@@ -2020,7 +3660,7 @@
   return cseqid;
 }
 
-void ReplicationServiceConcurrentClient::recv_installSnapshot(SnapshotReply& _return, const int32_t seqid)
+void ReplicationServiceConcurrentClient::recv_observe(ObserveReply& _return, const int32_t seqid)
 {
 
   int32_t rseqid = 0;
@@ -2049,7 +3689,7 @@
         iprot_->readMessageEnd();
         iprot_->getTransport()->readEnd();
       }
-      if (fname.compare("installSnapshot") != 0) {
+      if (fname.compare("observe") != 0) {
         iprot_->skip(::apache::thrift::protocol::T_STRUCT);
         iprot_->readMessageEnd();
         iprot_->getTransport()->readEnd();
@@ -2058,7 +3698,7 @@
         using ::apache::thrift::protocol::TProtocolException;
         throw TProtocolException(TProtocolException::INVALID_DATA);
       }
-      ReplicationService_installSnapshot_presult result;
+      ReplicationService_observe_presult result;
       result.success = &_return;
       result.read(iprot_);
       iprot_->readMessageEnd();
@@ -2069,8 +3709,12 @@
         sentry.commit();
         return;
       }
+      if (result.__isset.wrongGroup) {
+        sentry.commit();
+        throw result.wrongGroup;
+      }
       // in a bad state, don't commit
-      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "installSnapshot failed: unknown result");
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "observe failed: unknown result");
     }
     // seqid != rseqid
     this->sync_->updatePending(fname, mtype, rseqid);
@@ -2080,19 +3724,19 @@
   } // end while(true)
 }
 
-void ReplicationServiceConcurrentClient::observe(ObserveReply& _return, const ObserveRequest& request)
+void ReplicationServiceConcurrentClient::readSnapshot(SnapshotChunk& _return, const SnapshotChunkRequest& request)
 {
-  int32_t seqid = send_observe(request);
-  recv_observe(_return, seqid);
+  int32_t seqid = send_readSnapshot(request);
+  recv_readSnapshot(_return, seqid);
 }
 
-int32_t ReplicationServiceConcurrentClient::send_observe(const ObserveRequest& request)
+int32_t ReplicationServiceConcurrentClient::send_readSnapshot(const SnapshotChunkRequest& request)
 {
   int32_t cseqid = this->sync_->generateSeqId();
   ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
-  oprot_->writeMessageBegin("observe", ::apache::thrift::protocol::T_CALL, cseqid);
+  oprot_->writeMessageBegin("readSnapshot", ::apache::thrift::protocol::T_CALL, cseqid);
 
-  ReplicationService_observe_pargs args;
+  ReplicationService_readSnapshot_pargs args;
   args.request = &request;
   args.write(oprot_);
 
@@ -2104,7 +3748,7 @@
   return cseqid;
 }
 
-void ReplicationServiceConcurrentClient::recv_observe(ObserveReply& _return, const int32_t seqid)
+void ReplicationServiceConcurrentClient::recv_readSnapshot(SnapshotChunk& _return, const int32_t seqid)
 {
 
   int32_t rseqid = 0;
@@ -2133,7 +3777,7 @@
         iprot_->readMessageEnd();
         iprot_->getTransport()->readEnd();
       }
-      if (fname.compare("observe") != 0) {
+      if (fname.compare("readSnapshot") != 0) {
         iprot_->skip(::apache::thrift::protocol::T_STRUCT);
         iprot_->readMessageEnd();
         iprot_->getTransport()->readEnd();
@@ -2142,7 +3786,7 @@
         using ::apache::thrift::protocol::TProtocolException;
         throw TProtocolException(TProtocolException::INVALID_DATA);
       }
-      ReplicationService_observe_presult result;
+      ReplicationService_readSnapshot_presult result;
       result.success = &_return;
       result.read(iprot_);
       iprot_->readMessageEnd();
@@ -2153,8 +3797,12 @@
         sentry.commit();
         return;
       }
+      if (result.__isset.wrongGroup) {
+        sentry.commit();
+        throw result.wrongGroup;
+      }
       // in a bad state, don't commit
-      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "observe failed: unknown result");
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "readSnapshot failed: unknown result");
     }
     // seqid != rseqid
     this->sync_->updatePending(fname, mtype, rseqid);
@@ -2237,6 +3885,10 @@
         sentry.commit();
         return;
       }
+      if (result.__isset.wrongGroup) {
+        sentry.commit();
+        throw result.wrongGroup;
+      }
       // in a bad state, don't commit
       throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "submit failed: unknown result");
     }
@@ -2321,6 +3973,10 @@
         sentry.commit();
         return;
       }
+      if (result.__isset.wrongGroup) {
+        sentry.commit();
+        throw result.wrongGroup;
+      }
       // in a bad state, don't commit
       throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "confirmRevision failed: unknown result");
     }
@@ -2332,5 +3988,181 @@
   } // end while(true)
 }
 
+void ReplicationServiceConcurrentClient::status(StatusReply& _return, const StatusRequest& request)
+{
+  int32_t seqid = send_status(request);
+  recv_status(_return, seqid);
+}
+
+int32_t ReplicationServiceConcurrentClient::send_status(const StatusRequest& request)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("status", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ReplicationService_status_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ReplicationServiceConcurrentClient::recv_status(StatusReply& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("status") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      ReplicationService_status_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.wrongGroup) {
+        sentry.commit();
+        throw result.wrongGroup;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "status failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
+void ReplicationServiceConcurrentClient::replaceVoter(ReplaceVoterReply& _return, const ReplaceVoterRequest& request)
+{
+  int32_t seqid = send_replaceVoter(request);
+  recv_replaceVoter(_return, seqid);
+}
+
+int32_t ReplicationServiceConcurrentClient::send_replaceVoter(const ReplaceVoterRequest& request)
+{
+  int32_t cseqid = this->sync_->generateSeqId();
+  ::apache::thrift::async::TConcurrentSendSentry sentry(this->sync_.get());
+  oprot_->writeMessageBegin("replaceVoter", ::apache::thrift::protocol::T_CALL, cseqid);
+
+  ReplicationService_replaceVoter_pargs args;
+  args.request = &request;
+  args.write(oprot_);
+
+  oprot_->writeMessageEnd();
+  oprot_->getTransport()->writeEnd();
+  oprot_->getTransport()->flush();
+
+  sentry.commit();
+  return cseqid;
+}
+
+void ReplicationServiceConcurrentClient::recv_replaceVoter(ReplaceVoterReply& _return, const int32_t seqid)
+{
+
+  int32_t rseqid = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TMessageType mtype;
+
+  // the read mutex gets dropped and reacquired as part of waitForWork()
+  // The destructor of this sentry wakes up other clients
+  ::apache::thrift::async::TConcurrentRecvSentry sentry(this->sync_.get(), seqid);
+
+  while(true) {
+    if(!this->sync_->getPending(fname, mtype, rseqid)) {
+      iprot_->readMessageBegin(fname, mtype, rseqid);
+    }
+    if(seqid == rseqid) {
+      if (mtype == ::apache::thrift::protocol::T_EXCEPTION) {
+        ::apache::thrift::TApplicationException x;
+        x.read(iprot_);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+        sentry.commit();
+        throw x;
+      }
+      if (mtype != ::apache::thrift::protocol::T_REPLY) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+      }
+      if (fname.compare("replaceVoter") != 0) {
+        iprot_->skip(::apache::thrift::protocol::T_STRUCT);
+        iprot_->readMessageEnd();
+        iprot_->getTransport()->readEnd();
+
+        // in a bad state, don't commit
+        using ::apache::thrift::protocol::TProtocolException;
+        throw TProtocolException(TProtocolException::INVALID_DATA);
+      }
+      ReplicationService_replaceVoter_presult result;
+      result.success = &_return;
+      result.read(iprot_);
+      iprot_->readMessageEnd();
+      iprot_->getTransport()->readEnd();
+
+      if (result.__isset.success) {
+        // _return pointer has now been filled
+        sentry.commit();
+        return;
+      }
+      if (result.__isset.wrongGroup) {
+        sentry.commit();
+        throw result.wrongGroup;
+      }
+      // in a bad state, don't commit
+      throw ::apache::thrift::TApplicationException(::apache::thrift::TApplicationException::MISSING_RESULT, "replaceVoter failed: unknown result");
+    }
+    // seqid != rseqid
+    this->sync_->updatePending(fname, mtype, rseqid);
+
+    // this will temporarily unlock the readMutex, and let other clients get work done
+    this->sync_->waitForWork(seqid);
+  } // end while(true)
+}
+
 } // namespace
 
--- a/src/libs/wire/gen/ReplicationService.h
+++ b/src/libs/wire/gen/ReplicationService.h
@@ -25,9 +25,13 @@
   virtual void requestVote(VoteReply& _return, const VoteRequest& request) = 0;
   virtual void appendEntries(AppendReply& _return, const AppendRequest& request) = 0;
   virtual void installSnapshot(SnapshotReply& _return, const SnapshotRequest& request) = 0;
+  virtual void takeLeadership(TransferReply& _return, const TransferRequest& request) = 0;
   virtual void observe(ObserveReply& _return, const ObserveRequest& request) = 0;
+  virtual void readSnapshot(SnapshotChunk& _return, const SnapshotChunkRequest& request) = 0;
   virtual void submit(SubmitReply& _return, const SubmitRequest& request) = 0;
   virtual void confirmRevision(ConfirmReply& _return, const ConfirmRequest& request) = 0;
+  virtual void status(StatusReply& _return, const StatusRequest& request) = 0;
+  virtual void replaceVoter(ReplaceVoterReply& _return, const ReplaceVoterRequest& request) = 0;
 };
 
 class ReplicationServiceIfFactory {
@@ -66,15 +70,27 @@
   void installSnapshot(SnapshotReply& /* _return */, const SnapshotRequest& /* request */) override {
     return;
   }
+  void takeLeadership(TransferReply& /* _return */, const TransferRequest& /* request */) override {
+    return;
+  }
   void observe(ObserveReply& /* _return */, const ObserveRequest& /* request */) override {
     return;
   }
+  void readSnapshot(SnapshotChunk& /* _return */, const SnapshotChunkRequest& /* request */) override {
+    return;
+  }
   void submit(SubmitReply& /* _return */, const SubmitRequest& /* request */) override {
     return;
   }
   void confirmRevision(ConfirmReply& /* _return */, const ConfirmRequest& /* request */) override {
     return;
   }
+  void status(StatusReply& /* _return */, const StatusRequest& /* request */) override {
+    return;
+  }
+  void replaceVoter(ReplaceVoterReply& /* _return */, const ReplaceVoterRequest& /* request */) override {
+    return;
+  }
 };
 
 typedef struct _ReplicationService_requestVote_args__isset {
@@ -127,29 +143,35 @@
 };
 
 typedef struct _ReplicationService_requestVote_result__isset {
-  _ReplicationService_requestVote_result__isset() : success(false) {}
+  _ReplicationService_requestVote_result__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_requestVote_result__isset;
 
 class ReplicationService_requestVote_result {
  public:
 
-  ReplicationService_requestVote_result(const ReplicationService_requestVote_result&) noexcept;
-  ReplicationService_requestVote_result& operator=(const ReplicationService_requestVote_result&) noexcept;
+  ReplicationService_requestVote_result(const ReplicationService_requestVote_result&);
+  ReplicationService_requestVote_result& operator=(const ReplicationService_requestVote_result&);
   ReplicationService_requestVote_result() noexcept {
   }
 
   virtual ~ReplicationService_requestVote_result() noexcept;
   VoteReply success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_requestVote_result__isset __isset;
 
   void __set_success(const VoteReply& val);
 
+  void __set_wrongGroup(const WrongGroup& val);
+
   bool operator == (const ReplicationService_requestVote_result & rhs) const
   {
     if (!(success == rhs.success))
       return false;
+    if (!(wrongGroup == rhs.wrongGroup))
+      return false;
     return true;
   }
   bool operator != (const ReplicationService_requestVote_result &rhs) const {
@@ -164,8 +186,9 @@
 };
 
 typedef struct _ReplicationService_requestVote_presult__isset {
-  _ReplicationService_requestVote_presult__isset() : success(false) {}
+  _ReplicationService_requestVote_presult__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_requestVote_presult__isset;
 
 class ReplicationService_requestVote_presult {
@@ -174,6 +197,7 @@
 
   virtual ~ReplicationService_requestVote_presult() noexcept;
   VoteReply* success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_requestVote_presult__isset __isset;
 
@@ -231,29 +255,35 @@
 };
 
 typedef struct _ReplicationService_appendEntries_result__isset {
-  _ReplicationService_appendEntries_result__isset() : success(false) {}
+  _ReplicationService_appendEntries_result__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_appendEntries_result__isset;
 
 class ReplicationService_appendEntries_result {
  public:
 
-  ReplicationService_appendEntries_result(const ReplicationService_appendEntries_result&) noexcept;
-  ReplicationService_appendEntries_result& operator=(const ReplicationService_appendEntries_result&) noexcept;
+  ReplicationService_appendEntries_result(const ReplicationService_appendEntries_result&);
+  ReplicationService_appendEntries_result& operator=(const ReplicationService_appendEntries_result&);
   ReplicationService_appendEntries_result() noexcept {
   }
 
   virtual ~ReplicationService_appendEntries_result() noexcept;
   AppendReply success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_appendEntries_result__isset __isset;
 
   void __set_success(const AppendReply& val);
 
+  void __set_wrongGroup(const WrongGroup& val);
+
   bool operator == (const ReplicationService_appendEntries_result & rhs) const
   {
     if (!(success == rhs.success))
       return false;
+    if (!(wrongGroup == rhs.wrongGroup))
+      return false;
     return true;
   }
   bool operator != (const ReplicationService_appendEntries_result &rhs) const {
@@ -268,8 +298,9 @@
 };
 
 typedef struct _ReplicationService_appendEntries_presult__isset {
-  _ReplicationService_appendEntries_presult__isset() : success(false) {}
+  _ReplicationService_appendEntries_presult__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_appendEntries_presult__isset;
 
 class ReplicationService_appendEntries_presult {
@@ -278,6 +309,7 @@
 
   virtual ~ReplicationService_appendEntries_presult() noexcept;
   AppendReply* success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_appendEntries_presult__isset __isset;
 
@@ -335,29 +367,35 @@
 };
 
 typedef struct _ReplicationService_installSnapshot_result__isset {
-  _ReplicationService_installSnapshot_result__isset() : success(false) {}
+  _ReplicationService_installSnapshot_result__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_installSnapshot_result__isset;
 
 class ReplicationService_installSnapshot_result {
  public:
 
-  ReplicationService_installSnapshot_result(const ReplicationService_installSnapshot_result&) noexcept;
-  ReplicationService_installSnapshot_result& operator=(const ReplicationService_installSnapshot_result&) noexcept;
+  ReplicationService_installSnapshot_result(const ReplicationService_installSnapshot_result&);
+  ReplicationService_installSnapshot_result& operator=(const ReplicationService_installSnapshot_result&);
   ReplicationService_installSnapshot_result() noexcept {
   }
 
   virtual ~ReplicationService_installSnapshot_result() noexcept;
   SnapshotReply success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_installSnapshot_result__isset __isset;
 
   void __set_success(const SnapshotReply& val);
 
+  void __set_wrongGroup(const WrongGroup& val);
+
   bool operator == (const ReplicationService_installSnapshot_result & rhs) const
   {
     if (!(success == rhs.success))
       return false;
+    if (!(wrongGroup == rhs.wrongGroup))
+      return false;
     return true;
   }
   bool operator != (const ReplicationService_installSnapshot_result &rhs) const {
@@ -372,8 +410,9 @@
 };
 
 typedef struct _ReplicationService_installSnapshot_presult__isset {
-  _ReplicationService_installSnapshot_presult__isset() : success(false) {}
+  _ReplicationService_installSnapshot_presult__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_installSnapshot_presult__isset;
 
 class ReplicationService_installSnapshot_presult {
@@ -382,6 +421,7 @@
 
   virtual ~ReplicationService_installSnapshot_presult() noexcept;
   SnapshotReply* success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_installSnapshot_presult__isset __isset;
 
@@ -389,6 +429,118 @@
 
 };
 
+typedef struct _ReplicationService_takeLeadership_args__isset {
+  _ReplicationService_takeLeadership_args__isset() : request(false) {}
+  bool request :1;
+} _ReplicationService_takeLeadership_args__isset;
+
+class ReplicationService_takeLeadership_args {
+ public:
+
+  ReplicationService_takeLeadership_args(const ReplicationService_takeLeadership_args&);
+  ReplicationService_takeLeadership_args& operator=(const ReplicationService_takeLeadership_args&);
+  ReplicationService_takeLeadership_args() noexcept {
+  }
+
+  virtual ~ReplicationService_takeLeadership_args() noexcept;
+  TransferRequest request;
+
+  _ReplicationService_takeLeadership_args__isset __isset;
+
+  void __set_request(const TransferRequest& val);
+
+  bool operator == (const ReplicationService_takeLeadership_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicationService_takeLeadership_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicationService_takeLeadership_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ReplicationService_takeLeadership_pargs {
+ public:
+
+
+  virtual ~ReplicationService_takeLeadership_pargs() noexcept;
+  const TransferRequest* request;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ReplicationService_takeLeadership_result__isset {
+  _ReplicationService_takeLeadership_result__isset() : success(false), wrongGroup(false) {}
+  bool success :1;
+  bool wrongGroup :1;
+} _ReplicationService_takeLeadership_result__isset;
+
+class ReplicationService_takeLeadership_result {
+ public:
+
+  ReplicationService_takeLeadership_result(const ReplicationService_takeLeadership_result&);
+  ReplicationService_takeLeadership_result& operator=(const ReplicationService_takeLeadership_result&);
+  ReplicationService_takeLeadership_result() noexcept {
+  }
+
+  virtual ~ReplicationService_takeLeadership_result() noexcept;
+  TransferReply success;
+  WrongGroup wrongGroup;
+
+  _ReplicationService_takeLeadership_result__isset __isset;
+
+  void __set_success(const TransferReply& val);
+
+  void __set_wrongGroup(const WrongGroup& val);
+
+  bool operator == (const ReplicationService_takeLeadership_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(wrongGroup == rhs.wrongGroup))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicationService_takeLeadership_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicationService_takeLeadership_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ReplicationService_takeLeadership_presult__isset {
+  _ReplicationService_takeLeadership_presult__isset() : success(false), wrongGroup(false) {}
+  bool success :1;
+  bool wrongGroup :1;
+} _ReplicationService_takeLeadership_presult__isset;
+
+class ReplicationService_takeLeadership_presult {
+ public:
+
+
+  virtual ~ReplicationService_takeLeadership_presult() noexcept;
+  TransferReply* success;
+  WrongGroup wrongGroup;
+
+  _ReplicationService_takeLeadership_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _ReplicationService_observe_args__isset {
   _ReplicationService_observe_args__isset() : request(false) {}
   bool request :1;
@@ -439,8 +591,9 @@
 };
 
 typedef struct _ReplicationService_observe_result__isset {
-  _ReplicationService_observe_result__isset() : success(false) {}
+  _ReplicationService_observe_result__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_observe_result__isset;
 
 class ReplicationService_observe_result {
@@ -453,15 +606,20 @@
 
   virtual ~ReplicationService_observe_result() noexcept;
   ObserveReply success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_observe_result__isset __isset;
 
   void __set_success(const ObserveReply& val);
 
+  void __set_wrongGroup(const WrongGroup& val);
+
   bool operator == (const ReplicationService_observe_result & rhs) const
   {
     if (!(success == rhs.success))
       return false;
+    if (!(wrongGroup == rhs.wrongGroup))
+      return false;
     return true;
   }
   bool operator != (const ReplicationService_observe_result &rhs) const {
@@ -476,8 +634,9 @@
 };
 
 typedef struct _ReplicationService_observe_presult__isset {
-  _ReplicationService_observe_presult__isset() : success(false) {}
+  _ReplicationService_observe_presult__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_observe_presult__isset;
 
 class ReplicationService_observe_presult {
@@ -486,6 +645,7 @@
 
   virtual ~ReplicationService_observe_presult() noexcept;
   ObserveReply* success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_observe_presult__isset __isset;
 
@@ -493,6 +653,118 @@
 
 };
 
+typedef struct _ReplicationService_readSnapshot_args__isset {
+  _ReplicationService_readSnapshot_args__isset() : request(false) {}
+  bool request :1;
+} _ReplicationService_readSnapshot_args__isset;
+
+class ReplicationService_readSnapshot_args {
+ public:
+
+  ReplicationService_readSnapshot_args(const ReplicationService_readSnapshot_args&);
+  ReplicationService_readSnapshot_args& operator=(const ReplicationService_readSnapshot_args&);
+  ReplicationService_readSnapshot_args() noexcept {
+  }
+
+  virtual ~ReplicationService_readSnapshot_args() noexcept;
+  SnapshotChunkRequest request;
+
+  _ReplicationService_readSnapshot_args__isset __isset;
+
+  void __set_request(const SnapshotChunkRequest& val);
+
+  bool operator == (const ReplicationService_readSnapshot_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicationService_readSnapshot_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicationService_readSnapshot_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ReplicationService_readSnapshot_pargs {
+ public:
+
+
+  virtual ~ReplicationService_readSnapshot_pargs() noexcept;
+  const SnapshotChunkRequest* request;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ReplicationService_readSnapshot_result__isset {
+  _ReplicationService_readSnapshot_result__isset() : success(false), wrongGroup(false) {}
+  bool success :1;
+  bool wrongGroup :1;
+} _ReplicationService_readSnapshot_result__isset;
+
+class ReplicationService_readSnapshot_result {
+ public:
+
+  ReplicationService_readSnapshot_result(const ReplicationService_readSnapshot_result&);
+  ReplicationService_readSnapshot_result& operator=(const ReplicationService_readSnapshot_result&);
+  ReplicationService_readSnapshot_result() noexcept {
+  }
+
+  virtual ~ReplicationService_readSnapshot_result() noexcept;
+  SnapshotChunk success;
+  WrongGroup wrongGroup;
+
+  _ReplicationService_readSnapshot_result__isset __isset;
+
+  void __set_success(const SnapshotChunk& val);
+
+  void __set_wrongGroup(const WrongGroup& val);
+
+  bool operator == (const ReplicationService_readSnapshot_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(wrongGroup == rhs.wrongGroup))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicationService_readSnapshot_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicationService_readSnapshot_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ReplicationService_readSnapshot_presult__isset {
+  _ReplicationService_readSnapshot_presult__isset() : success(false), wrongGroup(false) {}
+  bool success :1;
+  bool wrongGroup :1;
+} _ReplicationService_readSnapshot_presult__isset;
+
+class ReplicationService_readSnapshot_presult {
+ public:
+
+
+  virtual ~ReplicationService_readSnapshot_presult() noexcept;
+  SnapshotChunk* success;
+  WrongGroup wrongGroup;
+
+  _ReplicationService_readSnapshot_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 typedef struct _ReplicationService_submit_args__isset {
   _ReplicationService_submit_args__isset() : request(false) {}
   bool request :1;
@@ -543,8 +815,9 @@
 };
 
 typedef struct _ReplicationService_submit_result__isset {
-  _ReplicationService_submit_result__isset() : success(false) {}
+  _ReplicationService_submit_result__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_submit_result__isset;
 
 class ReplicationService_submit_result {
@@ -557,15 +830,20 @@
 
   virtual ~ReplicationService_submit_result() noexcept;
   SubmitReply success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_submit_result__isset __isset;
 
   void __set_success(const SubmitReply& val);
 
+  void __set_wrongGroup(const WrongGroup& val);
+
   bool operator == (const ReplicationService_submit_result & rhs) const
   {
     if (!(success == rhs.success))
       return false;
+    if (!(wrongGroup == rhs.wrongGroup))
+      return false;
     return true;
   }
   bool operator != (const ReplicationService_submit_result &rhs) const {
@@ -580,8 +858,9 @@
 };
 
 typedef struct _ReplicationService_submit_presult__isset {
-  _ReplicationService_submit_presult__isset() : success(false) {}
+  _ReplicationService_submit_presult__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_submit_presult__isset;
 
 class ReplicationService_submit_presult {
@@ -590,6 +869,7 @@
 
   virtual ~ReplicationService_submit_presult() noexcept;
   SubmitReply* success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_submit_presult__isset __isset;
 
@@ -647,8 +927,9 @@
 };
 
 typedef struct _ReplicationService_confirmRevision_result__isset {
-  _ReplicationService_confirmRevision_result__isset() : success(false) {}
+  _ReplicationService_confirmRevision_result__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_confirmRevision_result__isset;
 
 class ReplicationService_confirmRevision_result {
@@ -661,15 +942,20 @@
 
   virtual ~ReplicationService_confirmRevision_result() noexcept;
   ConfirmReply success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_confirmRevision_result__isset __isset;
 
   void __set_success(const ConfirmReply& val);
 
+  void __set_wrongGroup(const WrongGroup& val);
+
   bool operator == (const ReplicationService_confirmRevision_result & rhs) const
   {
     if (!(success == rhs.success))
       return false;
+    if (!(wrongGroup == rhs.wrongGroup))
+      return false;
     return true;
   }
   bool operator != (const ReplicationService_confirmRevision_result &rhs) const {
@@ -684,8 +970,9 @@
 };
 
 typedef struct _ReplicationService_confirmRevision_presult__isset {
-  _ReplicationService_confirmRevision_presult__isset() : success(false) {}
+  _ReplicationService_confirmRevision_presult__isset() : success(false), wrongGroup(false) {}
   bool success :1;
+  bool wrongGroup :1;
 } _ReplicationService_confirmRevision_presult__isset;
 
 class ReplicationService_confirmRevision_presult {
@@ -694,6 +981,7 @@
 
   virtual ~ReplicationService_confirmRevision_presult() noexcept;
   ConfirmReply* success;
+  WrongGroup wrongGroup;
 
   _ReplicationService_confirmRevision_presult__isset __isset;
 
@@ -701,6 +989,230 @@
 
 };
 
+typedef struct _ReplicationService_status_args__isset {
+  _ReplicationService_status_args__isset() : request(false) {}
+  bool request :1;
+} _ReplicationService_status_args__isset;
+
+class ReplicationService_status_args {
+ public:
+
+  ReplicationService_status_args(const ReplicationService_status_args&);
+  ReplicationService_status_args& operator=(const ReplicationService_status_args&);
+  ReplicationService_status_args() noexcept {
+  }
+
+  virtual ~ReplicationService_status_args() noexcept;
+  StatusRequest request;
+
+  _ReplicationService_status_args__isset __isset;
+
+  void __set_request(const StatusRequest& val);
+
+  bool operator == (const ReplicationService_status_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicationService_status_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicationService_status_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ReplicationService_status_pargs {
+ public:
+
+
+  virtual ~ReplicationService_status_pargs() noexcept;
+  const StatusRequest* request;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ReplicationService_status_result__isset {
+  _ReplicationService_status_result__isset() : success(false), wrongGroup(false) {}
+  bool success :1;
+  bool wrongGroup :1;
+} _ReplicationService_status_result__isset;
+
+class ReplicationService_status_result {
+ public:
+
+  ReplicationService_status_result(const ReplicationService_status_result&);
+  ReplicationService_status_result& operator=(const ReplicationService_status_result&);
+  ReplicationService_status_result() noexcept {
+  }
+
+  virtual ~ReplicationService_status_result() noexcept;
+  StatusReply success;
+  WrongGroup wrongGroup;
+
+  _ReplicationService_status_result__isset __isset;
+
+  void __set_success(const StatusReply& val);
+
+  void __set_wrongGroup(const WrongGroup& val);
+
+  bool operator == (const ReplicationService_status_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(wrongGroup == rhs.wrongGroup))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicationService_status_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicationService_status_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ReplicationService_status_presult__isset {
+  _ReplicationService_status_presult__isset() : success(false), wrongGroup(false) {}
+  bool success :1;
+  bool wrongGroup :1;
+} _ReplicationService_status_presult__isset;
+
+class ReplicationService_status_presult {
+ public:
+
+
+  virtual ~ReplicationService_status_presult() noexcept;
+  StatusReply* success;
+  WrongGroup wrongGroup;
+
+  _ReplicationService_status_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
+typedef struct _ReplicationService_replaceVoter_args__isset {
+  _ReplicationService_replaceVoter_args__isset() : request(false) {}
+  bool request :1;
+} _ReplicationService_replaceVoter_args__isset;
+
+class ReplicationService_replaceVoter_args {
+ public:
+
+  ReplicationService_replaceVoter_args(const ReplicationService_replaceVoter_args&);
+  ReplicationService_replaceVoter_args& operator=(const ReplicationService_replaceVoter_args&);
+  ReplicationService_replaceVoter_args() noexcept {
+  }
+
+  virtual ~ReplicationService_replaceVoter_args() noexcept;
+  ReplaceVoterRequest request;
+
+  _ReplicationService_replaceVoter_args__isset __isset;
+
+  void __set_request(const ReplaceVoterRequest& val);
+
+  bool operator == (const ReplicationService_replaceVoter_args & rhs) const
+  {
+    if (!(request == rhs.request))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicationService_replaceVoter_args &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicationService_replaceVoter_args & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+
+class ReplicationService_replaceVoter_pargs {
+ public:
+
+
+  virtual ~ReplicationService_replaceVoter_pargs() noexcept;
+  const ReplaceVoterRequest* request;
+
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ReplicationService_replaceVoter_result__isset {
+  _ReplicationService_replaceVoter_result__isset() : success(false), wrongGroup(false) {}
+  bool success :1;
+  bool wrongGroup :1;
+} _ReplicationService_replaceVoter_result__isset;
+
+class ReplicationService_replaceVoter_result {
+ public:
+
+  ReplicationService_replaceVoter_result(const ReplicationService_replaceVoter_result&);
+  ReplicationService_replaceVoter_result& operator=(const ReplicationService_replaceVoter_result&);
+  ReplicationService_replaceVoter_result() noexcept {
+  }
+
+  virtual ~ReplicationService_replaceVoter_result() noexcept;
+  ReplaceVoterReply success;
+  WrongGroup wrongGroup;
+
+  _ReplicationService_replaceVoter_result__isset __isset;
+
+  void __set_success(const ReplaceVoterReply& val);
+
+  void __set_wrongGroup(const WrongGroup& val);
+
+  bool operator == (const ReplicationService_replaceVoter_result & rhs) const
+  {
+    if (!(success == rhs.success))
+      return false;
+    if (!(wrongGroup == rhs.wrongGroup))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplicationService_replaceVoter_result &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplicationService_replaceVoter_result & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+};
+
+typedef struct _ReplicationService_replaceVoter_presult__isset {
+  _ReplicationService_replaceVoter_presult__isset() : success(false), wrongGroup(false) {}
+  bool success :1;
+  bool wrongGroup :1;
+} _ReplicationService_replaceVoter_presult__isset;
+
+class ReplicationService_replaceVoter_presult {
+ public:
+
+
+  virtual ~ReplicationService_replaceVoter_presult() noexcept;
+  ReplaceVoterReply* success;
+  WrongGroup wrongGroup;
+
+  _ReplicationService_replaceVoter_presult__isset __isset;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+
+};
+
 class ReplicationServiceClient : virtual public ReplicationServiceIf {
  public:
   ReplicationServiceClient(std::shared_ptr< ::apache::thrift::protocol::TProtocol> prot) {
@@ -735,15 +1247,27 @@
   void installSnapshot(SnapshotReply& _return, const SnapshotRequest& request) override;
   void send_installSnapshot(const SnapshotRequest& request);
   void recv_installSnapshot(SnapshotReply& _return);
+  void takeLeadership(TransferReply& _return, const TransferRequest& request) override;
+  void send_takeLeadership(const TransferRequest& request);
+  void recv_takeLeadership(TransferReply& _return);
   void observe(ObserveReply& _return, const ObserveRequest& request) override;
   void send_observe(const ObserveRequest& request);
   void recv_observe(ObserveReply& _return);
+  void readSnapshot(SnapshotChunk& _return, const SnapshotChunkRequest& request) override;
+  void send_readSnapshot(const SnapshotChunkRequest& request);
+  void recv_readSnapshot(SnapshotChunk& _return);
   void submit(SubmitReply& _return, const SubmitRequest& request) override;
   void send_submit(const SubmitRequest& request);
   void recv_submit(SubmitReply& _return);
   void confirmRevision(ConfirmReply& _return, const ConfirmRequest& request) override;
   void send_confirmRevision(const ConfirmRequest& request);
   void recv_confirmRevision(ConfirmReply& _return);
+  void status(StatusReply& _return, const StatusRequest& request) override;
+  void send_status(const StatusRequest& request);
+  void recv_status(StatusReply& _return);
+  void replaceVoter(ReplaceVoterReply& _return, const ReplaceVoterRequest& request) override;
+  void send_replaceVoter(const ReplaceVoterRequest& request);
+  void recv_replaceVoter(ReplaceVoterReply& _return);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
@@ -762,18 +1286,26 @@
   void process_requestVote(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_appendEntries(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_installSnapshot(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_takeLeadership(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_observe(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_readSnapshot(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_submit(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
   void process_confirmRevision(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_status(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
+  void process_replaceVoter(int32_t seqid, ::apache::thrift::protocol::TProtocol* iprot, ::apache::thrift::protocol::TProtocol* oprot, void* callContext);
  public:
   ReplicationServiceProcessor(::std::shared_ptr<ReplicationServiceIf> iface) :
     iface_(iface) {
     processMap_["requestVote"] = &ReplicationServiceProcessor::process_requestVote;
     processMap_["appendEntries"] = &ReplicationServiceProcessor::process_appendEntries;
     processMap_["installSnapshot"] = &ReplicationServiceProcessor::process_installSnapshot;
+    processMap_["takeLeadership"] = &ReplicationServiceProcessor::process_takeLeadership;
     processMap_["observe"] = &ReplicationServiceProcessor::process_observe;
+    processMap_["readSnapshot"] = &ReplicationServiceProcessor::process_readSnapshot;
     processMap_["submit"] = &ReplicationServiceProcessor::process_submit;
     processMap_["confirmRevision"] = &ReplicationServiceProcessor::process_confirmRevision;
+    processMap_["status"] = &ReplicationServiceProcessor::process_status;
+    processMap_["replaceVoter"] = &ReplicationServiceProcessor::process_replaceVoter;
   }
 
   virtual ~ReplicationServiceProcessor() {}
@@ -832,6 +1364,16 @@
     return;
   }
 
+  void takeLeadership(TransferReply& _return, const TransferRequest& request) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->takeLeadership(_return, request);
+    }
+    ifaces_[i]->takeLeadership(_return, request);
+    return;
+  }
+
   void observe(ObserveReply& _return, const ObserveRequest& request) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -842,6 +1384,16 @@
     return;
   }
 
+  void readSnapshot(SnapshotChunk& _return, const SnapshotChunkRequest& request) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->readSnapshot(_return, request);
+    }
+    ifaces_[i]->readSnapshot(_return, request);
+    return;
+  }
+
   void submit(SubmitReply& _return, const SubmitRequest& request) override {
     size_t sz = ifaces_.size();
     size_t i = 0;
@@ -862,6 +1414,26 @@
     return;
   }
 
+  void status(StatusReply& _return, const StatusRequest& request) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->status(_return, request);
+    }
+    ifaces_[i]->status(_return, request);
+    return;
+  }
+
+  void replaceVoter(ReplaceVoterReply& _return, const ReplaceVoterRequest& request) override {
+    size_t sz = ifaces_.size();
+    size_t i = 0;
+    for (; i < (sz - 1); ++i) {
+      ifaces_[i]->replaceVoter(_return, request);
+    }
+    ifaces_[i]->replaceVoter(_return, request);
+    return;
+  }
+
 };
 
 // The 'concurrent' client is a thread safe client that correctly handles
@@ -903,15 +1475,27 @@
   void installSnapshot(SnapshotReply& _return, const SnapshotRequest& request) override;
   int32_t send_installSnapshot(const SnapshotRequest& request);
   void recv_installSnapshot(SnapshotReply& _return, const int32_t seqid);
+  void takeLeadership(TransferReply& _return, const TransferRequest& request) override;
+  int32_t send_takeLeadership(const TransferRequest& request);
+  void recv_takeLeadership(TransferReply& _return, const int32_t seqid);
   void observe(ObserveReply& _return, const ObserveRequest& request) override;
   int32_t send_observe(const ObserveRequest& request);
   void recv_observe(ObserveReply& _return, const int32_t seqid);
+  void readSnapshot(SnapshotChunk& _return, const SnapshotChunkRequest& request) override;
+  int32_t send_readSnapshot(const SnapshotChunkRequest& request);
+  void recv_readSnapshot(SnapshotChunk& _return, const int32_t seqid);
   void submit(SubmitReply& _return, const SubmitRequest& request) override;
   int32_t send_submit(const SubmitRequest& request);
   void recv_submit(SubmitReply& _return, const int32_t seqid);
   void confirmRevision(ConfirmReply& _return, const ConfirmRequest& request) override;
   int32_t send_confirmRevision(const ConfirmRequest& request);
   void recv_confirmRevision(ConfirmReply& _return, const int32_t seqid);
+  void status(StatusReply& _return, const StatusRequest& request) override;
+  int32_t send_status(const StatusRequest& request);
+  void recv_status(StatusReply& _return, const int32_t seqid);
+  void replaceVoter(ReplaceVoterReply& _return, const ReplaceVoterRequest& request) override;
+  int32_t send_replaceVoter(const ReplaceVoterRequest& request);
+  void recv_replaceVoter(ReplaceVoterReply& _return, const int32_t seqid);
  protected:
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> piprot_;
   std::shared_ptr< ::apache::thrift::protocol::TProtocol> poprot_;
