--- a/src/libs/wire/gen/replication_types.cpp
+++ b/src/libs/wire/gen/replication_types.cpp
@@ -47,6 +47,109 @@
 }
 
 
+WrongGroup::~WrongGroup() noexcept {
+}
+
+
+void WrongGroup::__set_groupId(const std::string& val) {
+  this->groupId = val;
+}
+std::ostream& operator<<(std::ostream& out, const WrongGroup& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t WrongGroup::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->groupId);
+          this->__isset.groupId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t WrongGroup::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("WrongGroup");
+
+  xfer += oprot->writeFieldBegin("groupId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->groupId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(WrongGroup &a, WrongGroup &b) {
+  using ::std::swap;
+  swap(a.groupId, b.groupId);
+  swap(a.__isset, b.__isset);
+}
+
+WrongGroup::WrongGroup(const WrongGroup& other0) : TException() {
+  groupId = other0.groupId;
+  __isset = other0.__isset;
+}
+WrongGroup& WrongGroup::operator=(const WrongGroup& other1) {
+  groupId = other1.groupId;
+  __isset = other1.__isset;
+  return *this;
+}
+void WrongGroup::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "WrongGroup(";
+  out << "groupId=" << to_string(groupId);
+  out << ")";
+}
+
+const char* WrongGroup::what() const noexcept {
+  try {
+    std::stringstream ss;
+    ss << "TException - service has thrown: " << *this;
+    this->thriftTExceptionMessageHolder_ = ss.str();
+    return this->thriftTExceptionMessageHolder_.c_str();
+  } catch (const std::exception&) {
+    return "TException - service has thrown: WrongGroup";
+  }
+}
+
+
 ReplicaEntry::~ReplicaEntry() noexcept {
 }
 
@@ -62,6 +165,10 @@
 void ReplicaEntry::__set_payload(const std::string& val) {
   this->payload = val;
 }
+
+void ReplicaEntry::__set_kind(const int32_t val) {
+  this->kind = val;
+}
 std::ostream& operator<<(std::ostream& out, const ReplicaEntry& obj)
 {
   obj.printTo(out);
@@ -114,6 +221,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -143,6 +258,10 @@
   xfer += oprot->writeBinary(this->payload);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -153,20 +272,23 @@
   swap(a.revision, b.revision);
   swap(a.term, b.term);
   swap(a.payload, b.payload);
+  swap(a.kind, b.kind);
   swap(a.__isset, b.__isset);
 }
 
-ReplicaEntry::ReplicaEntry(const ReplicaEntry& other0) {
-  revision = other0.revision;
-  term = other0.term;
-  payload = other0.payload;
-  __isset = other0.__isset;
+ReplicaEntry::ReplicaEntry(const ReplicaEntry& other2) {
+  revision = other2.revision;
+  term = other2.term;
+  payload = other2.payload;
+  kind = other2.kind;
+  __isset = other2.__isset;
 }
-ReplicaEntry& ReplicaEntry::operator=(const ReplicaEntry& other1) {
-  revision = other1.revision;
-  term = other1.term;
-  payload = other1.payload;
-  __isset = other1.__isset;
+ReplicaEntry& ReplicaEntry::operator=(const ReplicaEntry& other3) {
+  revision = other3.revision;
+  term = other3.term;
+  payload = other3.payload;
+  kind = other3.kind;
+  __isset = other3.__isset;
   return *this;
 }
 void ReplicaEntry::printTo(std::ostream& out) const {
@@ -175,6 +297,7 @@
   out << "revision=" << to_string(revision);
   out << ", " << "term=" << to_string(term);
   out << ", " << "payload=" << to_string(payload);
+  out << ", " << "kind=" << to_string(kind);
   out << ")";
 }
 
@@ -356,25 +479,25 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other2) {
-  groupId = other2.groupId;
-  candidateId = other2.candidateId;
-  term = other2.term;
-  lastRevision = other2.lastRevision;
-  lastTerm = other2.lastTerm;
-  preVote = other2.preVote;
-  leadershipTransfer = other2.leadershipTransfer;
-  __isset = other2.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other4) {
+  groupId = other4.groupId;
+  candidateId = other4.candidateId;
+  term = other4.term;
+  lastRevision = other4.lastRevision;
+  lastTerm = other4.lastTerm;
+  preVote = other4.preVote;
+  leadershipTransfer = other4.leadershipTransfer;
+  __isset = other4.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other3) {
-  groupId = other3.groupId;
-  candidateId = other3.candidateId;
-  term = other3.term;
-  lastRevision = other3.lastRevision;
-  lastTerm = other3.lastTerm;
-  preVote = other3.preVote;
-  leadershipTransfer = other3.leadershipTransfer;
-  __isset = other3.__isset;
+VoteRequest& VoteRequest::operator=(const VoteRequest& other5) {
+  groupId = other5.groupId;
+  candidateId = other5.candidateId;
+  term = other5.term;
+  lastRevision = other5.lastRevision;
+  lastTerm = other5.lastTerm;
+  preVote = other5.preVote;
+  leadershipTransfer = other5.leadershipTransfer;
+  __isset = other5.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -483,15 +606,15 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other4) noexcept {
-  term = other4.term;
-  granted = other4.granted;
-  __isset = other4.__isset;
+VoteReply::VoteReply(const VoteReply& other6) noexcept {
+  term = other6.term;
+  granted = other6.granted;
+  __isset = other6.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other5) noexcept {
-  term = other5.term;
-  granted = other5.granted;
-  __isset = other5.__isset;
+VoteReply& VoteReply::operator=(const VoteReply& other7) noexcept {
+  term = other7.term;
+  granted = other7.granted;
+  __isset = other7.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -503,6 +626,138 @@
 }
 
 
+ProcessApplied::~ProcessApplied() noexcept {
+}
+
+
+void ProcessApplied::__set_processId(const std::string& val) {
+  this->processId = val;
+}
+
+void ProcessApplied::__set_appliedRevision(const int64_t val) {
+  this->appliedRevision = val;
+}
+
+void ProcessApplied::__set_ageMs(const int64_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ProcessApplied& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ProcessApplied::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->processId);
+          this->__isset.processId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedRevision);
+          this->__isset.appliedRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->ageMs);
+          this->__isset.ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ProcessApplied::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ProcessApplied");
+
+  xfer += oprot->writeFieldBegin("processId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->processId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("appliedRevision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->appliedRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ProcessApplied &a, ProcessApplied &b) {
+  using ::std::swap;
+  swap(a.processId, b.processId);
+  swap(a.appliedRevision, b.appliedRevision);
+  swap(a.ageMs, b.ageMs);
+  swap(a.__isset, b.__isset);
+}
+
+ProcessApplied::ProcessApplied(const ProcessApplied& other8) {
+  processId = other8.processId;
+  appliedRevision = other8.appliedRevision;
+  ageMs = other8.ageMs;
+  __isset = other8.__isset;
+}
+ProcessApplied& ProcessApplied::operator=(const ProcessApplied& other9) {
+  processId = other9.processId;
+  appliedRevision = other9.appliedRevision;
+  ageMs = other9.ageMs;
+  __isset = other9.__isset;
+  return *this;
+}
+void ProcessApplied::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ProcessApplied(";
+  out << "processId=" << to_string(processId);
+  out << ", " << "appliedRevision=" << to_string(appliedRevision);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
 AppendRequest::~AppendRequest() noexcept {
 }
 
@@ -534,6 +789,10 @@
 void AppendRequest::__set_entries(const std::vector<ReplicaEntry> & val) {
   this->entries = val;
 }
+
+void AppendRequest::__set_quorumAgeMs(const int64_t val) {
+  this->quorumAgeMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
 {
   obj.printTo(out);
@@ -614,14 +873,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size6;
-            ::apache::thrift::protocol::TType _etype9;
-            xfer += iprot->readListBegin(_etype9, _size6);
-            this->entries.resize(_size6);
-            uint32_t _i10;
-            for (_i10 = 0; _i10 < _size6; ++_i10)
+            uint32_t _size10;
+            ::apache::thrift::protocol::TType _etype13;
+            xfer += iprot->readListBegin(_etype13, _size10);
+            this->entries.resize(_size10);
+            uint32_t _i14;
+            for (_i14 = 0; _i14 < _size10; ++_i14)
             {
-              xfer += this->entries[_i10].read(iprot);
+              xfer += this->entries[_i14].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -630,6 +889,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->quorumAgeMs);
+          this->__isset.quorumAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -674,15 +941,19 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<ReplicaEntry> ::const_iterator _iter11;
-    for (_iter11 = this->entries.begin(); _iter11 != this->entries.end(); ++_iter11)
+    std::vector<ReplicaEntry> ::const_iterator _iter15;
+    for (_iter15 = this->entries.begin(); _iter15 != this->entries.end(); ++_iter15)
     {
-      xfer += (*_iter11).write(oprot);
+      xfer += (*_iter15).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quorumAgeMs", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->quorumAgeMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -697,28 +968,31 @@
   swap(a.previousTerm, b.previousTerm);
   swap(a.commitRevision, b.commitRevision);
   swap(a.entries, b.entries);
+  swap(a.quorumAgeMs, b.quorumAgeMs);
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other12) {
-  groupId = other12.groupId;
-  leaderId = other12.leaderId;
-  term = other12.term;
-  previousRevision = other12.previousRevision;
-  previousTerm = other12.previousTerm;
-  commitRevision = other12.commitRevision;
-  entries = other12.entries;
-  __isset = other12.__isset;
-}
-AppendRequest& AppendRequest::operator=(const AppendRequest& other13) {
-  groupId = other13.groupId;
-  leaderId = other13.leaderId;
-  term = other13.term;
-  previousRevision = other13.previousRevision;
-  previousTerm = other13.previousTerm;
-  commitRevision = other13.commitRevision;
-  entries = other13.entries;
-  __isset = other13.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other16) {
+  groupId = other16.groupId;
+  leaderId = other16.leaderId;
+  term = other16.term;
+  previousRevision = other16.previousRevision;
+  previousTerm = other16.previousTerm;
+  commitRevision = other16.commitRevision;
+  entries = other16.entries;
+  quorumAgeMs = other16.quorumAgeMs;
+  __isset = other16.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other17) {
+  groupId = other17.groupId;
+  leaderId = other17.leaderId;
+  term = other17.term;
+  previousRevision = other17.previousRevision;
+  previousTerm = other17.previousTerm;
+  commitRevision = other17.commitRevision;
+  entries = other17.entries;
+  quorumAgeMs = other17.quorumAgeMs;
+  __isset = other17.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -731,6 +1005,7 @@
   out << ", " << "previousTerm=" << to_string(previousTerm);
   out << ", " << "commitRevision=" << to_string(commitRevision);
   out << ", " << "entries=" << to_string(entries);
+  out << ", " << "quorumAgeMs=" << to_string(quorumAgeMs);
   out << ")";
 }
 
@@ -750,6 +1025,14 @@
 void AppendReply::__set_lastRevision(const int64_t val) {
   this->lastRevision = val;
 }
+
+void AppendReply::__set_appliedRevision(const int64_t val) {
+  this->appliedRevision = val;
+}
+
+void AppendReply::__set_observers(const std::vector<ProcessApplied> & val) {
+  this->observers = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendReply& obj)
 {
   obj.printTo(out);
@@ -802,6 +1085,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedRevision);
+          this->__isset.appliedRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->observers.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->observers.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += this->observers[_i22].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.observers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -831,8 +1142,24 @@
   xfer += oprot->writeI64(this->lastRevision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
+  xfer += oprot->writeFieldBegin("appliedRevision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->appliedRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("observers", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->observers.size()));
+    std::vector<ProcessApplied> ::const_iterator _iter23;
+    for (_iter23 = this->observers.begin(); _iter23 != this->observers.end(); ++_iter23)
+    {
+      xfer += (*_iter23).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
   return xfer;
 }
 
@@ -841,20 +1168,26 @@
   swap(a.term, b.term);
   swap(a.accepted, b.accepted);
   swap(a.lastRevision, b.lastRevision);
+  swap(a.appliedRevision, b.appliedRevision);
+  swap(a.observers, b.observers);
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other14) noexcept {
-  term = other14.term;
-  accepted = other14.accepted;
-  lastRevision = other14.lastRevision;
-  __isset = other14.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other15) noexcept {
-  term = other15.term;
-  accepted = other15.accepted;
-  lastRevision = other15.lastRevision;
-  __isset = other15.__isset;
+AppendReply::AppendReply(const AppendReply& other24) {
+  term = other24.term;
+  accepted = other24.accepted;
+  lastRevision = other24.lastRevision;
+  appliedRevision = other24.appliedRevision;
+  observers = other24.observers;
+  __isset = other24.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other25) {
+  term = other25.term;
+  accepted = other25.accepted;
+  lastRevision = other25.lastRevision;
+  appliedRevision = other25.appliedRevision;
+  observers = other25.observers;
+  __isset = other25.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -863,6 +1196,8 @@
   out << "term=" << to_string(term);
   out << ", " << "accepted=" << to_string(accepted);
   out << ", " << "lastRevision=" << to_string(lastRevision);
+  out << ", " << "appliedRevision=" << to_string(appliedRevision);
+  out << ", " << "observers=" << to_string(observers);
   out << ")";
 }
 
@@ -902,6 +1237,10 @@
 void SnapshotRequest::__set_last(const bool val) {
   this->last = val;
 }
+
+void SnapshotRequest::__set_voters(const std::string& val) {
+  this->voters = val;
+}
 std::ostream& operator<<(std::ostream& out, const SnapshotRequest& obj)
 {
   obj.printTo(out);
@@ -994,6 +1333,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->voters);
+          this->__isset.voters = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1043,6 +1390,10 @@
   xfer += oprot->writeBool(this->last);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeBinary(this->voters);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1058,30 +1409,33 @@
   swap(a.offset, b.offset);
   swap(a.data, b.data);
   swap(a.last, b.last);
+  swap(a.voters, b.voters);
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other16) {
-  groupId = other16.groupId;
-  leaderId = other16.leaderId;
-  term = other16.term;
-  revision = other16.revision;
-  revisionTerm = other16.revisionTerm;
-  offset = other16.offset;
-  data = other16.data;
-  last = other16.last;
-  __isset = other16.__isset;
-}
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other17) {
-  groupId = other17.groupId;
-  leaderId = other17.leaderId;
-  term = other17.term;
-  revision = other17.revision;
-  revisionTerm = other17.revisionTerm;
-  offset = other17.offset;
-  data = other17.data;
-  last = other17.last;
-  __isset = other17.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other26) {
+  groupId = other26.groupId;
+  leaderId = other26.leaderId;
+  term = other26.term;
+  revision = other26.revision;
+  revisionTerm = other26.revisionTerm;
+  offset = other26.offset;
+  data = other26.data;
+  last = other26.last;
+  voters = other26.voters;
+  __isset = other26.__isset;
+}
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other27) {
+  groupId = other27.groupId;
+  leaderId = other27.leaderId;
+  term = other27.term;
+  revision = other27.revision;
+  revisionTerm = other27.revisionTerm;
+  offset = other27.offset;
+  data = other27.data;
+  last = other27.last;
+  voters = other27.voters;
+  __isset = other27.__isset;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -1095,6 +1449,7 @@
   out << ", " << "offset=" << to_string(offset);
   out << ", " << "data=" << to_string(data);
   out << ", " << "last=" << to_string(last);
+  out << ", " << "voters=" << to_string(voters);
   out << ")";
 }
 
@@ -1191,15 +1546,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotReply::SnapshotReply(const SnapshotReply& other18) noexcept {
-  term = other18.term;
-  accepted = other18.accepted;
-  __isset = other18.__isset;
+SnapshotReply::SnapshotReply(const SnapshotReply& other28) noexcept {
+  term = other28.term;
+  accepted = other28.accepted;
+  __isset = other28.__isset;
 }
-SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other19) noexcept {
-  term = other19.term;
-  accepted = other19.accepted;
-  __isset = other19.__isset;
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other29) noexcept {
+  term = other29.term;
+  accepted = other29.accepted;
+  __isset = other29.__isset;
   return *this;
 }
 void SnapshotReply::printTo(std::ostream& out) const {
@@ -1337,19 +1692,19 @@
   swap(a.__isset, b.__isset);
 }
 
-ObserveRequest::ObserveRequest(const ObserveRequest& other20) {
-  groupId = other20.groupId;
-  observerId = other20.observerId;
-  appliedRevision = other20.appliedRevision;
-  waitMs = other20.waitMs;
-  __isset = other20.__isset;
+ObserveRequest::ObserveRequest(const ObserveRequest& other30) {
+  groupId = other30.groupId;
+  observerId = other30.observerId;
+  appliedRevision = other30.appliedRevision;
+  waitMs = other30.waitMs;
+  __isset = other30.__isset;
 }
-ObserveRequest& ObserveRequest::operator=(const ObserveRequest& other21) {
-  groupId = other21.groupId;
-  observerId = other21.observerId;
-  appliedRevision = other21.appliedRevision;
-  waitMs = other21.waitMs;
-  __isset = other21.__isset;
+ObserveRequest& ObserveRequest::operator=(const ObserveRequest& other31) {
+  groupId = other31.groupId;
+  observerId = other31.observerId;
+  appliedRevision = other31.appliedRevision;
+  waitMs = other31.waitMs;
+  __isset = other31.__isset;
   return *this;
 }
 void ObserveRequest::printTo(std::ostream& out) const {
@@ -1375,17 +1730,21 @@
   this->commitRevision = val;
 }
 
-void ObserveReply::__set_snapshot(const std::string& val) {
-  this->snapshot = val;
+void ObserveReply::__set_snapshotNeeded(const bool val) {
+  this->snapshotNeeded = val;
 }
 
-void ObserveReply::__set_snapshotRevision(const int64_t val) {
-  this->snapshotRevision = val;
+void ObserveReply::__set_term(const int64_t val) {
+  this->term = val;
 }
 
 void ObserveReply::__set_leaderId(const std::string& val) {
   this->leaderId = val;
 }
+
+void ObserveReply::__set_quorumAgeMs(const int64_t val) {
+  this->quorumAgeMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const ObserveReply& obj)
 {
   obj.printTo(out);
@@ -1418,14 +1777,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->entries.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->entries.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->entries[_i26].read(iprot);
+              xfer += this->entries[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1443,17 +1802,17 @@
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->snapshot);
-          this->__isset.snapshot = true;
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->snapshotNeeded);
+          this->__isset.snapshotNeeded = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->snapshotRevision);
-          this->__isset.snapshotRevision = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1466,6 +1825,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->quorumAgeMs);
+          this->__isset.quorumAgeMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1486,10 +1853,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<ReplicaEntry> ::const_iterator _iter27;
-    for (_iter27 = this->entries.begin(); _iter27 != this->entries.end(); ++_iter27)
+    std::vector<ReplicaEntry> ::const_iterator _iter37;
+    for (_iter37 = this->entries.begin(); _iter37 != this->entries.end(); ++_iter37)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1499,18 +1866,22 @@
   xfer += oprot->writeI64(this->commitRevision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("snapshot", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->snapshot);
+  xfer += oprot->writeFieldBegin("snapshotNeeded", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->snapshotNeeded);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("snapshotRevision", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->snapshotRevision);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("leaderId", ::apache::thrift::protocol::T_STRING, 5);
   xfer += oprot->writeString(this->leaderId);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("quorumAgeMs", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->quorumAgeMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1520,27 +1891,30 @@
   using ::std::swap;
   swap(a.entries, b.entries);
   swap(a.commitRevision, b.commitRevision);
-  swap(a.snapshot, b.snapshot);
-  swap(a.snapshotRevision, b.snapshotRevision);
+  swap(a.snapshotNeeded, b.snapshotNeeded);
+  swap(a.term, b.term);
   swap(a.leaderId, b.leaderId);
+  swap(a.quorumAgeMs, b.quorumAgeMs);
   swap(a.__isset, b.__isset);
 }
 
-ObserveReply::ObserveReply(const ObserveReply& other28) {
-  entries = other28.entries;
-  commitRevision = other28.commitRevision;
-  snapshot = other28.snapshot;
-  snapshotRevision = other28.snapshotRevision;
-  leaderId = other28.leaderId;
-  __isset = other28.__isset;
+ObserveReply::ObserveReply(const ObserveReply& other38) {
+  entries = other38.entries;
+  commitRevision = other38.commitRevision;
+  snapshotNeeded = other38.snapshotNeeded;
+  term = other38.term;
+  leaderId = other38.leaderId;
+  quorumAgeMs = other38.quorumAgeMs;
+  __isset = other38.__isset;
 }
-ObserveReply& ObserveReply::operator=(const ObserveReply& other29) {
-  entries = other29.entries;
-  commitRevision = other29.commitRevision;
-  snapshot = other29.snapshot;
-  snapshotRevision = other29.snapshotRevision;
-  leaderId = other29.leaderId;
-  __isset = other29.__isset;
+ObserveReply& ObserveReply::operator=(const ObserveReply& other39) {
+  entries = other39.entries;
+  commitRevision = other39.commitRevision;
+  snapshotNeeded = other39.snapshotNeeded;
+  term = other39.term;
+  leaderId = other39.leaderId;
+  quorumAgeMs = other39.quorumAgeMs;
+  __isset = other39.__isset;
   return *this;
 }
 void ObserveReply::printTo(std::ostream& out) const {
@@ -1548,36 +1922,37 @@
   out << "ObserveReply(";
   out << "entries=" << to_string(entries);
   out << ", " << "commitRevision=" << to_string(commitRevision);
-  out << ", " << "snapshot=" << to_string(snapshot);
-  out << ", " << "snapshotRevision=" << to_string(snapshotRevision);
+  out << ", " << "snapshotNeeded=" << to_string(snapshotNeeded);
+  out << ", " << "term=" << to_string(term);
   out << ", " << "leaderId=" << to_string(leaderId);
+  out << ", " << "quorumAgeMs=" << to_string(quorumAgeMs);
   out << ")";
 }
 
 
-SubmitRequest::~SubmitRequest() noexcept {
+SnapshotChunkRequest::~SnapshotChunkRequest() noexcept {
 }
 
 
-void SubmitRequest::__set_groupId(const std::string& val) {
+void SnapshotChunkRequest::__set_groupId(const std::string& val) {
   this->groupId = val;
 }
 
-void SubmitRequest::__set_payload(const std::string& val) {
-  this->payload = val;
+void SnapshotChunkRequest::__set_revision(const int64_t val) {
+  this->revision = val;
 }
 
-void SubmitRequest::__set_timeoutMs(const int32_t val) {
-  this->timeoutMs = val;
+void SnapshotChunkRequest::__set_offset(const int64_t val) {
+  this->offset = val;
 }
-std::ostream& operator<<(std::ostream& out, const SubmitRequest& obj)
+std::ostream& operator<<(std::ostream& out, const SnapshotChunkRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SubmitRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotChunkRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1607,17 +1982,17 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->payload);
-          this->__isset.payload = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->timeoutMs);
-          this->__isset.timeoutMs = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->offset);
+          this->__isset.offset = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1634,21 +2009,21 @@
   return xfer;
 }
 
-uint32_t SubmitRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotChunkRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SubmitRequest");
+  xfer += oprot->writeStructBegin("SnapshotChunkRequest");
 
   xfer += oprot->writeFieldBegin("groupId", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->groupId);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeBinary(this->payload);
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("timeoutMs", ::apache::thrift::protocol::T_I32, 3);
-  xfer += oprot->writeI32(this->timeoutMs);
+  xfer += oprot->writeFieldBegin("offset", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->offset);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1656,64 +2031,68 @@
   return xfer;
 }
 
-void swap(SubmitRequest &a, SubmitRequest &b) {
+void swap(SnapshotChunkRequest &a, SnapshotChunkRequest &b) {
   using ::std::swap;
   swap(a.groupId, b.groupId);
-  swap(a.payload, b.payload);
-  swap(a.timeoutMs, b.timeoutMs);
+  swap(a.revision, b.revision);
+  swap(a.offset, b.offset);
   swap(a.__isset, b.__isset);
 }
 
-SubmitRequest::SubmitRequest(const SubmitRequest& other30) {
-  groupId = other30.groupId;
-  payload = other30.payload;
-  timeoutMs = other30.timeoutMs;
-  __isset = other30.__isset;
+SnapshotChunkRequest::SnapshotChunkRequest(const SnapshotChunkRequest& other40) {
+  groupId = other40.groupId;
+  revision = other40.revision;
+  offset = other40.offset;
+  __isset = other40.__isset;
 }
-SubmitRequest& SubmitRequest::operator=(const SubmitRequest& other31) {
-  groupId = other31.groupId;
-  payload = other31.payload;
-  timeoutMs = other31.timeoutMs;
-  __isset = other31.__isset;
+SnapshotChunkRequest& SnapshotChunkRequest::operator=(const SnapshotChunkRequest& other41) {
+  groupId = other41.groupId;
+  revision = other41.revision;
+  offset = other41.offset;
+  __isset = other41.__isset;
   return *this;
 }
-void SubmitRequest::printTo(std::ostream& out) const {
+void SnapshotChunkRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SubmitRequest(";
+  out << "SnapshotChunkRequest(";
   out << "groupId=" << to_string(groupId);
-  out << ", " << "payload=" << to_string(payload);
-  out << ", " << "timeoutMs=" << to_string(timeoutMs);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "offset=" << to_string(offset);
   out << ")";
 }
 
 
-SubmitReply::~SubmitReply() noexcept {
+SnapshotChunk::~SnapshotChunk() noexcept {
 }
 
 
-void SubmitReply::__set_status(const SubmitStatus::type val) {
-  this->status = val;
+void SnapshotChunk::__set_revision(const int64_t val) {
+  this->revision = val;
 }
 
-void SubmitReply::__set_revision(const int64_t val) {
-  this->revision = val;
+void SnapshotChunk::__set_term(const int64_t val) {
+  this->term = val;
 }
 
-void SubmitReply::__set_reply(const std::string& val) {
-  this->reply = val;
+void SnapshotChunk::__set_voters(const std::string& val) {
+  this->voters = val;
 }
 
-void SubmitReply::__set_leaderId(const std::string& val) {
-  this->leaderId = val;
+void SnapshotChunk::__set_data(const std::string& val) {
+  this->data = val;
 }
-std::ostream& operator<<(std::ostream& out, const SubmitReply& obj)
+
+void SnapshotChunk::__set_last(const bool val) {
+  this->last = val;
+}
+std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t SubmitReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SnapshotChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1735,35 +2114,41 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast32;
-          xfer += iprot->readI32(ecast32);
-          this->status = static_cast<SubmitStatus::type>(ecast32);
-          this->__isset.status = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->revision);
-          this->__isset.revision = true;
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readBinary(this->reply);
-          this->__isset.reply = true;
+          xfer += iprot->readBinary(this->voters);
+          this->__isset.voters = true;
         } else {
           xfer += iprot->skip(ftype);
         }
         break;
       case 4:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->leaderId);
-          this->__isset.leaderId = true;
+          xfer += iprot->readBinary(this->data);
+          this->__isset.data = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->last);
+          this->__isset.last = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1780,25 +2165,29 @@
   return xfer;
 }
 
-uint32_t SubmitReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SnapshotChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("SubmitReply");
+  xfer += oprot->writeStructBegin("SnapshotChunk");
 
-  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
-  xfer += oprot->writeI32(static_cast<int32_t>(this->status));
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
-  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("reply", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeBinary(this->reply);
+  xfer += oprot->writeFieldBegin("voters", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->voters);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaderId", ::apache::thrift::protocol::T_STRING, 4);
-  xfer += oprot->writeString(this->leaderId);
+  xfer += oprot->writeFieldBegin("data", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeBinary(this->data);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->last);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1806,60 +2195,68 @@
   return xfer;
 }
 
-void swap(SubmitReply &a, SubmitReply &b) {
+void swap(SnapshotChunk &a, SnapshotChunk &b) {
   using ::std::swap;
-  swap(a.status, b.status);
   swap(a.revision, b.revision);
-  swap(a.reply, b.reply);
-  swap(a.leaderId, b.leaderId);
+  swap(a.term, b.term);
+  swap(a.voters, b.voters);
+  swap(a.data, b.data);
+  swap(a.last, b.last);
   swap(a.__isset, b.__isset);
 }
 
-SubmitReply::SubmitReply(const SubmitReply& other33) {
-  status = other33.status;
-  revision = other33.revision;
-  reply = other33.reply;
-  leaderId = other33.leaderId;
-  __isset = other33.__isset;
-}
-SubmitReply& SubmitReply::operator=(const SubmitReply& other34) {
-  status = other34.status;
-  revision = other34.revision;
-  reply = other34.reply;
-  leaderId = other34.leaderId;
-  __isset = other34.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other42) {
+  revision = other42.revision;
+  term = other42.term;
+  voters = other42.voters;
+  data = other42.data;
+  last = other42.last;
+  __isset = other42.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other43) {
+  revision = other43.revision;
+  term = other43.term;
+  voters = other43.voters;
+  data = other43.data;
+  last = other43.last;
+  __isset = other43.__isset;
   return *this;
 }
-void SubmitReply::printTo(std::ostream& out) const {
+void SnapshotChunk::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "SubmitReply(";
-  out << "status=" << to_string(status);
-  out << ", " << "revision=" << to_string(revision);
-  out << ", " << "reply=" << to_string(reply);
-  out << ", " << "leaderId=" << to_string(leaderId);
+  out << "SnapshotChunk(";
+  out << "revision=" << to_string(revision);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "voters=" << to_string(voters);
+  out << ", " << "data=" << to_string(data);
+  out << ", " << "last=" << to_string(last);
   out << ")";
 }
 
 
-ConfirmRequest::~ConfirmRequest() noexcept {
+SubmitRequest::~SubmitRequest() noexcept {
 }
 
 
-void ConfirmRequest::__set_groupId(const std::string& val) {
+void SubmitRequest::__set_groupId(const std::string& val) {
   this->groupId = val;
 }
 
-void ConfirmRequest::__set_processId(const std::string& val) {
-  this->processId = val;
+void SubmitRequest::__set_payloads(const std::vector<std::string> & val) {
+  this->payloads = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfirmRequest& obj)
+
+void SubmitRequest::__set_timeoutMs(const int32_t val) {
+  this->timeoutMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const SubmitRequest& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfirmRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SubmitRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1889,9 +2286,29 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->processId);
-          this->__isset.processId = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->payloads.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->payloads.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += iprot->readBinary(this->payloads[_i48]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.payloads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->timeoutMs);
+          this->__isset.timeoutMs = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1908,17 +2325,29 @@
   return xfer;
 }
 
-uint32_t ConfirmRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SubmitRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfirmRequest");
+  xfer += oprot->writeStructBegin("SubmitRequest");
 
   xfer += oprot->writeFieldBegin("groupId", ::apache::thrift::protocol::T_STRING, 1);
   xfer += oprot->writeString(this->groupId);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("processId", ::apache::thrift::protocol::T_STRING, 2);
-  xfer += oprot->writeString(this->processId);
+  xfer += oprot->writeFieldBegin("payloads", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->payloads.size()));
+    std::vector<std::string> ::const_iterator _iter49;
+    for (_iter49 = this->payloads.begin(); _iter49 != this->payloads.end(); ++_iter49)
+    {
+      xfer += oprot->writeBinary((*_iter49));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeoutMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->timeoutMs);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -1926,56 +2355,60 @@
   return xfer;
 }
 
-void swap(ConfirmRequest &a, ConfirmRequest &b) {
+void swap(SubmitRequest &a, SubmitRequest &b) {
   using ::std::swap;
   swap(a.groupId, b.groupId);
-  swap(a.processId, b.processId);
+  swap(a.payloads, b.payloads);
+  swap(a.timeoutMs, b.timeoutMs);
   swap(a.__isset, b.__isset);
 }
 
-ConfirmRequest::ConfirmRequest(const ConfirmRequest& other35) {
-  groupId = other35.groupId;
-  processId = other35.processId;
-  __isset = other35.__isset;
+SubmitRequest::SubmitRequest(const SubmitRequest& other50) {
+  groupId = other50.groupId;
+  payloads = other50.payloads;
+  timeoutMs = other50.timeoutMs;
+  __isset = other50.__isset;
 }
-ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other36) {
-  groupId = other36.groupId;
-  processId = other36.processId;
-  __isset = other36.__isset;
+SubmitRequest& SubmitRequest::operator=(const SubmitRequest& other51) {
+  groupId = other51.groupId;
+  payloads = other51.payloads;
+  timeoutMs = other51.timeoutMs;
+  __isset = other51.__isset;
   return *this;
 }
-void ConfirmRequest::printTo(std::ostream& out) const {
+void SubmitRequest::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfirmRequest(";
+  out << "SubmitRequest(";
   out << "groupId=" << to_string(groupId);
-  out << ", " << "processId=" << to_string(processId);
+  out << ", " << "payloads=" << to_string(payloads);
+  out << ", " << "timeoutMs=" << to_string(timeoutMs);
   out << ")";
 }
 
 
-ConfirmReply::~ConfirmReply() noexcept {
+SubmitResult::~SubmitResult() noexcept {
 }
 
 
-void ConfirmReply::__set_confirmed(const bool val) {
-  this->confirmed = val;
+void SubmitResult::__set_status(const SubmitStatus::type val) {
+  this->status = val;
 }
 
-void ConfirmReply::__set_revision(const int64_t val) {
+void SubmitResult::__set_revision(const int64_t val) {
   this->revision = val;
 }
 
-void ConfirmReply::__set_leaderId(const std::string& val) {
-  this->leaderId = val;
+void SubmitResult::__set_reply(const std::string& val) {
+  this->reply = val;
 }
-std::ostream& operator<<(std::ostream& out, const ConfirmReply& obj)
+std::ostream& operator<<(std::ostream& out, const SubmitResult& obj)
 {
   obj.printTo(out);
   return out;
 }
 
 
-uint32_t ConfirmReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+uint32_t SubmitResult::read(::apache::thrift::protocol::TProtocol* iprot) {
 
   ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
   uint32_t xfer = 0;
@@ -1997,9 +2430,11 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->confirmed);
-          this->__isset.confirmed = true;
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast52;
+          xfer += iprot->readI32(ecast52);
+          this->status = static_cast<SubmitStatus::type>(ecast52);
+          this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2014,8 +2449,8 @@
         break;
       case 3:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->leaderId);
-          this->__isset.leaderId = true;
+          xfer += iprot->readBinary(this->reply);
+          this->__isset.reply = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -2032,21 +2467,21 @@
   return xfer;
 }
 
-uint32_t ConfirmReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+uint32_t SubmitResult::write(::apache::thrift::protocol::TProtocol* oprot) const {
   uint32_t xfer = 0;
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("ConfirmReply");
+  xfer += oprot->writeStructBegin("SubmitResult");
 
-  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 1);
-  xfer += oprot->writeBool(this->confirmed);
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->status));
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
   xfer += oprot->writeI64(this->revision);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("leaderId", ::apache::thrift::protocol::T_STRING, 3);
-  xfer += oprot->writeString(this->leaderId);
+  xfer += oprot->writeFieldBegin("reply", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeBinary(this->reply);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldStop();
@@ -2054,33 +2489,1303 @@
   return xfer;
 }
 
-void swap(ConfirmReply &a, ConfirmReply &b) {
+void swap(SubmitResult &a, SubmitResult &b) {
   using ::std::swap;
-  swap(a.confirmed, b.confirmed);
+  swap(a.status, b.status);
   swap(a.revision, b.revision);
-  swap(a.leaderId, b.leaderId);
+  swap(a.reply, b.reply);
   swap(a.__isset, b.__isset);
 }
 
-ConfirmReply::ConfirmReply(const ConfirmReply& other37) {
-  confirmed = other37.confirmed;
-  revision = other37.revision;
-  leaderId = other37.leaderId;
-  __isset = other37.__isset;
+SubmitResult::SubmitResult(const SubmitResult& other53) {
+  status = other53.status;
+  revision = other53.revision;
+  reply = other53.reply;
+  __isset = other53.__isset;
 }
-ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other38) {
-  confirmed = other38.confirmed;
-  revision = other38.revision;
-  leaderId = other38.leaderId;
-  __isset = other38.__isset;
+SubmitResult& SubmitResult::operator=(const SubmitResult& other54) {
+  status = other54.status;
+  revision = other54.revision;
+  reply = other54.reply;
+  __isset = other54.__isset;
   return *this;
 }
-void ConfirmReply::printTo(std::ostream& out) const {
+void SubmitResult::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
-  out << "ConfirmReply(";
-  out << "confirmed=" << to_string(confirmed);
+  out << "SubmitResult(";
+  out << "status=" << to_string(status);
   out << ", " << "revision=" << to_string(revision);
+  out << ", " << "reply=" << to_string(reply);
+  out << ")";
+}
+
+
+SubmitReply::~SubmitReply() noexcept {
+}
+
+
+void SubmitReply::__set_results(const std::vector<SubmitResult> & val) {
+  this->results = val;
+}
+
+void SubmitReply::__set_leaderId(const std::string& val) {
+  this->leaderId = val;
+}
+std::ostream& operator<<(std::ostream& out, const SubmitReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t SubmitReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->results.clear();
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->results.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
+            {
+              xfer += this->results[_i59].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.results = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leaderId);
+          this->__isset.leaderId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t SubmitReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("SubmitReply");
+
+  xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
+    std::vector<SubmitResult> ::const_iterator _iter60;
+    for (_iter60 = this->results.begin(); _iter60 != this->results.end(); ++_iter60)
+    {
+      xfer += (*_iter60).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->leaderId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(SubmitReply &a, SubmitReply &b) {
+  using ::std::swap;
+  swap(a.results, b.results);
+  swap(a.leaderId, b.leaderId);
+  swap(a.__isset, b.__isset);
+}
+
+SubmitReply::SubmitReply(const SubmitReply& other61) {
+  results = other61.results;
+  leaderId = other61.leaderId;
+  __isset = other61.__isset;
+}
+SubmitReply& SubmitReply::operator=(const SubmitReply& other62) {
+  results = other62.results;
+  leaderId = other62.leaderId;
+  __isset = other62.__isset;
+  return *this;
+}
+void SubmitReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "SubmitReply(";
+  out << "results=" << to_string(results);
+  out << ", " << "leaderId=" << to_string(leaderId);
+  out << ")";
+}
+
+
+ConfirmRequest::~ConfirmRequest() noexcept {
+}
+
+
+void ConfirmRequest::__set_groupId(const std::string& val) {
+  this->groupId = val;
+}
+
+void ConfirmRequest::__set_processId(const std::string& val) {
+  this->processId = val;
+}
+
+void ConfirmRequest::__set_timeoutMs(const int32_t val) {
+  this->timeoutMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfirmRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfirmRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->groupId);
+          this->__isset.groupId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->processId);
+          this->__isset.processId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->timeoutMs);
+          this->__isset.timeoutMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfirmRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfirmRequest");
+
+  xfer += oprot->writeFieldBegin("groupId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->groupId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("processId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->processId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeoutMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->timeoutMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfirmRequest &a, ConfirmRequest &b) {
+  using ::std::swap;
+  swap(a.groupId, b.groupId);
+  swap(a.processId, b.processId);
+  swap(a.timeoutMs, b.timeoutMs);
+  swap(a.__isset, b.__isset);
+}
+
+ConfirmRequest::ConfirmRequest(const ConfirmRequest& other63) {
+  groupId = other63.groupId;
+  processId = other63.processId;
+  timeoutMs = other63.timeoutMs;
+  __isset = other63.__isset;
+}
+ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other64) {
+  groupId = other64.groupId;
+  processId = other64.processId;
+  timeoutMs = other64.timeoutMs;
+  __isset = other64.__isset;
+  return *this;
+}
+void ConfirmRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfirmRequest(";
+  out << "groupId=" << to_string(groupId);
+  out << ", " << "processId=" << to_string(processId);
+  out << ", " << "timeoutMs=" << to_string(timeoutMs);
+  out << ")";
+}
+
+
+ConfirmReply::~ConfirmReply() noexcept {
+}
+
+
+void ConfirmReply::__set_confirmed(const bool val) {
+  this->confirmed = val;
+}
+
+void ConfirmReply::__set_revision(const int64_t val) {
+  this->revision = val;
+}
+
+void ConfirmReply::__set_leaderId(const std::string& val) {
+  this->leaderId = val;
+}
+std::ostream& operator<<(std::ostream& out, const ConfirmReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ConfirmReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->confirmed);
+          this->__isset.confirmed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->revision);
+          this->__isset.revision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leaderId);
+          this->__isset.leaderId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ConfirmReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ConfirmReply");
+
+  xfer += oprot->writeFieldBegin("confirmed", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->confirmed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("revision", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->revision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderId", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->leaderId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ConfirmReply &a, ConfirmReply &b) {
+  using ::std::swap;
+  swap(a.confirmed, b.confirmed);
+  swap(a.revision, b.revision);
+  swap(a.leaderId, b.leaderId);
+  swap(a.__isset, b.__isset);
+}
+
+ConfirmReply::ConfirmReply(const ConfirmReply& other65) {
+  confirmed = other65.confirmed;
+  revision = other65.revision;
+  leaderId = other65.leaderId;
+  __isset = other65.__isset;
+}
+ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other66) {
+  confirmed = other66.confirmed;
+  revision = other66.revision;
+  leaderId = other66.leaderId;
+  __isset = other66.__isset;
+  return *this;
+}
+void ConfirmReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ConfirmReply(";
+  out << "confirmed=" << to_string(confirmed);
+  out << ", " << "revision=" << to_string(revision);
+  out << ", " << "leaderId=" << to_string(leaderId);
+  out << ")";
+}
+
+
+StatusRequest::~StatusRequest() noexcept {
+}
+
+
+void StatusRequest::__set_groupId(const std::string& val) {
+  this->groupId = val;
+}
+std::ostream& operator<<(std::ostream& out, const StatusRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StatusRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->groupId);
+          this->__isset.groupId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StatusRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StatusRequest");
+
+  xfer += oprot->writeFieldBegin("groupId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->groupId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StatusRequest &a, StatusRequest &b) {
+  using ::std::swap;
+  swap(a.groupId, b.groupId);
+  swap(a.__isset, b.__isset);
+}
+
+StatusRequest::StatusRequest(const StatusRequest& other67) {
+  groupId = other67.groupId;
+  __isset = other67.__isset;
+}
+StatusRequest& StatusRequest::operator=(const StatusRequest& other68) {
+  groupId = other68.groupId;
+  __isset = other68.__isset;
+  return *this;
+}
+void StatusRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StatusRequest(";
+  out << "groupId=" << to_string(groupId);
+  out << ")";
+}
+
+
+StatusReply::~StatusReply() noexcept {
+}
+
+
+void StatusReply::__set_leads(const bool val) {
+  this->leads = val;
+}
+
+void StatusReply::__set_leaderId(const std::string& val) {
+  this->leaderId = val;
+}
+
+void StatusReply::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void StatusReply::__set_commitRevision(const int64_t val) {
+  this->commitRevision = val;
+}
+
+void StatusReply::__set_appliedRevision(const int64_t val) {
+  this->appliedRevision = val;
+}
+
+void StatusReply::__set_hasQuorum(const bool val) {
+  this->hasQuorum = val;
+}
+
+void StatusReply::__set_progress(const std::vector<ProcessApplied> & val) {
+  this->progress = val;
+}
+std::ostream& operator<<(std::ostream& out, const StatusReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StatusReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->leads);
+          this->__isset.leads = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leaderId);
+          this->__isset.leaderId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->commitRevision);
+          this->__isset.commitRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->appliedRevision);
+          this->__isset.appliedRevision = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasQuorum);
+          this->__isset.hasQuorum = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->progress.clear();
+            uint32_t _size69;
+            ::apache::thrift::protocol::TType _etype72;
+            xfer += iprot->readListBegin(_etype72, _size69);
+            this->progress.resize(_size69);
+            uint32_t _i73;
+            for (_i73 = 0; _i73 < _size69; ++_i73)
+            {
+              xfer += this->progress[_i73].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.progress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StatusReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StatusReply");
+
+  xfer += oprot->writeFieldBegin("leads", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->leads);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->leaderId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("commitRevision", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->commitRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("appliedRevision", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->appliedRevision);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("hasQuorum", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->hasQuorum);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("progress", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->progress.size()));
+    std::vector<ProcessApplied> ::const_iterator _iter74;
+    for (_iter74 = this->progress.begin(); _iter74 != this->progress.end(); ++_iter74)
+    {
+      xfer += (*_iter74).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StatusReply &a, StatusReply &b) {
+  using ::std::swap;
+  swap(a.leads, b.leads);
+  swap(a.leaderId, b.leaderId);
+  swap(a.term, b.term);
+  swap(a.commitRevision, b.commitRevision);
+  swap(a.appliedRevision, b.appliedRevision);
+  swap(a.hasQuorum, b.hasQuorum);
+  swap(a.progress, b.progress);
+  swap(a.__isset, b.__isset);
+}
+
+StatusReply::StatusReply(const StatusReply& other75) {
+  leads = other75.leads;
+  leaderId = other75.leaderId;
+  term = other75.term;
+  commitRevision = other75.commitRevision;
+  appliedRevision = other75.appliedRevision;
+  hasQuorum = other75.hasQuorum;
+  progress = other75.progress;
+  __isset = other75.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other76) {
+  leads = other76.leads;
+  leaderId = other76.leaderId;
+  term = other76.term;
+  commitRevision = other76.commitRevision;
+  appliedRevision = other76.appliedRevision;
+  hasQuorum = other76.hasQuorum;
+  progress = other76.progress;
+  __isset = other76.__isset;
+  return *this;
+}
+void StatusReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StatusReply(";
+  out << "leads=" << to_string(leads);
+  out << ", " << "leaderId=" << to_string(leaderId);
+  out << ", " << "term=" << to_string(term);
+  out << ", " << "commitRevision=" << to_string(commitRevision);
+  out << ", " << "appliedRevision=" << to_string(appliedRevision);
+  out << ", " << "hasQuorum=" << to_string(hasQuorum);
+  out << ", " << "progress=" << to_string(progress);
+  out << ")";
+}
+
+
+TransferRequest::~TransferRequest() noexcept {
+}
+
+
+void TransferRequest::__set_groupId(const std::string& val) {
+  this->groupId = val;
+}
+
+void TransferRequest::__set_leaderId(const std::string& val) {
+  this->leaderId = val;
+}
+
+void TransferRequest::__set_term(const int64_t val) {
+  this->term = val;
+}
+std::ostream& operator<<(std::ostream& out, const TransferRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TransferRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->groupId);
+          this->__isset.groupId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leaderId);
+          this->__isset.leaderId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TransferRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TransferRequest");
+
+  xfer += oprot->writeFieldBegin("groupId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->groupId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->leaderId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TransferRequest &a, TransferRequest &b) {
+  using ::std::swap;
+  swap(a.groupId, b.groupId);
+  swap(a.leaderId, b.leaderId);
+  swap(a.term, b.term);
+  swap(a.__isset, b.__isset);
+}
+
+TransferRequest::TransferRequest(const TransferRequest& other77) {
+  groupId = other77.groupId;
+  leaderId = other77.leaderId;
+  term = other77.term;
+  __isset = other77.__isset;
+}
+TransferRequest& TransferRequest::operator=(const TransferRequest& other78) {
+  groupId = other78.groupId;
+  leaderId = other78.leaderId;
+  term = other78.term;
+  __isset = other78.__isset;
+  return *this;
+}
+void TransferRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TransferRequest(";
+  out << "groupId=" << to_string(groupId);
+  out << ", " << "leaderId=" << to_string(leaderId);
+  out << ", " << "term=" << to_string(term);
+  out << ")";
+}
+
+
+TransferReply::~TransferReply() noexcept {
+}
+
+
+void TransferReply::__set_accepted(const bool val) {
+  this->accepted = val;
+}
+std::ostream& operator<<(std::ostream& out, const TransferReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TransferReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->accepted);
+          this->__isset.accepted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TransferReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TransferReply");
+
+  xfer += oprot->writeFieldBegin("accepted", ::apache::thrift::protocol::T_BOOL, 1);
+  xfer += oprot->writeBool(this->accepted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TransferReply &a, TransferReply &b) {
+  using ::std::swap;
+  swap(a.accepted, b.accepted);
+  swap(a.__isset, b.__isset);
+}
+
+TransferReply::TransferReply(const TransferReply& other79) noexcept {
+  accepted = other79.accepted;
+  __isset = other79.__isset;
+}
+TransferReply& TransferReply::operator=(const TransferReply& other80) noexcept {
+  accepted = other80.accepted;
+  __isset = other80.__isset;
+  return *this;
+}
+void TransferReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TransferReply(";
+  out << "accepted=" << to_string(accepted);
+  out << ")";
+}
+
+
+ReplaceVoterRequest::~ReplaceVoterRequest() noexcept {
+}
+
+
+void ReplaceVoterRequest::__set_groupId(const std::string& val) {
+  this->groupId = val;
+}
+
+void ReplaceVoterRequest::__set_removedId(const std::string& val) {
+  this->removedId = val;
+}
+
+void ReplaceVoterRequest::__set_addedId(const std::string& val) {
+  this->addedId = val;
+}
+
+void ReplaceVoterRequest::__set_addedZone(const std::string& val) {
+  this->addedZone = val;
+}
+
+void ReplaceVoterRequest::__set_addedAddress(const std::string& val) {
+  this->addedAddress = val;
+}
+
+void ReplaceVoterRequest::__set_timeoutMs(const int32_t val) {
+  this->timeoutMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplaceVoterRequest& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplaceVoterRequest::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->groupId);
+          this->__isset.groupId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->removedId);
+          this->__isset.removedId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->addedId);
+          this->__isset.addedId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->addedZone);
+          this->__isset.addedZone = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->addedAddress);
+          this->__isset.addedAddress = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->timeoutMs);
+          this->__isset.timeoutMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplaceVoterRequest::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplaceVoterRequest");
+
+  xfer += oprot->writeFieldBegin("groupId", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->groupId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("removedId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->removedId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("addedId", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->addedId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("addedZone", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->addedZone);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("addedAddress", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->addedAddress);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("timeoutMs", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->timeoutMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplaceVoterRequest &a, ReplaceVoterRequest &b) {
+  using ::std::swap;
+  swap(a.groupId, b.groupId);
+  swap(a.removedId, b.removedId);
+  swap(a.addedId, b.addedId);
+  swap(a.addedZone, b.addedZone);
+  swap(a.addedAddress, b.addedAddress);
+  swap(a.timeoutMs, b.timeoutMs);
+  swap(a.__isset, b.__isset);
+}
+
+ReplaceVoterRequest::ReplaceVoterRequest(const ReplaceVoterRequest& other81) {
+  groupId = other81.groupId;
+  removedId = other81.removedId;
+  addedId = other81.addedId;
+  addedZone = other81.addedZone;
+  addedAddress = other81.addedAddress;
+  timeoutMs = other81.timeoutMs;
+  __isset = other81.__isset;
+}
+ReplaceVoterRequest& ReplaceVoterRequest::operator=(const ReplaceVoterRequest& other82) {
+  groupId = other82.groupId;
+  removedId = other82.removedId;
+  addedId = other82.addedId;
+  addedZone = other82.addedZone;
+  addedAddress = other82.addedAddress;
+  timeoutMs = other82.timeoutMs;
+  __isset = other82.__isset;
+  return *this;
+}
+void ReplaceVoterRequest::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplaceVoterRequest(";
+  out << "groupId=" << to_string(groupId);
+  out << ", " << "removedId=" << to_string(removedId);
+  out << ", " << "addedId=" << to_string(addedId);
+  out << ", " << "addedZone=" << to_string(addedZone);
+  out << ", " << "addedAddress=" << to_string(addedAddress);
+  out << ", " << "timeoutMs=" << to_string(timeoutMs);
+  out << ")";
+}
+
+
+ReplaceVoterReply::~ReplaceVoterReply() noexcept {
+}
+
+
+void ReplaceVoterReply::__set_status(const SubmitStatus::type val) {
+  this->status = val;
+}
+
+void ReplaceVoterReply::__set_leaderId(const std::string& val) {
+  this->leaderId = val;
+}
+
+void ReplaceVoterReply::__set_reason(const std::string& val) {
+  this->reason = val;
+}
+std::ostream& operator<<(std::ostream& out, const ReplaceVoterReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t ReplaceVoterReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast83;
+          xfer += iprot->readI32(ecast83);
+          this->status = static_cast<SubmitStatus::type>(ecast83);
+          this->__isset.status = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->leaderId);
+          this->__isset.leaderId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t ReplaceVoterReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("ReplaceVoterReply");
+
+  xfer += oprot->writeFieldBegin("status", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->status));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaderId", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->leaderId);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->reason);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(ReplaceVoterReply &a, ReplaceVoterReply &b) {
+  using ::std::swap;
+  swap(a.status, b.status);
+  swap(a.leaderId, b.leaderId);
+  swap(a.reason, b.reason);
+  swap(a.__isset, b.__isset);
+}
+
+ReplaceVoterReply::ReplaceVoterReply(const ReplaceVoterReply& other84) {
+  status = other84.status;
+  leaderId = other84.leaderId;
+  reason = other84.reason;
+  __isset = other84.__isset;
+}
+ReplaceVoterReply& ReplaceVoterReply::operator=(const ReplaceVoterReply& other85) {
+  status = other85.status;
+  leaderId = other85.leaderId;
+  reason = other85.reason;
+  __isset = other85.__isset;
+  return *this;
+}
+void ReplaceVoterReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "ReplaceVoterReply(";
+  out << "status=" << to_string(status);
   out << ", " << "leaderId=" << to_string(leaderId);
+  out << ", " << "reason=" << to_string(reason);
   out << ")";
 }
 
--- a/src/libs/wire/gen/replication_types.h
+++ b/src/libs/wire/gen/replication_types.h
@@ -36,12 +36,16 @@
 
 std::string to_string(const SubmitStatus::type& val);
 
+class WrongGroup;
+
 class ReplicaEntry;
 
 class VoteRequest;
 
 class VoteReply;
 
+class ProcessApplied;
+
 class AppendRequest;
 
 class AppendReply;
@@ -54,19 +58,83 @@
 
 class ObserveReply;
 
+class SnapshotChunkRequest;
+
+class SnapshotChunk;
+
 class SubmitRequest;
 
+class SubmitResult;
+
 class SubmitReply;
 
 class ConfirmRequest;
 
 class ConfirmReply;
 
+class StatusRequest;
+
+class StatusReply;
+
+class TransferRequest;
+
+class TransferReply;
+
+class ReplaceVoterRequest;
+
+class ReplaceVoterReply;
+
+typedef struct _WrongGroup__isset {
+  _WrongGroup__isset() : groupId(false) {}
+  bool groupId :1;
+} _WrongGroup__isset;
+
+class WrongGroup : public ::apache::thrift::TException {
+ public:
+
+  WrongGroup(const WrongGroup&);
+  WrongGroup& operator=(const WrongGroup&);
+  WrongGroup() noexcept
+             : groupId() {
+  }
+
+  virtual ~WrongGroup() noexcept;
+  std::string groupId;
+
+  _WrongGroup__isset __isset;
+
+  void __set_groupId(const std::string& val);
+
+  bool operator == (const WrongGroup & rhs) const
+  {
+    if (!(groupId == rhs.groupId))
+      return false;
+    return true;
+  }
+  bool operator != (const WrongGroup &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const WrongGroup & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot);
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const;
+
+  virtual void printTo(std::ostream& out) const;
+  mutable std::string thriftTExceptionMessageHolder_;
+  const char* what() const noexcept override;
+};
+
+void swap(WrongGroup &a, WrongGroup &b);
+
+std::ostream& operator<<(std::ostream& out, const WrongGroup& obj);
+
 typedef struct _ReplicaEntry__isset {
-  _ReplicaEntry__isset() : revision(false), term(false), payload(false) {}
+  _ReplicaEntry__isset() : revision(false), term(false), payload(false), kind(false) {}
   bool revision :1;
   bool term :1;
   bool payload :1;
+  bool kind :1;
 } _ReplicaEntry__isset;
 
 class ReplicaEntry : public virtual ::apache::thrift::TBase {
@@ -77,13 +145,15 @@
   ReplicaEntry() noexcept
                : revision(0),
                  term(0),
-                 payload() {
+                 payload(),
+                 kind(0) {
   }
 
   virtual ~ReplicaEntry() noexcept;
   int64_t revision;
   int64_t term;
   std::string payload;
+  int32_t kind;
 
   _ReplicaEntry__isset __isset;
 
@@ -93,6 +163,8 @@
 
   void __set_payload(const std::string& val);
 
+  void __set_kind(const int32_t val);
+
   bool operator == (const ReplicaEntry & rhs) const
   {
     if (!(revision == rhs.revision))
@@ -101,6 +173,8 @@
       return false;
     if (!(payload == rhs.payload))
       return false;
+    if (!(kind == rhs.kind))
+      return false;
     return true;
   }
   bool operator != (const ReplicaEntry &rhs) const {
@@ -254,8 +328,65 @@
 
 std::ostream& operator<<(std::ostream& out, const VoteReply& obj);
 
+typedef struct _ProcessApplied__isset {
+  _ProcessApplied__isset() : processId(false), appliedRevision(false), ageMs(false) {}
+  bool processId :1;
+  bool appliedRevision :1;
+  bool ageMs :1;
+} _ProcessApplied__isset;
+
+class ProcessApplied : public virtual ::apache::thrift::TBase {
+ public:
+
+  ProcessApplied(const ProcessApplied&);
+  ProcessApplied& operator=(const ProcessApplied&);
+  ProcessApplied() noexcept
+                 : processId(),
+                   appliedRevision(0),
+                   ageMs(0) {
+  }
+
+  virtual ~ProcessApplied() noexcept;
+  std::string processId;
+  int64_t appliedRevision;
+  int64_t ageMs;
+
+  _ProcessApplied__isset __isset;
+
+  void __set_processId(const std::string& val);
+
+  void __set_appliedRevision(const int64_t val);
+
+  void __set_ageMs(const int64_t val);
+
+  bool operator == (const ProcessApplied & rhs) const
+  {
+    if (!(processId == rhs.processId))
+      return false;
+    if (!(appliedRevision == rhs.appliedRevision))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ProcessApplied &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ProcessApplied & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ProcessApplied &a, ProcessApplied &b);
+
+std::ostream& operator<<(std::ostream& out, const ProcessApplied& obj);
+
 typedef struct _AppendRequest__isset {
-  _AppendRequest__isset() : groupId(false), leaderId(false), term(false), previousRevision(false), previousTerm(false), commitRevision(false), entries(false) {}
+  _AppendRequest__isset() : groupId(false), leaderId(false), term(false), previousRevision(false), previousTerm(false), commitRevision(false), entries(false), quorumAgeMs(false) {}
   bool groupId :1;
   bool leaderId :1;
   bool term :1;
@@ -263,6 +394,7 @@
   bool previousTerm :1;
   bool commitRevision :1;
   bool entries :1;
+  bool quorumAgeMs :1;
 } _AppendRequest__isset;
 
 class AppendRequest : public virtual ::apache::thrift::TBase {
@@ -276,7 +408,8 @@
                   term(0),
                   previousRevision(0),
                   previousTerm(0),
-                  commitRevision(0) {
+                  commitRevision(0),
+                  quorumAgeMs(0) {
   }
 
   virtual ~AppendRequest() noexcept;
@@ -287,6 +420,7 @@
   int64_t previousTerm;
   int64_t commitRevision;
   std::vector<ReplicaEntry>  entries;
+  int64_t quorumAgeMs;
 
   _AppendRequest__isset __isset;
 
@@ -304,6 +438,8 @@
 
   void __set_entries(const std::vector<ReplicaEntry> & val);
 
+  void __set_quorumAgeMs(const int64_t val);
+
   bool operator == (const AppendRequest & rhs) const
   {
     if (!(groupId == rhs.groupId))
@@ -320,6 +456,8 @@
       return false;
     if (!(entries == rhs.entries))
       return false;
+    if (!(quorumAgeMs == rhs.quorumAgeMs))
+      return false;
     return true;
   }
   bool operator != (const AppendRequest &rhs) const {
@@ -339,27 +477,32 @@
 std::ostream& operator<<(std::ostream& out, const AppendRequest& obj);
 
 typedef struct _AppendReply__isset {
-  _AppendReply__isset() : term(false), accepted(false), lastRevision(false) {}
+  _AppendReply__isset() : term(false), accepted(false), lastRevision(false), appliedRevision(false), observers(false) {}
   bool term :1;
   bool accepted :1;
   bool lastRevision :1;
+  bool appliedRevision :1;
+  bool observers :1;
 } _AppendReply__isset;
 
 class AppendReply : public virtual ::apache::thrift::TBase {
  public:
 
-  AppendReply(const AppendReply&) noexcept;
-  AppendReply& operator=(const AppendReply&) noexcept;
+  AppendReply(const AppendReply&);
+  AppendReply& operator=(const AppendReply&);
   AppendReply() noexcept
               : term(0),
                 accepted(0),
-                lastRevision(0) {
+                lastRevision(0),
+                appliedRevision(0) {
   }
 
   virtual ~AppendReply() noexcept;
   int64_t term;
   bool accepted;
   int64_t lastRevision;
+  int64_t appliedRevision;
+  std::vector<ProcessApplied>  observers;
 
   _AppendReply__isset __isset;
 
@@ -369,6 +512,10 @@
 
   void __set_lastRevision(const int64_t val);
 
+  void __set_appliedRevision(const int64_t val);
+
+  void __set_observers(const std::vector<ProcessApplied> & val);
+
   bool operator == (const AppendReply & rhs) const
   {
     if (!(term == rhs.term))
@@ -377,6 +524,10 @@
       return false;
     if (!(lastRevision == rhs.lastRevision))
       return false;
+    if (!(appliedRevision == rhs.appliedRevision))
+      return false;
+    if (!(observers == rhs.observers))
+      return false;
     return true;
   }
   bool operator != (const AppendReply &rhs) const {
@@ -396,7 +547,7 @@
 std::ostream& operator<<(std::ostream& out, const AppendReply& obj);
 
 typedef struct _SnapshotRequest__isset {
-  _SnapshotRequest__isset() : groupId(false), leaderId(false), term(false), revision(false), revisionTerm(false), offset(false), data(false), last(false) {}
+  _SnapshotRequest__isset() : groupId(false), leaderId(false), term(false), revision(false), revisionTerm(false), offset(false), data(false), last(false), voters(false) {}
   bool groupId :1;
   bool leaderId :1;
   bool term :1;
@@ -405,6 +556,7 @@
   bool offset :1;
   bool data :1;
   bool last :1;
+  bool voters :1;
 } _SnapshotRequest__isset;
 
 class SnapshotRequest : public virtual ::apache::thrift::TBase {
@@ -420,7 +572,8 @@
                     revisionTerm(0),
                     offset(0),
                     data(),
-                    last(0) {
+                    last(0),
+                    voters() {
   }
 
   virtual ~SnapshotRequest() noexcept;
@@ -432,6 +585,7 @@
   int64_t offset;
   std::string data;
   bool last;
+  std::string voters;
 
   _SnapshotRequest__isset __isset;
 
@@ -451,6 +605,8 @@
 
   void __set_last(const bool val);
 
+  void __set_voters(const std::string& val);
+
   bool operator == (const SnapshotRequest & rhs) const
   {
     if (!(groupId == rhs.groupId))
@@ -469,6 +625,8 @@
       return false;
     if (!(last == rhs.last))
       return false;
+    if (!(voters == rhs.voters))
+      return false;
     return true;
   }
   bool operator != (const SnapshotRequest &rhs) const {
@@ -602,12 +760,13 @@
 std::ostream& operator<<(std::ostream& out, const ObserveRequest& obj);
 
 typedef struct _ObserveReply__isset {
-  _ObserveReply__isset() : entries(false), commitRevision(false), snapshot(false), snapshotRevision(false), leaderId(false) {}
+  _ObserveReply__isset() : entries(false), commitRevision(false), snapshotNeeded(false), term(false), leaderId(false), quorumAgeMs(false) {}
   bool entries :1;
   bool commitRevision :1;
-  bool snapshot :1;
-  bool snapshotRevision :1;
+  bool snapshotNeeded :1;
+  bool term :1;
   bool leaderId :1;
+  bool quorumAgeMs :1;
 } _ObserveReply__isset;
 
 class ObserveReply : public virtual ::apache::thrift::TBase {
@@ -617,17 +776,19 @@
   ObserveReply& operator=(const ObserveReply&);
   ObserveReply() noexcept
                : commitRevision(0),
-                 snapshot(),
-                 snapshotRevision(0),
-                 leaderId() {
+                 snapshotNeeded(0),
+                 term(0),
+                 leaderId(),
+                 quorumAgeMs(0) {
   }
 
   virtual ~ObserveReply() noexcept;
   std::vector<ReplicaEntry>  entries;
   int64_t commitRevision;
-  std::string snapshot;
-  int64_t snapshotRevision;
+  bool snapshotNeeded;
+  int64_t term;
   std::string leaderId;
+  int64_t quorumAgeMs;
 
   _ObserveReply__isset __isset;
 
@@ -635,24 +796,28 @@
 
   void __set_commitRevision(const int64_t val);
 
-  void __set_snapshot(const std::string& val);
+  void __set_snapshotNeeded(const bool val);
 
-  void __set_snapshotRevision(const int64_t val);
+  void __set_term(const int64_t val);
 
   void __set_leaderId(const std::string& val);
 
+  void __set_quorumAgeMs(const int64_t val);
+
   bool operator == (const ObserveReply & rhs) const
   {
     if (!(entries == rhs.entries))
       return false;
     if (!(commitRevision == rhs.commitRevision))
       return false;
-    if (!(snapshot == rhs.snapshot))
+    if (!(snapshotNeeded == rhs.snapshotNeeded))
       return false;
-    if (!(snapshotRevision == rhs.snapshotRevision))
+    if (!(term == rhs.term))
       return false;
     if (!(leaderId == rhs.leaderId))
       return false;
+    if (!(quorumAgeMs == rhs.quorumAgeMs))
+      return false;
     return true;
   }
   bool operator != (const ObserveReply &rhs) const {
@@ -671,10 +836,138 @@
 
 std::ostream& operator<<(std::ostream& out, const ObserveReply& obj);
 
+typedef struct _SnapshotChunkRequest__isset {
+  _SnapshotChunkRequest__isset() : groupId(false), revision(false), offset(false) {}
+  bool groupId :1;
+  bool revision :1;
+  bool offset :1;
+} _SnapshotChunkRequest__isset;
+
+class SnapshotChunkRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotChunkRequest(const SnapshotChunkRequest&);
+  SnapshotChunkRequest& operator=(const SnapshotChunkRequest&);
+  SnapshotChunkRequest() noexcept
+                       : groupId(),
+                         revision(0),
+                         offset(0) {
+  }
+
+  virtual ~SnapshotChunkRequest() noexcept;
+  std::string groupId;
+  int64_t revision;
+  int64_t offset;
+
+  _SnapshotChunkRequest__isset __isset;
+
+  void __set_groupId(const std::string& val);
+
+  void __set_revision(const int64_t val);
+
+  void __set_offset(const int64_t val);
+
+  bool operator == (const SnapshotChunkRequest & rhs) const
+  {
+    if (!(groupId == rhs.groupId))
+      return false;
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(offset == rhs.offset))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotChunkRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotChunkRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotChunkRequest &a, SnapshotChunkRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotChunkRequest& obj);
+
+typedef struct _SnapshotChunk__isset {
+  _SnapshotChunk__isset() : revision(false), term(false), voters(false), data(false), last(false) {}
+  bool revision :1;
+  bool term :1;
+  bool voters :1;
+  bool data :1;
+  bool last :1;
+} _SnapshotChunk__isset;
+
+class SnapshotChunk : public virtual ::apache::thrift::TBase {
+ public:
+
+  SnapshotChunk(const SnapshotChunk&);
+  SnapshotChunk& operator=(const SnapshotChunk&);
+  SnapshotChunk() noexcept
+                : revision(0),
+                  term(0),
+                  voters(),
+                  data(),
+                  last(0) {
+  }
+
+  virtual ~SnapshotChunk() noexcept;
+  int64_t revision;
+  int64_t term;
+  std::string voters;
+  std::string data;
+  bool last;
+
+  _SnapshotChunk__isset __isset;
+
+  void __set_revision(const int64_t val);
+
+  void __set_term(const int64_t val);
+
+  void __set_voters(const std::string& val);
+
+  void __set_data(const std::string& val);
+
+  void __set_last(const bool val);
+
+  bool operator == (const SnapshotChunk & rhs) const
+  {
+    if (!(revision == rhs.revision))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(voters == rhs.voters))
+      return false;
+    if (!(data == rhs.data))
+      return false;
+    if (!(last == rhs.last))
+      return false;
+    return true;
+  }
+  bool operator != (const SnapshotChunk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SnapshotChunk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SnapshotChunk &a, SnapshotChunk &b);
+
+std::ostream& operator<<(std::ostream& out, const SnapshotChunk& obj);
+
 typedef struct _SubmitRequest__isset {
-  _SubmitRequest__isset() : groupId(false), payload(false), timeoutMs(false) {}
+  _SubmitRequest__isset() : groupId(false), payloads(false), timeoutMs(false) {}
   bool groupId :1;
-  bool payload :1;
+  bool payloads :1;
   bool timeoutMs :1;
 } _SubmitRequest__isset;
 
@@ -685,20 +978,19 @@
   SubmitRequest& operator=(const SubmitRequest&);
   SubmitRequest() noexcept
                 : groupId(),
-                  payload(),
                   timeoutMs(0) {
   }
 
   virtual ~SubmitRequest() noexcept;
   std::string groupId;
-  std::string payload;
+  std::vector<std::string>  payloads;
   int32_t timeoutMs;
 
   _SubmitRequest__isset __isset;
 
   void __set_groupId(const std::string& val);
 
-  void __set_payload(const std::string& val);
+  void __set_payloads(const std::vector<std::string> & val);
 
   void __set_timeoutMs(const int32_t val);
 
@@ -706,7 +998,7 @@
   {
     if (!(groupId == rhs.groupId))
       return false;
-    if (!(payload == rhs.payload))
+    if (!(payloads == rhs.payloads))
       return false;
     if (!(timeoutMs == rhs.timeoutMs))
       return false;
@@ -728,27 +1020,25 @@
 
 std::ostream& operator<<(std::ostream& out, const SubmitRequest& obj);
 
-typedef struct _SubmitReply__isset {
-  _SubmitReply__isset() : status(false), revision(false), reply(false), leaderId(false) {}
+typedef struct _SubmitResult__isset {
+  _SubmitResult__isset() : status(false), revision(false), reply(false) {}
   bool status :1;
   bool revision :1;
   bool reply :1;
-  bool leaderId :1;
-} _SubmitReply__isset;
+} _SubmitResult__isset;
 
-class SubmitReply : public virtual ::apache::thrift::TBase {
+class SubmitResult : public virtual ::apache::thrift::TBase {
  public:
 
-  SubmitReply(const SubmitReply&);
-  SubmitReply& operator=(const SubmitReply&);
-  SubmitReply() noexcept
-              : status(static_cast<SubmitStatus::type>(0)),
-                revision(0),
-                reply(),
-                leaderId() {
+  SubmitResult(const SubmitResult&);
+  SubmitResult& operator=(const SubmitResult&);
+  SubmitResult() noexcept
+               : status(static_cast<SubmitStatus::type>(0)),
+                 revision(0),
+                 reply() {
   }
 
-  virtual ~SubmitReply() noexcept;
+  virtual ~SubmitResult() noexcept;
   /**
    * 
    * @see SubmitStatus
@@ -756,9 +1046,8 @@
   SubmitStatus::type status;
   int64_t revision;
   std::string reply;
-  std::string leaderId;
 
-  _SubmitReply__isset __isset;
+  _SubmitResult__isset __isset;
 
   void __set_status(const SubmitStatus::type val);
 
@@ -766,9 +1055,7 @@
 
   void __set_reply(const std::string& val);
 
-  void __set_leaderId(const std::string& val);
-
-  bool operator == (const SubmitReply & rhs) const
+  bool operator == (const SubmitResult & rhs) const
   {
     if (!(status == rhs.status))
       return false;
@@ -776,6 +1063,53 @@
       return false;
     if (!(reply == rhs.reply))
       return false;
+    return true;
+  }
+  bool operator != (const SubmitResult &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const SubmitResult & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(SubmitResult &a, SubmitResult &b);
+
+std::ostream& operator<<(std::ostream& out, const SubmitResult& obj);
+
+typedef struct _SubmitReply__isset {
+  _SubmitReply__isset() : results(false), leaderId(false) {}
+  bool results :1;
+  bool leaderId :1;
+} _SubmitReply__isset;
+
+class SubmitReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  SubmitReply(const SubmitReply&);
+  SubmitReply& operator=(const SubmitReply&);
+  SubmitReply() noexcept
+              : leaderId() {
+  }
+
+  virtual ~SubmitReply() noexcept;
+  std::vector<SubmitResult>  results;
+  std::string leaderId;
+
+  _SubmitReply__isset __isset;
+
+  void __set_results(const std::vector<SubmitResult> & val);
+
+  void __set_leaderId(const std::string& val);
+
+  bool operator == (const SubmitReply & rhs) const
+  {
+    if (!(results == rhs.results))
+      return false;
     if (!(leaderId == rhs.leaderId))
       return false;
     return true;
@@ -797,9 +1131,10 @@
 std::ostream& operator<<(std::ostream& out, const SubmitReply& obj);
 
 typedef struct _ConfirmRequest__isset {
-  _ConfirmRequest__isset() : groupId(false), processId(false) {}
+  _ConfirmRequest__isset() : groupId(false), processId(false), timeoutMs(false) {}
   bool groupId :1;
   bool processId :1;
+  bool timeoutMs :1;
 } _ConfirmRequest__isset;
 
 class ConfirmRequest : public virtual ::apache::thrift::TBase {
@@ -809,12 +1144,14 @@
   ConfirmRequest& operator=(const ConfirmRequest&);
   ConfirmRequest() noexcept
                  : groupId(),
-                   processId() {
+                   processId(),
+                   timeoutMs(0) {
   }
 
   virtual ~ConfirmRequest() noexcept;
   std::string groupId;
   std::string processId;
+  int32_t timeoutMs;
 
   _ConfirmRequest__isset __isset;
 
@@ -822,12 +1159,16 @@
 
   void __set_processId(const std::string& val);
 
+  void __set_timeoutMs(const int32_t val);
+
   bool operator == (const ConfirmRequest & rhs) const
   {
     if (!(groupId == rhs.groupId))
       return false;
     if (!(processId == rhs.processId))
       return false;
+    if (!(timeoutMs == rhs.timeoutMs))
+      return false;
     return true;
   }
   bool operator != (const ConfirmRequest &rhs) const {
@@ -903,6 +1244,372 @@
 
 std::ostream& operator<<(std::ostream& out, const ConfirmReply& obj);
 
+typedef struct _StatusRequest__isset {
+  _StatusRequest__isset() : groupId(false) {}
+  bool groupId :1;
+} _StatusRequest__isset;
+
+class StatusRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatusRequest(const StatusRequest&);
+  StatusRequest& operator=(const StatusRequest&);
+  StatusRequest() noexcept
+                : groupId() {
+  }
+
+  virtual ~StatusRequest() noexcept;
+  std::string groupId;
+
+  _StatusRequest__isset __isset;
+
+  void __set_groupId(const std::string& val);
+
+  bool operator == (const StatusRequest & rhs) const
+  {
+    if (!(groupId == rhs.groupId))
+      return false;
+    return true;
+  }
+  bool operator != (const StatusRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatusRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StatusRequest &a, StatusRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const StatusRequest& obj);
+
+typedef struct _StatusReply__isset {
+  _StatusReply__isset() : leads(false), leaderId(false), term(false), commitRevision(false), appliedRevision(false), hasQuorum(false), progress(false) {}
+  bool leads :1;
+  bool leaderId :1;
+  bool term :1;
+  bool commitRevision :1;
+  bool appliedRevision :1;
+  bool hasQuorum :1;
+  bool progress :1;
+} _StatusReply__isset;
+
+class StatusReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  StatusReply(const StatusReply&);
+  StatusReply& operator=(const StatusReply&);
+  StatusReply() noexcept
+              : leads(0),
+                leaderId(),
+                term(0),
+                commitRevision(0),
+                appliedRevision(0),
+                hasQuorum(0) {
+  }
+
+  virtual ~StatusReply() noexcept;
+  bool leads;
+  std::string leaderId;
+  int64_t term;
+  int64_t commitRevision;
+  int64_t appliedRevision;
+  bool hasQuorum;
+  std::vector<ProcessApplied>  progress;
+
+  _StatusReply__isset __isset;
+
+  void __set_leads(const bool val);
+
+  void __set_leaderId(const std::string& val);
+
+  void __set_term(const int64_t val);
+
+  void __set_commitRevision(const int64_t val);
+
+  void __set_appliedRevision(const int64_t val);
+
+  void __set_hasQuorum(const bool val);
+
+  void __set_progress(const std::vector<ProcessApplied> & val);
+
+  bool operator == (const StatusReply & rhs) const
+  {
+    if (!(leads == rhs.leads))
+      return false;
+    if (!(leaderId == rhs.leaderId))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    if (!(commitRevision == rhs.commitRevision))
+      return false;
+    if (!(appliedRevision == rhs.appliedRevision))
+      return false;
+    if (!(hasQuorum == rhs.hasQuorum))
+      return false;
+    if (!(progress == rhs.progress))
+      return false;
+    return true;
+  }
+  bool operator != (const StatusReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StatusReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StatusReply &a, StatusReply &b);
+
+std::ostream& operator<<(std::ostream& out, const StatusReply& obj);
+
+typedef struct _TransferRequest__isset {
+  _TransferRequest__isset() : groupId(false), leaderId(false), term(false) {}
+  bool groupId :1;
+  bool leaderId :1;
+  bool term :1;
+} _TransferRequest__isset;
+
+class TransferRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  TransferRequest(const TransferRequest&);
+  TransferRequest& operator=(const TransferRequest&);
+  TransferRequest() noexcept
+                  : groupId(),
+                    leaderId(),
+                    term(0) {
+  }
+
+  virtual ~TransferRequest() noexcept;
+  std::string groupId;
+  std::string leaderId;
+  int64_t term;
+
+  _TransferRequest__isset __isset;
+
+  void __set_groupId(const std::string& val);
+
+  void __set_leaderId(const std::string& val);
+
+  void __set_term(const int64_t val);
+
+  bool operator == (const TransferRequest & rhs) const
+  {
+    if (!(groupId == rhs.groupId))
+      return false;
+    if (!(leaderId == rhs.leaderId))
+      return false;
+    if (!(term == rhs.term))
+      return false;
+    return true;
+  }
+  bool operator != (const TransferRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TransferRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TransferRequest &a, TransferRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const TransferRequest& obj);
+
+typedef struct _TransferReply__isset {
+  _TransferReply__isset() : accepted(false) {}
+  bool accepted :1;
+} _TransferReply__isset;
+
+class TransferReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  TransferReply(const TransferReply&) noexcept;
+  TransferReply& operator=(const TransferReply&) noexcept;
+  TransferReply() noexcept
+                : accepted(0) {
+  }
+
+  virtual ~TransferReply() noexcept;
+  bool accepted;
+
+  _TransferReply__isset __isset;
+
+  void __set_accepted(const bool val);
+
+  bool operator == (const TransferReply & rhs) const
+  {
+    if (!(accepted == rhs.accepted))
+      return false;
+    return true;
+  }
+  bool operator != (const TransferReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TransferReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TransferReply &a, TransferReply &b);
+
+std::ostream& operator<<(std::ostream& out, const TransferReply& obj);
+
+typedef struct _ReplaceVoterRequest__isset {
+  _ReplaceVoterRequest__isset() : groupId(false), removedId(false), addedId(false), addedZone(false), addedAddress(false), timeoutMs(false) {}
+  bool groupId :1;
+  bool removedId :1;
+  bool addedId :1;
+  bool addedZone :1;
+  bool addedAddress :1;
+  bool timeoutMs :1;
+} _ReplaceVoterRequest__isset;
+
+class ReplaceVoterRequest : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplaceVoterRequest(const ReplaceVoterRequest&);
+  ReplaceVoterRequest& operator=(const ReplaceVoterRequest&);
+  ReplaceVoterRequest() noexcept
+                      : groupId(),
+                        removedId(),
+                        addedId(),
+                        addedZone(),
+                        addedAddress(),
+                        timeoutMs(0) {
+  }
+
+  virtual ~ReplaceVoterRequest() noexcept;
+  std::string groupId;
+  std::string removedId;
+  std::string addedId;
+  std::string addedZone;
+  std::string addedAddress;
+  int32_t timeoutMs;
+
+  _ReplaceVoterRequest__isset __isset;
+
+  void __set_groupId(const std::string& val);
+
+  void __set_removedId(const std::string& val);
+
+  void __set_addedId(const std::string& val);
+
+  void __set_addedZone(const std::string& val);
+
+  void __set_addedAddress(const std::string& val);
+
+  void __set_timeoutMs(const int32_t val);
+
+  bool operator == (const ReplaceVoterRequest & rhs) const
+  {
+    if (!(groupId == rhs.groupId))
+      return false;
+    if (!(removedId == rhs.removedId))
+      return false;
+    if (!(addedId == rhs.addedId))
+      return false;
+    if (!(addedZone == rhs.addedZone))
+      return false;
+    if (!(addedAddress == rhs.addedAddress))
+      return false;
+    if (!(timeoutMs == rhs.timeoutMs))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplaceVoterRequest &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplaceVoterRequest & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReplaceVoterRequest &a, ReplaceVoterRequest &b);
+
+std::ostream& operator<<(std::ostream& out, const ReplaceVoterRequest& obj);
+
+typedef struct _ReplaceVoterReply__isset {
+  _ReplaceVoterReply__isset() : status(false), leaderId(false), reason(false) {}
+  bool status :1;
+  bool leaderId :1;
+  bool reason :1;
+} _ReplaceVoterReply__isset;
+
+class ReplaceVoterReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  ReplaceVoterReply(const ReplaceVoterReply&);
+  ReplaceVoterReply& operator=(const ReplaceVoterReply&);
+  ReplaceVoterReply() noexcept
+                    : status(static_cast<SubmitStatus::type>(0)),
+                      leaderId(),
+                      reason() {
+  }
+
+  virtual ~ReplaceVoterReply() noexcept;
+  /**
+   * 
+   * @see SubmitStatus
+   */
+  SubmitStatus::type status;
+  std::string leaderId;
+  std::string reason;
+
+  _ReplaceVoterReply__isset __isset;
+
+  void __set_status(const SubmitStatus::type val);
+
+  void __set_leaderId(const std::string& val);
+
+  void __set_reason(const std::string& val);
+
+  bool operator == (const ReplaceVoterReply & rhs) const
+  {
+    if (!(status == rhs.status))
+      return false;
+    if (!(leaderId == rhs.leaderId))
+      return false;
+    if (!(reason == rhs.reason))
+      return false;
+    return true;
+  }
+  bool operator != (const ReplaceVoterReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const ReplaceVoterReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(ReplaceVoterReply &a, ReplaceVoterReply &b);
+
+std::ostream& operator<<(std::ostream& out, const ReplaceVoterReply& obj);
+
 } // namespace
 
 #endif
--- /dev/null
+++ b/src/libs/wire/peerclient.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "socketfactory.h"
+
+#include "utils/clock.h"
+#include "utils/error.h"
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/protocol/TMultiplexedProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+#include <thrift/transport/TSocket.h>
+
+#include <memory>
+#include <string>
+
+namespace Wire {
+
+/*! \brief Whom to dial. */
+struct PeerTarget
+{
+    std::string id;
+    std::string address; //!< HOST:PORT.
+};
+
+/*!
+    \brief One connection to one service of a peer, dialled on demand. Not thread-safe.
+
+    A failed call closes the connection, so that a late reply is never taken for another's.
+*/
+template <typename Client>
+class PeerClient
+{
+public:
+    PeerClient(SocketFactory &sockets, PeerTarget target, std::string service)
+        : m_sockets(sockets)
+        , m_target(std::move(target))
+        , m_service(std::move(service))
+    {}
+
+    auto target() const -> const PeerTarget & { return m_target; }
+
+    /*!
+        \brief Calls \a function with the Thrift client and a reply to fill.
+
+        Fails with Unavailable if nothing was sent, with OutcomeUnknown if the peer may have
+        received the request.
+    */
+    template <typename Reply, typename Function>
+    auto call(Utils::Milliseconds timeout, Function &&function) -> Utils::Result<Reply>
+    {
+        if (!m_client) {
+            BOOST_OUTCOME_TRY(dial(timeout));
+        }
+        const auto milliseconds = int(timeout.count());
+        m_socket->setRecvTimeout(milliseconds);
+        m_socket->setSendTimeout(milliseconds);
+        try {
+            Reply reply;
+            function(*m_client, reply);
+            return reply;
+        } catch (const apache::thrift::TException &exception) {
+            close();
+            return Utils::failure(Utils::ErrorType::OutcomeUnknown,
+                                  "a call to a peer failed",
+                                  m_target.id + ": " + exception.what());
+        }
+    }
+
+    auto close() -> void
+    {
+        m_client.reset();
+        if (!m_socket)
+            return;
+        try {
+            m_socket->close();
+        } catch (const apache::thrift::TException &) {
+            // The connection is given up either way.
+        }
+        m_socket.reset();
+    }
+
+private:
+    auto dial(Utils::Milliseconds timeout) -> Utils::Result<void>
+    {
+        using namespace apache::thrift;
+        BOOST_OUTCOME_TRY(address, Utils::parseAddress(m_target.address));
+        m_socket = m_sockets.make(m_target.id, address);
+        m_socket->setConnTimeout(int(timeout.count()));
+        m_socket->setNoDelay(true);
+        try {
+            m_socket->open();
+        } catch (const TException &exception) {
+            close();
+            return Utils::failure(Utils::ErrorType::Unavailable,
+                                  "cannot connect to a peer",
+                                  m_target.id + ": " + exception.what());
+        }
+        auto framed = std::make_shared<transport::TFramedTransport>(m_socket);
+        auto compact = std::make_shared<protocol::TCompactProtocol>(framed);
+        m_client = std::make_unique<Client>(
+            std::make_shared<protocol::TMultiplexedProtocol>(compact, m_service));
+        return Utils::success();
+    }
+
+    SocketFactory &m_sockets;
+    PeerTarget m_target;
+    std::string m_service;
+    std::shared_ptr<apache::thrift::transport::TSocket> m_socket;
+    std::unique_ptr<Client> m_client;
+};
+
+} // namespace Wire
--- a/src/libs/wire/peerserver.cpp
+++ b/src/libs/wire/peerserver.cpp
@@ -52,7 +52,11 @@
 protected:
     auto onClientConnected(const std::shared_ptr<TConnectedClient> &client) -> void override
     {
-        m_arena.enqueue([client] { client->run(); });
+        // The last reference calls back into this server, so it ends before the task counts as done.
+        m_arena.enqueue([held = std::shared_ptr<TConnectedClient>(client)]() mutable {
+            held->run();
+            held.reset();
+        });
     }
     auto onClientDisconnected(TConnectedClient *) -> void override {}
 
--- a/src/libs/wire/replication.thrift
+++ b/src/libs/wire/replication.thrift
@@ -1,10 +1,17 @@
 // Messages between state replicas, and between observers and the replicas that they read from.
 namespace cpp Wire
 
+// The message belongs to another replication group.
+exception WrongGroup {
+  1: string groupId
+}
+
 struct ReplicaEntry {
   1: i64 revision
   2: i64 term
   3: binary payload
+  // Values of Replication::EntryKind.
+  4: i32 kind
 }
 
 struct VoteRequest {
@@ -22,6 +29,13 @@
   2: bool granted
 }
 
+// The highest revision that a process has applied, and how long ago it said so.
+struct ProcessApplied {
+  1: string processId
+  2: i64 appliedRevision
+  3: i64 ageMs
+}
+
 struct AppendRequest {
   1: string groupId
   2: string leaderId
@@ -30,13 +44,18 @@
   5: i64 previousTerm
   6: i64 commitRevision
   7: list<ReplicaEntry> entries
+  // Time since a majority last confirmed the leader.
+  8: i64 quorumAgeMs
 }
 
 struct AppendReply {
   1: i64 term
   2: bool accepted
-  // The revision to continue from if accepted is false; otherwise the last synced one.
+  // The revision to continue after if accepted is false; otherwise the last one that matches.
   3: i64 lastRevision
+  4: i64 appliedRevision
+  // What observers told this replica since its last reply.
+  5: list<ProcessApplied> observers
 }
 
 struct SnapshotRequest {
@@ -48,6 +67,8 @@
   6: i64 offset
   7: binary data
   8: bool last
+  // The encoded voter set at the snapshot's revision.
+  9: binary voters
 }
 
 struct SnapshotReply {
@@ -66,10 +87,28 @@
 struct ObserveReply {
   1: list<ReplicaEntry> entries
   2: i64 commitRevision
-  // Set in place of entries if the observer is behind the oldest kept entry.
-  3: binary snapshot
-  4: i64 snapshotRevision
+  // True if the observer is behind the oldest kept entry and has to read a snapshot.
+  3: bool snapshotNeeded
+  4: i64 term
   5: string leaderId
+  // Time since a majority last confirmed the leader, as far as this process knows.
+  6: i64 quorumAgeMs
+}
+
+struct SnapshotChunkRequest {
+  1: string groupId
+  // 0 asks for the newest snapshot.
+  2: i64 revision
+  3: i64 offset
+}
+
+struct SnapshotChunk {
+  // 0 if the snapshot asked for is no longer kept.
+  1: i64 revision
+  2: i64 term
+  3: binary voters
+  4: binary data
+  5: bool last
 }
 
 enum SubmitStatus {
@@ -81,20 +120,25 @@
 
 struct SubmitRequest {
   1: string groupId
-  2: binary payload
+  2: list<binary> payloads
   3: i32 timeoutMs
 }
 
-struct SubmitReply {
+struct SubmitResult {
   1: SubmitStatus status
   2: i64 revision
   3: binary reply
-  4: string leaderId
+}
+
+struct SubmitReply {
+  1: list<SubmitResult> results
+  2: string leaderId
 }
 
 struct ConfirmRequest {
   1: string groupId
   2: string processId
+  3: i32 timeoutMs
 }
 
 struct ConfirmReply {
@@ -103,12 +147,57 @@
   3: string leaderId
 }
 
+struct StatusRequest {
+  1: string groupId
+}
+
+struct StatusReply {
+  // False if this process does not lead; then only leaderId is set.
+  1: bool leads
+  2: string leaderId
+  3: i64 term
+  4: i64 commitRevision
+  5: i64 appliedRevision
+  6: bool hasQuorum
+  7: list<ProcessApplied> progress
+}
+
+struct TransferRequest {
+  1: string groupId
+  2: string leaderId
+  3: i64 term
+}
+
+struct TransferReply {
+  1: bool accepted
+}
+
+struct ReplaceVoterRequest {
+  1: string groupId
+  2: string removedId
+  3: string addedId
+  4: string addedZone
+  5: string addedAddress
+  6: i32 timeoutMs
+}
+
+struct ReplaceVoterReply {
+  1: SubmitStatus status
+  2: string leaderId
+  3: string reason
+}
+
 service ReplicationService {
-  VoteReply requestVote(1: VoteRequest request)
-  AppendReply appendEntries(1: AppendRequest request)
-  SnapshotReply installSnapshot(1: SnapshotRequest request)
-  ObserveReply observe(1: ObserveRequest request)
-  SubmitReply submit(1: SubmitRequest request)
+  VoteReply requestVote(1: VoteRequest request) throws (1: WrongGroup wrongGroup)
+  AppendReply appendEntries(1: AppendRequest request) throws (1: WrongGroup wrongGroup)
+  SnapshotReply installSnapshot(1: SnapshotRequest request) throws (1: WrongGroup wrongGroup)
+  // Tells the most advanced voter to start an election at once.
+  TransferReply takeLeadership(1: TransferRequest request) throws (1: WrongGroup wrongGroup)
+  ObserveReply observe(1: ObserveRequest request) throws (1: WrongGroup wrongGroup)
+  SnapshotChunk readSnapshot(1: SnapshotChunkRequest request) throws (1: WrongGroup wrongGroup)
+  SubmitReply submit(1: SubmitRequest request) throws (1: WrongGroup wrongGroup)
   // The leader answers with its commit revision once a majority has confirmed its leadership.
-  ConfirmReply confirmRevision(1: ConfirmRequest request)
+  ConfirmReply confirmRevision(1: ConfirmRequest request) throws (1: WrongGroup wrongGroup)
+  StatusReply status(1: StatusRequest request) throws (1: WrongGroup wrongGroup)
+  ReplaceVoterReply replaceVoter(1: ReplaceVoterRequest request) throws (1: WrongGroup wrongGroup)
 }
--- /dev/null
+++ b/tests/auto/replication/linktable.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "wire/socketfactory.h"
+
+#include <thrift/transport/TSocket.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace Replication::Test {
+
+/*! \brief Which directed links between processes silently lose their bytes. */
+class LinkTable
+{
+public:
+    auto cut(const std::string &from, const std::string &to) -> void;
+    auto cutBoth(const std::string &left, const std::string &right) -> void;
+    auto heal() -> void;
+    auto isCut(const std::string &from, const std::string &to) const -> bool;
+    /*! \brief Waits until the link is whole or \a timeout has passed. */
+    auto waitUntilWhole(const std::string &from, const std::string &to, int timeoutMs) -> void;
+
+private:
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::set<std::pair<std::string, std::string>> m_cut;
+};
+
+/*! \brief Makes the sockets of one process, which obey a link table. */
+class CutableSockets final : public Wire::SocketFactory
+{
+public:
+    CutableSockets(LinkTable &links, std::string processId);
+    auto make(const std::string &peerId, const Utils::Address &address)
+        -> std::shared_ptr<apache::thrift::transport::TSocket> override;
+
+private:
+    LinkTable &m_links;
+    std::string m_processId;
+};
+
+} // namespace Replication::Test
