Never report not-run after an attempt that may have run

Cause: for an idempotent request the reply of the last attempt replaced that of an earlier one. A first endpoint that took the request and closed, then a second that refused it, gave not-run, although the first may have run it. Found by reading; the new test failed with not-run. Change: a reply with outcome unknown is kept over a later not-run. Seen: the new test and all tests of routing pass. Conclusion: not-run speaks of all attempts of a send.

--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -143,7 +143,9 @@
             succeed(request, *choice, trail);
             return std::move(result.reply);
         }
-        reply = std::move(result.reply);
+        // An attempt that may have run outweighs a later one that did not.
+        if (reply.outcome != Outcome::Unknown)
+            reply = std::move(result.reply);
         trail.tried.endpoints.insert(choice->endpoint);
         trail.tried.racks.insert(choice->rack);
         if (blamesEndpoint(result.failure))
--- a/tests/auto/routing/tst_dispatcher.cpp
+++ b/tests/auto/routing/tst_dispatcher.cpp
@@ -344,3 +344,22 @@
     caller.join();
     EXPECT_EQ(dispatcher.inFlightOnHost("host-a"), 0);
 }
+
+TEST_F(Dispatcher, RefusalAfterAnAttemptThatMayHaveRunIsNotReportedAsNotRun)
+{
+    std::atomic<int> requests = 0;
+    const auto firstClosesThenRefuse = [&](const Exchange &exchange) {
+        if (requests++ == 0)
+            return false;
+        exchange.send(
+            "HTTP/1.1 503 No\r\nTrefoilshelf-Outcome: not-run\r\nContent-Length: 0\r\n\r\n");
+        return true;
+    };
+    RawEndpoint first(firstClosesThenRefuse);
+    RawEndpoint second(firstClosesThenRefuse);
+    announce("first", first.address(), "r1");
+    announce("second", second.address(), "r2");
+    const auto reply = dispatcher.dispatch(request(true));
+    EXPECT_EQ(requests.load(), 2);
+    EXPECT_EQ(reply.outcome, Outcome::Unknown);
+}
