Count and time callers' requests, explain metrics, document jobs

Cause: no metric told how many requests ran, were refused or ended unknown. Change: trefoilshelf_requests_total and trefoilshelf_request_seconds by customer, service and outcome; names that no contract holds are no label values. HELP texts for all metrics. Conclusion: a test asks for both series.

--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -126,7 +126,7 @@
                                                  settings.limits,
                                                  metrics)};
     Entry::CallerInterface callers{callerServer,
-                                   {clock, ids, replica, dispatcher, claimedDispatch}};
+                                   {clock, ids, replica, dispatcher, claimedDispatch, &metrics}};
     Entry::EndpointInterface endpoints{endpointServer, {replica, gateway, directory, settings.id}};
     Entry::OperatorInterface operators{operatorServer,
                                        {settings, replica, gateway, log, ids, &dispatcher}};
--- a/src/libs/entry/callerinterface.cpp
+++ b/src/libs/entry/callerinterface.cpp
@@ -110,18 +110,36 @@
 
 auto CallerInterface::handle(const httplib::Request &http, httplib::Response &response) -> void
 {
+    const auto started = m_context.clock.now();
     auto request = parse(http);
     if (!request) {
         const auto &error = request.error();
         writeReply(Routing::Reply::notRun(error.type, error.message, error.details), response);
+        // Names that no contract holds are no label values.
+        record({}, Routing::Outcome::NotRun, started);
         return;
     }
     const auto &parsed = request.value();
     const auto claimed = !parsed.idempotent && !parsed.idempotencyKey.empty();
-    writeReply(claimed ? m_context.claimedDispatch.dispatch(parsed)
-                       : m_context.dispatcher.dispatch(parsed),
-               response);
+    const auto reply = claimed ? m_context.claimedDispatch.dispatch(parsed)
+                               : m_context.dispatcher.dispatch(parsed);
+    writeReply(reply, response);
     response.set_header("Trefoilshelf-Request-Id", parsed.id);
+    record(parsed, reply.outcome, started);
+}
+
+auto CallerInterface::record(const Routing::Request &request,
+                             Routing::Outcome outcome,
+                             Utils::Instant started) const -> void
+{
+    if (!m_context.metrics)
+        return;
+    const Utils::MetricLabels labels{{"customer", request.customer},
+                                     {"service", request.service},
+                                     {"outcome", std::string(Utils::nameOf(outcome))}};
+    const std::chrono::duration<double> elapsed = m_context.clock.now() - started;
+    m_context.metrics->count("trefoilshelf_requests_total", labels);
+    m_context.metrics->observe("trefoilshelf_request_seconds", labels, elapsed.count());
 }
 
 auto CallerInterface::parse(const httplib::Request &http) const -> Utils::Result<Routing::Request>
--- a/src/libs/entry/callerinterface.h
+++ b/src/libs/entry/callerinterface.h
@@ -16,6 +16,7 @@
     const Fleet::Replica &replica;
     Routing::Dispatcher &dispatcher;
     Routing::ClaimedDispatch &claimedDispatch;
+    Utils::Metrics *metrics = nullptr; //!< Counts and times requests, if set.
 };
 
 /*! \brief Serves callers' requests: /v1/services/{service}/{path}. */
@@ -26,6 +27,9 @@
 
 private:
     auto handle(const httplib::Request &http, httplib::Response &response) -> void;
+    auto record(const Routing::Request &request,
+                Routing::Outcome outcome,
+                Utils::Instant started) const -> void;
     auto parse(const httplib::Request &http) const -> Utils::Result<Routing::Request>;
 
     CallerContext m_context;
--- a/src/libs/entry/probeinterface.cpp
+++ b/src/libs/entry/probeinterface.cpp
@@ -4,11 +4,40 @@
 
 #include <httplib.h>
 
+#include <array>
+
 namespace Entry {
 
+namespace {
+
+struct MetricHelp
+{
+    const char *name;
+    const char *help;
+};
+
+constexpr std::array metricHelps{
+    MetricHelp{"trefoilshelf_applied_revision", "The last revision applied here."},
+    MetricHelp{"trefoilshelf_has_quorum", "1 if this process is in contact with a majority."},
+    MetricHelp{"trefoilshelf_http_refused_total",
+               "Requests that a listener refused before a handler ran, by reason."},
+    MetricHelp{"trefoilshelf_open_connections", "Connections that a listener serves."},
+    MetricHelp{"trefoilshelf_open_files", "Open files and sockets of the process."},
+    MetricHelp{"trefoilshelf_request_seconds", "Time from a request's head to its answer."},
+    MetricHelp{"trefoilshelf_requests_total", "Callers' requests by outcome."},
+    MetricHelp{"trefoilshelf_resident_memory_bytes", "Resident memory of the process."},
+    MetricHelp{"trefoilshelf_routing_events_total", "Events of routing by kind and service."},
+    MetricHelp{"trefoilshelf_threads", "Threads of the process."},
+};
+
+} // namespace
+
 ProbeInterface::ProbeInterface(ProbeContext context)
     : m_context(std::move(context))
-{}
+{
+    for (const auto &entry : metricHelps)
+        m_context.metrics.describe(entry.name, entry.help);
+}
 
 auto ProbeInterface::addProbes(HttpServer &server) -> void
 {
--- a/tests/auto/entry/httpfixture.h
+++ b/tests/auto/entry/httpfixture.h
@@ -121,8 +121,8 @@
     Entry::HttpServer m_callerServer{options("callers")};
     Entry::HttpServer m_endpointServer{options("endpoints")};
     Entry::HttpServer m_operatorServer{options("operators")};
-    Entry::CallerInterface m_callers{m_callerServer,
-                                     {m_clock, m_ids, m_replica, m_dispatcher, m_claimed}};
+    Entry::CallerInterface m_callers{
+        m_callerServer, {m_clock, m_ids, m_replica, m_dispatcher, m_claimed, &m_metrics}};
     Entry::EndpointInterface m_endpoints{m_endpointServer,
                                          {m_replica, m_gateway, m_directory, "e1"}};
     Entry::OperatorInterface m_operators{m_operatorServer,
--- a/tests/auto/entry/tst_httpcontract.cpp
+++ b/tests/auto/entry/tst_httpcontract.cpp
@@ -328,6 +328,20 @@
         << metrics->body;
 }
 
+TEST_F(HttpInterfaces, requestsAreCountedByNamesOfContractsOnly)
+{
+    httplib::Client client("127.0.0.1", m_callerServer.port());
+    ASSERT_TRUE(client.Get("/v1/services/dispatch/x", asCamara));
+    ASSERT_TRUE(client.Get("/v1/services/dispatch/x", {{customer, "made-up"}}));
+    const auto text = m_metrics.toPrometheusText();
+    const std::string counter = "trefoilshelf_requests_total{customer=";
+    EXPECT_NE(text.find(counter + R"("camara",service="dispatch",outcome="not-run"} 1)"),
+              std::string::npos)
+        << text;
+    EXPECT_NE(text.find(counter + R"("",service="",outcome="not-run"} 1)"), std::string::npos);
+    EXPECT_EQ(text.find("made-up"), std::string::npos);
+}
+
 struct RawCase
 {
     const char *name;
