Show operators the leader's view of who has a change in force

Cause: seen by hand with nine processes in three zones: a process that does not lead told 'in force at 1 of 1' or named all others as missing, since only the leader hears from all. Change: status and each write ask the leader; status names its source and lists processes never heard of.

--- a/src/libs/entry/operatorinterface.cpp
+++ b/src/libs/entry/operatorinterface.cpp
@@ -21,6 +21,7 @@
 constexpr auto localOperator = "local-operator";
 
 constexpr std::chrono::milliseconds inForceWait{2000};
+constexpr Utils::Milliseconds leaderStatusTimeout{500};
 constexpr std::chrono::milliseconds inForcePoll{20};
 // A process that was not heard of for longer does not count as live.
 constexpr Utils::Milliseconds liveAge{10'000};
@@ -140,6 +141,14 @@
                 {"in_force", inForce(result.revision)}};
 }
 
+auto OperatorInterface::leaderView() const -> LeaderView
+{
+    auto status = m_context.log.leaderStatus(leaderStatusTimeout);
+    if (status)
+        return {std::move(status.value()), true};
+    return {m_context.log.status(), false};
+}
+
 auto OperatorInterface::inForce(Fleet::Revision revision) const -> Json
 {
     Utils::StopSignal pause;
@@ -147,7 +156,7 @@
     for (;;) {
         auto missing = Json::array();
         std::size_t live = 0;
-        for (const auto &[process, progress] : m_context.log.status().progress) {
+        for (const auto &[process, progress] : leaderView().status.progress) {
             if (progress.age > liveAge)
                 continue;
             ++live;
--- a/src/libs/entry/operatorinterface.h
+++ b/src/libs/entry/operatorinterface.h
@@ -42,6 +42,13 @@
     auto authenticate(const httplib::Request &http) const -> Utils::Result<std::string>;
     auto execute(const httplib::Request &http, const std::string &actor, Fleet::CommandBody body)
         -> Utils::Result<Utils::Json>;
+    // The leader's status, which covers all processes, or this process's own without a leader.
+    struct LeaderView
+    {
+        Replication::LogStatus status;
+        bool fromLeader = false;
+    };
+    auto leaderView() const -> LeaderView;
     auto inForce(Fleet::Revision revision) const -> Utils::Json;
 
     auto putContract(const httplib::Request &http, const std::string &actor)
--- a/src/libs/entry/operatorqueries.cpp
+++ b/src/libs/entry/operatorqueries.cpp
@@ -109,19 +109,24 @@
 
 auto OperatorInterface::showStatus(const httplib::Request &, const std::string &) -> Result<Json>
 {
-    const auto status = m_context.log.status();
+    const auto own = m_context.log.status();
+    const auto view = leaderView();
     auto processes = Json::object();
-    for (const auto &[process, progress] : status.progress) {
-        processes[process] = {{"applied_revision", progress.appliedRevision},
-                              {"age_ms", progress.age.count()}};
+    for (const auto &peer : m_context.settings.peers)
+        processes[peer.id] = {{"zone", peer.zone}, {"applied_revision", nullptr}};
+    for (const auto &[process, progress] : view.status.progress) {
+        processes[process]["applied_revision"] = progress.appliedRevision;
+        processes[process]["age_ms"] = progress.age.count();
+        processes[process]["behind"] = progress.appliedRevision < view.status.commitRevision;
     }
     return Json{{"process", m_context.settings.id},
                 {"zone", m_context.settings.zone},
-                {"leader", status.leaderId},
-                {"term", status.term},
-                {"commit_revision", status.commitRevision},
+                {"leader", own.leaderId},
+                {"term", own.term},
+                {"commit_revision", view.status.commitRevision},
                 {"applied_revision", m_context.replica.revision()},
-                {"has_quorum", status.hasQuorum},
+                {"has_quorum", own.hasQuorum},
+                {"processes_from_leader", view.fromLeader},
                 {"processes", processes}};
 }
 
