Plan buffers from measured demand and report them; ask for grants locally first

Cause: no buffer was planned, and an approved move that waited for its budget committed one refused entry every 200 ms. Checked: tst_bufferplanner, tst_waves.

--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -25,6 +25,7 @@
         CommandEntry{"override", "decide past the planner, with a reason", &runOverrideCommand},
         CommandEntry{"autonomy", "choose how much runs unattended", &runAutonomyCommand},
         CommandEntry{"audit", "show the audit trail", &runAuditCommand},
+        CommandEntry{"plan", "show the buffer plan as a table or CSV", &runPlanCommand},
         CommandEntry{"explain", "explain a move, a host or what waits", &runExplainCommand},
         CommandEntry{"fake-endpoint", "run the stand-in endpoint", &runFakeEndpointCommand},
         CommandEntry{"version", "print the version", &runVersionCommand},
--- a/src/app/operatorcommands.cpp
+++ b/src/app/operatorcommands.cpp
@@ -96,17 +96,20 @@
     return items;
 }
 
+auto printRefusal(const Utils::Error &error) -> int
+{
+    std::cerr << Utils::errorTypeName(error.type) << ": " << error.message;
+    std::cerr << (error.details.empty() ? "" : ": ") << error.details << '\n';
+    return exitRefused;
+}
+
 auto callAndPrint(const Invocation &invocation,
                   const OperatorCall &call,
                   const std::vector<std::string> &columns = {}) -> int
 {
     const auto answer = callOperator(invocation.connection, call);
-    if (!answer) {
-        const auto &error = answer.error();
-        std::cerr << Utils::errorTypeName(error.type) << ": " << error.message;
-        std::cerr << (error.details.empty() ? "" : ": ") << error.details << '\n';
-        return exitRefused;
-    }
+    if (!answer)
+        return printRefusal(answer.error());
     if (invocation.options.count("json") > 0)
         std::cout << answer.value().dump(2) << '\n';
     else
@@ -272,6 +275,20 @@
     return callAndPrint(*invocation, {"GET", path, {}, {}});
 }
 
+auto runPlanCommand(int argc, char **argv) -> int
+{
+    const auto invocation = parseInvocation("plan", argc, argv, {}, {"report", "csv"});
+    if (!invocation)
+        return exitUsage;
+    if (invocation->options.count("json") > 0)
+        return callAndPrint(*invocation, {"GET", "/v1/plan", {}, {}});
+    const auto answer = callOperator(invocation->connection, {"GET", "/v1/plan", {}, {}});
+    if (!answer)
+        return printRefusal(answer.error());
+    printPlanReport(std::cout, answer.value(), invocation->options.count("csv") > 0);
+    return exitDone;
+}
+
 auto runAutonomyCommand(int argc, char **argv) -> int
 {
     const auto invocation = parseInvocation("autonomy", argc, argv, {"pool"});
--- a/src/app/operatorcommands.h
+++ b/src/app/operatorcommands.h
@@ -6,6 +6,7 @@
 auto runContractCommand(int argc, char **argv) -> int;
 auto runPoolCommand(int argc, char **argv) -> int;
 auto runOverrideCommand(int argc, char **argv) -> int;
+auto runPlanCommand(int argc, char **argv) -> int;
 auto runExplainCommand(int argc, char **argv) -> int;
 auto runHostCommand(int argc, char **argv) -> int;
 auto runMaintenanceCommand(int argc, char **argv) -> int;
--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -101,6 +101,7 @@
                                       Utils::Milliseconds(settings.timing.routingLeaseMs)}};
     std::unique_ptr<Planning::Platform> platform =
         Planning::makePlatform(settings.platform.address);
+    Planning::DemandHistory demandHistory;
     Planning::MoveRunner moveRunner{
         gateway,
         replica,
@@ -128,8 +129,8 @@
     Entry::CallerInterface callers{callerServer,
                                    {clock, ids, replica, dispatcher, claimedDispatch, &metrics}};
     Entry::EndpointInterface endpoints{endpointServer, {replica, gateway, directory, settings.id}};
-    Entry::OperatorInterface operators{operatorServer,
-                                       {settings, replica, gateway, log, ids, &dispatcher}};
+    Entry::OperatorInterface operators{
+        operatorServer, {settings, replica, gateway, log, ids, &dispatcher, &demandHistory}};
     Entry::JobInterface jobs{
         callerServer, endpointServer, {replica, gateway, ids, settings.id, settings.limits.claims}};
     Fleet::ExpiryTask expiryTask{log,
@@ -155,7 +156,12 @@
     if (log.status().role != Replication::Role::Leader)
         return;
     failureWatch.runOnce();
-    moveRunner.runOnce();
+    const auto nowMs = clock.wallTime();
+    const auto plan = replica.read([&](const Fleet::State &state) {
+        Planning::recordInFlight(demandHistory, state, directory, nowMs);
+        return Planning::planBuffers(state, demandHistory, {}, nowMs);
+    });
+    moveRunner.runOnce(plan);
 }
 
 auto ServeProcess::Private::escalate(const Utils::Error &error) -> void
--- a/src/app/tableprinter.cpp
+++ b/src/app/tableprinter.cpp
@@ -77,4 +77,39 @@
     printRows(stream, rows);
 }
 
+auto printPlanReport(std::ostream &stream, const Utils::Json &plan, bool asCsv) -> void
+{
+    std::vector<Row> rows{{"zone",
+                           "pool",
+                           "hosts",
+                           "serving_slots",
+                           "guaranteed_slots",
+                           "demand_slots",
+                           "required_slots",
+                           "borrowed_slots",
+                           "zone_reserve_slots"}};
+    for (const auto &zone : plan["zones"]) {
+        for (const auto &pool : zone["pools"]) {
+            auto &row = rows.emplace_back();
+            row.push_back(cellText(zone["zone"]));
+            row.push_back(cellText(pool["pool"]));
+            for (std::size_t column = 2; column + 1 < rows.front().size(); ++column)
+                row.push_back(cellText(pool[rows.front()[column]]));
+            row.push_back(cellText(zone["reserve_slots"]));
+        }
+    }
+    if (!asCsv) {
+        printRows(stream, rows);
+        for (const auto &move : plan["moves"])
+            stream << "proposes: host " << cellText(move["host"]) << " to pool "
+                   << cellText(move["to_pool"]) << ": " << cellText(move["reason"]) << '\n';
+        return;
+    }
+    for (const auto &row : rows) {
+        for (std::size_t column = 0; column < row.size(); ++column)
+            stream << (column > 0 ? "," : "") << row[column];
+        stream << '\n';
+    }
+}
+
 } // namespace App
--- a/src/app/tableprinter.h
+++ b/src/app/tableprinter.h
@@ -11,4 +11,7 @@
                    const Utils::Json &json,
                    const std::vector<std::string> &columns) -> void;
 
+/*! \brief Prints the buffer plan: one row for each zone and pool, the shared reserves, the moves. */
+auto printPlanReport(std::ostream &stream, const Utils::Json &plan, bool asCsv) -> void;
+
 } // namespace App
--- a/src/libs/entry/operatorinterface.cpp
+++ b/src/libs/entry/operatorinterface.cpp
@@ -58,6 +58,7 @@
         Route{"POST", R"(/v1/override)", &OperatorInterface::overrideMove},
         Route{"GET", R"(/v1/explain)", &OperatorInterface::explainWaiting},
         Route{"GET", R"(/v1/explain/([^/]+))", &OperatorInterface::explainSubject},
+        Route{"GET", R"(/v1/plan)", &OperatorInterface::showPlan},
         Route{"GET", R"(/v1/autonomy)", &OperatorInterface::showAutonomy},
         Route{"PUT", R"(/v1/autonomy)", &OperatorInterface::putAutonomy},
         Route{"GET", R"(/v1/audit)", &OperatorInterface::listAudit},
--- a/src/libs/entry/operatorinterface.h
+++ b/src/libs/entry/operatorinterface.h
@@ -4,6 +4,7 @@
 
 #include "fleet/gateway.h"
 #include "fleet/replica.h"
+#include "planning/demand.h"
 #include "routing/dispatcher.h"
 #include "settings/settings.h"
 
@@ -18,6 +19,7 @@
     Replication::ReplicatedLog &log;
     Utils::IdGenerator &ids;
     const Routing::Dispatcher *dispatcher = nullptr; //!< Source of /v1/events.
+    const Planning::DemandSource *demand = nullptr;  //!< Without: plans count guarantees only.
 };
 
 /*! \brief Serves operators: contracts, pools, hosts, moves, maintenance, autonomy, audit and status. */
@@ -90,6 +92,8 @@
         -> Utils::Result<Utils::Json>;
     auto explainSubject(const httplib::Request &http, const std::string &actor)
         -> Utils::Result<Utils::Json>;
+    auto showPlan(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
     auto showAutonomy(const httplib::Request &http, const std::string &actor)
         -> Utils::Result<Utils::Json>;
 
--- a/src/libs/entry/operatorqueries.cpp
+++ b/src/libs/entry/operatorqueries.cpp
@@ -1,6 +1,7 @@
 #include "operatorinterface.h"
 
 #include "fleet/contractcheck.h"
+#include "planning/bufferplanner.h"
 #include "planning/explanation.h"
 
 #include <httplib.h>
@@ -173,4 +174,14 @@
     });
 }
 
+auto OperatorInterface::showPlan(const httplib::Request &, const std::string &) -> Result<Json>
+{
+    const Planning::DemandHistory noDemand;
+    const auto &demand = m_context.demand ? *m_context.demand : noDemand;
+    const auto nowMs = Utils::SystemClock().wallTime();
+    return m_context.replica.read([&](const Fleet::State &state) {
+        return Utils::toJson(Planning::planBuffers(state, demand, {}, nowMs));
+    });
+}
+
 } // namespace Entry
--- a/src/libs/fleet/state.h
+++ b/src/libs/fleet/state.h
@@ -54,6 +54,8 @@
     auto findContract(const std::string &customer) const -> const Contract *;
     auto findHost(const std::string &host) const -> const Host *;
     auto findMove(const std::string &move) const -> const Move *;
+    /*! \brief Fails with the first contract that forbids the stop of \a move at \a nowMs. */
+    auto checkGrants(const Move &move, WallTimeMs nowMs) const -> Utils::Result<void>;
 
     template <typename Archive>
     friend auto describe(Archive &archive, State &state) -> void
--- a/src/libs/fleet/statemoves.cpp
+++ b/src/libs/fleet/statemoves.cpp
@@ -184,14 +184,21 @@
                        std::string(Utils::nameOf(host.state)));
     // Charges move out of a window only as time goes on, so a clock that lags counts more of them.
     pruneCharges(context.command.timeMs);
+    BOOST_OUTCOME_TRY(checkGrants(move, context.command.timeMs));
+    m_ledger.open(move, context.command.timeMs);
+    host.state = HostState::Draining;
+    return Utils::success();
+}
+
+auto State::checkGrants(const Move &move, WallTimeMs nowMs) const -> Utils::Result<void>
+{
+    const auto *host = findHost(move.host);
     const RackIndex racks(m_hosts);
     for (const auto &[customer, contract] : m_contracts) {
         const auto rackHosts =
-            contract.usesPool(move.fromPool) ? racks.largestRack(contract, &host) : 0;
-        BOOST_OUTCOME_TRY(m_ledger.grant(contract, move, rackHosts, context.command.timeMs));
+            contract.usesPool(move.fromPool) ? racks.largestRack(contract, host) : 0;
+        BOOST_OUTCOME_TRY(m_ledger.grant(contract, move, rackHosts, nowMs));
     }
-    m_ledger.open(move, context.command.timeMs);
-    host.state = HostState::Draining;
     return Utils::success();
 }
 
--- a/src/libs/planning/moverunner.cpp
+++ b/src/libs/planning/moverunner.cpp
@@ -14,6 +14,8 @@
 namespace {
 constexpr std::int64_t millisecondsPerSecond = 1000;
 constexpr Utils::Milliseconds proposalLifetime{24 * 3600 * millisecondsPerSecond};
+constexpr Utils::Milliseconds initialRetryWait{200};
+constexpr Utils::Milliseconds longestRetryWait{15'000};
 constexpr auto plannerActor = "planner";
 } // namespace
 
@@ -43,18 +45,24 @@
     return steps;
 }
 
-auto MoveRunner::runOnce(const std::map<std::string, std::int64_t> &requiredSlots) -> void
+auto MoveRunner::runOnce(const BufferPlan &plan) -> void
 {
-    proposeForWaves(requiredSlots);
+    proposeForWaves(plan.requiredSlots());
+    for (const auto &move : plan.moves)
+        execute(Fleet::ProposeMove{move}, move);
     const auto moves = m_replica.read([](const Fleet::State &state) {
         std::vector<Move> open;
-        for (const auto &[id, move] : state.moves()) {
-            if (move.isOpen())
-                open.push_back(move);
-        }
+        const FleetView view(state);
+        for (const auto *move : view.openMoves())
+            open.push_back(*move);
         return open;
     });
+    std::erase_if(m_retries, [&](const auto &item) {
+        return std::ranges::find(moves, item.first, &Move::id) == moves.end();
+    });
     for (const auto &move : moves) {
+        if (!mayRetry(move.id))
+            continue;
         const auto step = std::ranges::find(steps(), move.state, &Step::state);
         if (step != steps().end())
             (this->*step->take)(move);
@@ -98,6 +106,9 @@
 {
     const auto isStale = m_replica.read([&](const Fleet::State &state) {
         const auto wave = state.waves().find(move.wave);
+        const auto *host = state.findHost(move.host);
+        if (!host || host->state != Fleet::HostState::Serving)
+            return true;
         return !move.wave.empty() && (wave == state.waves().end() || wave->second.paused);
     });
     if (isStale || age(move) > proposalLifetime) {
@@ -123,6 +134,8 @@
 
 auto MoveRunner::stepApproved(const Move &move) -> void
 {
+    if (!isGrantable(move))
+        return;
     if (move.kind == MoveKind::Maintenance) {
         const auto plan = planJobs(move);
         if (!plan)
@@ -298,7 +311,34 @@
                           {"host", move.host},
                           {"reason", result.error().message},
                           {"details", result.error().details}});
+    if (result)
+        m_retries.erase(move.id);
+    else
+        noteRefusal(move.id);
     return bool(result);
 }
 
+// Asked here first, so that a move that waits for its budget adds no entries to the log.
+auto MoveRunner::isGrantable(const Move &move) const -> bool
+{
+    const auto nowMs = m_clock.wallTime();
+    return m_replica.read(
+        [&](const Fleet::State &state) { return bool(state.checkGrants(move, nowMs)); });
+}
+
+auto MoveRunner::mayRetry(const std::string &move) const -> bool
+{
+    const auto found = m_retries.find(move);
+    return found == m_retries.end() || m_clock.now() >= found->second.at;
+}
+
+auto MoveRunner::noteRefusal(const std::string &move) -> void
+{
+    if (move.empty())
+        return;
+    auto &retry = m_retries[move];
+    retry.wait = std::clamp(2 * retry.wait, initialRetryWait, longestRetryWait);
+    retry.at = m_clock.now() + retry.wait;
+}
+
 } // namespace Planning
--- a/src/libs/planning/moverunner.h
+++ b/src/libs/planning/moverunner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "bufferplanner.h"
 #include "jobplacement.h"
 #include "platform.h"
 #include "waveplanner.h"
@@ -31,8 +32,8 @@
                const Utils::Clock &clock,
                MoveTiming timing);
 
-    /*! \brief Takes each open move at most one step on. \a requiredSlots: by pool, from the demand. */
-    auto runOnce(const std::map<std::string, std::int64_t> &requiredSlots = {}) -> void;
+    /*! \brief Proposes the moves of \a plan and of waves, and takes each open move at most one step on. */
+    auto runOnce(const BufferPlan &plan = {}) -> void;
 
 private:
     struct Step
@@ -61,6 +62,16 @@
                  std::string detail,
                  std::int64_t jobMoves = 0) -> bool;
     auto execute(Fleet::CommandBody body, const Fleet::Move &move) -> bool;
+    auto isGrantable(const Fleet::Move &move) const -> bool;
+    auto mayRetry(const std::string &move) const -> bool;
+    auto noteRefusal(const std::string &move) -> void;
+
+    // When a refused step is tried again; every try is an entry of the log.
+    struct Retry
+    {
+        Utils::Instant at;
+        Utils::Milliseconds wait{0};
+    };
 
     Fleet::Gateway &m_gateway;
     const Fleet::Replica &m_replica;
@@ -68,6 +79,7 @@
     Platform &m_platform;
     const Utils::Clock &m_clock;
     MoveTiming m_timing;
+    std::map<std::string, Retry> m_retries; //!< By move.
 };
 
 } // namespace Planning
