Refuse to start on a port that another process uses

Cause: the HTTP library sets SO_REUSEPORT, so two processes with the same settings shared one port and each took part of the connections. Conclusion: a second process fails to start and says which address is taken.

--- a/src/libs/entry/httpserver.cpp
+++ b/src/libs/entry/httpserver.cpp
@@ -6,6 +6,8 @@
 #include "utils/log.h"
 #include "utils/taskarena.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <array>
 #include <exception>
@@ -216,6 +218,11 @@
     server.set_payload_max_length(std::size_t(m_d->options.bodyBytes));
     server.set_keep_alive_max_count(keepAliveRequests);
     server.set_tcp_nodelay(true);
+    // The library's default lets a second process take connections of the same port.
+    server.set_socket_options([](socket_t socket) {
+        const auto enabled = 1;
+        ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+    });
 }
 
 HttpServer::~HttpServer()
--- a/tests/auto/entry/tst_httpcontract.cpp
+++ b/tests/auto/entry/tst_httpcontract.cpp
@@ -315,6 +315,16 @@
     EXPECT_EQ(result->body.find("internal detail"), std::string::npos);
 }
 
+TEST_F(HttpInterfaces, aPortInUseIsRefused)
+{
+    auto sameAddress = options("callers");
+    sameAddress.address = "127.0.0.1:" + std::to_string(m_callerServer.port());
+    Entry::HttpServer second(sameAddress);
+    const auto started = second.start();
+    ASSERT_FALSE(started);
+    EXPECT_EQ(started.error().type, Utils::ErrorType::IoFailure);
+}
+
 TEST_F(HttpInterfaces, failedLoginsAreCounted)
 {
     httplib::Client client("127.0.0.1", m_operatorServer.port());
