--- a/src/libs/wire/peerserver.cpp
+++ b/src/libs/wire/peerserver.cpp
@@ -54,8 +54,8 @@
     {
         // The last reference calls back into this server, so it ends before the task counts as done.
         m_arena.enqueue([held = std::shared_ptr<TConnectedClient>(client)]() mutable {
-            held->run();
-            held.reset();
+            const auto current = std::move(held);
+            current->run();
         });
     }
     auto onClientDisconnected(TConnectedClient *) -> void override {}
