Test replication under cuts, stops, lag and restarts

Found by them: an arena that copies its tasks kept the last reference to a peer's connection past the listener's end, a crash at stop. The task now gives up that reference itself.

--- a/src/libs/wire/peerserver.cpp
+++ b/src/libs/wire/peerserver.cpp
@@ -52,9 +52,11 @@
 protected:
     auto onClientConnected(const std::shared_ptr<TConnectedClient> &client) -> void override
     {
-        // The last reference calls back into this server, so it ends before the task counts as done.
-        m_arena.enqueue([held = std::shared_ptr<TConnectedClient>(client)]() mutable {
-            const auto current = std::move(held);
+        // The last reference calls back into this server, so it must end before the task counts as
+        // done, however often the arena copied the task.
+        auto held = std::make_shared<std::shared_ptr<TConnectedClient>>(client);
+        m_arena.enqueue([held] {
+            const auto current = std::move(*held);
             current->run();
         });
     }
--- /dev/null
+++ b/tests/auto/replication/tst_replicafaults.cpp
@@ -0,0 +1,244 @@
+#include "cluster.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+
+namespace Replication::Test {
+namespace {
+
+constexpr Utils::Milliseconds submitTimeout{3000};
+
+auto count(const std::vector<std::string> &payloads, const std::string &payload) -> std::size_t
+{
+    return std::size_t(std::ranges::count(payloads, payload));
+}
+
+auto otherVoter(const std::string &id) -> std::string
+{
+    return id == "v1" ? "v2" : "v1";
+}
+
+auto submitMany(Cluster &cluster, const std::string &id, int number) -> void
+{
+    for (auto index = 0; index < number; ++index)
+        cluster.submit(id, "entry " + std::to_string(index));
+}
+
+TEST(ReplicaFaults, IsolatedLeaderNeitherCommitsNorConfirms)
+{
+    Cluster cluster(3);
+    cluster.start();
+    const auto old = cluster.waitForLeader();
+    cluster.submit(old, "before");
+    cluster.isolate(old);
+    const auto lost = cluster.log(old).submit("cut off", submitTimeout);
+    ASSERT_FALSE(lost);
+    EXPECT_FALSE(cluster.log(old).confirmRevision(Utils::Milliseconds(300)));
+    const auto next = cluster.waitForLeader(old);
+    const auto revision = cluster.submit(next, "after");
+    EXPECT_TRUE(eventually([&] { return !cluster.log(old).status().hasQuorum; }));
+    EXPECT_LT(cluster.machine(old).revision(), revision);
+    cluster.links.heal();
+    // The old leader's entry conflicts with the new one's and is replaced.
+    EXPECT_TRUE(eventually([&] {
+        return cluster.machine(old).payloads() == std::vector<std::string>{"before", "after"};
+    }));
+    EXPECT_TRUE(cluster.log(old).confirmRevision(submitTimeout));
+}
+
+TEST(ReplicaFaults, LeaderThatHearsNobodyIsReplaced)
+{
+    Cluster cluster(3, 1);
+    cluster.start();
+    const auto old = cluster.waitForLeader();
+    cluster.submit("o1", "before");
+    // Its messages arrive, the answers do not.
+    for (const std::string id : {"v1", "v2", "v3"}) {
+        if (id != old)
+            cluster.links.cut(id, old);
+    }
+    const auto next = cluster.waitForLeader(old);
+    EXPECT_NE(next, old);
+    cluster.submit("o1", "after");
+    cluster.links.heal();
+    EXPECT_TRUE(eventually(
+        [&] { return cluster.machine(old).payloads() == cluster.machine(next).payloads(); }));
+}
+
+TEST(ReplicaFaults, FollowerCutOffDoesNotDisturbTheLeader)
+{
+    Cluster cluster(3);
+    cluster.start();
+    const auto leader = cluster.waitForLeader();
+    const auto follower = otherVoter(leader);
+    const auto term = cluster.log(leader).status().term;
+    cluster.isolate(follower);
+    EXPECT_TRUE(eventually([&] { return !cluster.log(follower).status().hasQuorum; }));
+    submitMany(cluster, leader, 5);
+    cluster.links.heal();
+    EXPECT_TRUE(eventually([&] {
+        return cluster.machine(follower).payloads() == cluster.machine(leader).payloads();
+    }));
+    EXPECT_EQ(cluster.log(leader).status().term, term);
+}
+
+TEST(ReplicaFaults, FollowerBehindTheLogGetsASnapshot)
+{
+    Cluster cluster(3);
+    cluster.options.snapshotEntries = 20;
+    cluster.options.keptEntries = 10;
+    cluster.start();
+    const auto leader = cluster.waitForLeader();
+    const auto follower = otherVoter(leader);
+    cluster.isolate(follower);
+    submitMany(cluster, leader, 100);
+    cluster.links.heal();
+    EXPECT_TRUE(eventually([&] {
+        return cluster.machine(follower).payloads() == cluster.machine(leader).payloads();
+    }));
+    EXPECT_GE(cluster.machine(follower).restores(), 1);
+}
+
+TEST(ReplicaFaults, ObserverBehindTheLogGetsASnapshot)
+{
+    Cluster cluster(1, 1);
+    cluster.options.snapshotEntries = 20;
+    cluster.options.keptEntries = 10;
+    ASSERT_TRUE(cluster.startNode("v1"));
+    cluster.waitForLeader();
+    submitMany(cluster, "v1", 100);
+    ASSERT_TRUE(cluster.startNode("o1"));
+    EXPECT_TRUE(eventually(
+        [&] { return cluster.machine("o1").payloads() == cluster.machine("v1").payloads(); }));
+    EXPECT_EQ(cluster.machine("o1").restores(), 1);
+    EXPECT_TRUE(eventually([&] { return cluster.log("o1").status().ready; }));
+}
+
+TEST(ReplicaFaults, RestartAfterManyChangesResumesFromSnapshotAndTail)
+{
+    Cluster cluster(1);
+    cluster.options.snapshotEntries = 64;
+    cluster.options.segmentBytes = 1024;
+    cluster.start();
+    cluster.waitForLeader();
+    submitMany(cluster, "v1", 500);
+    const auto before = cluster.machine("v1").payloads();
+    for (auto restart = 0; restart < 2; ++restart) {
+        cluster.stopNode("v1");
+        ASSERT_TRUE(cluster.startNode("v1"));
+        EXPECT_EQ(cluster.machine("v1").restores(), 1);
+        cluster.waitForLeader();
+        EXPECT_EQ(cluster.machine("v1").payloads(), before);
+    }
+}
+
+TEST(ReplicaFaults, NothingAcknowledgedIsLostWhileLeadersStop)
+{
+    Cluster cluster(3, 1);
+    cluster.start();
+    cluster.waitForLeader();
+    std::atomic<bool> done = false;
+    std::vector<std::string> acknowledged;
+    std::jthread writer([&] {
+        for (auto number = 0; !done; ++number) {
+            const auto payload = "payload " + std::to_string(number);
+            if (cluster.log("o1").submit(payload, submitTimeout))
+                acknowledged.push_back(payload);
+        }
+    });
+    for (auto round = 0; round < 3; ++round) {
+        const auto leader = cluster.waitForLeader();
+        cluster.isolate(leader);
+        cluster.waitForLeader(leader);
+        cluster.stopNode(leader);
+        cluster.links.heal();
+        ASSERT_TRUE(cluster.startNode(leader));
+    }
+    done = true;
+    writer.join();
+    const auto last = cluster.submit("o1", "last");
+    for (const std::string id : {"v1", "v2", "v3", "o1"}) {
+        EXPECT_TRUE(eventually([&] { return cluster.machine(id).revision() >= last; }));
+        const auto payloads = cluster.machine(id).payloads();
+        for (const auto &payload : acknowledged)
+            EXPECT_GE(count(payloads, payload), 1U) << id << ' ' << payload;
+    }
+}
+
+TEST(ReplicaFaults, CutOffObserversShareTheHighestRevision)
+{
+    Cluster cluster(1, 2);
+    cluster.start();
+    cluster.waitForLeader();
+    cluster.submit("o1", "first");
+    cluster.submit("o2", "second");
+    cluster.stopNode("o2");
+    cluster.links.cutBoth("o1", "v1");
+    cluster.links.cutBoth("o2", "v1");
+    ASSERT_TRUE(cluster.startNode("o2"));
+    EXPECT_TRUE(eventually([&] {
+        return cluster.machine("o2").payloads() == std::vector<std::string>{"first", "second"};
+    }));
+    EXPECT_TRUE(eventually([&] { return cluster.log("o2").status().ready; }));
+    const auto refused = cluster.log("o2").submit("refused", submitTimeout);
+    ASSERT_FALSE(refused);
+    EXPECT_FALSE(cluster.log("o2").status().hasQuorum);
+    cluster.links.heal();
+    cluster.submit("o2", "third");
+}
+
+TEST(ReplicaFaults, LeaderStatusCoversAllProcesses)
+{
+    Cluster cluster(3, 2);
+    cluster.start();
+    cluster.waitForLeader();
+    const auto revision = cluster.submit("o1", "a");
+    for (const std::string id : {"v1", "v2", "v3", "o1", "o2"}) {
+        EXPECT_TRUE(eventually([&] {
+            const auto status = cluster.log(id).leaderStatus(submitTimeout);
+            return status && status.value().progress.size() == 5
+                   && std::ranges::all_of(status.value().progress, [&](const auto &process) {
+                          return process.second.appliedRevision >= revision;
+                      });
+        })) << id;
+    }
+}
+
+TEST(ReplicaFaults, VoterIsReplacedThroughTheLog)
+{
+    Cluster cluster(3);
+    cluster.start();
+    const auto leader = cluster.waitForLeader();
+    cluster.submit(leader, "before");
+    const auto removed = otherVoter(leader);
+    cluster.stopNode(removed);
+    cluster.addVoter("v4");
+    ASSERT_TRUE(cluster.startNode("v4"));
+    EXPECT_TRUE(eventually([&] {
+        return bool(cluster.log(leader).replaceVoter(removed, cluster.voter("v4"), submitTimeout));
+    }));
+    cluster.submit("v4", "after");
+    EXPECT_FALSE(cluster.log(leader).status().progress.contains(removed));
+    // The new voter is part of the majority once the old leader has gone.
+    cluster.stopNode(leader);
+    cluster.submit("v4", "without the first leader");
+}
+
+TEST(ReplicaFaults, MessagesOfAnotherGroupAreRefused)
+{
+    Cluster cluster(1, 1);
+    ASSERT_TRUE(cluster.startNode("v1"));
+    cluster.waitForLeader();
+    cluster.submit("v1", "a");
+    cluster.options.groupId = "other";
+    ASSERT_TRUE(cluster.startNode("o1"));
+    EXPECT_FALSE(cluster.log("o1").submit("b", Utils::Milliseconds(500)));
+    EXPECT_EQ(cluster.machine("o1").revision(), 0U);
+    EXPECT_EQ(cluster.machine("v1").payloads(), std::vector<std::string>{"a"});
+}
+
+} // namespace
+} // namespace Replication::Test
