--- a/src/libs/planning/moverunner.cpp
+++ b/src/libs/planning/moverunner.cpp
@@ -141,6 +141,9 @@
         if (!plan)
             return;
         if (!plan.value().unplaced.empty()) {
+            // Jobs that an empty host could take wait for one that this wave stops no more.
+            if (!hasMisfit(move, plan.value()))
+                return;
             reportUnplaced(move, plan.value());
             advance(move, MoveState::Rejected, "a job of the host fits nowhere");
             return;
@@ -219,6 +222,20 @@
         tasks, targetsFor(move), m_timing.drainDeadline.count() / millisecondsPerSecond);
 }
 
+auto MoveRunner::hasMisfit(const Move &move, const JobPlan &plan) const -> bool
+{
+    const auto tasks = m_platform.tasksOn(move.host);
+    if (!tasks)
+        return false;
+    const auto hostSlots = m_replica.read([&](const Fleet::State &state) {
+        return FleetView(state).pool(move.fromPool).largestHostSlots;
+    });
+    return std::ranges::any_of(tasks.value(), [&](const Task &task) {
+        const auto isUnplaced = std::ranges::find(plan.unplaced, task.id) != plan.unplaced.end();
+        return isUnplaced && (!task.canCheckpoint || slotsOf(task) > hostSlots);
+    });
+}
+
 // Hosts of the pool that this wave stops no more, so that no job moves twice in it.
 auto MoveRunner::targetsFor(const Move &move) const -> std::vector<PlacementTarget>
 {
--- a/src/libs/planning/moverunner.h
+++ b/src/libs/planning/moverunner.h
@@ -51,6 +51,7 @@
     auto stepInMaintenance(const Fleet::Move &move) -> void;
     auto stepSoaking(const Fleet::Move &move) -> void;
     auto planJobs(const Fleet::Move &move) const -> Utils::Result<JobPlan>;
+    auto hasMisfit(const Fleet::Move &move, const JobPlan &plan) const -> bool;
     auto targetsFor(const Fleet::Move &move) const -> std::vector<PlacementTarget>;
     auto reportUnplaced(const Fleet::Move &move, const JobPlan &plan) -> void;
     auto moveJobs(const Fleet::Move &move, const JobPlan &plan) -> std::int64_t;
