--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -24,6 +24,7 @@
         CommandEntry{"move", "list, approve or reject moves", &runMoveCommand},
         CommandEntry{"override", "decide past the planner, with a reason", &runOverrideCommand},
         CommandEntry{"autonomy", "choose how much runs unattended", &runAutonomyCommand},
+        CommandEntry{"voter", "add or replace a voter of the log", &runVoterCommand},
         CommandEntry{"audit", "show the audit trail", &runAuditCommand},
         CommandEntry{"plan", "show the buffer plan as a table or CSV", &runPlanCommand},
         CommandEntry{"explain", "explain a move, a host or what waits", &runExplainCommand},
--- a/src/app/operatorcommands.cpp
+++ b/src/app/operatorcommands.cpp
@@ -187,6 +187,20 @@
                          invocation->option("if-revision")});
 }
 
+auto runVoterCommand(int argc, char **argv) -> int
+{
+    const auto invocation = parseInvocation("voter", argc, argv, {"remove"});
+    if (!invocation)
+        return exitUsage;
+    if (invocation->word(0) != "add" || invocation->word(3).empty())
+        return usage("voter add ID ZONE ADDRESS [--remove ID]");
+    const Utils::Json body{{"removed", invocation->option("remove")},
+                           {"id", invocation->word(1)},
+                           {"zone", invocation->word(2)},
+                           {"address", invocation->word(3)}};
+    return callAndPrint(*invocation, {"POST", "/v1/voters/replace", body.dump(), {}});
+}
+
 auto runHostCommand(int argc, char **argv) -> int
 {
     const auto invocation = parseInvocation("host", argc, argv, {});
--- a/src/libs/entry/operatorinterface.cpp
+++ b/src/libs/entry/operatorinterface.cpp
@@ -63,6 +63,7 @@
         Route{"PUT", R"(/v1/autonomy)", &OperatorInterface::putAutonomy},
         Route{"GET", R"(/v1/audit)", &OperatorInterface::listAudit},
         Route{"GET", R"(/v1/events)", &OperatorInterface::listEvents},
+        Route{"POST", R"(/v1/voters/replace)", &OperatorInterface::replaceVoter},
         Route{"GET", R"(/v1/status)", &OperatorInterface::showStatus},
     };
     return routes;
--- a/src/libs/entry/operatorinterface.h
+++ b/src/libs/entry/operatorinterface.h
@@ -61,6 +61,8 @@
         -> Utils::Result<Utils::Json>;
     auto putPool(const httplib::Request &http, const std::string &actor)
         -> Utils::Result<Utils::Json>;
+    auto replaceVoter(const httplib::Request &http, const std::string &actor)
+        -> Utils::Result<Utils::Json>;
     auto listPools(const httplib::Request &http, const std::string &actor)
         -> Utils::Result<Utils::Json>;
     auto listHosts(const httplib::Request &http, const std::string &actor)
--- a/src/libs/entry/operatorwrites.cpp
+++ b/src/libs/entry/operatorwrites.cpp
@@ -3,6 +3,9 @@
 #include "fleet/disruptionledger.h"
 #include "utils/ids.h"
 
+#include "utils/address.h"
+#include "utils/log.h"
+
 #include <httplib.h>
 
 namespace Entry {
@@ -75,6 +78,21 @@
                    "reassign-host");
 }
 
+struct VoterOrder
+{
+    std::string removed; //!< Empty: none is removed.
+    Replication::Voter added;
+};
+
+template <typename Archive>
+auto describe(Archive &archive, VoterOrder &order) -> void
+{
+    archive.optional("removed", order.removed);
+    archive.required("id", order.added.id);
+    archive.required("zone", order.added.zone);
+    archive.required("address", order.added.address);
+}
+
 } // namespace
 
 auto OperatorInterface::putContract(const httplib::Request &http, const std::string &actor)
@@ -140,6 +158,19 @@
     return execute(http, actor, Fleet::UpdateWave{wave, paused, {}});
 }
 
+auto OperatorInterface::replaceVoter(const httplib::Request &http, const std::string &actor)
+    -> Result<Json>
+{
+    constexpr Utils::Milliseconds timeout{10'000};
+    BOOST_OUTCOME_TRY(order, Utils::fromJsonText<VoterOrder>(http.body));
+    BOOST_OUTCOME_TRY(Utils::parseAddress(order.added.address));
+    BOOST_OUTCOME_TRY(m_context.log.replaceVoter(order.removed, order.added, timeout));
+    Utils::Log::info("entry",
+                     "a voter was replaced",
+                     {{"operator", actor}, {"removed", order.removed}, {"added", order.added.id}});
+    return Json{{"removed", order.removed}, {"added", order.added.id}};
+}
+
 auto OperatorInterface::overrideMove(const httplib::Request &http, const std::string &actor)
     -> Result<Json>
 {
