--- a/src/libs/replication/leaderforwarder.cpp
+++ b/src/libs/replication/leaderforwarder.cpp
@@ -10,10 +10,10 @@
 constexpr std::size_t maximumBatchPayloads = 256;
 constexpr std::size_t maximumBatchBytes = 1024 * 1024;
 
-auto submitResult(Wire::SubmitResult result) -> Utils::Result<SubmitReply>
+auto submitResult(const Wire::SubmitResult &result) -> Utils::Result<SubmitReply>
 {
     if (result.status == Wire::SubmitStatus::COMMITTED)
-        return SubmitReply{Revision(result.revision), std::move(result.reply)};
+        return SubmitReply{Revision(result.revision), result.reply};
     if (result.status == Wire::SubmitStatus::OUTCOME_UNKNOWN)
         return Utils::failure(Utils::ErrorType::OutcomeUnknown,
                               "the leader did not commit in time");
@@ -192,9 +192,9 @@
     }
     std::vector<Utils::Result<SubmitReply>> results;
     auto notLeader = false;
-    for (auto &result : reply.value().results) {
+    for (const auto &result : reply.value().results) {
         notLeader = notLeader || result.status == Wire::SubmitStatus::NOT_LEADER;
-        results.push_back(submitResult(std::move(result)));
+        results.push_back(submitResult(result));
     }
     if (notLeader)
         m_locator.noteNotLeader(asked.value(), reply.value().leaderId);
--- a/src/libs/replication/observerlog.cpp
+++ b/src/libs/replication/observerlog.cpp
@@ -63,7 +63,7 @@
     auto sources() -> std::vector<Source>;
     auto follow(const Source &source) -> void;
     auto observeOnce(Connection &connection, const Source &source) -> bool;
-    auto applyEntries(std::vector<Wire::ReplicaEntry> entries) -> bool;
+    auto applyEntries(const std::vector<Wire::ReplicaEntry> &received) -> bool;
     auto fetchSnapshot(Connection &connection) -> bool;
     auto becomeReady(bool confirmed) -> void;
     auto waitApplied(StateLock &lock, Revision revision, Utils::Instant deadline) -> bool;
@@ -285,18 +285,18 @@
     }
     if (reply.value().snapshotNeeded && !fetchSnapshot(connection))
         return false;
-    if (!applyEntries(std::move(reply.value().entries)))
+    if (!applyEntries(reply.value().entries))
         return false;
     if (source.voter)
         becomeReady(true);
     return true;
 }
 
-auto ObserverLog::Private::applyEntries(std::vector<Wire::ReplicaEntry> received) -> bool
+auto ObserverLog::Private::applyEntries(const std::vector<Wire::ReplicaEntry> &received) -> bool
 {
     const std::scoped_lock applying(applier.mutex());
-    for (auto &wireEntry : received) {
-        auto entry = Internal::fromWire(std::move(wireEntry));
+    for (const auto &wireEntry : received) {
+        auto entry = Internal::fromWire(wireEntry);
         // Only this task changes the entries, so they are stable here.
         if (entry.revision <= entries.lastRevision())
             continue;
--- a/src/libs/replication/wireconversion.cpp
+++ b/src/libs/replication/wireconversion.cpp
@@ -14,12 +14,10 @@
     return result;
 }
 
-auto fromWire(Wire::ReplicaEntry entry) -> Entry
+auto fromWire(const Wire::ReplicaEntry &entry) -> Entry
 {
-    return {Revision(entry.revision),
-            std::uint64_t(entry.term),
-            std::move(entry.payload),
-            EntryKind(entry.kind)};
+    return {
+        Revision(entry.revision), std::uint64_t(entry.term), entry.payload, EntryKind(entry.kind)};
 }
 
 auto toWire(const std::map<std::string, ProcessProgress> &progress)
--- a/src/libs/replication/wireconversion.h
+++ b/src/libs/replication/wireconversion.h
@@ -11,7 +11,7 @@
 namespace Replication::Internal {
 
 auto toWire(const std::vector<Entry> &entries) -> std::vector<Wire::ReplicaEntry>;
-auto fromWire(Wire::ReplicaEntry entry) -> Entry;
+auto fromWire(const Wire::ReplicaEntry &entry) -> Entry;
 auto toWire(const std::map<std::string, ProcessProgress> &progress)
     -> std::vector<Wire::ProcessApplied>;
 auto toWire(const LogStatus &status) -> Wire::StatusReply;
--- a/src/libs/wire/socketfactory.cpp
+++ b/src/libs/wire/socketfactory.cpp
@@ -1,7 +1,5 @@
 #include "socketfactory.h"
 
-#include <thrift/transport/TSocket.h>
-
 namespace Wire {
 namespace {
 
--- a/src/libs/wire/socketfactory.h
+++ b/src/libs/wire/socketfactory.h
@@ -2,13 +2,11 @@
 
 #include "utils/address.h"
 
+#include <thrift/transport/TSocket.h>
+
 #include <memory>
 #include <string>
 
-namespace apache::thrift::transport {
-class TSocket;
-}
-
 namespace Wire {
 
 /*! \brief Makes the unopened sockets that peers are dialled with, so that tests can cut links. */
