Do not answer callers before the state in force is known

Cause: in a rolling restart of nine processes under load, a process that had just started answered 64 of 19,000 requests with 403 unknown customer, since its state was still empty; a voter could likewise have served an older contract from its files. Change: a start gate refuses callers as not-run (503) and fails /readyz until the log has confirmed the revision here and peers have had time to tell their endpoints. Conclusion: a starting process is seen as such by the balancer and by callers.

--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -36,6 +36,8 @@
 // Other zones send only overflow here; half the routing lease keeps their records alive.
 constexpr Utils::Milliseconds otherZoneUpdateInterval{1500};
 constexpr Utils::Milliseconds leaseSweepInterval{500};
+// Peers tell a process that has just started about their endpoints within this time.
+constexpr Utils::Milliseconds endpointGrace{2000};
 constexpr auto callersListener = "callers";
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
@@ -128,8 +130,12 @@
                                                  settings.limits.operatorConnections,
                                                  settings.limits,
                                                  metrics)};
-    Entry::CallerInterface callers{callerServer,
-                                   {clock, ids, replica, dispatcher, claimedDispatch, &metrics}};
+    Entry::StartGate startGate{clock,
+                               {[this] { return log.status().ready; },
+                                [this] { return !directory.isEmpty(); },
+                                settings.peers.empty() ? Utils::Milliseconds(0) : endpointGrace}};
+    Entry::CallerInterface callers{
+        callerServer, {clock, ids, replica, dispatcher, claimedDispatch, &metrics, &startGate}};
     Entry::EndpointInterface endpoints{endpointServer, {replica, gateway, directory, settings.id}};
     Entry::OperatorInterface operators{
         operatorServer, {settings, replica, gateway, log, ids, &dispatcher, &demandHistory}};
@@ -148,7 +154,8 @@
                                   log,
                                   metrics,
                                   stopping,
-                                  {&callerServer, &endpointServer, &operatorServer}}};
+                                  {&callerServer, &endpointServer, &operatorServer},
+                                  &startGate}};
     Supervision::Supervisor supervisor{
         "root", {}, clock, [this](const Utils::Error &error) { escalate(error); }};
 };
--- a/src/libs/entry/callerinterface.cpp
+++ b/src/libs/entry/callerinterface.cpp
@@ -144,6 +144,8 @@
 
 auto CallerInterface::parse(const httplib::Request &http) const -> Utils::Result<Routing::Request>
 {
+    if (m_context.startGate && !m_context.startGate->isOpen())
+        return Utils::failure(ErrorType::Unavailable, "this process is still starting");
     Routing::Request request;
     request.id = m_context.ids.next("request");
     request.customer = http.get_header_value("Trefoilshelf-Customer");
--- a/src/libs/entry/callerinterface.h
+++ b/src/libs/entry/callerinterface.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httpserver.h"
+#include "startgate.h"
 
 #include "fleet/replica.h"
 #include "routing/claimeddispatch.h"
@@ -17,6 +18,7 @@
     Routing::Dispatcher &dispatcher;
     Routing::ClaimedDispatch &claimedDispatch;
     Utils::Metrics *metrics = nullptr; //!< Counts and times requests, if set.
+    StartGate *startGate = nullptr;    //!< Refuses requests while it is closed, if set.
 };
 
 /*! \brief Serves callers' requests: /v1/services/{service}/{path}. */
--- a/src/libs/entry/probeinterface.cpp
+++ b/src/libs/entry/probeinterface.cpp
@@ -61,7 +61,9 @@
     constexpr auto serviceUnavailable = 503;
     const auto status = m_context.log.status();
     const auto stopping = m_context.stopping.load();
-    const auto ready = !stopping && (status.hasQuorum || status.appliedRevision > 0);
+    const auto started = m_context.startGate ? m_context.startGate->isOpen()
+                                             : status.hasQuorum || status.appliedRevision > 0;
+    const auto ready = !stopping && started;
     setJson(response,
             {{"ready", ready},
              {"stopping", stopping},
--- a/src/libs/entry/probeinterface.h
+++ b/src/libs/entry/probeinterface.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "httpserver.h"
+#include "startgate.h"
 
 #include "replication/replicatedlog.h"
 #include "utils/metrics.h"
@@ -19,12 +20,13 @@
     Utils::Metrics &metrics;
     const std::atomic<bool> &stopping;
     std::vector<const HttpServer *> listeners; //!< Whose connections are counted.
+    StartGate *startGate = nullptr;            //!< Not ready while it is closed, if set.
 };
 
 /*!
     \brief Serves /healthz, /readyz and, to operators, /metrics.
 
-    A process is ready while it is not stopping and has applied some state. It stays ready
+    A process is ready while it is not stopping and its start gate is open. It stays ready
     without a quorum, since it then still answers idempotent requests of its zone; the body says so.
 */
 class ProbeInterface
--- a/src/libs/membership/endpointdirectory.cpp
+++ b/src/libs/membership/endpointdirectory.cpp
@@ -189,6 +189,12 @@
     return endpoints;
 }
 
+auto EndpointDirectory::isEmpty() const -> bool
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_endpoints.empty();
+}
+
 auto EndpointDirectory::changesSince(std::int64_t version) const -> SetDelta
 {
     const std::scoped_lock lock(m_mutex);
--- a/src/libs/membership/endpointdirectory.h
+++ b/src/libs/membership/endpointdirectory.h
@@ -137,6 +137,7 @@
     /*! \brief Returns all endpoints of \a host, with or without a lease. */
     auto onHost(std::string_view host) const -> std::vector<Endpoint>;
     auto all() const -> std::vector<Endpoint>;
+    auto isEmpty() const -> bool;
     auto lease() const -> Utils::Milliseconds { return m_lease; }
 
     /*! \brief Returns the serving endpoints of \a service; the reader checks the leases. */
--- /dev/null
+++ b/tests/auto/entry/tst_startgate.cpp
@@ -0,0 +1,47 @@
+#include "entry/startgate.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+struct GateCase
+{
+    const char *name;
+    bool caughtUp;
+    bool knowsEndpoints;
+    std::int64_t elapsedMs;
+    bool open;
+};
+
+constexpr Utils::Milliseconds grace{2000};
+
+} // namespace
+
+TEST(StartGate, OpensOnceCaughtUpWithEndpointsOrAfterTheGrace)
+{
+    const std::vector<GateCase> cases{
+        {"just started", false, false, 0, false},
+        {"endpoints but an old state", false, true, 60'000, false},
+        {"caught up without endpoints", true, false, 1999, false},
+        {"caught up, nobody announced", true, false, 2000, true},
+        {"caught up with endpoints", true, true, 0, true},
+    };
+    for (const auto &gateCase : cases) {
+        Utils::ManualClock clock;
+        Entry::StartGate gate(
+            clock,
+            {[&] { return gateCase.caughtUp; }, [&] { return gateCase.knowsEndpoints; }, grace});
+        clock.advance(Utils::Milliseconds(gateCase.elapsedMs));
+        EXPECT_EQ(gate.isOpen(), gateCase.open) << gateCase.name;
+    }
+}
+
+TEST(StartGate, StaysOpenWhenTheLogIsCutOff)
+{
+    Utils::ManualClock clock;
+    auto caughtUp = true;
+    Entry::StartGate gate(clock, {[&] { return caughtUp; }, [] { return true; }, grace});
+    EXPECT_TRUE(gate.isOpen());
+    caughtUp = false;
+    EXPECT_TRUE(gate.isOpen());
+}
