Let operators resolve jobs and retire processes

Cause: a job that waits for an operator and a process that is gone for good could be settled by a command of the log only, not through the operators' interface.

Change: the overrides requeue-job, fail-job and retire-process, each with its reason in the audit trail.

--- a/src/app/operatorcommands.cpp
+++ b/src/app/operatorcommands.cpp
@@ -123,6 +123,16 @@
     return exitUsage;
 }
 
+// The field of an override that names what the action is about.
+auto subjectField(const std::string &action) -> const char *
+{
+    if (action == "maintain-host" || action == "reassign-host")
+        return "host";
+    if (action == "requeue-job" || action == "fail-job")
+        return "job";
+    return action == "retire-process" ? "process" : "move";
+}
+
 } // namespace
 
 auto runStatusCommand(int argc, char **argv) -> int
@@ -269,11 +279,12 @@
     if (action.empty() || subject.empty() || reason.empty()) {
         return usage("override cancel-move|extend-drain|release-host MOVE --reason TEXT\n"
                      "       trefoilshelf override maintain-host HOST --reason TEXT\n"
-                     "       trefoilshelf override reassign-host HOST --pool POOL --reason TEXT");
+                     "       trefoilshelf override reassign-host HOST --pool POOL --reason TEXT\n"
+                     "       trefoilshelf override requeue-job|fail-job JOB --reason TEXT\n"
+                     "       trefoilshelf override retire-process PROCESS --reason TEXT");
     }
-    const auto isOfHost = action == "maintain-host" || action == "reassign-host";
     const Utils::Json body{{"action", action},
-                           {isOfHost ? "host" : "move", subject},
+                           {subjectField(action), subject},
                            {"pool", invocation->option("pool")},
                            {"reason", reason}};
     return callAndPrint(*invocation, {"POST", "/v1/override", body.dump(), {}});
--- a/src/libs/entry/operatorwrites.cpp
+++ b/src/libs/entry/operatorwrites.cpp
@@ -37,6 +37,8 @@
     std::string move;
     std::string host;
     std::string pool;
+    std::string job;
+    std::string process;
     std::string reason;
 };
 
@@ -47,6 +49,8 @@
     archive.optional("move", order.move);
     archive.optional("host", order.host);
     archive.optional("pool", order.pool);
+    archive.optional("job", order.job);
+    archive.optional("process", order.process);
     archive.required("reason", order.reason);
 }
 
@@ -70,12 +74,16 @@
         return Fleet::ProposeMove{moveOf(order, Fleet::MoveKind::Reassign), true};
     if (order.action == "release-host")
         return Fleet::OverrideRelease{order.move, order.reason};
+    if (order.action == "requeue-job" || order.action == "fail-job")
+        return Fleet::ResolveJob{order.job, order.action == "requeue-job", order.reason};
+    if (order.action == "retire-process")
+        return Fleet::RetireProcess{order.process, order.reason};
     if (const auto action = Utils::valueOf<Fleet::OverrideAction>(order.action))
         return Fleet::OverrideMove{order.move, *action, order.reason};
     return failure(ErrorType::InvalidInput,
                    "unknown action",
                    "must be one of cancel-move, extend-drain, release-host, maintain-host, "
-                   "reassign-host");
+                   "reassign-host, requeue-job, fail-job, retire-process");
 }
 
 struct VoterOrder
--- a/src/libs/fleet/releasecommands.h
+++ b/src/libs/fleet/releasecommands.h
@@ -21,6 +21,7 @@
 {
     static constexpr std::string_view typeName = "retire-process";
     std::string process;
+    std::string reason;
 };
 
 /*! \brief Tells that a process sends nothing more to a draining host and has nothing in flight there. */
@@ -56,6 +57,7 @@
 auto describe(Archive &archive, RetireProcess &command) -> void
 {
     archive.required("process", command.process);
+    archive.optional("reason", command.reason);
 }
 
 template <typename Archive>
--- a/src/libs/fleet/statereleases.cpp
+++ b/src/libs/fleet/statereleases.cpp
@@ -65,7 +65,7 @@
     const auto *present = findIn(m_processes, body.process);
     if (!present)
         return failure(ErrorType::NotFound, "unknown process", body.process);
-    Change change{body.process, {}, {}, Utils::toJson(*present), {}, true};
+    Change change{body.process, {}, {}, Utils::toJson(*present), {{"reason", body.reason}}, true};
     m_processes.erase(body.process);
     return change;
 }
--- a/tests/auto/fleet/tst_releases.cpp
+++ b/tests/auto/fleet/tst_releases.cpp
@@ -98,7 +98,7 @@
 {
     release("z1-a");
     passRoutingLease();
-    EXPECT_TRUE(driver.apply(Fleet::RetireProcess{"z1-b"}).accepted);
+    EXPECT_TRUE(driver.apply(Fleet::RetireProcess{"z1-b", "it is lost"}).accepted);
     EXPECT_TRUE(finish().accepted);
 }
 
