Give each process a range of slots and measure the policy

Change: processes of a zone use ranges of slots that do not overlap, a request that found only busy endpoints waits for the retry budget, the last retries are kept for urgent requests, and the default strategy is modulated two choices.

--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -187,6 +187,7 @@
 auto ServeProcess::Private::dispatcherOptions() -> Routing::DispatcherOptions
 {
     Routing::DispatcherOptions options;
+    options.process = settings.id;
     options.zone = settings.zone;
     options.seed = ids.nextNumber();
     options.queuedRequests = std::size_t(settings.limits.queuedRequests);
--- a/src/libs/membership/demandtable.cpp
+++ b/src/libs/membership/demandtable.cpp
@@ -15,25 +15,26 @@
 }
 
 auto DemandTable::inZone(std::string_view zone,
+                         std::string_view self,
                          std::string_view service,
                          std::string_view customer) const -> PeerDemand
 {
     const std::scoped_lock lock(m_mutex);
     const auto oldest = m_clock.now() - m_lease;
-    PeerDemand sum;
+    PeerDemand demand;
     for (const auto &[process, peer] : m_peers) {
         if (peer.zone != zone || peer.heardAt < oldest)
             continue;
+        auto &sum = process < self ? demand.before : demand.after;
         ++sum.processes;
-        for (const auto &demand : peer.demand) {
-            if (demand.service != service)
+        for (const auto &reported : peer.demand) {
+            if (reported.service != service)
                 continue;
-            sum.serviceRequests += demand.requests;
-            if (demand.customer == customer)
-                sum.customerRequests += demand.requests;
+            sum.serviceRequests += reported.requests;
+            sum.customerRequests += reported.customer == customer ? reported.requests : 0;
         }
     }
-    return sum;
+    return demand;
 }
 
 auto DemandTable::livePeers() const -> int
--- a/src/libs/membership/demandtable.h
+++ b/src/libs/membership/demandtable.h
@@ -17,14 +17,21 @@
     int requests = 0;
 };
 
-/*! \brief What the other processes of one zone need. */
-struct PeerDemand
+/*! \brief What several processes need together. */
+struct DemandSum
 {
-    int processes = 0; //!< Those heard of within a lease.
+    int processes = 0;
     int serviceRequests = 0;
     int customerRequests = 0;
 };
 
+/*! \brief What the other processes of one zone need; those heard of within a lease. */
+struct PeerDemand
+{
+    DemandSum before; //!< Those with a lower id.
+    DemandSum after;
+};
+
 /*! \brief The demand that other processes last reported. Thread-safe. */
 class DemandTable
 {
@@ -32,8 +39,11 @@
     DemandTable(const Utils::Clock &clock, Utils::Milliseconds lease);
 
     auto setPeer(const std::string &process, std::string zone, std::vector<Demand> demand) -> void;
-    auto inZone(std::string_view zone, std::string_view service, std::string_view customer) const
-        -> PeerDemand;
+    /*! \brief Returns the demand of the processes of \a zone before and after \a self. */
+    auto inZone(std::string_view zone,
+                std::string_view self,
+                std::string_view service,
+                std::string_view customer) const -> PeerDemand;
     /*! \brief Returns the processes of all zones heard of within a lease. */
     auto livePeers() const -> int;
 
--- a/src/libs/routing/admissiongate.h
+++ b/src/libs/routing/admissiongate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "admission.h"
+#include "slotshare.h"
 
 #include "membership/demandtable.h"
 #include "utils/ids.h"
@@ -15,8 +16,8 @@
 /*! \brief What this process may use of a service now. */
 struct ServiceShare
 {
-    int slots = 0; //!< In the own zone and spilled.
-    int ownZoneSlots = 0;
+    int slots = 0;   //!< In the own zone and spilled.
+    SlotRange range; //!< Of the own zone's slots.
     int endpoints = 0;
     int racks = 0;
     CustomerSlots customer;
--- a/src/libs/routing/dispatcher.cpp
+++ b/src/libs/routing/dispatcher.cpp
@@ -1,7 +1,8 @@
 #include "dispatcher.h"
 
-#include <algorithm>
-#include <cmath>
+#include "slotshare.h"
+
+#include <thread>
 
 namespace Routing {
 
@@ -9,8 +10,7 @@
 
 constexpr auto maximumAttempts = 4;
 constexpr auto statusBadGateway = 502;
-// Until peers report demand, each process gets an equal part weighing this part of the slots.
-constexpr auto idleWeightPart = 0.25;
+constexpr Utils::Milliseconds busyWait{25};
 
 auto fingerprintOf(const Request &request) -> std::size_t
 {
@@ -23,20 +23,6 @@
     return failure != AttemptFailure::Busy && failure != AttemptFailure::ShortDeadline;
 }
 
-// The part of a process whose own demand is \a own among peers.
-auto demandPart(double own, int processes, double others, int slots) -> double
-{
-    if (processes == 0)
-        return 1;
-    const auto idleWeight = std::max(1.0, idleWeightPart * slots / (processes + 1));
-    return (own + idleWeight) / (own + others + idleWeight * (processes + 1));
-}
-
-auto partOf(double part, std::int64_t slots) -> int
-{
-    return slots == 0 ? 0 : std::max(1, int(std::ceil(part * double(slots))));
-}
-
 } // namespace
 
 Dispatcher::Dispatcher(const Utils::Clock &clock,
@@ -111,18 +97,28 @@
         return found ? *found : Fleet::ServiceTerms{service, {}, 0, slots.ownZone, 0};
     });
     Membership::PeerDemand others;
-    if (m_options.peers)
-        others = m_options.peers->inZone(m_options.zone, service, customer);
-    const auto own =
-        m_options.peers ? m_gate.reportedDemand(service, customer) : AdmissionGate::Reported{};
-    const auto part =
-        demandPart(own.service, others.processes, others.serviceRequests, slots.ownZone);
-    const auto customerPart =
-        demandPart(own.customer, others.processes, others.customerRequests, slots.ownZone);
-    share.slots = partOf(part, slots.ownZone) + slots.otherZonesFree / (others.processes + 1);
-    share.customer = {partOf(customerPart, terms.guaranteedSlots),
-                      partOf(customerPart, terms.maxSlots)};
-    share.ownZoneSlots = partOf(part, slots.ownZone);
+    AdmissionGate::Reported own;
+    if (m_options.peers) {
+        others = m_options.peers->inZone(m_options.zone, m_options.process, service, customer);
+        own = m_gate.reportedDemand(service, customer);
+    }
+    const auto &[before, after] = others;
+    share.range = slotRange({double(own.service),
+                             double(before.serviceRequests),
+                             double(after.serviceRequests),
+                             before.processes,
+                             after.processes},
+                            slots.ownZone);
+    const auto customerRange = slotRange({double(own.customer),
+                                          double(before.customerRequests),
+                                          double(after.customerRequests),
+                                          before.processes,
+                                          after.processes},
+                                         slots.ownZone);
+    const auto processes = before.processes + 1 + after.processes;
+    share.slots = slotsOfPart(share.range.part(), slots.ownZone) + slots.otherZonesFree / processes;
+    share.customer = {slotsOfPart(customerRange.part(), terms.guaranteedSlots),
+                      slotsOfPart(customerRange.part(), terms.maxSlots)};
     share.endpoints = slots.endpoints;
     share.racks = slots.racks;
     return share;
@@ -135,7 +131,7 @@
         Reply::notRun(Utils::ErrorType::Unavailable, "no endpoint of the service is available");
     for (auto number = 1; number <= maximumAttempts; ++number) {
         const auto share = shareOf(request.service, request.customer);
-        auto choice = m_selector.choose(request, trail.tried, share.ownZoneSlots);
+        auto choice = m_selector.choose(request, trail.tried, share.range);
         if (!choice)
             break;
         auto result = attempt(request, *choice, number);
@@ -144,7 +140,7 @@
             return std::move(result.reply);
         }
         // An attempt that may have run outweighs a later one that did not.
-        if (reply.outcome != Outcome::Unknown)
+        if (reply.outcome == Outcome::NotRun || result.reply.outcome == Outcome::Ran)
             reply = std::move(result.reply);
         trail.tried.endpoints.insert(choice->endpoint);
         trail.tried.racks.insert(choice->rack);
@@ -153,8 +149,7 @@
         if (isAtFault(request, trail))
             return rejected(request);
         const auto mayRetry = (reply.outcome == Outcome::NotRun || request.idempotent)
-                              && number < maximumAttempts && m_clock.now() < request.deadline
-                              && m_budget.takeRetry();
+                              && number < maximumAttempts && takeRetry(request, result.failure);
         if (!mayRetry)
             break;
         report(EventKind::Retried, request, choice->endpoint, Utils::nameOf(result.failure));
@@ -163,6 +158,20 @@
     return reply;
 }
 
+// A request that only found busy endpoints waits for the budget while its deadline allows.
+auto Dispatcher::takeRetry(const Request &request, AttemptFailure failure) -> bool
+{
+    while (m_clock.now() < request.deadline) {
+        if (m_budget.takeRetry(request.priority))
+            return true;
+        const auto next = m_clock.now() + busyWait + m_gate.meanRun(request.service);
+        if (failure != AttemptFailure::Busy || next > request.deadline)
+            return false;
+        std::this_thread::sleep_for(busyWait);
+    }
+    return false;
+}
+
 auto Dispatcher::attempt(const Request &request, Choice &choice, int number) -> AttemptResult
 {
     choice.attempt.number = number;
--- a/src/libs/routing/dispatcher.h
+++ b/src/libs/routing/dispatcher.h
@@ -15,9 +15,10 @@
 /*! \brief Where the process stands, what it knows of peers, and its limits. */
 struct DispatcherOptions
 {
+    std::string process;
     std::string zone; //!< Empty: all endpoints count as those of the own zone.
     std::uint64_t seed = 1;
-    Strategy strategy = Strategy::TwoChoices;
+    Strategy strategy = Strategy::ModulatedTwoChoices;
     std::size_t queuedRequests = 1024;
     std::function<bool()> hasQuorum; //!< Spilling to other zones needs it; empty: always.
     const Membership::DemandTable *peers = nullptr;
@@ -57,6 +58,7 @@
     auto shareOf(const std::string &service, const std::string &customer) -> ServiceShare;
     auto checkLimits(const Request &request) -> std::optional<Reply>;
     auto runAttempts(const Request &request) -> Reply;
+    auto takeRetry(const Request &request, AttemptFailure failure) -> bool;
     auto attempt(const Request &request, Choice &choice, int number) -> AttemptResult;
     auto succeed(const Request &request, const Choice &choice, const Trail &trail) -> void;
     auto isAtFault(const Request &request, const Trail &trail) -> bool;
--- a/src/libs/routing/endpointselector.cpp
+++ b/src/libs/routing/endpointselector.cpp
@@ -38,7 +38,7 @@
 }
 
 // Returns the endpoints that may get a request now.
-auto EndpointSelector::candidates(const Membership::EndpointList &endpoints)
+auto EndpointSelector::candidates(const Membership::EndpointList &endpoints, const SlotRange &range)
     -> std::vector<Candidate>
 {
     const auto now = m_clock.now();
@@ -52,13 +52,11 @@
             found.push_back({entry.get(), host->assignmentEpoch});
         }
     });
+    allow(found, range);
     std::erase_if(found, [&](Candidate &candidate) {
         const auto &announcement = candidate.entry->announcement;
         const auto own = ownInFlight(announcement.id);
-        const auto total = own + candidate.entry->peersInFlight.load();
-        candidate.isLocal = m_options.zone.empty() || announcement.zone == m_options.zone;
-        candidate.isFree = total < announcement.slots;
-        candidate.load = total;
+        candidate.load = own + candidate.entry->peersInFlight.load();
         if (m_ejections.isEmpty())
             return own >= announcement.slots;
         const auto ejection = m_ejections.state(announcement.id, now);
@@ -72,26 +70,43 @@
     return found;
 }
 
-auto EndpointSelector::choose(const Request &request, const Tried &tried, int ownZoneLimit)
+// Own-zone endpoints are free up to this process's range of their slots, others by the view.
+auto EndpointSelector::allow(std::vector<Candidate> &found, const SlotRange &range) const -> void
+{
+    std::vector<int> slots;
+    for (auto &candidate : found) {
+        const auto &announcement = candidate.entry->announcement;
+        candidate.isLocal = m_options.zone.empty() || announcement.zone == m_options.zone;
+        slots.push_back(candidate.isLocal ? int(announcement.slots) : 0);
+    }
+    const auto allowances = slotAllowances(range, slots);
+    for (std::size_t index = 0; index < found.size(); ++index) {
+        const auto &announcement = found[index].entry->announcement;
+        const auto own = ownInFlight(announcement.id);
+        const auto total = own + found[index].entry->peersInFlight.load();
+        found[index].isFree =
+            found[index].isLocal ? own < allowances[index] : total < announcement.slots;
+    }
+}
+
+auto EndpointSelector::choose(const Request &request, const Tried &tried, const SlotRange &range)
     -> std::optional<Choice>
 {
     const auto endpoints = m_directory.serving(request.service);
     const auto maySpill = !m_options.maySpill || m_options.maySpill();
     const std::scoped_lock lock(m_mutex);
-    auto all = candidates(*endpoints);
-    auto localInFlight = 0;
+    auto all = candidates(*endpoints, range);
     auto capacity = 0;
     for (auto &candidate : all) {
         const auto &announcement = candidate.entry->announcement;
         candidate.isNewRack = !tried.racks.contains(announcement.rack);
         capacity += int(announcement.slots);
-        localInFlight += candidate.isLocal ? ownInFlight(announcement.id) : 0;
     }
     std::erase_if(all, [&](const Candidate &candidate) {
         return (!maySpill && !candidate.isLocal) || (candidate.isProbe && !request.idempotent)
                || tried.endpoints.contains(candidate.entry->announcement.id);
     });
-    const auto group = pickGroup(std::move(all), localInFlight >= ownZoneLimit);
+    const auto group = pickGroup(std::move(all));
     if (group.empty())
         return std::nullopt;
     const auto probe = std::ranges::find_if(group, &Candidate::isProbe);
@@ -104,12 +119,8 @@
 }
 
 // Own zone before others, free before busy, racks not yet tried before others.
-auto EndpointSelector::pickGroup(std::vector<Candidate> all, bool localIsFull)
-    -> std::vector<Candidate>
+auto EndpointSelector::pickGroup(std::vector<Candidate> all) -> std::vector<Candidate>
 {
-    if (localIsFull)
-        prefer(all,
-               [](const Candidate &candidate) { return candidate.isFree && !candidate.isLocal; });
     prefer(all, [](const Candidate &candidate) { return candidate.isFree && candidate.isLocal; });
     prefer(all, [](const Candidate &candidate) { return candidate.isFree; });
     prefer(all, [](const Candidate &candidate) { return candidate.isLocal; });
--- a/src/libs/routing/endpointselector.h
+++ b/src/libs/routing/endpointselector.h
@@ -3,6 +3,7 @@
 #include "balancer.h"
 #include "ejectiontable.h"
 #include "endpointclient.h"
+#include "slotshare.h"
 
 #include "fleet/replica.h"
 #include "membership/endpointdirectory.h"
@@ -18,7 +19,7 @@
 struct SelectorOptions
 {
     std::string zone; //!< Empty: all endpoints count as those of the own zone.
-    Strategy strategy = Strategy::TwoChoices;
+    Strategy strategy = Strategy::ModulatedTwoChoices;
     std::uint64_t seed = 1;
     std::function<bool()> maySpill; //!< Empty: always.
 };
@@ -64,7 +65,7 @@
                      const Membership::EndpointDirectory &directory,
                      SelectorOptions options);
 
-    auto choose(const Request &request, const Tried &tried, int ownZoneLimit)
+    auto choose(const Request &request, const Tried &tried, const SlotRange &range)
         -> std::optional<Choice>;
     auto finish(const Choice &choice) -> void;
     auto slots(const std::string &service) -> ServiceSlots;
@@ -94,9 +95,11 @@
         std::string host;
     };
 
-    auto candidates(const Membership::EndpointList &endpoints) -> std::vector<Candidate>;
+    auto candidates(const Membership::EndpointList &endpoints, const SlotRange &range)
+        -> std::vector<Candidate>;
+    auto allow(std::vector<Candidate> &found, const SlotRange &range) const -> void;
     auto ownInFlight(const std::string &endpoint) const -> int;
-    auto pickGroup(std::vector<Candidate> all, bool localIsFull) -> std::vector<Candidate>;
+    auto pickGroup(std::vector<Candidate> all) -> std::vector<Candidate>;
     auto count(const Candidate &candidate) -> Choice;
 
     const Utils::Clock &m_clock;
--- a/tests/auto/membership/tst_peerupdates.cpp
+++ b/tests/auto/membership/tst_peerupdates.cpp
@@ -62,8 +62,9 @@
     std::jthread sender([&] { link.run(stop); });
     owner.announce(announcement(1, EndpointState::Serving));
     EXPECT_TRUE(eventually([&] { return receiver.available("dispatch").size() == 1; }));
-    EXPECT_TRUE(eventually(
-        [&] { return demand.inZone("z1", "dispatch", "camara").customerRequests == 5; }));
+    EXPECT_TRUE(eventually([&] {
+        return demand.inZone("z1", "z", "dispatch", "camara").before.customerRequests == 5;
+    }));
     owner.announce(announcement(2, EndpointState::Leaving));
     EXPECT_TRUE(eventually([&] { return receiver.available("dispatch").empty(); }));
     stop.request();
--- /dev/null
+++ b/tests/auto/routing/policymodel.h
@@ -0,0 +1,539 @@
+#pragma once
+
+#include "routing/admission.h"
+#include "routing/balancer.h"
+#include "routing/retrybudget.h"
+#include "routing/slotshare.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <random>
+
+/*! The routing's balancing and admission against small fake workers on a virtual clock. */
+namespace PolicyModel {
+
+using Routing::Priority;
+using Utils::Instant;
+using Utils::Milliseconds;
+
+constexpr auto entries = 8;
+constexpr auto workers = 12;
+constexpr auto workersPerRack = 4;
+constexpr auto slotsPerWorker = 8;
+constexpr auto poolSlots = workers * slotsPerWorker;
+
+/*! \brief Result of a balancing run: samples of the highest load over the mean. */
+struct BalanceResult
+{
+    double p50 = 0;
+    double p99 = 0;
+    double highest = 0;
+    std::int64_t requests = 0;
+    std::int64_t refusals = 0;
+};
+
+struct BalanceOptions
+{
+    Routing::Strategy strategy = Routing::Strategy::ModulatedTwoChoices;
+    std::uint64_t seed = 1;
+    int stalenessMs = 1000;
+    int durationMs = 60'000;
+};
+
+/*!
+    \brief Eight entries balance one pool at 0.75 of its slots, with stale views of each other.
+
+    Every two seconds all work of a random rack, or the newer half of all work, is cancelled.
+*/
+inline auto runBalance(const BalanceOptions &options) -> BalanceResult
+{
+    struct Running
+    {
+        int worker = 0;
+        int entry = 0;
+        int endMs = 0;
+    };
+    constexpr auto meanRunMs = 100.0;
+    constexpr auto utilization = 0.75;
+    constexpr auto burstIntervalMs = 2000;
+    std::mt19937_64 random(options.seed);
+    std::vector<Routing::Balancer> balancers;
+    for (auto entry = 0; entry < entries; ++entry)
+        balancers.emplace_back(options.strategy, random());
+    std::array<std::array<int, workers>, entries> own{};
+    std::array<std::array<int, workers>, entries> reported{};
+    std::array<int, workers> load{};
+    std::vector<Running> running;
+    std::vector<double> ratios;
+    BalanceResult result;
+    std::poisson_distribution<> arrivals(utilization * poolSlots / meanRunMs);
+    std::exponential_distribution<> runTime(1 / meanRunMs);
+    const auto end = [&](const Running &work) {
+        --load[work.worker];
+        --own[work.entry][work.worker];
+    };
+    for (auto now = 0; now < options.durationMs; ++now) {
+        for (auto entry = 0; entry < entries; ++entry) {
+            if ((now + entry * options.stalenessMs / entries) % options.stalenessMs == 0)
+                reported[entry] = own[entry];
+        }
+        std::erase_if(running, [&](const Running &work) {
+            if (work.endMs <= now)
+                end(work);
+            return work.endMs <= now;
+        });
+        if (now > 0 && now % burstIntervalMs == 0) {
+            const auto rack = int(random() % (workers / workersPerRack));
+            const auto byRack = random() % 2 == 0;
+            const auto half = running.size() / 2;
+            std::size_t index = 0;
+            std::erase_if(running, [&](const Running &work) {
+                const auto newer = index++ >= half;
+                const auto cancelled = byRack ? work.worker / workersPerRack == rack : newer;
+                if (cancelled)
+                    end(work);
+                return cancelled;
+            });
+        }
+        for (auto count = arrivals(random); count > 0; --count) {
+            const auto entry = int(random() % entries);
+            std::array<int, workers> view = own[entry];
+            for (auto other = 0; other < entries; ++other) {
+                for (auto worker = 0; other != entry && worker < workers; ++worker)
+                    view[worker] += reported[other][worker];
+            }
+            const auto worker = int(balancers[entry].pick(view, poolSlots));
+            ++result.requests;
+            if (load[worker] >= slotsPerWorker) {
+                ++result.refusals;
+                continue;
+            }
+            ++load[worker];
+            ++own[entry][worker];
+            running.push_back({worker, entry, now + 1 + int(runTime(random))});
+        }
+        const auto sum = std::accumulate(load.begin(), load.end(), 0);
+        if (now % 10 == 0 && sum >= workers)
+            ratios.push_back(*std::ranges::max_element(load) * double(workers) / sum);
+    }
+    std::ranges::sort(ratios);
+    result.p50 = ratios[ratios.size() / 2];
+    result.p99 = ratios[ratios.size() * 99 / 100];
+    result.highest = ratios.back();
+    return result;
+}
+
+enum class Policy { Admission, RoundRobin, StaticLimits };
+
+struct DemandOptions
+{
+    Policy policy = Policy::Admission;
+    Routing::Strategy strategy = Routing::Strategy::ModulatedTwoChoices;
+    std::uint64_t seed = 1;
+    int stalenessMs = 1000;
+    int durationMs = 60'000;
+};
+
+struct PriorityResult
+{
+    std::int64_t offered = 0;
+    std::int64_t inDeadline = 0;
+    std::int64_t late = 0;
+    std::int64_t refused = 0;
+    std::vector<int> waitsMs;
+};
+
+struct DemandResult
+{
+    std::array<PriorityResult, 3> priorities;
+    std::int64_t urgentWithinGuarantee = 0;
+    std::int64_t urgentFailures = 0; //!< Within the guarantee, but late or refused.
+    double workDone = 0;             //!< In slot milliseconds, answered in the deadline.
+    double workPossible = 0;         //!< The smaller of demand and capacity.
+    std::int64_t retries = 0;
+    std::int64_t requests = 0;
+};
+
+/*! \brief One pool of one service behind eight entries. */
+class PoolModel
+{
+public:
+    PoolModel(const DemandOptions &options, std::uint64_t seed, DemandResult &result)
+        : m_options(options)
+        , m_result(result)
+        , m_random(seed)
+    {
+        for (auto index = 0; index < entries; ++index)
+            m_entries.push_back(std::make_unique<Entry>(m_options.strategy, m_random()));
+    }
+
+    /*! \brief Advances one millisecond with \a rate requests a millisecond. */
+    auto step(int now, double rate) -> void
+    {
+        m_now = now;
+        finishWork();
+        startDelayed();
+        report();
+        std::poisson_distribution<> arrivals(rate);
+        auto offered = 0.0;
+        for (auto count = rate > 0 ? arrivals(m_random) : 0; count > 0; --count)
+            offered += arrive();
+        m_demandWindow += offered;
+        if (now % demandWindowMs == 0) {
+            m_result.workPossible += std::min(m_demandWindow, double(poolSlots) * demandWindowMs);
+            m_demandWindow = 0;
+        }
+        for (auto &entry : m_entries)
+            startQueued(*entry);
+    }
+
+private:
+    static constexpr auto demandWindowMs = 1000;
+    static constexpr std::size_t queueLimit = 1024;
+    static constexpr auto maximumAttempts = 4;
+    static constexpr auto busyWaitMs = 25;
+
+    struct Job
+    {
+        int customer = 0;
+        Priority priority = Priority::Normal;
+        int arrivedMs = 0;
+        int deadlineMs = 0;
+        int runMs = 0;
+        bool isWithinGuarantee = false;
+        Routing::TicketId ticket = 0;
+    };
+    struct Entry
+    {
+        Entry(Routing::Strategy strategy, std::uint64_t seed)
+            : balancer(strategy, seed)
+            , roundRobin(Routing::Strategy::RoundRobin, seed)
+            , admission(queueLimit)
+        {}
+        Routing::Balancer balancer;
+        Routing::Balancer roundRobin;
+        Routing::Admission admission;
+        Routing::RetryBudget budget;
+        std::map<Routing::TicketId, Job> queued;
+        std::deque<Job> line;
+        int inFlight = 0;
+        std::vector<int> allowances = std::vector<int>(workers, slotsPerWorker);
+        std::array<int, workers> own{};
+        std::array<int, workers> reported{};
+        std::array<int, 2> reportedDemand{};
+    };
+    struct Running
+    {
+        Job job;
+        int entry = 0;
+        int worker = 0;
+    };
+    struct CustomerTerms
+    {
+        const char *name;
+        int guaranteed;
+        int maximum;
+    };
+    static constexpr std::array<CustomerTerms, 2> customers{CustomerTerms{"a", 32, poolSlots},
+                                                            CustomerTerms{"b", 16, poolSlots}};
+
+    auto resultOf(const Job &job) -> PriorityResult &
+    {
+        return m_result.priorities[std::size_t(job.priority)];
+    }
+
+    auto refuse(const Job &job) -> void
+    {
+        ++resultOf(job).refused;
+        settle(job, false);
+    }
+
+    auto settle(const Job &job, bool inDeadline) -> void
+    {
+        if (job.isWithinGuarantee) {
+            --m_urgentOutstanding[job.customer];
+            m_result.urgentFailures += inDeadline ? 0 : 1;
+        }
+    }
+
+    // Declared times say nothing here: runs spread over a factor of four around 200 ms.
+    auto arrive() -> double
+    {
+        constexpr std::array<int, 3> deadlinesMs{1000, 3000, 20'000};
+        Job job;
+        job.customer = int(m_random() % 2);
+        const auto part = m_random() % 10;
+        job.priority = part < 2   ? Priority::Urgent
+                       : part < 7 ? Priority::Normal
+                                  : Priority::Deferrable;
+        job.arrivedMs = m_now;
+        job.deadlineMs = m_now + deadlinesMs[std::size_t(job.priority)];
+        job.runMs = 100 + int(m_random() % 300);
+        if (job.priority == Priority::Urgent
+            && m_urgentOutstanding[job.customer] < customers[job.customer].guaranteed) {
+            job.isWithinGuarantee = true;
+            ++m_urgentOutstanding[job.customer];
+            ++m_result.urgentWithinGuarantee;
+        }
+        ++m_result.requests;
+        ++resultOf(job).offered;
+        const auto entry = int(m_random() % entries);
+        admit(*m_entries[entry], entry, job);
+        return job.runMs;
+    }
+
+    auto admit(Entry &entry, int index, Job job) -> void
+    {
+        entry.budget.addRequest();
+        if (m_options.policy == Policy::RoundRobin) {
+            if (!start(entry, index, job))
+                refuse(job);
+            return;
+        }
+        if (m_options.policy == Policy::StaticLimits) {
+            constexpr std::size_t lineLimit = 128;
+            if (entry.line.size() >= lineLimit)
+                refuse(job);
+            else
+                entry.line.push_back(job);
+            return;
+        }
+        refresh(entry);
+        const auto decision = entry.admission.offer(
+            {customers[job.customer].name, job.priority, Instant(Milliseconds(job.deadlineMs))},
+            instant());
+        job.ticket = decision.ticket;
+        if (decision.state == Routing::AdmissionState::Refused)
+            refuse(job);
+        else if (decision.state == Routing::AdmissionState::Queued)
+            entry.queued.emplace(job.ticket, job);
+        else if (!start(entry, index, job))
+            giveUp(entry, job);
+    }
+
+    // Workers without a free slot are asked again while the deadline allows.
+    auto giveUp(Entry &entry, const Job &job) -> void
+    {
+        const auto nextMs = m_now + busyWaitMs;
+        if (nextMs + job.runMs <= job.deadlineMs) {
+            m_delayed[nextMs].push_back({job, indexOf(entry), 0});
+            return;
+        }
+        entry.admission.finish(job.ticket);
+        refuse(job);
+    }
+
+    auto startDelayed() -> void
+    {
+        auto due = m_delayed.extract(m_now);
+        if (due.empty())
+            return;
+        for (const auto &[job, index, worker] : due.mapped()) {
+            auto &entry = *m_entries[index];
+            if (!entry.budget.takeRetry(job.priority)) {
+                giveUp(entry, job);
+                continue;
+            }
+            ++m_result.retries;
+            if (!start(entry, index, job))
+                giveUp(entry, job);
+        }
+    }
+
+    auto instant() const -> Instant { return Instant(Milliseconds(m_now)); }
+
+    auto refresh(Entry &entry) -> void
+    {
+        std::array<Routing::DemandShare, 2> shares;
+        Routing::DemandShare sum;
+        const auto index = indexOf(entry);
+        sum.processesBefore = index;
+        sum.processesAfter = entries - 1 - index;
+        for (std::size_t customer = 0; customer < 2; ++customer) {
+            auto &share = shares[customer];
+            share = sum;
+            share.own = entry.reportedDemand[customer];
+            share.before = share.after = 0;
+            for (auto other = 0; other < entries; ++other) {
+                const auto demand = double(m_entries[other]->reportedDemand[customer]);
+                share.before += other < index ? demand : 0;
+                share.after += other > index ? demand : 0;
+            }
+        }
+        sum.own = shares[0].own + shares[1].own;
+        sum.before = shares[0].before + shares[1].before;
+        sum.after = shares[0].after + shares[1].after;
+        static const std::vector<int> slots(workers, slotsPerWorker);
+        const auto range = Routing::slotRange(sum, poolSlots);
+        entry.allowances = Routing::slotAllowances(range, slots);
+        entry.admission.setCapacity(
+            std::accumulate(entry.allowances.begin(), entry.allowances.end(), 0));
+        for (std::size_t customer = 0; customer < 2; ++customer) {
+            const auto part = Routing::slotRange(shares[customer], poolSlots).part();
+            const auto &terms = customers[customer];
+            entry.admission.setCustomer(terms.name,
+                                        {Routing::slotsOfPart(part, terms.guaranteed),
+                                         Routing::slotsOfPart(part, terms.maximum)});
+        }
+    }
+
+    auto startQueued(Entry &entry) -> void
+    {
+        const auto index = indexOf(entry);
+        if (m_options.policy == Policy::StaticLimits) {
+            while (!entry.line.empty() && entry.inFlight < poolSlots / entries) {
+                const auto job = entry.line.front();
+                entry.line.pop_front();
+                if (!start(entry, index, job))
+                    refuse(job);
+            }
+            return;
+        }
+        if (m_options.policy != Policy::Admission)
+            return;
+        refresh(entry);
+        const auto changes = entry.admission.advance(instant());
+        const auto take = [&](Routing::TicketId ticket) {
+            return entry.queued.extract(ticket).mapped();
+        };
+        for (const auto ticket : changes.expired)
+            refuse(take(ticket));
+        for (const auto ticket : changes.evicted)
+            refuse(take(ticket));
+        for (const auto ticket : changes.started) {
+            const auto job = take(ticket);
+            if (!start(entry, index, job))
+                giveUp(entry, job);
+        }
+    }
+
+    auto indexOf(const Entry &entry) const -> int
+    {
+        const auto isEntry = [&](const auto &other) { return other.get() == &entry; };
+        return int(std::ranges::find_if(m_entries, isEntry) - m_entries.begin());
+    }
+
+    // Sends the job to workers until one takes it; returns false if none did.
+    auto start(Entry &entry, int index, const Job &job) -> bool
+    {
+        std::array<bool, workers> tried{};
+        for (auto attempt = 0; attempt < maximumAttempts; ++attempt) {
+            const auto isRetry = attempt > 0;
+            if (isRetry && m_options.policy == Policy::Admission
+                && !entry.budget.takeRetry(job.priority))
+                return false;
+            m_result.retries += isRetry ? 1 : 0;
+            const auto worker = choose(entry, tried);
+            tried[worker] = true;
+            if (m_load[worker] >= slotsPerWorker)
+                continue;
+            ++m_load[worker];
+            ++entry.own[worker];
+            ++entry.inFlight;
+            resultOf(job).waitsMs.push_back(m_now - job.arrivedMs);
+            m_running[m_now + job.runMs].push_back({job, index, worker});
+            return true;
+        }
+        return false;
+    }
+
+    auto choose(Entry &entry, const std::array<bool, workers> &tried) -> int
+    {
+        std::vector<int> loads;
+        std::vector<int> indexes;
+        for (const auto onlyFree : {true, false}) {
+            for (auto worker = 0; worker < workers && (onlyFree || indexes.empty()); ++worker) {
+                auto load = entry.own[worker];
+                for (const auto &other : m_entries)
+                    load += other.get() == &entry ? 0 : other->reported[worker];
+                const auto isFull = m_options.policy == Policy::Admission
+                                    && entry.own[worker] >= entry.allowances[worker];
+                if (tried[worker] || (onlyFree && isFull && m_options.policy == Policy::Admission))
+                    continue;
+                loads.push_back(load);
+                indexes.push_back(worker);
+            }
+            if (!indexes.empty())
+                break;
+        }
+        auto &balancer = m_options.policy == Policy::Admission ? entry.balancer : entry.roundRobin;
+        return indexes[balancer.pick(loads, poolSlots)];
+    }
+
+    auto finishWork() -> void
+    {
+        const auto due = m_running.find(m_now);
+        if (due == m_running.end())
+            return;
+        for (const auto &work : due->second) {
+            auto &entry = *m_entries[work.entry];
+            --m_load[work.worker];
+            --entry.own[work.worker];
+            --entry.inFlight;
+            entry.admission.finish(work.job.ticket);
+            entry.admission.observeRun(Milliseconds(work.job.runMs));
+            const auto inDeadline = m_now <= work.job.deadlineMs;
+            auto &result = resultOf(work.job);
+            ++(inDeadline ? result.inDeadline : result.late);
+            m_result.workDone += inDeadline ? work.job.runMs : 0;
+            settle(work.job, inDeadline);
+        }
+        m_running.erase(due);
+    }
+
+    auto report() -> void
+    {
+        for (auto index = 0; index < entries; ++index) {
+            auto &entry = *m_entries[index];
+            const auto phase = index * m_options.stalenessMs / entries;
+            if ((m_now + phase) % m_options.stalenessMs != 0)
+                continue;
+            entry.reported = entry.own;
+            for (std::size_t customer = 0; customer < 2; ++customer)
+                entry.reportedDemand[customer] = entry.admission.demandOf(customers[customer].name);
+        }
+    }
+
+    DemandOptions m_options;
+    DemandResult &m_result;
+    std::mt19937_64 m_random;
+    std::vector<std::unique_ptr<Entry>> m_entries;
+    std::array<int, workers> m_load{};
+    std::map<int, std::vector<Running>> m_running;
+    std::map<int, std::vector<Running>> m_delayed;
+    std::array<int, 2> m_urgentOutstanding{};
+    double m_demandWindow = 0;
+    int m_now = 0;
+};
+
+/*! \brief Five pools that peak in turn at five times their mean, above what they hold. */
+inline auto runDemand(const DemandOptions &options) -> DemandResult
+{
+    constexpr auto pools = 5;
+    constexpr auto peakMs = 4000;
+    constexpr auto meanRunMs = 250.0;
+    constexpr auto peakOverCapacity = 1.3;
+    constexpr auto peakRate = peakOverCapacity * poolSlots / meanRunMs;
+    constexpr auto quietRate = peakRate / 5 / 20;
+    DemandResult result;
+    std::vector<std::unique_ptr<PoolModel>> models;
+    for (auto pool = 0; pool < pools; ++pool)
+        models.push_back(std::make_unique<PoolModel>(options, options.seed * pools + pool, result));
+    // The last seconds bring no new work, so that what is queued ends.
+    constexpr auto drainMs = 25'000;
+    for (auto now = 0; now < options.durationMs + drainMs; ++now) {
+        for (auto pool = 0; pool < pools; ++pool) {
+            const auto isPeak = (now / peakMs) % pools == pool;
+            const auto rate = now >= options.durationMs ? 0 : isPeak ? peakRate : quietRate;
+            models[pool]->step(now, rate);
+        }
+    }
+    return result;
+}
+
+} // namespace PolicyModel
--- a/tests/auto/routing/tst_dispatcher.cpp
+++ b/tests/auto/routing/tst_dispatcher.cpp
@@ -90,7 +90,7 @@
     Membership::EndpointDirectory directory{clock, Milliseconds(600'000)};
     bool hasQuorum = true;
     Routing::Dispatcher dispatcher{
-        clock, replica, directory, {"z1", 7, Routing::Strategy::TwoChoices, 64, [this] {
+        clock, replica, directory, {"p1", "z1", 7, Routing::Strategy::TwoChoices, 64, [this] {
                                         return hasQuorum;
                                     }}};
 };
--- a/tests/auto/routing/tst_failures.cpp
+++ b/tests/auto/routing/tst_failures.cpp
@@ -83,12 +83,12 @@
 TEST(RetryBudget, AllowsATenthOfRequests)
 {
     Routing::RetryBudget budget;
-    while (budget.takeRetry()) {
+    while (budget.takeRetry(Routing::Priority::Urgent)) {
     }
     auto retries = 0;
     for (auto request = 0; request < 1000; ++request) {
         budget.addRequest();
-        retries += budget.takeRetry() ? 1 : 0;
+        retries += budget.takeRetry(Routing::Priority::Urgent) ? 1 : 0;
     }
     EXPECT_EQ(retries, 100);
 }
