Keep the whole audit trail on the voters' disks

A file that cannot be written is logged and counted. Conclusion: the trail is no longer bounded by the state.

--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -41,6 +41,7 @@
 constexpr Utils::Milliseconds leaseSweepInterval{500};
 // Peers tell a process that has just started about their endpoints within this time.
 constexpr Utils::Milliseconds endpointGrace{2000};
+constexpr Utils::Milliseconds auditInterval{1000};
 constexpr auto callersListener = "callers";
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
@@ -73,6 +74,7 @@
 
     auto startPeerLinks() -> void;
     auto plan() -> void;
+    auto auditChild() -> Supervision::ChildSpec;
     auto escalate(const Utils::Error &error) -> void;
     auto dispatcherOptions() -> Routing::DispatcherOptions;
 
@@ -140,8 +142,14 @@
     Entry::CallerInterface callers{
         callerServer, {clock, ids, replica, dispatcher, claimedDispatch, &metrics, &startGate}};
     Entry::EndpointInterface endpoints{endpointServer, {replica, gateway, directory, settings.id}};
+    // Voters have a disk; the other processes show only what the state holds.
+    std::unique_ptr<Fleet::AuditFile> auditFile =
+        settings.isVoter()
+            ? std::make_unique<Fleet::AuditFile>(Store::posixFileSystem(), settings.dataFolder)
+            : nullptr;
     Entry::OperatorInterface operators{
-        operatorServer, {settings, replica, gateway, log, ids, &dispatcher, &demandHistory}};
+        operatorServer,
+        {settings, replica, gateway, log, ids, &dispatcher, &demandHistory, auditFile.get()}};
     Entry::JobInterface jobs{
         callerServer, endpointServer, {replica, gateway, ids, settings.id, settings.limits.claims}};
     Fleet::ExpiryTask expiryTask{log,
@@ -176,6 +184,22 @@
     moveRunner.runOnce(plan);
 }
 
+auto ServeProcess::Private::auditChild() -> Supervision::ChildSpec
+{
+    return {"audit file", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
+                for (auto stopped = false; !stopped;) {
+                    stopped = stop.waitFor(auditInterval);
+                    if (const auto updated = auditFile->update(replica); !updated) {
+                        Utils::Log::error("app",
+                                          "the audit file cannot be written",
+                                          {{"reason", updated.error().details}});
+                        metrics.count("trefoilshelf_audit_file_errors_total");
+                    }
+                }
+                return Utils::success();
+            }};
+}
+
 auto ServeProcess::Private::escalate(const Utils::Error &error) -> void
 {
     Utils::Log::error("app", "a failure ends the process", {{"reason", error.message}});
@@ -260,6 +284,8 @@
                                     }
                                     return Utils::success();
                                 }});
+    if (m_d->auditFile)
+        m_d->supervisor.startChild(m_d->auditChild());
     m_d->supervisor.startChild(
         {"releases and claims", [this](Utils::StopSignal &stop) -> Utils::Result<void> {
              do {
--- a/src/libs/entry/operatorinterface.h
+++ b/src/libs/entry/operatorinterface.h
@@ -2,6 +2,7 @@
 
 #include "httpserver.h"
 
+#include "fleet/auditfile.h"
 #include "fleet/gateway.h"
 #include "fleet/replica.h"
 #include "planning/demand.h"
@@ -20,6 +21,7 @@
     Utils::IdGenerator &ids;
     const Routing::Dispatcher *dispatcher = nullptr; //!< Source of /v1/events.
     const Planning::DemandSource *demand = nullptr;  //!< Without: plans count guarantees only.
+    const Fleet::AuditFile *auditFile = nullptr;     //!< Records that the state no longer holds.
 };
 
 /*! \brief Serves operators: contracts, pools, hosts, moves, maintenance, autonomy, audit and status. */
--- /dev/null
+++ b/src/libs/fleet/auditfile.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "contracttypes.h"
+#include "replica.h"
+
+#include "store/filesystem.h"
+
+#include <mutex>
+#include <span>
+
+namespace Fleet {
+
+/*!
+    \brief The audit trail on disk, one JSON record a line. Thread-safe.
+
+    The state keeps only the latest records; this file keeps all that this process has seen. It
+    may be moved away while the process runs; a new one is then begun.
+*/
+class AuditFile
+{
+public:
+    AuditFile(Store::FileSystem &files, std::string folder);
+
+    /*! \brief Finds the last revision in the file and cuts a torn line off. */
+    auto open() -> Utils::Result<void>;
+    /*! \brief Appends the records of \a replica above the last revision, and syncs. */
+    auto update(const Replica &replica) -> Utils::Result<void>;
+    /*! \brief Returns the records from revision \a since on and below \a before. */
+    auto read(Revision since, Revision before) const -> Utils::Result<std::vector<AuditRecord>>;
+
+private:
+    auto append(std::span<const AuditRecord> records) -> Utils::Result<void>;
+    auto path() const -> std::string;
+
+    Store::FileSystem &m_files;
+    std::string m_folder;
+    mutable std::mutex m_mutex;
+    Revision m_lastRevision = 0;
+    bool m_open = false;
+};
+
+} // namespace Fleet
