--- a/src/libs/fleet/state.h
+++ b/src/libs/fleet/state.h
@@ -132,6 +132,7 @@
     auto endMove(Move &move, Host &host, const Context &context) -> void;
     auto updateWaveOf(const Move &move, const Context &context) -> void;
     auto failHost(Host &host, WallTimeMs sinceMs, const Context &context) -> void;
+    auto forgetClosedMoves() -> void;
     auto pruneCharges(WallTimeMs nowMs) -> void;
     auto recordAudit(const Change &change, const Context &context) -> void;
 
--- a/src/libs/fleet/statemoves.cpp
+++ b/src/libs/fleet/statemoves.cpp
@@ -17,6 +17,9 @@
 // Charges are kept for the longest window, at least for this long.
 constexpr std::int64_t minimumRetentionS = 4'838'400;
 
+// Closed moves beyond this many are forgotten, oldest first; the audit trail keeps their records.
+constexpr std::size_t maximumMoves = 4096;
+
 struct Transition
 {
     MoveState from;
@@ -95,9 +98,25 @@
     move.revision = context.revision;
     host->move = move.id;
     m_moves[move.id] = move;
+    forgetClosedMoves();
     return Change{move.id, {}, move.host, {}, Utils::toJson(move), true};
 }
 
+auto State::forgetClosedMoves() -> void
+{
+    if (m_moves.size() <= maximumMoves)
+        return;
+    auto oldest = m_moves.end();
+    for (auto move = m_moves.begin(); move != m_moves.end(); ++move) {
+        const auto isOlder =
+            oldest == m_moves.end() || move->second.revision < oldest->second.revision;
+        if (!move->second.isOpen() && isOlder)
+            oldest = move;
+    }
+    if (oldest != m_moves.end())
+        m_moves.erase(oldest);
+}
+
 auto State::run(const DecideMove &body, const Context &context) -> Utils::Result<Change>
 {
     auto *move = findIn(m_moves, body.move);
--- a/src/libs/planning/explanation.cpp
+++ b/src/libs/planning/explanation.cpp
@@ -38,7 +38,8 @@
         return "waits for an operator to approve or reject it (autonomy " + std::string(level)
                + ")";
     case MoveState::Approved:
-        return "waits for a grant from each contract of pool " + move.fromPool;
+        return "waits for a grant from each contract of pool " + move.fromPool
+               + ", or for room for its jobs on hosts that its wave stops no more";
     case MoveState::Draining:
         return move.needsOperator
                    ? "needs an operator: " + move.detail
--- a/src/libs/planning/failurewatch.cpp
+++ b/src/libs/planning/failurewatch.cpp
@@ -23,38 +23,50 @@
 
 auto FailureWatch::runOnce() -> void
 {
-    const auto hosts = m_replica.read([](const Fleet::State &state) { return state.hosts(); });
-    for (const auto &[id, host] : hosts) {
-        const auto report = judge(host);
-        if (!report)
-            continue;
-        const auto observedMs = m_clock.wallTime() - report->silence.count();
-        const auto *cause = report->failed ? "all leases of its endpoints are over"
-                                           : "an endpoint of it announces again";
-        const auto result = m_gateway.execute(Fleet::ReportHost{id, report->failed, observedMs},
-                                              {"failure-watch", cause, {}, {}});
+    // The endpoint of each host whose lease ends last.
+    std::map<std::string, Membership::Endpoint> lastByHost;
+    for (auto &endpoint : m_directory.all()) {
+        auto &last = lastByHost[endpoint.announcement.host];
+        if (last.leaseUntil <= endpoint.leaseUntil)
+            last = std::move(endpoint);
+    }
+    // A host of which this process knows no endpoint is not judged.
+    const auto reports = m_replica.read([&](const Fleet::State &state) {
+        std::vector<HostReport> reports;
+        for (const auto &[id, last] : lastByHost) {
+            const auto *host = state.findHost(id);
+            if (const auto report = host ? judge(*host, last) : std::nullopt)
+                reports.push_back(*report);
+        }
+        return reports;
+    });
+    for (const auto &report : reports) {
+        const auto observedMs = m_clock.wallTime() - report.silence.count();
+        const auto *cause = report.failed ? "all leases of its endpoints are over"
+                                          : "an endpoint of it announces again";
+        const auto result =
+            m_gateway.execute(Fleet::ReportHost{report.host, report.failed, observedMs},
+                              {"failure-watch", cause, {}, {}});
         if (!result)
             Utils::Log::warning("planning",
                                 "a host report was not committed",
-                                {{"host", id}, {"reason", result.error().message}});
+                                {{"host", report.host}, {"reason", result.error().message}});
     }
 }
 
-auto FailureWatch::judge(const Fleet::Host &host) const -> std::optional<HostReport>
+auto FailureWatch::judge(const Fleet::Host &host, const Membership::Endpoint &last) const
+    -> std::optional<HostReport>
 {
-    const auto endpoints = m_directory.onHost(host.id);
-    // A host of which this process knows no endpoint is not judged.
-    if (endpoints.empty() || host.state == Fleet::HostState::InMaintenance)
+    if (host.state == Fleet::HostState::InMaintenance)
         return std::nullopt;
-    const auto last = std::ranges::max_element(endpoints, {}, &Membership::Endpoint::leaseUntil);
-    const auto silence = m_clock.now() - last->leaseUntil;
+    const auto silence = m_clock.now() - last.leaseUntil;
     if (host.state == Fleet::HostState::Failed) {
         const auto isBack = silence < Utils::Milliseconds(0)
-                            && last->announcement.state == Membership::EndpointState::Serving;
+                            && last.announcement.state == Membership::EndpointState::Serving;
         return isBack ? std::optional(HostReport{host.id, false, {}}) : std::nullopt;
     }
     const auto leftAsPlanned = host.state == Fleet::HostState::Draining
-                               && last->announcement.state == Membership::EndpointState::Leaving;
+                               && last.announcement.state == Membership::EndpointState::Leaving;
     if (silence < failureGrace || leftAsPlanned)
         return std::nullopt;
     return HostReport{host.id, true, silence};
--- a/src/libs/planning/failurewatch.h
+++ b/src/libs/planning/failurewatch.h
@@ -25,7 +25,8 @@
         Utils::Milliseconds silence{0}; //!< Since the last lease ended.
     };
 
-    auto judge(const Fleet::Host &host) const -> std::optional<HostReport>;
+    auto judge(const Fleet::Host &host, const Membership::Endpoint &last) const
+        -> std::optional<HostReport>;
 
     Fleet::Gateway &m_gateway;
     const Fleet::Replica &m_replica;
