Add the load tool

Change: trefoilshelf load sends a bounded demand, even or with services that peak in turn, and reports by priority what was answered in its deadline, late, not run, unknown or failed. Conclusion: overload can be tried on real processes.

--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -29,6 +29,7 @@
         CommandEntry{"plan", "show the buffer plan as a table or CSV", &runPlanCommand},
         CommandEntry{"explain", "explain a move, a host or what waits", &runExplainCommand},
         CommandEntry{"fake-endpoint", "run the stand-in endpoint", &runFakeEndpointCommand},
+        CommandEntry{"load", "send a bounded load and report it", &runLoadCommand},
         CommandEntry{"version", "print the version", &runVersionCommand},
     };
     return commands;
--- a/src/app/processcommands.cpp
+++ b/src/app/processcommands.cpp
@@ -2,13 +2,16 @@
 
 #include "commandline.h"
 #include "fakeendpoint.h"
+#include "loadtool.h"
 #include "serveprocess.h"
 
 #include "settings/settings.h"
+#include "utils/address.h"
 #include "utils/log.h"
 
 #include <cxxopts.hpp>
 
+#include <algorithm>
 #include <iostream>
 
 namespace App {
@@ -110,6 +113,46 @@
     return runFakeEndpoint(endpoint);
 }
 
+auto runLoadCommand(int argc, char **argv) -> int
+{
+    LoadOptions load;
+    auto &demand = load.demand;
+    std::int64_t durationS = 10;
+    std::int64_t peakS = 0;
+    cxxopts::Options options("trefoilshelf load", "Sends a bounded load and reports it.");
+    options.add_options()(
+        "server", "callers' listener, may be repeated", cxxopts::value(load.servers))(
+        "customer", "customer name", cxxopts::value(load.customer))(
+        "service", "service, may be repeated", cxxopts::value(demand.services))(
+        "rate", "mean requests per second", cxxopts::value(demand.requestsPerS))(
+        "requests", "requests at most", cxxopts::value(demand.requests))(
+        "duration-s", "seconds at most", cxxopts::value(durationS))(
+        "peak-s",
+        "seconds for which each service peaks in turn, 0 for none",
+        cxxopts::value(peakS))("seed", "seed of the demand", cxxopts::value(demand.seed))(
+        "connections", "kept connections", cxxopts::value(load.connections))(
+        "deadline-ms", "deadline of a request", cxxopts::value(load.deadlineMs))(
+        "claimed", "send requests with idempotency keys", cxxopts::value(load.claimed))(
+        "json", "print JSON", cxxopts::value(load.json));
+    if (!parseOptions(options, argc, argv))
+        return exitUsage;
+    // The option parser adds to a list, so defaults are set afterwards.
+    if (load.servers.empty())
+        load.servers = {"127.0.0.1:7400"};
+    if (demand.services.empty())
+        demand.services = {"dispatch"};
+    demand.duration = std::chrono::seconds(durationS);
+    demand.peak = std::chrono::seconds(peakS);
+    const auto addressesValid = std::ranges::all_of(
+        load.servers, [](const auto &server) { return bool(Utils::parseAddress(server)); });
+    if (!addressesValid || demand.requestsPerS <= 0 || load.connections <= 0 || load.deadlineMs <= 0
+        || durationS <= 0 || peakS < 0) {
+        std::cerr << "the load's options are out of range\n";
+        return exitUsage;
+    }
+    return runLoad(load);
+}
+
 auto runVersionCommand(int, char **) -> int
 {
     std::cout << "trefoilshelf 0.1.0\n";
