Start no queued request that cannot end before its deadline

Cause: found with the load tool on one process and four endpoints (two services, 16 slots each, 20 ms a request, 500 ms deadlines, peaks of 1.6 times the capacity): deferrable requests were started with a few milliseconds left. They timed out as unknown while the endpoint still ran them, so the next requests found its slots busy, and the retry budget was used up by those refusals. Change: a queued request is dropped as not-run once less than the mean run time is left. A request that finds a free slot still starts whatever the estimate says, so a wrong estimate corrects itself.

--- a/src/libs/routing/admission.cpp
+++ b/src/libs/routing/admission.cpp
@@ -178,11 +178,14 @@
     return changes;
 }
 
+// A request started too late to end in time would keep its slot for nothing, and the endpoint's
+// longer than the caller waits.
 auto Admission::dropLate(Utils::Instant now, AdmissionChanges &changes) -> void
 {
+    const auto latestStart = now + Utils::Milliseconds(std::int64_t(m_meanRunMs));
     for (auto &[name, customer] : m_customers) {
         for (auto &queue : customer.queues) {
-            while (!queue.empty() && queue.begin()->deadline <= now) {
+            while (!queue.empty() && queue.begin()->deadline <= latestStart) {
                 const auto id = queue.begin()->ticket;
                 finish(id);
                 changes.expired.push_back(id);
--- a/tests/auto/routing/tst_admission.cpp
+++ b/tests/auto/routing/tst_admission.cpp
@@ -127,3 +127,15 @@
     EXPECT_EQ(admission.advance(start + Milliseconds(10'000)).expired.size(), 1U);
     EXPECT_EQ(admission.queued(), 0U);
 }
+
+TEST_F(AdmissionTest, StartsNothingThatCannotEndBeforeItsDeadline)
+{
+    const auto lent = fill();
+    admission.observeRun(Milliseconds(100));
+    const auto tooLate = offer("b", Priority::Normal, 150);
+    const auto inTime = offer("b", Priority::Normal, 500);
+    admission.finish(lent[0]);
+    const auto changes = admission.advance(start + Milliseconds(60));
+    EXPECT_EQ(changes.expired, std::vector{tooLate.ticket});
+    EXPECT_EQ(changes.started, std::vector{inTime.ticket});
+}
