Ask the log for its quorum at most every 20 ms

Cause: the dispatcher asked the log's status for each request, which takes the log's lock and copies the progress of all processes. Change: the flag is read again after 20 ms, far below the 1.2 s in which a process cut off loses it. Conclusion: kept for the lock it takes off the requests' path.

--- a/src/app/serveprocess.cpp
+++ b/src/app/serveprocess.cpp
@@ -15,6 +15,7 @@
 #include "replication/replicaoptions.h"
 #include "routing/releasetask.h"
 #include "supervision/supervisor.h"
+#include "utils/cachedflag.h"
 #include "utils/log.h"
 #include "utils/taskarena.h"
 #include "wire/peerserver.h"
@@ -42,6 +43,8 @@
 // Peers tell a process that has just started about their endpoints within this time.
 constexpr Utils::Milliseconds endpointGrace{2000};
 constexpr Utils::Milliseconds auditInterval{1000};
+// Far below the time in which a process cut off from the leader loses its quorum.
+constexpr Utils::Milliseconds quorumMaximumAge{20};
 constexpr auto callersListener = "callers";
 constexpr std::int64_t millisecondsPerSecond = 1000;
 
@@ -88,6 +91,7 @@
     Fleet::Replica replica;
     ProcessLog processLog = makeProcessLog(settings, replica, clock, ids.nextNumber());
     Replication::ReplicatedLog &log = *processLog.log;
+    Utils::CachedFlag quorum{clock, quorumMaximumAge, [this] { return log.status().hasQuorum; }};
     Fleet::Gateway gateway{log, clock, ids, Utils::Milliseconds(settings.timing.commandTimeoutMs)};
     Membership::EndpointDirectory directory{clock,
                                             Utils::Milliseconds(settings.timing.routingLeaseMs)};
@@ -215,7 +219,7 @@
     options.zone = settings.zone;
     options.seed = ids.nextNumber();
     options.queuedRequests = std::size_t(settings.limits.queuedRequests);
-    options.hasQuorum = [this] { return log.status().hasQuorum; };
+    options.hasQuorum = [this] { return quorum.value(); };
     options.peers = &demand;
     options.metrics = &metrics;
     return options;
--- /dev/null
+++ b/src/libs/utils/cachedflag.cpp
@@ -0,0 +1,22 @@
+#include "cachedflag.h"
+
+namespace Utils {
+
+CachedFlag::CachedFlag(const Clock &clock, Milliseconds maximumAge, std::function<bool()> read)
+    : m_clock(clock)
+    , m_maximumAge(maximumAge)
+    , m_read(std::move(read))
+    , m_readAt((clock.now() - maximumAge).time_since_epoch().count())
+{}
+
+auto CachedFlag::value() -> bool
+{
+    const auto now = m_clock.now().time_since_epoch().count();
+    auto readAt = m_readAt.load();
+    // Of several threads that find the value too old, one reads it anew.
+    if (now - readAt >= m_maximumAge.count() && m_readAt.compare_exchange_strong(readAt, now))
+        m_value = m_read();
+    return m_value;
+}
+
+} // namespace Utils
