Hold the policy's goal with views two seconds old as a known red test

Cause: the goal names views of 0.2 to 2 s, and its test stopped at 1 s. Seen: 19 of 5,722 urgent requests within their guarantee fail. Conclusion: open.

--- a/tests/auto/routing/tst_policy.cpp
+++ b/tests/auto/routing/tst_policy.cpp
@@ -50,3 +50,11 @@
             << "of " << result.urgentWithinGuarantee << ", seed " << seed;
     }
 }
+
+TEST(Policy, UrgentRequestsWithinTheGuaranteeHoldWithViewsTwoSecondsOld)
+{
+    PolicyModel::DemandOptions options;
+    options.stalenessMs = 2000;
+    const auto result = PolicyModel::runDemand(options);
+    EXPECT_EQ(result.urgentFailures, 0) << "of " << result.urgentWithinGuarantee;
+}
