--- a/src/app/fakeendpoint.cpp
+++ b/src/app/fakeendpoint.cpp
@@ -65,7 +65,7 @@
         const auto inFlight = ++m_inFlight;
         response.set_header("Trefoilshelf-Request-Id",
                             http.get_header_value("Trefoilshelf-Request-Id"));
-        if (inFlight > m_options.slots) {
+        if (inFlight > m_options.slots || !isOwnEpoch(http)) {
             constexpr auto serviceUnavailable = 503;
             response.status = serviceUnavailable;
             response.set_header("Trefoilshelf-Outcome", "not-run");
@@ -78,6 +78,20 @@
         --m_inFlight;
     }
 
+    // A request of another assignment epoch was meant for the pool that the host was in before.
+    auto isOwnEpoch(const httplib::Request &http) const -> bool
+    {
+        const auto epoch = http.get_header_value("Trefoilshelf-Assignment");
+        return epoch.empty() || m_epoch == 0 || epoch == std::to_string(m_epoch.load());
+    }
+
+    auto learnEpoch(const std::string &answer) -> void
+    {
+        const auto json = Utils::parseJsonText(answer, false);
+        if (json && json.value().is_object())
+            m_epoch = json.value().value("assignment_epoch", std::int64_t(0));
+    }
+
     auto announce(const std::string &state) -> void
     {
         const auto target = Utils::parseAddress(m_options.announceTo);
@@ -100,7 +114,9 @@
         const auto result = client.Post(
             "/v1/endpoints/" + m_options.id + "/announce", body.dump(), "application/json");
         constexpr auto statusOk = 200;
-        if (!result || result->status != statusOk)
+        if (result && result->status == statusOk)
+            learnEpoch(result->body);
+        else
             Utils::Log::warning(
                 "fake-endpoint", "an announcement was not taken", {{"endpoint", m_options.id}});
     }
@@ -112,6 +128,7 @@
     std::int64_t m_incarnation;
     std::int64_t m_sequence = 0;
     std::atomic<std::int64_t> m_inFlight = 0;
+    std::atomic<std::int64_t> m_epoch = 0; //!< 0: not learned yet.
 };
 
 } // namespace
--- a/tests/benchmarks/bench_capacity.cpp
+++ b/tests/benchmarks/bench_capacity.cpp
@@ -1,116 +1,31 @@
 // Measures what one process of the real binary spends on announcements, hosts and contracts.
 // Usage: bench_capacity PATH-TO-TREFOILSHELF. Prints CSV lines; takes about 30 s.
 
-#include "utils/fields.h"
+#include "childprocess.h"
 
 #include <httplib.h>
 
-#include <fcntl.h>
-#include <spawn.h>
+#include <arpa/inet.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <array>
-#include <chrono>
-#include <csignal>
 #include <cstdio>
-#include <cstring>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
-#include <sstream>
-#include <thread>
-
-extern char **environ;
 
 namespace {
 
 using Utils::Json;
 
-constexpr auto startTimeout = std::chrono::seconds(20);
-constexpr auto pollInterval = std::chrono::milliseconds(20);
 constexpr auto idleTime = std::chrono::seconds(5);
-constexpr double kilobyte = 1024;
 
-/*! \brief One process of the product, stopped by SIGKILL at the end. */
-class Process
+/*! \brief One process of the product. */
+class Process : public ChildProcess
 {
 public:
-    Process(const std::string &binary, int endpointConnections)
-    {
-        std::string folder = "/tmp/bench-capacity-XXXXXX";
-        m_folder = ::mkdtemp(folder.data());
-        const Json settings{{"id", "bench"},
-                            {"zone", "z1"},
-                            {"data_folder", m_folder + "/data"},
-                            {"log", {{"file", m_folder + "/log"}}},
-                            {"listen",
-                             {{"callers", "127.0.0.1:0"},
-                              {"endpoints", "127.0.0.1:0"},
-                              {"operators", "127.0.0.1:0"},
-                              {"peers", "127.0.0.1:0"}}},
-                            {"limits", {{"endpoint_connections", endpointConnections}}}};
-        std::ofstream(m_folder + "/settings.json") << settings.dump();
-        std::string path = m_folder + "/settings.json";
-        std::string name = binary;
-        std::string command = "serve";
-        std::string option = "--settings";
-        std::array<char *, 5> arguments{
-            name.data(), command.data(), option.data(), path.data(), nullptr};
-        ::posix_spawn(&m_pid, binary.c_str(), nullptr, nullptr, arguments.data(), environ);
-    }
-    ~Process()
-    {
-        ::kill(m_pid, SIGKILL);
-        ::waitpid(m_pid, nullptr, 0);
-        std::filesystem::remove_all(m_folder);
-    }
-    Process(const Process &) = delete;
-    auto operator=(const Process &) -> Process & = delete;
-
-    /*! \brief Returns the port of \a listener as the log tells it. */
-    auto port(const std::string &listener) const -> int
-    {
-        const auto deadline = std::chrono::steady_clock::now() + startTimeout;
-        while (std::chrono::steady_clock::now() < deadline) {
-            std::ifstream log(m_folder + "/log");
-            for (std::string line; std::getline(log, line);) {
-                const auto json = Json::parse(line, nullptr, false);
-                if (json.is_object() && json.value("listener", "") == listener)
-                    return json.value("port", 0);
-            }
-            std::this_thread::sleep_for(pollInterval);
-        }
-        return 0;
-    }
-    /*! \brief Returns the processor time used so far, in seconds. */
-    auto cpuSeconds() const -> double
-    {
-        std::ifstream file("/proc/" + std::to_string(m_pid) + "/stat");
-        std::string text((std::istreambuf_iterator<char>(file)), {});
-        std::istringstream fields(text.substr(text.rfind(')') + 2));
-        std::string skipped;
-        constexpr auto fieldsBeforeUserTime = 11;
-        for (auto index = 0; index < fieldsBeforeUserTime; ++index)
-            fields >> skipped;
-        double user = 0;
-        double system = 0;
-        fields >> user >> system;
-        return (user + system) / double(::sysconf(_SC_CLK_TCK));
-    }
-    auto residentKilobytes() const -> double
-    {
-        std::ifstream file("/proc/" + std::to_string(m_pid) + "/statm");
-        double total = 0;
-        double resident = 0;
-        file >> total >> resident;
-        return resident * double(::sysconf(_SC_PAGESIZE)) / kilobyte;
-    }
-
-private:
-    std::string m_folder;
-    pid_t m_pid = 0;
+    Process(const std::string &binary, const BenchmarkFolder &folder, int endpointConnections)
+        : ChildProcess({binary, "serve", "--settings", folder.writeSettings(endpointConnections)},
+                       folder.path("log"))
+    {}
 };
 
 /*! \brief One worker's kept connection to the endpoints' listener, which counts its bytes. */
@@ -285,7 +200,8 @@
 auto runMeasurement(const std::string &binary, int connections, int workers, Measurement measure)
     -> bool
 {
-    const Process process(binary, connections);
+    const BenchmarkFolder folder;
+    const Process process(binary, folder, connections);
     const auto operatorsPort = process.port("operators");
     const auto endpointsPort = process.port("endpoints");
     if (operatorsPort == 0 || endpointsPort == 0 || !putContract(operatorsPort)) {
