--- a/src/libs/replication/replicatedlog.h
+++ b/src/libs/replication/replicatedlog.h
@@ -105,9 +105,10 @@
     /*! \brief Returns the leader's status, whose progress covers all processes. */
     virtual auto leaderStatus(Utils::Milliseconds) -> Utils::Result<LogStatus> { return status(); }
     /*!
-        \brief Adds \a added to the voters once it has caught up, then removes \a removedId.
+        \brief Adds \a added to the voters, then removes \a removedId.
 
-        An empty \a removedId removes none. Safe to repeat after any failure.
+        The new voter counts from its entry on, before it has caught up: with another voter
+        down, commits wait until it has. An empty \a removedId removes none. Safe to repeat after any failure.
     */
     virtual auto replaceVoter(const std::string &removedId,
                               const Voter &added,
