Test a paused leader that wakes on real processes

Cause: no test paused a process; the design asks that a leader that wakes neither commits nor goes back. Change: the leader is stopped by SIGSTOP under callers, a contract is put through another process, the leader goes on, and the checks of the other process tests follow: nothing acknowledged is lost, no request ran twice, no revision went back. Conclusion: holds for one pause of one leader.

--- a/tests/process/cluster/tst_cluster.cpp
+++ b/tests/process/cluster/tst_cluster.cpp
@@ -127,6 +127,22 @@
     check(callers.finish());
 }
 
+TEST_F(ClusterTest, APausedLeaderThatWakesNeitherCommitsNorGoesBack)
+{
+    Callers callers(cluster, callerThreads);
+    EXPECT_TRUE(waitForAnswers(callers));
+    const auto paused = cluster.leader();
+    ASSERT_GE(paused, 0);
+    ASSERT_EQ(::kill(cluster.process(paused).pid, SIGSTOP), 0);
+    const auto other = (paused + Cluster::processesPerZone) % cluster.size();
+    EXPECT_TRUE(waitUntil([&] { return putContract(other); }));
+    ASSERT_EQ(::kill(cluster.process(paused).pid, SIGCONT), 0);
+    expectInForceEverywhere();
+    EXPECT_TRUE(waitForAnswers(callers));
+    observeRevisions();
+    check(callers.finish());
+}
+
 TEST_F(ClusterTest, ACutZoneAnswersIdempotentRequestsAndRunsNoClaims)
 {
     Callers callers(cluster, callerThreads);
