Filter the audit trail in place instead of copying it for each query

Cause: since older records are read from a file, each audit query copied all 5,000 records of the state, with their objects before and after, and then filtered the copy. Change: the records wanted are picked while the state is read; the file is read only for those older than the state's first one, taken from the same reading. The 52 tests of the module pass; format, lint of the file, module and documentation checks are clean. Conclusion: same answers without the copy.

--- a/src/libs/entry/operatorqueries.cpp
+++ b/src/libs/entry/operatorqueries.cpp
@@ -85,21 +85,27 @@
     }
     const auto customer = http.get_param_value("customer");
     const auto host = http.get_param_value("host");
-    auto recent = m_context.replica.read([](const Fleet::State &state) { return state.audit(); });
-    std::vector<Fleet::AuditRecord> records;
-    if (m_context.auditFile && !recent.empty() && since < recent.front().revision) {
-        BOOST_OUTCOME_TRY(older, m_context.auditFile->read(since, recent.front().revision));
-        records = std::move(older);
-    }
-    std::move(recent.begin(), recent.end(), std::back_inserter(records));
-    auto array = Json::array();
-    for (const auto &record : records) {
-        const auto wanted = record.revision >= since
-                            && (customer.empty() || record.customer == customer)
-                            && (host.empty() || record.host == host);
-        if (wanted)
-            array.push_back(Utils::toJson(record));
-    }
+    const auto wantedOf = [&](const std::vector<Fleet::AuditRecord> &records) {
+        auto array = Json::array();
+        for (const auto &record : records) {
+            const auto wanted = record.revision >= since
+                                && (customer.empty() || record.customer == customer)
+                                && (host.empty() || record.host == host);
+            if (wanted)
+                array.push_back(Utils::toJson(record));
+        }
+        return array;
+    };
+    Fleet::Revision oldest = 0;
+    auto recent = m_context.replica.read([&](const Fleet::State &state) {
+        oldest = state.audit().empty() ? 0 : state.audit().front().revision;
+        return wantedOf(state.audit());
+    });
+    if (!m_context.auditFile || since >= oldest)
+        return recent;
+    BOOST_OUTCOME_TRY(older, m_context.auditFile->read(since, oldest));
+    auto array = wantedOf(older);
+    std::move(recent.begin(), recent.end(), std::back_inserter(array));
     return array;
 }
 
