--- a/src/app/commandline.cpp
+++ b/src/app/commandline.cpp
@@ -1,6 +1,7 @@
 #include "commandline.h"
 
 #include "operatorcommands.h"
+#include "platformcommands.h"
 #include "processcommands.h"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 {
     static constexpr std::array commands{
         CommandEntry{"serve", "run one process of the system", &runServeCommand},
+        CommandEntry{"entry", "run an entry process on the users' platform", &runEntryCommand},
+        CommandEntry{"control", "run a control process on the users' platform", &runControlCommand},
         CommandEntry{"check", "check a settings file and print all its errors", &runCheckCommand},
         CommandEntry{"status", "show the state of the processes", &runStatusCommand},
         CommandEntry{"contract", "put, get or list contracts", &runContractCommand},
--- /dev/null
+++ b/src/app/platformcommands.cpp
@@ -0,0 +1,295 @@
+#include "platformcommands.h"
+
+#include "commandline.h"
+#include "controlidentity.h"
+#include "platformprocess.h"
+
+#include "asyncnet/httplistener.h"
+#include "platform/controlroutes.h"
+#include "platform/endpointclient.h"
+#include "platform/entryroutes.h"
+#include "platform/hostclient.h"
+#include "replication/replicalog.h"
+#include "service/controlservice.h"
+#include "service/entryservice.h"
+#include "service/voterkeeper.h"
+#include "utils/ids.h"
+#include "utils/log.h"
+#include "utils/taskarena.h"
+#include "wire/peerserver.h"
+#include "wire/thriftlog.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <thread>
+
+namespace App {
+namespace {
+
+using AsyncNet::Task;
+
+// The balancer asks once a second and stops sending callers after two refusals.
+constexpr Utils::Milliseconds balancerNotice{2500};
+// Left of the grace time for what is still in progress.
+constexpr Utils::Milliseconds longestFinish{2500};
+constexpr Utils::Milliseconds finishCheck{50};
+// Wide enough for eight control processes that call each other.
+constexpr int peerConnections = 32;
+// Two voters more than are needed to bear one loss less.
+constexpr std::int64_t votersPerLoss = 2;
+
+auto loadSettings() -> Utils::Result<Platform::NodeSettings>
+{
+    auto settings = Platform::loadNodeSettings();
+    if (!settings) {
+        std::cerr << settings.error().message << '\n' << settings.error().details << '\n';
+        return settings;
+    }
+    const auto &loaded = settings.value();
+    Utils::Log::initialize({Utils::Log::Level::Info, {}, loaded.id, loaded.zone, true});
+    return settings;
+}
+
+auto reportFailure(const Utils::Error &error) -> int
+{
+    Utils::Log::error(
+        "app", "cannot start", {{"reason", error.message}, {"details", error.details}});
+    return exitRefused;
+}
+
+auto finishRequests(const AsyncNet::HttpListener &listener) -> Task<void>
+{
+    for (auto waited = Utils::Milliseconds(0);
+         listener.requestsInProgress() > 0 && waited < longestFinish;
+         waited += finishCheck)
+        co_await AsyncNet::pause(finishCheck);
+}
+
+class EntryProcess
+{
+public:
+    explicit EntryProcess(Platform::NodeSettings settings)
+        : m_process(std::move(settings))
+    {}
+
+    auto run() -> int
+    {
+        const auto &settings = m_process.settings();
+        m_service.onConfiguration([this] { applyLimits(); });
+        m_process.onReload([this](const Platform::NodeSettings &changed) {
+            m_link.addMembers(changed.seedLinkAddresses());
+        });
+        auto started = m_callers.start(settings.listen.callers);
+        if (started)
+            started = m_readiness.start(settings.listen.readiness);
+        if (!started)
+            return reportFailure(started.error());
+        m_link.start();
+        m_service.start();
+        Utils::Log::info("app", "started", {{"role", "entry"}});
+        m_process.run([this] { return stop(); });
+        return exitDone;
+    }
+
+private:
+    auto stop() -> Task<void>
+    {
+        m_service.stop();
+        m_callers.endConnections();
+        co_await AsyncNet::pause(balancerNotice);
+        m_callers.stopAccepting();
+        co_await finishRequests(m_callers);
+        m_link.stop();
+    }
+
+    auto applyLimits() -> void
+    {
+        const auto &limits = m_service.configuration().limits;
+        AsyncNet::HttpListenerLimits changed;
+        changed.headerBytes = limits.headerBytes;
+        changed.bodyBytes = limits.bodyBytes;
+        changed.requestTimeout = Utils::Milliseconds(limits.headerTimeoutMs);
+        changed.idleTimeout = Utils::Milliseconds(limits.idleTimeoutMs);
+        m_callers.setLimits(changed);
+    }
+
+    PlatformProcess m_process;
+    Service::LeaderLink m_link{m_process.loop(), m_process.settings().seedLinkAddresses(), {}};
+    Service::EntryService m_service{m_process.loop(), m_link};
+    Platform::EntryRoutes m_routes{m_service};
+    AsyncNet::HttpListener m_callers{
+        m_process.loop(), "callers", [this](AsyncNet::HttpRequest request) {
+            return m_routes.handleCaller(std::move(request));
+        }};
+    AsyncNet::HttpListener m_readiness{
+        m_process.loop(), "readiness", [this](AsyncNet::HttpRequest request) {
+            return m_routes.handleReadiness(std::move(request));
+        }};
+};
+
+auto seedVoters(const Platform::NodeSettings &settings) -> std::vector<Replication::Voter>
+{
+    std::vector<Replication::Voter> voters;
+    for (const auto &address : settings.seedReplicationAddresses())
+        voters.push_back({address, {}, address});
+    std::ranges::sort(voters, {}, &Replication::Voter::id);
+    return voters;
+}
+
+auto replicaOptions(const Platform::NodeSettings &settings,
+                    const ControlIdentityRecord &identity,
+                    std::uint64_t seed) -> Replication::ReplicaOptions
+{
+    Replication::ReplicaOptions options;
+    options.processId = identity.processId;
+    options.zone = settings.zone;
+    options.dataFolder = settings.dataFolder;
+    options.voters = identity.firstVoters;
+    options.seed = seed;
+    return options;
+}
+
+auto ledgerTiming(const Platform::NodeSettings &settings) -> Execution::LedgerTiming
+{
+    Execution::LedgerTiming timing;
+    timing.maximumLease = Utils::Milliseconds(settings.maximumLeaseMs);
+    timing.lease = std::min(timing.lease, timing.maximumLease);
+    return timing;
+}
+
+class ControlProcess
+{
+public:
+    ControlProcess(Platform::NodeSettings settings,
+                   const ControlIdentityRecord &identity,
+                   std::uint64_t seed)
+        : m_process(std::move(settings))
+        , m_log(replicaOptions(m_process.settings(), identity, seed), m_state, m_clock)
+        , m_link(m_process.loop(),
+                 m_process.settings().seedLinkAddresses(),
+                 {identity.processId,
+                  m_process.settings().replicationAddress(),
+                  m_process.settings().zone})
+    {}
+
+    auto run() -> int
+    {
+        m_peers.addService(Replication::serviceName, m_log.processor());
+        m_process.onReload([this](const Platform::NodeSettings &changed) {
+            m_link.addMembers(changed.seedLinkAddresses());
+        });
+        auto started = m_peers.start();
+        if (started)
+            started = m_log.start();
+        if (started)
+            started = m_service.start();
+        if (started)
+            started = m_listener.start(m_process.settings().listen.control);
+        if (!started)
+            return reportFailure(started.error());
+        m_link.start();
+        std::jthread keeper([this] { m_keeper.run(m_keeperStop); });
+        Utils::Log::info("app", "started", {{"role", "control"}});
+        m_process.run([this] { return stop(); });
+        m_keeperStop.request();
+        keeper.join();
+        m_log.stop();
+        m_peers.stop();
+        return exitDone;
+    }
+
+private:
+    auto stop() -> Task<void>
+    {
+        m_service.stop();
+        m_keeperStop.request();
+        AsyncNet::Signal stopped(m_process.loop());
+        auto done = false;
+        // Handing over leadership waits for other processes.
+        std::jthread handOver([&] {
+            m_log.stop();
+            AsyncNet::asio::post(m_process.loop(), [&] {
+                done = true;
+                stopped.notify();
+            });
+        });
+        while (!done)
+            co_await stopped.waitFor(longestFinish);
+        m_listener.endConnections();
+        m_listener.stopAccepting();
+        co_await finishRequests(m_listener);
+        m_link.stop();
+    }
+
+    PlatformProcess m_process;
+    Utils::SystemClock m_clock;
+    Utils::Metrics m_metrics;
+    Service::MemberTable m_members;
+    Control::StateReplica m_state{
+        [this] { AsyncNet::asio::post(m_process.loop(), [this] { m_service.stateChanged(); }); }};
+    Replication::ReplicaLog m_log;
+    Wire::PeerServer m_peers{{m_process.settings().replicationAddress(), peerConnections}};
+    Service::LeaderLink m_link;
+    Platform::EndpointClient m_endpoints{m_process.loop()};
+    Platform::HostClient m_hosts{
+        m_process.loop(), m_process.settings().hostsAddress, m_process.settings().id};
+    Service::ControlService m_service{
+        {m_process.loop(),
+         m_state,
+         m_log,
+         m_endpoints,
+         m_hosts,
+         m_clock,
+         m_metrics,
+         m_link,
+         m_members},
+        {m_process.settings().linkAddress(), ledgerTiming(m_process.settings())}};
+    Platform::ControlRoutes m_routes{m_service, m_process.settings()};
+    AsyncNet::HttpListener m_listener{
+        m_process.loop(), "control", [this](AsyncNet::HttpRequest request) {
+            return m_routes.handle(std::move(request));
+        }};
+    Service::VoterKeeper m_keeper{
+        m_log,
+        m_members,
+        m_clock,
+        std::size_t(m_process.settings().toleratedLosses *votersPerLoss + 1)};
+    Utils::StopSignal m_keeperStop;
+};
+
+} // namespace
+
+auto runEntryCommand(int, char **) -> int
+{
+    auto settings = loadSettings();
+    if (!settings)
+        return exitUsage;
+    EntryProcess process(std::move(settings.value()));
+    return process.run();
+}
+
+auto runControlCommand(int, char **) -> int
+{
+    auto settings = loadSettings();
+    if (!settings)
+        return exitUsage;
+    Wire::routeThriftLog();
+    Utils::IdGenerator ids;
+    const auto &loaded = settings.value();
+    ControlStart start;
+    start.dataFolder = loaded.dataFolder;
+    start.firstStart = loaded.firstStart;
+    start.self = {loaded.replicationAddress(), loaded.zone, loaded.replicationAddress()};
+    start.seeds = seedVoters(loaded);
+    start.nonce = ids.nextNumber();
+    const auto identity = loadOrCreateIdentity(start);
+    if (!identity)
+        return reportFailure(identity.error());
+    const Utils::ThreadLimit threads(peerConnections + 1);
+    ControlProcess process(std::move(settings.value()), identity.value(), ids.nextNumber());
+    return process.run();
+}
+
+} // namespace App
--- /dev/null
+++ b/src/app/platformprocess.cpp
@@ -0,0 +1,83 @@
+#include "platformprocess.h"
+
+#include "utils/log.h"
+
+#include <csignal>
+
+namespace App {
+namespace {
+
+// The settings file may change without a signal.
+constexpr Utils::Milliseconds fileCheckInterval{3000};
+
+} // namespace
+
+PlatformProcess::PlatformProcess(Platform::NodeSettings settings)
+    : m_settings(std::move(settings))
+{
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+auto PlatformProcess::onReload(std::function<void(const Platform::NodeSettings &)> reloaded) -> void
+{
+    m_reloaded = std::move(reloaded);
+}
+
+auto PlatformProcess::run(std::function<AsyncNet::Task<void>()> stop) -> void
+{
+    AsyncNet::start(m_loop, "stop signal", awaitStop(std::move(stop)));
+    AsyncNet::start(m_loop, "reload signal", awaitReloadSignals());
+    AsyncNet::start(m_loop, "settings file", watchFile());
+    m_loop.run();
+}
+
+auto PlatformProcess::awaitStop(std::function<AsyncNet::Task<void>()> stop) -> AsyncNet::Task<void>
+{
+    boost::system::error_code error;
+    const auto signal = co_await m_stopSignals.async_wait(
+        AsyncNet::asio::redirect_error(AsyncNet::asio::use_awaitable, error));
+    Utils::Log::info("app", "stopping", {{"signal", signal}});
+    co_await stop();
+    Utils::Log::info("app", "stopped");
+    m_loop.stop();
+}
+
+auto PlatformProcess::awaitReloadSignals() -> AsyncNet::Task<void>
+{
+    for (;;) {
+        boost::system::error_code error;
+        co_await m_reloadSignals.async_wait(
+            AsyncNet::asio::redirect_error(AsyncNet::asio::use_awaitable, error));
+        if (error)
+            co_return;
+        reload();
+    }
+}
+
+auto PlatformProcess::watchFile() -> AsyncNet::Task<void>
+{
+    for (;;) {
+        co_await AsyncNet::pause(fileCheckInterval);
+        reload();
+    }
+}
+
+auto PlatformProcess::reload() -> void
+{
+    auto loaded = Platform::loadNodeSettings();
+    if (!loaded) {
+        Utils::Log::error(
+            "app",
+            "kept the settings, because the file cannot be read",
+            {{"reason", loaded.error().message}, {"details", loaded.error().details}});
+        return;
+    }
+    if (loaded.value() == m_settings)
+        return;
+    m_settings = std::move(loaded.value());
+    Utils::Log::info("app", "took over changed settings", {{"seeds", m_settings.seeds.size()}});
+    if (m_reloaded)
+        m_reloaded(m_settings);
+}
+
+} // namespace App
--- /dev/null
+++ b/src/app/platformprocess.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "asyncnet/task.h"
+#include "platform/nodesettings.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <functional>
+
+namespace App {
+
+/*! \brief What every process on the platform has: an event loop, signals, settings that change. */
+class PlatformProcess
+{
+public:
+    explicit PlatformProcess(Platform::NodeSettings settings);
+
+    auto loop() -> AsyncNet::asio::io_context & { return m_loop; }
+    auto settings() const -> const Platform::NodeSettings & { return m_settings; }
+
+    /*! \brief Called with changed settings, after SIGHUP or when the file has changed. */
+    auto onReload(std::function<void(const Platform::NodeSettings &)> reloaded) -> void;
+    /*! \brief Runs the loop until \a stop, which is called on SIGTERM, has ended. */
+    auto run(std::function<AsyncNet::Task<void>()> stop) -> void;
+
+private:
+    auto awaitStop(std::function<AsyncNet::Task<void>()> stop) -> AsyncNet::Task<void>;
+    auto awaitReloadSignals() -> AsyncNet::Task<void>;
+    auto watchFile() -> AsyncNet::Task<void>;
+    auto reload() -> void;
+
+    AsyncNet::asio::io_context m_loop{1};
+    Platform::NodeSettings m_settings;
+    AsyncNet::asio::signal_set m_stopSignals{m_loop, SIGTERM, SIGINT};
+    AsyncNet::asio::signal_set m_reloadSignals{m_loop, SIGHUP};
+    std::function<void(const Platform::NodeSettings &)> m_reloaded;
+};
+
+} // namespace App
--- /dev/null
+++ b/src/libs/asyncnet/framelink.cpp
@@ -0,0 +1,371 @@
+#include "framelink.h"
+
+#include "utils/address.h"
+#include "utils/log.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <set>
+
+namespace AsyncNet {
+
+namespace {
+
+using Tcp = asio::ip::tcp;
+
+// Configurations with hundreds of routes are the largest messages.
+constexpr std::uint32_t largestFrame = 16 * 1024 * 1024;
+constexpr std::size_t lengthBytes = 4;
+constexpr Utils::Milliseconds acceptPause{100};
+
+template <typename T>
+auto encode(const T &message) -> std::string
+{
+    auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+    apache::thrift::protocol::TCompactProtocol protocol(buffer);
+    message.write(&protocol);
+    const auto body = buffer->getBufferAsString();
+    const auto length = std::uint32_t(body.size());
+    std::string frame{char(length >> 24), char(length >> 16), char(length >> 8), char(length)};
+    return frame + body;
+}
+
+template <typename T>
+auto decode(std::string &body) -> Utils::Result<T>
+{
+    try {
+        auto buffer = std::make_shared<apache::thrift::transport::TMemoryBuffer>(
+            reinterpret_cast<std::uint8_t *>(body.data()), std::uint32_t(body.size()));
+        apache::thrift::protocol::TCompactProtocol protocol(buffer);
+        T message;
+        message.read(&protocol);
+        return message;
+    } catch (const apache::thrift::TException &exception) {
+        return Utils::failure(
+            Utils::ErrorType::InvalidInput, "a message cannot be read", exception.what());
+    }
+}
+
+auto frameLength(const std::array<unsigned char, lengthBytes> &bytes) -> std::uint32_t
+{
+    return std::uint32_t(bytes[0]) << 24 | std::uint32_t(bytes[1]) << 16
+           | std::uint32_t(bytes[2]) << 8 | bytes[3];
+}
+
+// Returns false if the connection has ended.
+auto readFrame(Tcp::socket &socket, std::string &body) -> Task<bool>
+{
+    std::array<unsigned char, lengthBytes> header{};
+    boost::system::error_code error;
+    co_await asio::async_read(
+        socket, asio::buffer(header), asio::redirect_error(asio::use_awaitable, error));
+    const auto length = frameLength(header);
+    if (error || length > largestFrame)
+        co_return false;
+    body.resize(length);
+    co_await asio::async_read(
+        socket, asio::buffer(body), asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+// Writes frames in the order in which they were queued.
+class FrameWriter : public std::enable_shared_from_this<FrameWriter>
+{
+public:
+    FrameWriter(asio::io_context &loop, Tcp::socket socket)
+        : m_loop(loop)
+        , m_socket(std::move(socket))
+    {}
+
+    auto socket() -> Tcp::socket & { return m_socket; }
+
+    auto send(std::string frame) -> void
+    {
+        m_frames.push_back(std::move(frame));
+        if (!std::exchange(m_writing, true))
+            AsyncNet::start(m_loop, "frame writer", write());
+    }
+
+    auto close() -> void
+    {
+        boost::system::error_code error;
+        m_socket.close(error);
+    }
+
+private:
+    auto write() -> Task<void>
+    {
+        const auto self = shared_from_this();
+        while (!m_frames.empty()) {
+            // One write for all that has gathered meanwhile.
+            std::string bytes;
+            for (const auto &frame : m_frames)
+                bytes += frame;
+            m_frames.clear();
+            boost::system::error_code error;
+            co_await asio::async_write(
+                m_socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+            if (error) {
+                close();
+                break;
+            }
+        }
+        m_writing = false;
+    }
+
+    asio::io_context &m_loop;
+    Tcp::socket m_socket;
+    std::deque<std::string> m_frames;
+    bool m_writing = false;
+};
+
+} // namespace
+
+class FrameServer::Private : public std::enable_shared_from_this<Private>
+{
+public:
+    Private(asio::io_context &eventLoop, FrameHandler requestHandler)
+        : loop(eventLoop)
+        , handler(std::move(requestHandler))
+        , acceptor(eventLoop)
+    {}
+
+    auto accept() -> Task<void>
+    {
+        const auto self = shared_from_this();
+        while (!stopped) {
+            boost::system::error_code error;
+            auto socket =
+                co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            if (stopped || error == asio::error::operation_aborted)
+                co_return;
+            if (error) {
+                co_await pause(acceptPause);
+                continue;
+            }
+            socket.set_option(Tcp::no_delay(true), error);
+            auto connection = std::make_shared<FrameWriter>(loop, std::move(socket));
+            std::erase_if(connections, [](const auto &item) { return item.expired(); });
+            connections.push_back(connection);
+            AsyncNet::start(loop, "frame connection", serve(std::move(connection)));
+        }
+    }
+
+    auto serve(std::shared_ptr<FrameWriter> connection) -> Task<void>
+    {
+        const auto self = shared_from_this();
+        std::string body;
+        while (co_await readFrame(connection->socket(), body)) {
+            auto request = decode<Wire::ControlRequest>(body);
+            if (!request) {
+                Utils::Log::warning("wire",
+                                    "closed a connection that sent a message that cannot be read",
+                                    {{"reason", request.error().details}});
+                break;
+            }
+            AsyncNet::start(loop, "frame request", answer(connection, std::move(request.value())));
+        }
+        connection->close();
+    }
+
+    auto answer(std::shared_ptr<FrameWriter> connection, Wire::ControlRequest request) -> Task<void>
+    {
+        const auto self = shared_from_this();
+        const auto sequence = request.sequence;
+        auto reply = co_await handler(std::move(request));
+        reply.sequence = sequence;
+        connection->send(encode(reply));
+    }
+
+    asio::io_context &loop;
+    FrameHandler handler;
+    Tcp::acceptor acceptor;
+    std::vector<std::weak_ptr<FrameWriter>> connections;
+    bool stopped = false;
+};
+
+FrameServer::FrameServer(asio::io_context &loop, FrameHandler handler)
+    : m_d(std::make_shared<Private>(loop, std::move(handler)))
+{}
+
+FrameServer::~FrameServer()
+{
+    stop();
+}
+
+auto FrameServer::start(const std::string &address) -> Utils::Result<void>
+{
+    BOOST_OUTCOME_TRY(parsed, Utils::parseAddress(address));
+    boost::system::error_code error;
+    const Tcp::endpoint endpoint(asio::ip::make_address(parsed.host, error),
+                                 static_cast<unsigned short>(parsed.port));
+    if (!error)
+        m_d->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        m_d->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_d->acceptor.bind(endpoint, error);
+    if (!error)
+        m_d->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Utils::failure(
+            Utils::ErrorType::IoFailure, "cannot listen on " + address, error.message());
+    AsyncNet::start(m_d->loop, "frame listener", m_d->accept());
+    return Utils::success();
+}
+
+auto FrameServer::stop() -> void
+{
+    m_d->stopped = true;
+    boost::system::error_code error;
+    m_d->acceptor.close(error);
+    for (const auto &item : m_d->connections) {
+        if (const auto connection = item.lock())
+            connection->close();
+    }
+}
+
+auto FrameServer::port() const -> int
+{
+    boost::system::error_code error;
+    return m_d->acceptor.local_endpoint(error).port();
+}
+
+class FrameClient::Private : public std::enable_shared_from_this<Private>
+{
+public:
+    struct PendingCall
+    {
+        explicit PendingCall(asio::io_context &loop)
+            : answered(loop)
+        {}
+        Signal answered;
+        std::optional<Wire::ControlReply> reply;
+        bool failed = false;
+    };
+
+    Private(asio::io_context &eventLoop, std::string serverAddress)
+        : loop(eventLoop)
+        , address(std::move(serverAddress))
+    {}
+
+    auto read(std::shared_ptr<FrameWriter> link) -> Task<void>
+    {
+        const auto self = shared_from_this();
+        std::string body;
+        while (co_await readFrame(link->socket(), body)) {
+            auto reply = decode<Wire::ControlReply>(body);
+            if (!reply)
+                break;
+            const auto found = pending.find(reply.value().sequence);
+            if (found == pending.end())
+                continue;
+            found->second->reply = std::move(reply.value());
+            found->second->answered.notify();
+        }
+        if (connection == link)
+            fail();
+    }
+
+    auto fail() -> void
+    {
+        if (connection)
+            connection->close();
+        connection.reset();
+        for (const auto &[sequence, call] : pending) {
+            call->failed = true;
+            call->answered.notify();
+        }
+    }
+
+    asio::io_context &loop;
+    std::string address;
+    std::shared_ptr<FrameWriter> connection;
+    std::map<std::int64_t, std::shared_ptr<PendingCall>> pending;
+    std::int64_t lastSequence = 0;
+};
+
+FrameClient::FrameClient(asio::io_context &loop, std::string address)
+    : m_d(std::make_shared<Private>(loop, std::move(address)))
+{}
+
+FrameClient::~FrameClient()
+{
+    close();
+}
+
+auto FrameClient::address() const -> const std::string &
+{
+    return m_d->address;
+}
+
+auto FrameClient::isOpen() const -> bool
+{
+    return m_d->connection != nullptr;
+}
+
+auto FrameClient::connect(Utils::Milliseconds timeout) -> Task<Utils::Result<void>>
+{
+    const auto d = m_d;
+    const auto parsed = Utils::parseAddress(d->address);
+    if (!parsed)
+        co_return parsed.error();
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(parsed.value().host, error);
+    if (error)
+        co_return Utils::failure(Utils::ErrorType::InvalidInput, "not an address", d->address);
+    // This stream type bounds the time of connecting.
+    boost::beast::tcp_stream stream(d->loop);
+    stream.expires_after(timeout);
+    co_await stream.async_connect(
+        Tcp::endpoint(ip, static_cast<unsigned short>(parsed.value().port)),
+        asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return Utils::failure(
+            Utils::ErrorType::Unavailable, "cannot connect to " + d->address, error.message());
+    stream.expires_never();
+    auto socket = stream.release_socket();
+    socket.set_option(Tcp::no_delay(true), error);
+    d->connection = std::make_shared<FrameWriter>(d->loop, std::move(socket));
+    AsyncNet::start(d->loop, "frame replies", d->read(d->connection));
+    co_return Utils::success();
+}
+
+auto FrameClient::call(Wire::ControlRequest request, Utils::Milliseconds timeout)
+    -> Task<Utils::Result<Wire::ControlReply>>
+{
+    const auto d = m_d;
+    if (!d->connection)
+        co_return Utils::failure(Utils::ErrorType::Unavailable,
+                                 "there is no connection to " + d->address);
+    request.sequence = ++d->lastSequence;
+    const auto call = std::make_shared<Private::PendingCall>(d->loop);
+    d->pending[request.sequence] = call;
+    d->connection->send(encode(request));
+    co_await call->answered.waitFor(timeout);
+    d->pending.erase(request.sequence);
+    if (call->reply)
+        co_return std::move(*call->reply);
+    if (!call->failed)
+        co_return Utils::failure(Utils::ErrorType::OutcomeUnknown,
+                                 "no answer in time from " + d->address);
+    co_return Utils::failure(Utils::ErrorType::OutcomeUnknown,
+                             "the connection broke to " + d->address);
+}
+
+auto FrameClient::close() -> void
+{
+    m_d->fail();
+}
+
+} // namespace AsyncNet
--- /dev/null
+++ b/src/libs/asyncnet/framelink.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "task.h"
+
+#include "utils/error.h"
+
+#include "control_types.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace AsyncNet {
+
+/*! \brief Answers one request of another process of the system. */
+using FrameHandler = std::function<Task<Wire::ControlReply>(Wire::ControlRequest)>;
+
+/*! \brief Serves Thrift requests, many at once on each connection. Lives on one event loop. */
+class FrameServer
+{
+public:
+    FrameServer(asio::io_context &loop, FrameHandler handler);
+    ~FrameServer();
+    FrameServer(const FrameServer &) = delete;
+    auto operator=(const FrameServer &) -> FrameServer & = delete;
+
+    auto start(const std::string &address) -> Utils::Result<void>;
+    auto stop() -> void;
+    auto port() const -> int;
+
+private:
+    class Private;
+    std::shared_ptr<Private> m_d;
+};
+
+/*!
+    \brief One connection to another process's FrameServer. Lives on one event loop.
+
+    A call fails with Unavailable if it was certainly not sent, else with OutcomeUnknown. After a
+    failure the connection is closed: every call in progress fails.
+*/
+class FrameClient
+{
+public:
+    FrameClient(asio::io_context &loop, std::string address);
+    ~FrameClient();
+    FrameClient(const FrameClient &) = delete;
+    auto operator=(const FrameClient &) -> FrameClient & = delete;
+
+    auto address() const -> const std::string &;
+    auto connect(Utils::Milliseconds timeout) -> Task<Utils::Result<void>>;
+    auto isOpen() const -> bool;
+    auto call(Wire::ControlRequest request, Utils::Milliseconds timeout)
+        -> Task<Utils::Result<Wire::ControlReply>>;
+    auto close() -> void;
+
+private:
+    class Private;
+    std::shared_ptr<Private> m_d;
+};
+
+} // namespace AsyncNet
--- /dev/null
+++ b/src/libs/asyncnet/httplistener.cpp
@@ -0,0 +1,270 @@
+#include "httplistener.h"
+
+#include "utils/address.h"
+#include "utils/log.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+#include <list>
+
+namespace AsyncNet {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using Tcp = asio::ip::tcp;
+
+// The accept loop rests for this time when descriptors run out.
+constexpr Utils::Milliseconds acceptPause{100};
+
+namespace {
+
+constexpr auto deadlineHeader = "Deadline-Ms";
+
+auto parseNumber(std::string_view text) -> std::optional<std::int64_t>
+{
+    std::int64_t number = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+    if (error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return number;
+}
+
+auto view(beast::string_view text) -> std::string_view
+{
+    return {text.data(), text.size()};
+}
+
+auto isMalformed(const boost::system::error_code &error) -> bool
+{
+    const boost::system::error_code httpError = http::error::bad_method;
+    return error.category() == httpError.category() && error != http::error::end_of_stream
+           && error != http::error::partial_message;
+}
+
+auto convert(http::request<http::string_body> &&message) -> HttpRequest
+{
+    HttpRequest request;
+    request.method = view(message.method_string());
+    request.target = view(message.target());
+    request.host = view(message[http::field::host]);
+    request.body = std::move(message.body());
+    if (const auto found = message.find(deadlineHeader); found != message.end())
+        request.deadlineMs = parseNumber(view(found->value()));
+    return request;
+}
+
+auto convert(HttpResponse &&response, bool keepAlive) -> http::response<http::string_body>
+{
+    http::response<http::string_body> message(http::status(response.status), 11);
+    message.keep_alive(keepAlive);
+    if (!response.body.empty())
+        message.set(http::field::content_type, response.contentType);
+    if (!response.location.empty())
+        message.set(http::field::location, response.location);
+    if (response.retryAfterS)
+        message.set(http::field::retry_after, std::to_string(*response.retryAfterS));
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+class HttpListener::Private : public std::enable_shared_from_this<Private>
+{
+public:
+    struct Connection
+    {
+        explicit Connection(Tcp::socket socket)
+            : stream(std::move(socket))
+        {}
+        beast::tcp_stream stream;
+        bool idle = true;
+    };
+
+    Private(asio::io_context &eventLoop, std::string listenerName, HttpHandler requestHandler)
+        : loop(eventLoop)
+        , name(std::move(listenerName))
+        , handler(std::move(requestHandler))
+        , acceptor(eventLoop)
+    {}
+
+    auto accept() -> Task<void>;
+    auto serve(std::shared_ptr<Connection> connection) -> Task<void>;
+    auto serveRequests(Connection &connection) -> Task<void>;
+    auto answer(Connection &connection, HttpResponse response, bool keepAlive) -> Task<bool>;
+
+    asio::io_context &loop;
+    std::string name;
+    HttpHandler handler;
+    Tcp::acceptor acceptor;
+    HttpListenerLimits limits;
+    std::list<std::weak_ptr<Connection>> connections;
+    int openConnections = 0;
+    int requests = 0;
+    bool ending = false;
+    bool stopped = false;
+};
+
+auto HttpListener::Private::accept() -> Task<void>
+{
+    const auto self = shared_from_this();
+    while (!stopped) {
+        boost::system::error_code error;
+        auto socket =
+            co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        if (stopped || error == asio::error::operation_aborted)
+            co_return;
+        if (error) {
+            Utils::Log::warning("http",
+                                "cannot accept a connection",
+                                {{"listener", name}, {"reason", error.message()}});
+            co_await pause(acceptPause);
+            continue;
+        }
+        if (openConnections >= limits.connections)
+            continue;
+        socket.set_option(Tcp::no_delay(true), error);
+        std::erase_if(connections, [](const auto &item) { return item.expired(); });
+        auto connection = std::make_shared<Connection>(std::move(socket));
+        connections.push_back(connection);
+        AsyncNet::start(loop, name, serve(std::move(connection)));
+    }
+}
+
+auto HttpListener::Private::serve(std::shared_ptr<Connection> connection) -> Task<void>
+{
+    const auto self = shared_from_this();
+    ++openConnections;
+    co_await serveRequests(*connection);
+    --openConnections;
+    boost::system::error_code error;
+    // A half-close lets the peer read the last answer even if it has sent more.
+    connection->stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+}
+
+auto HttpListener::Private::serveRequests(Connection &connection) -> Task<void>
+{
+    beast::flat_buffer buffer;
+    for (;;) {
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(std::uint32_t(limits.headerBytes));
+        parser.body_limit(std::uint64_t(limits.bodyBytes));
+        boost::system::error_code error;
+        connection.idle = true;
+        connection.stream.expires_after(limits.idleTimeout);
+        if (buffer.size() == 0) {
+            co_await http::async_read_some(connection.stream,
+                                           buffer,
+                                           parser,
+                                           asio::redirect_error(asio::use_awaitable, error));
+        }
+        connection.idle = false;
+        if (!error && !parser.is_done()) {
+            connection.stream.expires_after(limits.requestTimeout);
+            co_await http::async_read(connection.stream,
+                                      buffer,
+                                      parser,
+                                      asio::redirect_error(asio::use_awaitable, error));
+        }
+        if (error == http::error::header_limit || error == http::error::body_limit) {
+            co_await answer(
+                connection, plainResponse(error == http::error::body_limit ? 413 : 431), false);
+            co_return;
+        }
+        if (error) {
+            if (isMalformed(error))
+                co_await answer(connection, plainResponse(400), false);
+            co_return;
+        }
+        const auto keepAlive = parser.get().keep_alive();
+        ++requests;
+        connection.stream.expires_never();
+        auto response = co_await handler(convert(parser.release()));
+        const auto goesOn = keepAlive && !ending;
+        const auto written = co_await answer(connection, std::move(response), goesOn);
+        --requests;
+        if (!written || !goesOn)
+            co_return;
+    }
+}
+
+auto HttpListener::Private::answer(Connection &connection, HttpResponse response, bool keepAlive)
+    -> Task<bool>
+{
+    const auto message = convert(std::move(response), keepAlive);
+    boost::system::error_code error;
+    connection.stream.expires_after(limits.requestTimeout);
+    co_await http::async_write(
+        connection.stream, message, asio::redirect_error(asio::use_awaitable, error));
+    co_return !error;
+}
+
+HttpListener::HttpListener(asio::io_context &loop, std::string name, HttpHandler handler)
+    : m_d(std::make_shared<Private>(loop, std::move(name), std::move(handler)))
+{}
+
+HttpListener::~HttpListener()
+{
+    stopAccepting();
+}
+
+auto HttpListener::start(const std::string &address) -> Utils::Result<void>
+{
+    BOOST_OUTCOME_TRY(parsed, Utils::parseAddress(address));
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(parsed.host, error);
+    const Tcp::endpoint endpoint(ip, static_cast<unsigned short>(parsed.port));
+    if (!error)
+        m_d->acceptor.open(endpoint.protocol(), error);
+    if (!error)
+        m_d->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_d->acceptor.bind(endpoint, error);
+    if (!error)
+        m_d->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Utils::failure(
+            Utils::ErrorType::IoFailure, "cannot listen on " + address, error.message());
+    AsyncNet::start(m_d->loop, m_d->name, m_d->accept());
+    return Utils::success();
+}
+
+auto HttpListener::setLimits(const HttpListenerLimits &limits) -> void
+{
+    m_d->limits = limits;
+}
+
+auto HttpListener::endConnections() -> void
+{
+    m_d->ending = true;
+}
+
+auto HttpListener::stopAccepting() -> void
+{
+    m_d->stopped = true;
+    m_d->ending = true;
+    boost::system::error_code error;
+    m_d->acceptor.close(error);
+    for (const auto &item : m_d->connections) {
+        const auto connection = item.lock();
+        if (connection && connection->idle)
+            connection->stream.cancel();
+    }
+}
+
+auto HttpListener::requestsInProgress() const -> int
+{
+    return m_d->requests;
+}
+
+auto HttpListener::port() const -> int
+{
+    boost::system::error_code error;
+    return m_d->acceptor.local_endpoint(error).port();
+}
+
+} // namespace AsyncNet
--- /dev/null
+++ b/src/libs/asyncnet/httpmessage.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace AsyncNet {
+
+/*! \brief A request, as far as the system uses it. */
+struct HttpRequest
+{
+    std::string method;
+    std::string target; //!< Path and query.
+    std::string host;   //!< Host header.
+    std::string body;
+    std::string expectedInstance;           //!< Life of the server that the call is for.
+    std::string dutyHolder;                 //!< Who gives orders for a host.
+    std::string fencingToken;               //!< With dutyHolder.
+    std::optional<std::int64_t> deadlineMs; //!< How long the caller waits.
+};
+
+/*! \brief An answer. */
+struct HttpResponse
+{
+    int status = 200;
+    std::string body;
+    std::string contentType = "application/json";
+    std::string location; //!< Of a redirection.
+    std::optional<std::int64_t> retryAfterS;
+};
+
+/*! \brief Returns an answer that tells no more than its status. */
+inline auto plainResponse(int status) -> HttpResponse
+{
+    HttpResponse response;
+    response.status = status;
+    response.body = "{}";
+    return response;
+}
+
+} // namespace AsyncNet
--- /dev/null
+++ b/src/libs/asyncnet/task.cpp
@@ -0,0 +1,53 @@
+#include "task.h"
+
+#include "utils/log.h"
+
+#include <exception>
+#include <string>
+
+namespace AsyncNet {
+
+auto pause(Utils::Milliseconds duration) -> Task<void>
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(duration);
+    boost::system::error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+}
+
+auto start(asio::io_context &loop, std::string_view name, Task<void> task) -> void
+{
+    asio::co_spawn(loop, std::move(task), [name = std::string(name)](std::exception_ptr failure) {
+        if (!failure)
+            return;
+        try {
+            std::rethrow_exception(failure);
+        } catch (const std::exception &exception) {
+            Utils::Log::error("asyncnet",
+                              "a task ended with an exception",
+                              {{"task", name}, {"reason", exception.what()}});
+        }
+    });
+}
+
+Signal::Signal(asio::io_context &loop)
+    : m_loop(loop)
+{}
+
+auto Signal::waitFor(Utils::Milliseconds duration) -> Task<void>
+{
+    asio::steady_timer timer(m_loop);
+    timer.expires_after(duration);
+    m_waiting.push_back(&timer);
+    boost::system::error_code error;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    std::erase(m_waiting, &timer);
+}
+
+auto Signal::notify() -> void
+{
+    for (auto *timer : m_waiting)
+        timer->cancel();
+}
+
+} // namespace AsyncNet
--- /dev/null
+++ b/src/libs/asyncnet/task.h
@@ -0,0 +1,49 @@
+#pragma once
+
+// Boost.Asio 1.74 uses std::exchange without including its header.
+#include <utility>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "utils/clock.h"
+
+#include <string_view>
+#include <vector>
+
+/*! Network input and output by coroutines on one event loop: one task for each connection. */
+namespace AsyncNet {
+
+namespace asio = boost::asio;
+
+/*! \brief A coroutine on the event loop. */
+template <typename T>
+using Task = asio::awaitable<T>;
+
+/*! \brief Waits for \a duration; returns early if the loop ends. */
+auto pause(Utils::Milliseconds duration) -> Task<void>;
+
+/*! \brief Runs \a task on \a loop; logs what escapes from it under \a name. */
+auto start(asio::io_context &loop, std::string_view name, Task<void> task) -> void;
+
+/*! \brief Lets coroutines wait until another one has something for them. Not thread-safe. */
+class Signal
+{
+public:
+    explicit Signal(asio::io_context &loop);
+
+    /*! \brief Waits for the next notify(), at most \a duration. */
+    auto waitFor(Utils::Milliseconds duration) -> Task<void>;
+    auto notify() -> void;
+
+private:
+    asio::io_context &m_loop;
+    std::vector<asio::steady_timer *> m_waiting;
+};
+
+} // namespace AsyncNet
--- /dev/null
+++ b/src/libs/control/controlcommands.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "configuration.h"
+
+#include "jobs/jobtypes.h"
+
+#include <optional>
+
+/*! The replicated state of job control: configuration, jobs, endpoints and maintenance waves. */
+namespace Control {
+
+/*! \brief One life of an endpoint: a restart under the same id is another life. */
+struct EndpointLife
+{
+    std::string id;
+    std::int64_t bornMs = 0; //!< Start of this life, since 1970, by the endpoint's own clock.
+
+    auto operator<=>(const EndpointLife &) const = default;
+};
+
+/*! \brief What is known of an endpoint from its announcements. */
+struct EndpointRecord
+{
+    EndpointLife life;
+    std::string pool;
+    std::string address;
+    std::string zone;
+    std::string rack;
+    std::vector<std::string> labels; //!< That tasks may require.
+    Jobs::Resources capacity;
+    bool draining = false; //!< Stays set: an endpoint that drains never takes new tasks again.
+};
+
+/*! \brief Notes the ends of runs that an endpoint listed up to \c throughNumber. */
+struct RecordEnds
+{
+    struct End
+    {
+        std::int64_t number = 0; //!< Of the end in this life of the endpoint.
+        Jobs::TaskId task;
+        Jobs::TaskOutcome outcome = Jobs::TaskOutcome::Done;
+    };
+    EndpointLife life;
+    std::vector<End> ends;
+};
+
+/*! \brief Hosts that an operator wants maintained, a few at a time. */
+struct Wave
+{
+    std::int64_t number = 0;
+    std::vector<std::string> hosts;
+    std::int64_t durationMs = 0;
+    std::int64_t maximumAtOnce = 1;
+    std::vector<std::string> finishedHosts; //!< Whose maintenance has begun or that have left.
+
+    auto isDone() const -> bool { return finishedHosts.size() == hosts.size(); }
+};
+
+struct FinishWaveHost
+{
+    std::int64_t wave = 0;
+    std::string host;
+};
+
+/*! \brief One change of the control state; exactly one member is set. */
+struct Command
+{
+    std::optional<Jobs::JobSpec> handIn;
+    std::optional<std::string> cancelJob;
+    std::optional<RecordEnds> recordEnds;
+    std::optional<Configuration> configuration;
+    std::optional<EndpointRecord> addEndpoint;
+    std::optional<EndpointLife> removeEndpoint;
+    std::optional<Wave> startWave;
+    std::optional<FinishWaveHost> finishWaveHost;
+};
+
+/*! \brief The commands that one log entry carries. */
+struct CommandBatch
+{
+    std::int64_t timeMs = 0; //!< Since 1970, by the leader's clock.
+    std::vector<Command> commands;
+};
+
+template <typename Archive>
+auto describe(Archive &archive, EndpointLife &life) -> void
+{
+    archive.required("id", life.id);
+    archive.required("born", life.bornMs);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, EndpointRecord &endpoint) -> void
+{
+    archive.required("life", endpoint.life);
+    archive.required("pool", endpoint.pool);
+    archive.required("address", endpoint.address);
+    archive.optional("zone", endpoint.zone);
+    archive.optional("rack", endpoint.rack);
+    archive.optional("labels", endpoint.labels);
+    archive.optional("capacity", endpoint.capacity);
+    archive.optional("draining", endpoint.draining);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, RecordEnds::End &end) -> void
+{
+    archive.required("number", end.number);
+    archive.required("task", end.task);
+    archive.required("outcome", end.outcome);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, RecordEnds &record) -> void
+{
+    archive.required("life", record.life);
+    archive.required("ends", record.ends);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, Wave &wave) -> void
+{
+    archive.required("number", wave.number);
+    archive.required("hosts", wave.hosts);
+    archive.optional("duration", wave.durationMs);
+    archive.optional("atOnce", wave.maximumAtOnce);
+    archive.optional("finished", wave.finishedHosts);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, FinishWaveHost &finish) -> void
+{
+    archive.required("wave", finish.wave);
+    archive.required("host", finish.host);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, Command &command) -> void
+{
+    archive.optional("handIn", command.handIn);
+    archive.optional("cancel", command.cancelJob);
+    archive.optional("ends", command.recordEnds);
+    archive.optional("configuration", command.configuration);
+    archive.optional("addEndpoint", command.addEndpoint);
+    archive.optional("removeEndpoint", command.removeEndpoint);
+    archive.optional("startWave", command.startWave);
+    archive.optional("finishWaveHost", command.finishWaveHost);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, CommandBatch &batch) -> void
+{
+    archive.required("time", batch.timeMs);
+    archive.required("commands", batch.commands);
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/control/controlstate.cpp
@@ -0,0 +1,220 @@
+#include "controlstate.h"
+
+#include "utils/log.h"
+
+#include <algorithm>
+
+namespace Control {
+
+// Callers may ask for an ended job for a while; clocks of successive leaders differ by seconds.
+constexpr std::int64_t endedJobRetentionMs = 300'000;
+
+namespace Internal {
+
+struct OccurrenceSnapshot
+{
+    std::int64_t number = 0;
+    Jobs::OccurrenceProgress progress;
+};
+
+struct JobSnapshot
+{
+    Jobs::JobSpec spec;
+    Jobs::JobState state = Jobs::JobState::Active;
+    std::int64_t endedMs = 0;
+    std::vector<OccurrenceSnapshot> occurrences;
+};
+
+struct StateSnapshot
+{
+    Configuration configuration;
+    std::vector<JobSnapshot> jobs;
+    std::vector<KnownEndpoint> endpoints;
+    std::vector<Wave> waves;
+};
+
+template <typename Archive>
+auto describe(Archive &archive, OccurrenceSnapshot &occurrence) -> void
+{
+    archive.required("number", occurrence.number);
+    archive.required("progress", occurrence.progress);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, JobSnapshot &job) -> void
+{
+    archive.required("spec", job.spec);
+    archive.required("state", job.state);
+    archive.required("ended", job.endedMs);
+    archive.required("occurrences", job.occurrences);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, StateSnapshot &state) -> void
+{
+    archive.required("configuration", state.configuration);
+    archive.required("jobs", state.jobs);
+    archive.required("endpoints", state.endpoints);
+    archive.required("waves", state.waves);
+}
+
+} // namespace Internal
+
+template <typename Archive>
+auto describe(Archive &archive, KnownEndpoint &endpoint) -> void
+{
+    archive.required("record", endpoint.record);
+    archive.required("recordedEnds", endpoint.recordedEnds);
+}
+
+namespace {
+
+auto apply(State &state, const RecordEnds &record, std::int64_t nowMs) -> void
+{
+    const auto found = state.endpoints.find(record.life.id);
+    if (found == state.endpoints.end() || found->second.record.life != record.life)
+        return;
+    auto &recorded = found->second.recordedEnds;
+    for (const auto &end : record.ends) {
+        // A batch whose outcome was unknown may be submitted twice.
+        if (end.number <= recorded)
+            continue;
+        recorded = end.number;
+        const auto *job = state.jobs.find(end.task.job);
+        const auto *queue =
+            job != nullptr ? state.configuration.findQueue(job->spec.queue) : nullptr;
+        state.jobs.recordEnd(
+            end.task, end.outcome, queue != nullptr ? queue->maximumAttempts : 0, nowMs);
+    }
+}
+
+auto apply(State &state, const EndpointRecord &record) -> void
+{
+    auto &known = state.endpoints[record.life.id];
+    if (known.record.life == record.life) {
+        const auto draining = known.record.draining || record.draining;
+        known.record = record;
+        known.record.draining = draining;
+        return;
+    }
+    if (known.record.life.bornMs < record.life.bornMs)
+        known = {record, 0};
+}
+
+auto apply(State &state, const FinishWaveHost &finish) -> void
+{
+    const auto found = state.waves.find(finish.wave);
+    if (found == state.waves.end())
+        return;
+    auto &wave = found->second;
+    const auto planned = std::ranges::find(wave.hosts, finish.host) != wave.hosts.end();
+    const auto finished = std::ranges::find(wave.finishedHosts, finish.host);
+    if (planned && finished == wave.finishedHosts.end())
+        wave.finishedHosts.push_back(finish.host);
+}
+
+} // namespace
+
+auto State::apply(const CommandBatch &batch) -> void
+{
+    for (const auto &command : batch.commands)
+        apply(command, batch.timeMs);
+    jobs.forgetEndedBefore(batch.timeMs - endedJobRetentionMs);
+}
+
+auto State::apply(const Command &command, std::int64_t nowMs) -> void
+{
+    if (command.handIn)
+        jobs.add(*command.handIn);
+    if (command.cancelJob)
+        jobs.cancel(*command.cancelJob, nowMs);
+    if (command.recordEnds)
+        Control::apply(*this, *command.recordEnds, nowMs);
+    if (command.configuration && command.configuration->version > configuration.version)
+        configuration = *command.configuration;
+    if (command.addEndpoint)
+        Control::apply(*this, *command.addEndpoint);
+    if (command.removeEndpoint) {
+        const auto found = endpoints.find(command.removeEndpoint->id);
+        if (found != endpoints.end() && found->second.record.life == *command.removeEndpoint)
+            endpoints.erase(found);
+    }
+    if (command.startWave)
+        waves.try_emplace(command.startWave->number, *command.startWave);
+    if (command.finishWaveHost)
+        Control::apply(*this, *command.finishWaveHost);
+}
+
+StateReplica::StateReplica(std::function<void()> changed)
+    : m_changed(std::move(changed))
+{}
+
+auto StateReplica::apply(const Replication::Entry &entry) -> std::string
+{
+    if (entry.payload.empty())
+        return {};
+    const auto batch = Utils::fromCbor<CommandBatch>(entry.payload);
+    if (!batch) {
+        Utils::Log::error("control",
+                          "skipped a log entry that cannot be read",
+                          {{"revision", entry.revision}, {"reason", batch.error().details}});
+        return {};
+    }
+    {
+        const std::unique_lock lock(m_mutex);
+        m_state.apply(batch.value());
+    }
+    if (m_changed)
+        m_changed();
+    return {};
+}
+
+auto StateReplica::snapshot() const -> std::string
+{
+    const std::shared_lock lock(m_mutex);
+    Internal::StateSnapshot snapshot;
+    snapshot.configuration = m_state.configuration;
+    for (const auto &[id, job] : m_state.jobs.jobs()) {
+        auto &saved = snapshot.jobs.emplace_back();
+        saved.spec = job.spec;
+        saved.state = job.state;
+        saved.endedMs = job.endedMs;
+        for (const auto &[number, progress] : job.occurrences)
+            saved.occurrences.push_back({number, progress});
+    }
+    for (const auto &[id, endpoint] : m_state.endpoints)
+        snapshot.endpoints.push_back(endpoint);
+    for (const auto &[number, wave] : m_state.waves)
+        snapshot.waves.push_back(wave);
+    return Utils::toCbor(snapshot);
+}
+
+auto StateReplica::restore(std::string_view bytes, Replication::Revision) -> Utils::Result<void>
+{
+    BOOST_OUTCOME_TRY(snapshot, Utils::fromCbor<Internal::StateSnapshot>(bytes));
+    State state;
+    state.configuration = std::move(snapshot.configuration);
+    std::vector<Jobs::Job> jobs;
+    for (auto &saved : snapshot.jobs) {
+        auto &job = jobs.emplace_back();
+        job.spec = std::move(saved.spec);
+        job.state = saved.state;
+        job.endedMs = saved.endedMs;
+        for (auto &occurrence : saved.occurrences)
+            job.occurrences[occurrence.number] = std::move(occurrence.progress);
+    }
+    state.jobs.restore(std::move(jobs));
+    for (auto &endpoint : snapshot.endpoints)
+        state.endpoints[endpoint.record.life.id] = std::move(endpoint);
+    for (auto &wave : snapshot.waves)
+        state.waves[wave.number] = std::move(wave);
+    {
+        const std::unique_lock lock(m_mutex);
+        m_state = std::move(state);
+    }
+    if (m_changed)
+        m_changed();
+    return Utils::success();
+}
+
+} // namespace Control
--- /dev/null
+++ b/src/libs/execution/endpointtable.cpp
@@ -0,0 +1,29 @@
+#include "endpointtable.h"
+
+#include <algorithm>
+
+namespace Execution {
+
+// Endpoints' clocks may be this much slower than ours.
+constexpr std::int64_t slowestClockPercent = 98;
+
+auto EndpointEntry::freeResources() const -> Jobs::Resources
+{
+    auto free = record.capacity;
+    for (const auto &[task, run] : runs)
+        free -= run.occupies;
+    return free;
+}
+
+auto EndpointEntry::servesUsers() const -> bool
+{
+    return std::ranges::any_of(runs,
+                               [](const auto &item) { return item.second.latencyTargetMs > 0; });
+}
+
+auto EndpointEntry::clockAtLeast(Utils::Instant now) const -> std::int64_t
+{
+    return clockMs + (now - clockAt).count() * slowestClockPercent / 100;
+}
+
+} // namespace Execution
--- /dev/null
+++ b/src/libs/execution/endpointtable.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "control/controlcommands.h"
+#include "jobs/jobtypes.h"
+#include "utils/clock.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Execution {
+
+enum class RunState {
+    Ordered,   //!< The start was sent and not answered yet.
+    Running,   //!< The endpoint confirmed the start or listed the run.
+    Uncertain, //!< The start was not answered in time; a stop has to settle it.
+};
+
+/*! \brief A start of a task on an endpoint, from its order until nothing of it can run. */
+struct Run
+{
+    Jobs::TaskId task;
+    std::int64_t number = 0;
+    RunState state = RunState::Ordered;
+    Jobs::Resources occupies;
+    bool fills = false;
+    bool longRunning = false;
+    std::int64_t latencyTargetMs = 0;
+    std::int64_t leaseEndMs = 0;    //!< Of the start order, on the endpoint's clock.
+    Utils::Instant confirmedAt;     //!< When the start's answer arrived.
+    std::int64_t percent = 0;       //!< 100 when at work, as last reported.
+    std::int64_t load = 0;          //!< As last reported.
+    Utils::Instant orderedAt;       //!< When the start was decided.
+    std::int64_t pacePercent = 100; //!< Share of its speed that a filling task is allowed.
+    bool paceInFlight = false;      //!< A change of that share is not answered yet.
+    bool stopWanted = false;
+    Utils::Instant stopSentAt;     //!< Of the last stop order; zero: none.
+    Utils::Instant stopAnsweredAt; //!< Of an accepted stop; zero: none.
+};
+
+/*! \brief One endpoint as the leader knows it. */
+struct EndpointEntry
+{
+    Control::EndpointRecord record;
+    bool looked = false; //!< Has answered a look of this term.
+    bool draining = false;
+    bool closed = false;      //!< For maintenance.
+    bool leaving = false;     //!< Said that it ends.
+    Utils::Instant seenAt;    //!< Of the last answered look.
+    std::int64_t clockMs = 0; //!< Its clock at clockAt.
+    Utils::Instant clockAt;
+    Utils::Instant leaseEnd;    //!< When everything there has certainly ended, unless prolonged.
+    std::int64_t notedEnds = 0; //!< Number of the last end that is durable.
+    std::int64_t seenEnds = 0;  //!< Number of the last end that was taken into account.
+    std::vector<Jobs::TaskId> reopenWhenNoted; //!< Tasks whose failed end is being logged.
+    std::int64_t failureStreak = 0;            //!< Failed ends since the last good one.
+    Utils::Instant avoidUntil;
+    std::int64_t fillingPercent = 100; //!< Share of their speed that filling tasks get here.
+    bool loadIsNew = false;            //!< Loads were reported since the share was last decided.
+    std::map<Jobs::TaskId, Run> runs;
+
+    auto freeResources() const -> Jobs::Resources;
+    auto servesUsers() const -> bool;
+    /*! \brief Returns a time on the endpoint's clock that is not ahead of it. */
+    auto clockAtLeast(Utils::Instant now) const -> std::int64_t;
+};
+
+using EndpointTable = std::map<std::string, EndpointEntry>;
+
+} // namespace Execution
--- /dev/null
+++ b/src/libs/execution/leadersession.cpp
@@ -0,0 +1,339 @@
+#include "leadersession.h"
+
+#include "utils/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Execution {
+namespace {
+
+constexpr Utils::Milliseconds tickInterval{100};
+// Collects what arrives together into one scheduling pass.
+constexpr Utils::Milliseconds passInterval{5};
+// Between two tries to look at an endpoint that does not answer.
+constexpr Utils::Milliseconds lookRetry{250};
+constexpr Utils::Milliseconds commitRetry{100};
+// The provider charges for each call.
+constexpr Utils::Milliseconds hostListInterval{1200};
+constexpr Utils::Milliseconds maintenanceInterval{300};
+
+auto describe(const Jobs::TaskId &task) -> std::string
+{
+    return task.job + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
+           + std::to_string(task.index);
+}
+
+auto nameOf(StartResult result) -> std::string_view
+{
+    switch (result) {
+    case StartResult::Started:
+        return "started";
+    case StartResult::Fenced:
+        return "a later leader gives orders there";
+    case StartResult::Outdated:
+        return "the run is not newer than one that ended there";
+    case StartResult::TooLate:
+        return "the lease had run out";
+    case StartResult::NoRoom:
+        return "no room";
+    case StartResult::Invalid:
+        return "the order is not understood";
+    case StartResult::Unhealthy:
+        return "the endpoint is not healthy";
+    case StartResult::OtherLife:
+        return "another life answers at the address";
+    case StartResult::Unknown:
+        return "no answer";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+LeaderSession::LeaderSession(LeaderParts parts, LedgerTiming timing, std::int64_t term)
+    : m_parts(parts)
+    , m_ledger(timing)
+    , m_term(term)
+{}
+
+auto LeaderSession::start() -> void
+{
+    m_parts.state.read(
+        [&](const Control::State &state) { m_ledger.begin(m_term, state, m_parts.clock.now()); });
+    Utils::Log::info("execution",
+                     "starts to lead",
+                     {{"term", m_term}, {"endpoints", m_ledger.endpoints().size()}});
+    for (const auto &[id, endpoint] : m_ledger.endpoints()) {
+        m_watched.insert(endpoint.record.life);
+        AsyncNet::start(m_parts.loop, "endpoint", watch(endpoint.record.life));
+    }
+    AsyncNet::start(m_parts.loop, "leader tick", tick());
+    AsyncNet::start(m_parts.loop, "maintenance", maintain());
+}
+
+auto LeaderSession::end() -> void
+{
+    if (!std::exchange(m_active, false))
+        return;
+    Utils::Log::info("execution", "no longer leads", {{"term", m_term}});
+}
+
+auto LeaderSession::wake() -> void
+{
+    if (!m_active || std::exchange(m_passPending, true))
+        return;
+    AsyncNet::start(m_parts.loop, "scheduling", schedulePass());
+}
+
+auto LeaderSession::endpointKnown(const Control::EndpointRecord &record) -> void
+{
+    m_ledger.addEndpoint(record, m_parts.clock.now());
+    if (record.draining)
+        m_ledger.drain(record.life.id);
+    if (m_watched.insert(record.life).second)
+        AsyncNet::start(m_parts.loop, "endpoint", watch(record.life));
+    wake();
+}
+
+auto LeaderSession::endpointLeaves(const Control::EndpointLife &life) -> void
+{
+    m_ledger.leave(life, m_parts.clock.now());
+}
+
+auto LeaderSession::endpointReplaced(const Control::EndpointLife &life) -> void
+{
+    m_ledger.endLife(life);
+    wake();
+}
+
+// Looks at one endpoint for as long as its life lasts.
+auto LeaderSession::watch(Control::EndpointLife life) -> Task
+{
+    const auto self = shared_from_this();
+    auto answered = false;
+    while (m_active) {
+        const auto order = m_ledger.lookOrder(life.id, m_parts.clock.now());
+        if (!order || order->target.life != life)
+            break;
+        const auto sentAt = m_parts.clock.now();
+        const auto reply = co_await m_parts.endpoints.look(*order);
+        if (!m_active)
+            break;
+        const auto seen = reply.result == LookResult::Seen;
+        if (seen != std::exchange(answered, seen)) {
+            Utils::Log::info("execution",
+                             seen ? "endpoint answers" : "endpoint does not answer",
+                             {{"endpoint", life.id}, {"address", order->target.address}});
+        }
+        if (!seen && reply.result == LookResult::Refused) {
+            const auto found = m_ledger.endpoints().find(life.id);
+            if (found != m_ledger.endpoints().end() && found->second.leaving) {
+                co_await endLife(life, "it said that it leaves and no longer listens");
+                break;
+            }
+        }
+        co_await takeLook(*order, reply, sentAt);
+        if (!seen && m_active)
+            co_await AsyncNet::pause(lookRetry);
+    }
+    m_watched.erase(life);
+}
+
+auto LeaderSession::takeLook(const LookOrder &order, const LookReply &reply, Utils::Instant sentAt)
+    -> Task
+{
+    const auto effects = m_ledger.lookAnswered(order, reply, sentAt, m_parts.clock.now());
+    if (effects.fenced) {
+        Utils::Log::warning("execution",
+                            "an endpoint follows a later leader",
+                            {{"endpoint", order.target.life.id}, {"term", m_term}});
+        end();
+        co_return;
+    }
+    if (effects.lifeOver) {
+        co_await endLife(order.target.life, "another life answers at its address");
+        co_return;
+    }
+    wake();
+    if (effects.lastEnd == 0)
+        co_return;
+    while (m_active && !effects.record.ends.empty()) {
+        Control::Command command;
+        command.recordEnds = effects.record;
+        std::vector<Control::Command> commands;
+        commands.push_back(std::move(command));
+        const auto result = co_await m_parts.log.commit(std::move(commands));
+        if (result == CommitResult::Committed)
+            break;
+        co_await AsyncNet::pause(commitRetry);
+    }
+    if (!m_active)
+        co_return;
+    m_ledger.endsRecorded(effects.record, effects.lastEnd);
+    wake();
+}
+
+auto LeaderSession::endLife(Control::EndpointLife life, std::string_view reason) -> Task
+{
+    const auto self = shared_from_this();
+    Utils::Log::info("execution",
+                     "an endpoint's life is over",
+                     {{"endpoint", life.id}, {"born", life.bornMs}, {"reason", reason}});
+    m_ledger.endLife(life);
+    Control::Command command;
+    command.removeEndpoint = life;
+    std::vector<Control::Command> commands;
+    commands.push_back(std::move(command));
+    // If this is lost, the next leader finds out for itself.
+    const auto result = co_await m_parts.log.commit(std::move(commands));
+    if (result != CommitResult::Committed)
+        Utils::Log::warning(
+            "execution", "could not note an endpoint's end", {{"endpoint", life.id}});
+    wake();
+}
+
+auto LeaderSession::schedulePass() -> Task
+{
+    const auto self = shared_from_this();
+    const auto since = m_parts.clock.now() - m_lastPass;
+    if (since < passInterval)
+        co_await AsyncNet::pause(passInterval - since);
+    m_passPending = false;
+    if (!m_active)
+        co_return;
+    m_lastPass = m_parts.clock.now();
+    auto orders = m_parts.state.read([&](const Control::State &state) {
+        return m_ledger.schedule(state, m_lastPass, m_parts.clock.wallTime());
+    });
+    for (auto &order : orders.stops)
+        AsyncNet::start(m_parts.loop, "stop", sendStop(std::move(order)));
+    for (auto &order : orders.starts)
+        AsyncNet::start(m_parts.loop, "start", sendStart(std::move(order)));
+    for (auto &order : orders.paces)
+        AsyncNet::start(m_parts.loop, "pace", sendPace(std::move(order)));
+}
+
+auto LeaderSession::tick() -> Task
+{
+    const auto self = shared_from_this();
+    while (m_active) {
+        for (const auto &life : m_ledger.expireLeases(m_parts.clock.now()))
+            co_await endLife(life, "it said that it leaves and its lease has run out");
+        wake();
+        co_await AsyncNet::pause(tickInterval);
+    }
+}
+
+auto LeaderSession::sendStart(StartOrder order) -> Task
+{
+    const auto self = shared_from_this();
+    const auto reply = co_await m_parts.endpoints.start(order);
+    m_parts.metrics.count("trefoilshelf_starts_total",
+                          {{"result", std::string(nameOf(reply.result))}});
+    if (!m_active)
+        co_return;
+    m_ledger.startAnswered(order, reply, m_parts.clock.now());
+    if (reply.result == StartResult::Started)
+        co_return;
+    Utils::Log::info("execution",
+                     "a start was not confirmed",
+                     {{"task", describe(order.task)},
+                      {"run", order.run},
+                      {"endpoint", order.target.life.id},
+                      {"reason", nameOf(reply.result)}});
+    if (reply.result == StartResult::Fenced)
+        end();
+    wake();
+}
+
+auto LeaderSession::sendStop(StopOrder order) -> Task
+{
+    const auto self = shared_from_this();
+    const auto result = co_await m_parts.endpoints.stop(order);
+    if (m_active)
+        m_ledger.stopAnswered(order, result, m_parts.clock.now());
+}
+
+auto LeaderSession::sendPace(PaceOrder order) -> Task
+{
+    const auto self = shared_from_this();
+    const auto result = co_await m_parts.endpoints.pace(order);
+    if (m_active)
+        m_ledger.paceAnswered(order, result);
+}
+
+auto LeaderSession::maintain() -> Task
+{
+    const auto self = shared_from_this();
+    HostList hosts;
+    auto listedAt = Utils::Instant();
+    while (m_active) {
+        const auto waveRuns = m_parts.state.read([](const Control::State &state) {
+            return std::ranges::any_of(state.waves,
+                                       [](const auto &item) { return !item.second.isDone(); });
+        });
+        if (waveRuns && m_parts.clock.now() - listedAt > hostListInterval) {
+            hosts = co_await m_parts.hosts.list();
+            listedAt = m_parts.clock.now();
+        }
+        if (waveRuns && m_active) {
+            const auto work = m_parts.state.read([&](const Control::State &state) {
+                return m_maintenance.next(state, m_ledger, hosts, m_parts.clock.now());
+            });
+            for (const auto &endpoint : work.close)
+                m_ledger.setClosed(endpoint, true);
+            for (const auto &endpoint : work.evacuate)
+                m_ledger.evacuate(endpoint);
+            for (const auto &step : work.begin) {
+                co_await maintainHost(step);
+                listedAt = Utils::Instant();
+            }
+            std::vector<Control::Command> commands;
+            for (const auto &left : work.left) {
+                Control::Command command;
+                command.finishWaveHost = left;
+                commands.push_back(std::move(command));
+            }
+            if (!commands.empty() && m_active)
+                co_await m_parts.log.commit(std::move(commands));
+        }
+        co_await AsyncNet::pause(maintenanceInterval);
+    }
+}
+
+auto LeaderSession::maintainHost(MaintenanceStep step) -> Task
+{
+    const auto self = shared_from_this();
+    const auto result = co_await m_parts.hosts.maintain(step.host, step.wave, m_term);
+    if (!m_active)
+        co_return;
+    m_maintenance.ordered(step, result, m_parts.clock.now());
+    Utils::Log::info("execution",
+                     "ordered maintenance of a host",
+                     {{"host", step.host},
+                      {"wave", step.wave},
+                      {"endpoint", step.life.id},
+                      {"accepted", result == HostOrderResult::Accepted}});
+    if (result != HostOrderResult::Accepted)
+        co_return;
+    Control::Command finished;
+    finished.finishWaveHost = Control::FinishWaveHost{step.wave, step.host};
+    std::vector<Control::Command> commands;
+    commands.push_back(std::move(finished));
+    if (!step.life.id.empty()) {
+        m_ledger.endLife(step.life);
+        Control::Command removed;
+        removed.removeEndpoint = step.life;
+        commands.push_back(std::move(removed));
+    }
+    while (m_active) {
+        auto copy = commands;
+        if (co_await m_parts.log.commit(std::move(copy)) == CommitResult::Committed)
+            break;
+        co_await AsyncNet::pause(commitRetry);
+    }
+    wake();
+}
+
+} // namespace Execution
--- /dev/null
+++ b/src/libs/execution/leadersession.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "maintenanceplan.h"
+#include "ports.h"
+#include "runledger.h"
+
+#include "control/controlstate.h"
+#include "utils/metrics.h"
+
+#include <memory>
+#include <set>
+#include <string>
+
+namespace Execution {
+
+/*! \brief What a leader's work needs. All outlive the session. */
+struct LeaderParts
+{
+    AsyncNet::asio::io_context &loop;
+    const Control::StateReplica &state;
+    EndpointLink &endpoints;
+    CommandLog &log;
+    HostProvider &hosts;
+    const Utils::Clock &clock;
+    Utils::Metrics &metrics;
+};
+
+/*!
+    \brief One term of leadership: looks at endpoints, schedules tasks, maintains hosts.
+
+    Lives on one event loop. Its coroutines hold a reference and end soon after end().
+*/
+class LeaderSession : public std::enable_shared_from_this<LeaderSession>
+{
+public:
+    LeaderSession(LeaderParts parts, LedgerTiming timing, std::int64_t term);
+
+    auto start() -> void;
+    auto end() -> void;
+    auto isActive() const -> bool { return m_active; }
+    auto term() const -> std::int64_t { return m_term; }
+    auto ledger() const -> const RunLedger & { return m_ledger; }
+
+    /*! \brief Schedules soon; called when jobs or endpoints have changed. */
+    auto wake() -> void;
+    /*! \brief Takes up an endpoint that is durably known. */
+    auto endpointKnown(const Control::EndpointRecord &record) -> void;
+    auto endpointLeaves(const Control::EndpointLife &life) -> void;
+    /*! \brief Notes that a life is over, because another process has its address. */
+    auto endpointReplaced(const Control::EndpointLife &life) -> void;
+
+private:
+    using Task = AsyncNet::Task<void>;
+
+    auto watch(Control::EndpointLife life) -> Task;
+    auto takeLook(const LookOrder &order, const LookReply &reply, Utils::Instant sentAt) -> Task;
+    auto schedulePass() -> Task;
+    auto tick() -> Task;
+    auto sendStart(StartOrder order) -> Task;
+    auto sendStop(StopOrder order) -> Task;
+    auto sendPace(PaceOrder order) -> Task;
+    auto endLife(Control::EndpointLife life, std::string_view reason) -> Task;
+    auto maintain() -> Task;
+    auto maintainHost(MaintenanceStep step) -> Task;
+
+    LeaderParts m_parts;
+    RunLedger m_ledger;
+    MaintenancePlan m_maintenance;
+    std::int64_t m_term;
+    bool m_active = true;
+    bool m_passPending = false;
+    Utils::Instant m_lastPass;
+    std::set<Control::EndpointLife> m_watched;
+};
+
+} // namespace Execution
--- /dev/null
+++ b/src/libs/execution/orders.h
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "control/controlcommands.h"
+#include "jobs/jobtypes.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/*! Running tasks on endpoints: leases, orders and what becomes of them. */
+namespace Execution {
+
+/*! \brief Which life of which endpoint an order is for, and who sends it. */
+struct OrderTarget
+{
+    Control::EndpointLife life;
+    std::string address;
+    std::int64_t fencingToken = 0; //!< The leader's term.
+};
+
+struct StartOrder
+{
+    OrderTarget target;
+    Jobs::TaskId task;
+    std::int64_t run = 0; //!< Rises with each start of the task.
+    std::string payload;
+    std::int64_t leaseEndMs = 0; //!< On the endpoint's clock.
+    std::string checkpoint;      //!< Empty: from the beginning.
+};
+
+enum class StartResult {
+    Started,
+    Fenced,   //!< The endpoint has seen a higher fencing token.
+    Outdated, //!< A run of this or a higher number has ended there.
+    TooLate,  //!< The lease in the order had run out.
+    NoRoom,
+    Invalid,   //!< The endpoint does not understand the order.
+    Unhealthy, //!< The endpoint refused and did nothing.
+    OtherLife, //!< Another life answers at this address.
+    Unknown,   //!< No answer: the task may run now or start later.
+};
+
+struct StartReply
+{
+    StartResult result = StartResult::Unknown;
+    std::int64_t clockMs = 0; //!< The endpoint's clock; 0 if it did not tell.
+};
+
+struct StopOrder
+{
+    OrderTarget target;
+    Jobs::TaskId task;
+    std::int64_t run = 0;
+};
+
+/*! \brief Prolongs the lease of all runs, and asks what runs and what has ended. */
+struct LookOrder
+{
+    OrderTarget target;
+    std::int64_t leaseEndMs = 0; //!< On the endpoint's clock; 0 prolongs nothing.
+    std::int64_t notedEnds = 0;  //!< Ends up to this number may be forgotten.
+    std::int64_t waitMs = 0;     //!< How long the endpoint may wait for an end.
+};
+
+/*! \brief How a run ended. */
+enum class EndKind {
+    Done,
+    Failed,
+    Stopped,
+    LeaseExpired,
+    PartnerEnded, //!< Another member of the gang ended.
+    NoPartners,   //!< The gang did not become complete in time.
+};
+
+struct RunningTask
+{
+    Jobs::TaskId task;
+    std::int64_t run = 0;
+    std::string checkpoint;
+    std::int64_t percent = 0; //!< 100 when at work.
+    std::int64_t load = 0; //!< Latency tail in ms of a task with a target; else millicores in use.
+};
+
+struct EndedTask
+{
+    std::int64_t number = 0; //!< Of the end in this life of the endpoint.
+    Jobs::TaskId task;
+    std::int64_t run = 0;
+    EndKind kind = EndKind::Stopped;
+    std::string checkpoint;
+};
+
+enum class LookResult {
+    Seen,
+    Fenced,    //!< The endpoint has seen a higher fencing token.
+    OtherLife, //!< Another life answers at this address.
+    Refused,   //!< Nothing listens at this address, or something on the way refuses.
+    Unknown,
+};
+
+struct LookReply
+{
+    LookResult result = LookResult::Unknown;
+    std::int64_t bornMs = 0;  //!< Of the life that answered; 0 if it did not tell.
+    std::int64_t clockMs = 0; //!< The endpoint's clock.
+    std::vector<RunningTask> running;
+    std::vector<EndedTask> ended;
+};
+
+enum class OrderResult { Accepted, Fenced, OtherLife, Refused, Unknown };
+
+struct PaceOrder
+{
+    OrderTarget target;
+    Jobs::TaskId task;
+    std::int64_t run = 0;
+    std::int64_t percent = 100;
+};
+
+} // namespace Execution
--- /dev/null
+++ b/src/libs/execution/runledger.cpp
@@ -0,0 +1,366 @@
+#include "runledger.h"
+
+#include "scheduling/placement.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Execution {
+namespace {
+
+// Endpoints' clocks run at least this fast, in percent of ours.
+constexpr std::int64_t slowestClockPercent = 98;
+// Covers rounding and the time from the decision on an order to its sending.
+constexpr Utils::Milliseconds leaseMargin{100};
+// Looks return sooner by this factor where their figures are waited for.
+constexpr std::int64_t hurriedLooks = 3;
+
+constexpr std::int64_t fullPercent = 100;
+
+} // namespace
+
+auto longestReal(Utils::Milliseconds onEndpoint) -> Utils::Milliseconds
+{
+    return onEndpoint * 100 / slowestClockPercent + leaseMargin;
+}
+
+RunLedger::RunLedger(LedgerTiming timing)
+    : m_timing(timing)
+{}
+
+auto RunLedger::begin(std::int64_t term, const Control::State &state, Utils::Instant now) -> void
+{
+    m_term = term;
+    m_starts = 0;
+    m_endpoints.clear();
+    m_jobs.clear();
+    m_checkpoints.clear();
+    m_startedJobs.clear();
+    for (const auto &[id, known] : state.endpoints) {
+        addEndpoint(known.record, now);
+        auto &endpoint = m_endpoints[id];
+        endpoint.notedEnds = known.recordedEnds;
+        endpoint.seenEnds = known.recordedEnds;
+        // The previous leader may have prolonged the lease until just now.
+        endpoint.leaseEnd = now + longestReal(m_timing.maximumLease);
+        endpoint.draining = known.record.draining;
+    }
+    syncJobs(state);
+}
+
+auto RunLedger::addEndpoint(const Control::EndpointRecord &record, Utils::Instant now) -> void
+{
+    auto &endpoint = m_endpoints[record.life.id];
+    if (endpoint.record.life != record.life) {
+        releaseRuns(endpoint);
+        endpoint = {};
+        endpoint.leaseEnd = now;
+    }
+    endpoint.record = record;
+}
+
+auto RunLedger::drain(const std::string &endpoint) -> void
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end())
+        return;
+    found->second.draining = true;
+    for (auto &[task, run] : found->second.runs)
+        run.stopWanted = run.stopWanted || run.longRunning;
+}
+
+auto RunLedger::leave(const Control::EndpointLife &life, Utils::Instant now) -> void
+{
+    const auto found = m_endpoints.find(life.id);
+    if (found == m_endpoints.end() || found->second.record.life != life)
+        return;
+    // It ends within moments of saying so; its lease bounds that.
+    found->second.leaving = true;
+    found->second.leaseEnd = std::min(found->second.leaseEnd, now + m_timing.maximumLease);
+}
+
+auto RunLedger::setClosed(const std::string &endpoint, bool closed) -> void
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found != m_endpoints.end())
+        found->second.closed = closed;
+}
+
+auto RunLedger::evacuate(const std::string &endpoint) -> void
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end())
+        return;
+    for (auto &[task, run] : found->second.runs) {
+        const auto *spec = specOf(task);
+        if (!run.longRunning || run.stopWanted || spec == nullptr)
+            continue;
+        run.stopWanted = spec->mayMiss == 0 || tasksAway(task) < spec->mayMiss;
+    }
+}
+
+// Counts the other tasks of the step that are not at work.
+auto RunLedger::tasksAway(const Jobs::TaskId &task) const -> std::int64_t
+{
+    const auto *spec = specOf(task);
+    auto away = spec->count - 1;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        for (const auto &[other, run] : endpoint.runs) {
+            const auto sameStep = other.job == task.job && other.occurrence == task.occurrence
+                                  && other.step == task.step && other.index != task.index;
+            const auto atWork =
+                run.state == RunState::Running && !run.stopWanted && run.percent >= fullPercent;
+            if (sameStep && atWork)
+                --away;
+        }
+    }
+    return away;
+}
+
+auto RunLedger::endLife(const Control::EndpointLife &life) -> void
+{
+    const auto found = m_endpoints.find(life.id);
+    if (found == m_endpoints.end() || found->second.record.life != life)
+        return;
+    releaseRuns(found->second);
+    m_endpoints.erase(found);
+}
+
+auto RunLedger::target(const EndpointEntry &endpoint) const -> OrderTarget
+{
+    return {endpoint.record.life, endpoint.record.address, m_term};
+}
+
+auto RunLedger::lookOrder(const std::string &id, Utils::Instant now) -> std::optional<LookOrder>
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end())
+        return std::nullopt;
+    auto &endpoint = found->second;
+    LookOrder order;
+    order.target = target(endpoint);
+    order.notedEnds = endpoint.notedEnds;
+    // Its clock is not known before the first look, and what leaves need not be kept.
+    if (!endpoint.looked || endpoint.leaving)
+        return order;
+    order.leaseEndMs = endpoint.clockAtLeast(now) + m_timing.lease.count();
+    endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestReal(m_timing.lease));
+    const auto filling =
+        std::ranges::any_of(endpoint.runs, [](const auto &item) { return item.second.fills; });
+    const auto uncertain = std::ranges::any_of(
+        endpoint.runs, [](const auto &item) { return item.second.state == RunState::Uncertain; });
+    order.waitMs = m_timing.lookWait.count();
+    // Load figures are needed soon where filling tasks may disturb others.
+    if (uncertain || (filling && endpoint.servesUsers()))
+        order.waitMs /= hurriedLooks;
+    return order;
+}
+
+auto RunLedger::lookAnswered(const LookOrder &order,
+                             const LookReply &reply,
+                             Utils::Instant sentAt,
+                             Utils::Instant now) -> LookEffects
+{
+    LookEffects effects;
+    effects.record.life = order.target.life;
+    const auto found = m_endpoints.find(order.target.life.id);
+    if (found == m_endpoints.end() || found->second.record.life != order.target.life)
+        return effects;
+    auto &endpoint = found->second;
+    effects.fenced = reply.result == LookResult::Fenced;
+    effects.lifeOver = reply.result == LookResult::OtherLife
+                       || (reply.bornMs != 0 && reply.bornMs != order.target.life.bornMs);
+    if (effects.lifeOver || reply.result != LookResult::Seen)
+        return effects;
+    endpoint.looked = true;
+    endpoint.seenAt = now;
+    endpoint.clockMs = reply.clockMs;
+    endpoint.clockAt = now;
+    endpoint.loadIsNew = true;
+    for (const auto &end : reply.ended)
+        takeEnd(endpoint, end, effects);
+    for (const auto &row : reply.running)
+        adopt(endpoint, row, now);
+    reconcile(endpoint, reply, sentAt);
+    return effects;
+}
+
+auto RunLedger::takeEnd(EndpointEntry &endpoint, const EndedTask &end, LookEffects &effects) -> void
+{
+    if (end.number <= endpoint.notedEnds)
+        return;
+    effects.lastEnd = std::max(effects.lastEnd, end.number);
+    const auto *spec = specOf(end.task);
+    const auto longRunning = spec != nullptr && spec->longRunning;
+    const auto counts = end.kind == EndKind::Done || end.kind == EndKind::Failed;
+    if (counts && !longRunning) {
+        const auto outcome =
+            end.kind == EndKind::Done ? Jobs::TaskOutcome::Done : Jobs::TaskOutcome::Failed;
+        effects.record.ends.push_back({end.number, end.task, outcome});
+    }
+    if (end.number <= endpoint.seenEnds)
+        return;
+    endpoint.seenEnds = end.number;
+    if (!end.checkpoint.empty() && spec != nullptr)
+        m_checkpoints[end.task] = end.checkpoint;
+    if (end.kind == EndKind::Failed)
+        ++endpoint.failureStreak;
+    else if (end.kind == EndKind::Done)
+        endpoint.failureStreak = 0;
+    const auto run = endpoint.runs.find(end.task);
+    const auto known = run != endpoint.runs.end() && run->second.number <= end.run;
+    if (known)
+        endpoint.runs.erase(run);
+    const auto job = m_jobs.find(end.task.job);
+    if (job == m_jobs.end())
+        return;
+    if (end.kind == EndKind::Done && !longRunning) {
+        if (spec != nullptr && spec->gang)
+            job->second.setStepDone(end.task);
+        else
+            job->second.setState(end.task, TaskState::Done);
+        m_checkpoints.erase(end.task);
+    } else if (counts && !longRunning) {
+        endpoint.reopenWhenNoted.push_back(end.task);
+    } else if (known) {
+        reopen(end.task);
+    }
+}
+
+// Takes up a run that this leader did not start, or did not know to have started.
+auto RunLedger::adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> void
+{
+    const auto known = endpoint.runs.find(row.task);
+    if (known != endpoint.runs.end() && known->second.number > row.run)
+        return;
+    const auto *spec = specOf(row.task);
+    const auto job = m_jobs.find(row.task.job);
+    const auto wanted =
+        spec != nullptr && job != m_jobs.end() && job->second.state(row.task) != TaskState::Done;
+    if (known == endpoint.runs.end() || known->second.number < row.run) {
+        Run run;
+        run.task = row.task;
+        run.number = row.run;
+        run.state = RunState::Running;
+        run.confirmedAt = now;
+        run.stopWanted = !wanted || isBooked(row.task);
+        if (spec != nullptr) {
+            run.occupies = Scheduling::occupiedBy(*spec);
+            run.fills = spec->fills;
+            run.longRunning = spec->longRunning;
+            run.latencyTargetMs = spec->latencyTargetMs;
+        }
+        endpoint.runs[row.task] = run;
+        m_startedJobs.insert(row.task.job);
+        if (wanted)
+            job->second.setState(row.task, TaskState::Booked);
+    }
+    auto &run = endpoint.runs[row.task];
+    if (run.state != RunState::Running) {
+        run.state = RunState::Running;
+        run.confirmedAt = now;
+    }
+    run.percent = row.percent;
+    run.load = row.load;
+    if (!row.checkpoint.empty() && wanted)
+        m_checkpoints[row.task] = row.checkpoint;
+}
+
+// Frees what a look shows to be gone: neither running nor among the ends.
+auto RunLedger::reconcile(EndpointEntry &endpoint, const LookReply &reply, Utils::Instant sentAt)
+    -> void
+{
+    std::vector<Jobs::TaskId> gone;
+    for (const auto &[task, run] : endpoint.runs) {
+        const auto listed = std::ranges::any_of(reply.running, [&](const RunningTask &row) {
+            return row.task == run.task && row.run == run.number;
+        });
+        if (listed)
+            continue;
+        const auto stopped = run.stopAnsweredAt != Utils::Instant() && run.stopAnsweredAt <= sentAt;
+        const auto vanished = run.state == RunState::Running && run.confirmedAt <= sentAt;
+        const auto leaseOver = run.state == RunState::Uncertain && run.leaseEndMs < reply.clockMs;
+        if (stopped || vanished || leaseOver)
+            gone.push_back(task);
+    }
+    for (const auto &task : gone) {
+        endpoint.runs.erase(task);
+        reopen(task);
+    }
+}
+
+auto RunLedger::endsRecorded(const Control::RecordEnds &record, std::int64_t number) -> void
+{
+    const auto found = m_endpoints.find(record.life.id);
+    if (found == m_endpoints.end() || found->second.record.life != record.life)
+        return;
+    auto &endpoint = found->second;
+    endpoint.notedEnds = std::max(endpoint.notedEnds, number);
+    for (const auto &task : std::exchange(endpoint.reopenWhenNoted, {}))
+        reopen(task);
+}
+
+auto RunLedger::specOf(const Jobs::TaskId &task) const -> const Jobs::StepSpec *
+{
+    const auto job = m_jobs.find(task.job);
+    return job != m_jobs.end() ? job->second.specOf(task) : nullptr;
+}
+
+auto RunLedger::isBooked(const Jobs::TaskId &task) const -> bool
+{
+    return std::ranges::any_of(m_endpoints, [&](const auto &item) {
+        const auto &endpoint = item.second;
+        return endpoint.runs.contains(task)
+               || std::ranges::find(endpoint.reopenWhenNoted, task)
+                      != endpoint.reopenWhenNoted.end();
+    });
+}
+
+auto RunLedger::reopen(const Jobs::TaskId &task) -> void
+{
+    const auto job = m_jobs.find(task.job);
+    if (job != m_jobs.end() && !isBooked(task))
+        job->second.setState(task, TaskState::Open);
+}
+
+auto RunLedger::releaseRuns(EndpointEntry &endpoint) -> void
+{
+    const auto runs = std::exchange(endpoint.runs, {});
+    for (const auto &[task, run] : runs)
+        reopen(task);
+    for (const auto &task : std::exchange(endpoint.reopenWhenNoted, {}))
+        reopen(task);
+}
+
+auto RunLedger::expireLeases(Utils::Instant now) -> std::vector<Control::EndpointLife>
+{
+    std::vector<Control::EndpointLife> over;
+    for (auto &[id, endpoint] : m_endpoints) {
+        if (now <= endpoint.leaseEnd)
+            continue;
+        releaseRuns(endpoint);
+        if (endpoint.leaving)
+            over.push_back(endpoint.record.life);
+    }
+    return over;
+}
+
+auto RunLedger::hasStarted(const std::string &job) const -> bool
+{
+    return m_startedJobs.contains(job);
+}
+
+auto RunLedger::countRuns() const -> RunCount
+{
+    RunCount count;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        for (const auto &[task, run] : endpoint.runs) {
+            count.ordered += run.state == RunState::Ordered ? 1 : 0;
+            count.running += run.state == RunState::Running ? 1 : 0;
+            count.uncertain += run.state == RunState::Uncertain ? 1 : 0;
+        }
+    }
+    return count;
+}
+
+} // namespace Execution
--- /dev/null
+++ b/src/libs/execution/runscheduling.cpp
@@ -0,0 +1,392 @@
+// The part of RunLedger that decides on orders.
+#include "runledger.h"
+
+#include "scheduling/joborder.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace Execution {
+namespace {
+
+// Run numbers carry the leader's term in their high part, so that they rise across leaders.
+constexpr std::int64_t startsPerTerm = 1'000'000;
+// A stop is sent again after this time if the run is still there.
+constexpr Utils::Milliseconds stopRetry{700};
+// A start without an answer is stopped after this time, unless a look shows the run.
+constexpr Utils::Milliseconds uncertainGrace{600};
+// After so many failed ends in a row an endpoint gets no new tasks for a while.
+constexpr std::int64_t failuresToAvoid = 3;
+constexpr Utils::Milliseconds avoidTime{2500};
+// At most one endpoint of so many in a pool is avoided at the same time.
+constexpr std::size_t avoidedPart = 3;
+// An endpoint that refuses a start is asked again after these times.
+constexpr Utils::Milliseconds noRoomPause{250};
+constexpr Utils::Milliseconds unhealthyPause{1000};
+
+// Filling tasks slow down when a latency tail passes this part of its target, in percent.
+constexpr std::int64_t slowFillingAbove = 80;
+// They speed up again when all tails are below this part.
+constexpr std::int64_t speedFillingBelow = 55;
+constexpr std::int64_t fullPercent = 100;
+constexpr std::int64_t firstFillingPercent =
+    40; // Beside tasks with a target, before their loads are known.
+constexpr std::int64_t leastFillingPercent = 10; // Below this, filling tasks rest.
+constexpr std::int64_t fillingIncrease = 15;
+
+// Ranks tasks that run until they are cancelled before all others.
+constexpr std::int64_t longRunningPriority = -1;
+
+auto countOfStep(const EndpointEntry &endpoint, const Jobs::TaskId &task) -> std::int64_t
+{
+    auto first = task;
+    first.index = 0;
+    auto last = task;
+    last.index = INT64_MAX;
+    return std::distance(endpoint.runs.lower_bound(first), endpoint.runs.upper_bound(last));
+}
+
+auto termsOf(const Jobs::Job &job, const Control::Configuration &configuration)
+    -> Scheduling::QueueTerms
+{
+    Scheduling::QueueTerms terms;
+    if (const auto *queue = configuration.findQueue(job.spec.queue))
+        terms = {queue->priority, queue->stretch, queue->objectiveMs};
+    const auto longRunning = std::ranges::any_of(job.spec.steps, &Jobs::StepSpec::longRunning);
+    if (longRunning)
+        terms.priority = longRunningPriority;
+    return terms;
+}
+
+auto highestLoadPercent(const EndpointEntry &endpoint) -> std::int64_t
+{
+    std::int64_t highest = 0;
+    for (const auto &[task, run] : endpoint.runs) {
+        if (run.latencyTargetMs > 0)
+            highest = std::max(highest, run.load * fullPercent / run.latencyTargetMs);
+    }
+    return highest;
+}
+
+} // namespace
+
+auto RunLedger::schedule(const Control::State &state, Utils::Instant now, std::int64_t wallMs)
+    -> Orders
+{
+    Orders orders;
+    syncJobs(state);
+    stopUnwanted(now, orders);
+    paceFilling(orders);
+    startTasks(state, now, wallMs, orders);
+    return orders;
+}
+
+// Follows the jobs that were handed in or have ended.
+auto RunLedger::syncJobs(const Control::State &state) -> void
+{
+    const auto &active = state.jobs.activeIds();
+    std::erase_if(m_jobs, [&](const auto &item) { return !active.contains(item.first); });
+    for (const auto &id : active) {
+        if (!m_jobs.contains(id))
+            m_jobs.try_emplace(id, *state.jobs.find(id));
+    }
+}
+
+auto RunLedger::stopUnwanted(Utils::Instant now, Orders &orders) -> void
+{
+    for (auto &[id, endpoint] : m_endpoints) {
+        for (auto &[task, run] : endpoint.runs) {
+            const auto job = m_jobs.find(task.job);
+            if (job == m_jobs.end() || job->second.state(task) == TaskState::Done)
+                run.stopWanted = true;
+            const auto unsettled =
+                run.state == RunState::Uncertain && now - run.orderedAt > uncertainGrace;
+            if (run.state == RunState::Ordered || !(run.stopWanted || unsettled))
+                continue;
+            if (run.stopSentAt != Utils::Instant() && now - run.stopSentAt < stopRetry)
+                continue;
+            run.stopSentAt = now;
+            orders.stops.push_back({target(endpoint), task, run.number});
+        }
+    }
+}
+
+auto RunLedger::paceFilling(Orders &orders) -> void
+{
+    for (auto &[id, endpoint] : m_endpoints) {
+        const auto serves = endpoint.servesUsers();
+        if (!serves)
+            endpoint.fillingPercent = fullPercent;
+        else if (std::exchange(endpoint.loadIsNew, false)) {
+            const auto load = highestLoadPercent(endpoint);
+            auto &percent = endpoint.fillingPercent;
+            if (load > slowFillingAbove)
+                percent = percent / 2 < leastFillingPercent ? 0 : percent / 2;
+            else if (load < speedFillingBelow)
+                percent = std::min(fullPercent, percent + fillingIncrease);
+        }
+        for (auto &[task, run] : endpoint.runs) {
+            const auto settled = run.state == RunState::Running && !run.paceInFlight;
+            if (!run.fills || !settled || run.pacePercent == endpoint.fillingPercent)
+                continue;
+            run.paceInFlight = true;
+            orders.paces.push_back({target(endpoint), task, run.number, endpoint.fillingPercent});
+        }
+    }
+}
+
+auto RunLedger::placementFor(const std::string &pool, Utils::Instant now) -> PoolPlacement
+{
+    PoolPlacement placement;
+    placement.now = now;
+    placement.settled = true;
+    for (auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.record.pool != pool)
+            continue;
+        if (!endpoint.looked && now <= endpoint.leaseEnd)
+            placement.settled = false;
+        placement.endpoints.push_back(&endpoint);
+    }
+    updateAvoided(placement);
+    for (auto *endpoint : placement.endpoints) {
+        auto &view = placement.views.emplace_back();
+        view.rack = endpoint->record.rack;
+        view.labels = endpoint->record.labels;
+        view.free = endpoint->freeResources();
+        view.servesUsers = endpoint->servesUsers();
+        view.recentFailures = endpoint->failureStreak;
+        view.open = endpoint->looked && !endpoint->draining && !endpoint->closed
+                    && !endpoint->leaving && now - endpoint->seenAt < m_timing.lookFreshness
+                    && now >= endpoint->avoidUntil;
+    }
+    return placement;
+}
+
+// Keeps endpoints that fail everything from attracting more work.
+auto RunLedger::updateAvoided(PoolPlacement &pool) -> void
+{
+    auto avoided = std::size_t(std::ranges::count_if(
+        pool.endpoints, [&](const auto *endpoint) { return pool.now < endpoint->avoidUntil; }));
+    for (auto *endpoint : pool.endpoints) {
+        if (endpoint->failureStreak < failuresToAvoid || pool.now < endpoint->avoidUntil
+            || avoided >= pool.endpoints.size() / avoidedPart)
+            continue;
+        endpoint->avoidUntil = pool.now + avoidTime;
+        // One more failed end after the pause is enough to avoid it again.
+        endpoint->failureStreak = failuresToAvoid - 1;
+        ++avoided;
+    }
+}
+
+auto RunLedger::startTasks(const Control::State &state,
+                           Utils::Instant now,
+                           std::int64_t wallMs,
+                           Orders &orders) -> void
+{
+    struct Candidate
+    {
+        Scheduling::JobRank rank;
+        const Jobs::Job *job;
+    };
+    std::vector<Candidate> candidates;
+    for (auto &[id, progress] : m_jobs) {
+        const auto *job = state.jobs.find(id);
+        const auto rank = Scheduling::rankOf(termsOf(*job, state.configuration),
+                                             progress.chainMs(),
+                                             job->spec.dueMs(0),
+                                             progress.remainingMs(0),
+                                             wallMs);
+        candidates.push_back({rank, job});
+    }
+    std::ranges::sort(candidates, {}, &Candidate::rank);
+    std::map<std::string, PoolPlacement> pools;
+    for (const auto &candidate : candidates) {
+        const auto &pool = candidate.job->spec.pool;
+        auto found = pools.find(pool);
+        if (found == pools.end())
+            found = pools.emplace(pool, placementFor(pool, now)).first;
+        if (found->second.settled)
+            startJob(*candidate.job, found->second, wallMs, orders);
+    }
+}
+
+auto RunLedger::startJob(const Jobs::Job &job,
+                         PoolPlacement &pool,
+                         std::int64_t wallMs,
+                         Orders &orders) -> void
+{
+    auto &progress = m_jobs.at(job.spec.id);
+    for (std::int64_t number = 0; number < job.spec.occurrences(); ++number) {
+        if (job.spec.dueMs(number) > wallMs && job.spec.repetition.count > 0)
+            return;
+        const auto &occurrence = progress.occurrence(number);
+        for (std::size_t index = 0; index < occurrence.size(); ++index) {
+            if (occurrence[index].open == 0 || !progress.isReady(occurrence, index))
+                continue;
+            const Jobs::TaskId first{job.spec.id, number, std::int64_t(index), 0};
+            if (job.spec.steps[index].gang)
+                startGang(job, first, pool, orders);
+            else
+                startStep(job, first, pool, orders);
+        }
+    }
+}
+
+auto RunLedger::startStep(const Jobs::Job &job,
+                          const Jobs::TaskId &first,
+                          PoolPlacement &pool,
+                          Orders &orders) -> void
+{
+    auto &progress = m_jobs.at(job.spec.id);
+    const auto &spec = job.spec.steps[std::size_t(first.step)];
+    std::vector<std::int64_t> tasksOfStep;
+    if (spec.maximumPerHost > 0 || spec.longRunning) {
+        for (const auto *endpoint : pool.endpoints)
+            tasksOfStep.push_back(countOfStep(*endpoint, first));
+    }
+    auto task = first;
+    for (task.index = 0; task.index < spec.count; ++task.index) {
+        if (progress.state(task) != TaskState::Open)
+            continue;
+        const auto chosen = Scheduling::chooseEndpoint(pool.views, {&spec, tasksOfStep});
+        if (!chosen)
+            return;
+        auto &view = pool.views[*chosen];
+        view.free -= Scheduling::occupiedBy(spec);
+        view.servesUsers = view.servesUsers || spec.latencyTargetMs > 0;
+        if (!tasksOfStep.empty())
+            ++tasksOfStep[*chosen];
+        orders.starts.push_back(book(*pool.endpoints[*chosen], job, task, nextNumber(), pool.now));
+    }
+}
+
+// Starts all members under one run number, or none.
+auto RunLedger::startGang(const Jobs::Job &job,
+                          const Jobs::TaskId &first,
+                          PoolPlacement &pool,
+                          Orders &orders) -> void
+{
+    const auto &spec = job.spec.steps[std::size_t(first.step)];
+    const auto &step = m_jobs.at(job.spec.id).occurrence(first.occurrence)[std::size_t(first.step)];
+    if (step.open != step.tasks.size())
+        return;
+    const auto savedViews = pool.views;
+    std::vector<std::int64_t> tasksOfStep(pool.endpoints.size(), 0);
+    std::vector<std::size_t> places;
+    for (std::int64_t index = 0; index < spec.count; ++index) {
+        const auto chosen = Scheduling::chooseEndpoint(pool.views, {&spec, tasksOfStep});
+        if (!chosen) {
+            pool.views = savedViews;
+            return;
+        }
+        pool.views[*chosen].free -= Scheduling::occupiedBy(spec);
+        ++tasksOfStep[*chosen];
+        places.push_back(*chosen);
+    }
+    const auto number = nextNumber();
+    auto task = first;
+    // All members have to resume from the same checkpoint.
+    const auto checkpoint = m_checkpoints.find(first);
+    const auto shared = checkpoint != m_checkpoints.end() ? checkpoint->second : std::string();
+    for (std::size_t index = 0; index < places.size(); ++index) {
+        task.index = std::int64_t(index);
+        auto order = book(*pool.endpoints[places[index]], job, task, number, pool.now);
+        order.checkpoint = shared;
+        orders.starts.push_back(std::move(order));
+    }
+}
+
+auto RunLedger::book(EndpointEntry &endpoint,
+                     const Jobs::Job &job,
+                     const Jobs::TaskId &task,
+                     std::int64_t number,
+                     Utils::Instant now) -> StartOrder
+{
+    const auto &spec = job.spec.steps[std::size_t(task.step)];
+    Run run;
+    run.task = task;
+    run.number = number;
+    run.orderedAt = now;
+    run.occupies = Scheduling::occupiedBy(spec);
+    run.fills = spec.fills;
+    run.longRunning = spec.longRunning;
+    run.latencyTargetMs = spec.latencyTargetMs;
+    run.leaseEndMs = endpoint.clockAtLeast(now) + m_timing.lease.count();
+    endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestReal(m_timing.lease));
+    if (spec.fills && endpoint.servesUsers())
+        endpoint.fillingPercent = std::min(endpoint.fillingPercent, firstFillingPercent);
+    endpoint.runs[task] = run;
+    m_jobs.at(task.job).setState(task, TaskState::Booked);
+    StartOrder order;
+    order.target = target(endpoint);
+    order.task = task;
+    order.run = number;
+    order.payload = job.spec.payload;
+    order.leaseEndMs = run.leaseEndMs;
+    const auto checkpoint = m_checkpoints.find(task);
+    if (checkpoint != m_checkpoints.end())
+        order.checkpoint = checkpoint->second;
+    return order;
+}
+
+auto RunLedger::findRun(const OrderTarget &target, const Jobs::TaskId &task, std::int64_t number)
+    -> Run *
+{
+    const auto endpoint = m_endpoints.find(target.life.id);
+    if (endpoint == m_endpoints.end() || endpoint->second.record.life != target.life
+        || target.fencingToken != m_term)
+        return nullptr;
+    const auto run = endpoint->second.runs.find(task);
+    return run != endpoint->second.runs.end() && run->second.number == number ? &run->second
+                                                                              : nullptr;
+}
+
+auto RunLedger::startAnswered(const StartOrder &order, const StartReply &reply, Utils::Instant now)
+    -> void
+{
+    auto *run = findRun(order.target, order.task, order.run);
+    if (run == nullptr || run->state == RunState::Running)
+        return;
+    if (reply.result == StartResult::Started) {
+        run->state = RunState::Running;
+        run->confirmedAt = now;
+        m_startedJobs.insert(order.task.job);
+        return;
+    }
+    if (reply.result == StartResult::Unknown) {
+        run->state = RunState::Uncertain;
+        return;
+    }
+    auto &endpoint = m_endpoints.at(order.target.life.id);
+    if (reply.result == StartResult::NoRoom)
+        endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + noRoomPause);
+    else if (reply.result != StartResult::Outdated)
+        endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + unhealthyPause);
+    endpoint.runs.erase(order.task);
+    reopen(order.task);
+}
+
+auto RunLedger::stopAnswered(const StopOrder &order, OrderResult result, Utils::Instant now) -> void
+{
+    auto *run = findRun(order.target, order.task, order.run);
+    if (run != nullptr && result == OrderResult::Accepted)
+        run->stopAnsweredAt = now;
+}
+
+auto RunLedger::paceAnswered(const PaceOrder &order, OrderResult result) -> void
+{
+    auto *run = findRun(order.target, order.task, order.run);
+    if (run == nullptr)
+        return;
+    run->paceInFlight = false;
+    if (result == OrderResult::Accepted)
+        run->pacePercent = order.percent;
+}
+
+auto RunLedger::nextNumber() -> std::int64_t
+{
+    return m_term * startsPerTerm + ++m_starts;
+}
+
+} // namespace Execution
--- /dev/null
+++ b/src/libs/jobs/jobtable.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "jobtypes.h"
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Jobs {
+
+enum class JobState { Active, Done, Failed, Cancelled };
+
+/*! \brief How far one task has come. */
+struct TaskProgress
+{
+    bool done = false;
+    std::int64_t failures = 0; //!< Runs that ended as failed.
+};
+
+/*! \brief How far one step of one occurrence has come. */
+struct StepProgress
+{
+    std::vector<TaskProgress> tasks;
+    std::int64_t doneTasks = 0;
+
+    auto isDone() const -> bool { return doneTasks == std::int64_t(tasks.size()); }
+};
+
+/*! \brief How far one occurrence of a job has come. */
+struct OccurrenceProgress
+{
+    std::vector<StepProgress> steps;
+
+    auto isDone() const -> bool;
+};
+
+/*! \brief A job and what is durably known about it. */
+struct Job
+{
+    JobSpec spec;
+    JobState state = JobState::Active;
+    //! Occurrences in which a task has ended; the others have not begun.
+    std::map<std::int64_t, OccurrenceProgress> occurrences;
+    std::int64_t endedMs = 0; //!< Since 1970; 0 while active.
+
+    /*! \brief Returns the progress of occurrence \a number, all open if none of its tasks has ended. */
+    auto progress(std::int64_t number) const -> OccurrenceProgress;
+};
+
+/*! \brief All jobs that were accepted and are not yet forgotten. Changes are deterministic. */
+class JobTable
+{
+public:
+    /*! \brief Adds \a spec; returns false if a job of this id is known already. */
+    auto add(JobSpec spec) -> bool;
+    /*! \brief Ends an active job as cancelled; returns false if the job is not known. */
+    auto cancel(std::string_view id, std::int64_t nowMs) -> bool;
+    /*!
+        \brief Notes that a run of \a task ended.
+
+        A task that has failed \a maximumAttempts times fails its job, unless the task is
+        long-running. 0 attempts means no limit.
+    */
+    auto recordEnd(const TaskId &task,
+                   TaskOutcome outcome,
+                   std::int64_t maximumAttempts,
+                   std::int64_t nowMs) -> void;
+    /*! \brief Forgets jobs that ended before \a beforeMs. */
+    auto forgetEndedBefore(std::int64_t beforeMs) -> void;
+
+    auto find(std::string_view id) const -> const Job *;
+    auto jobs() const -> const std::map<std::string, Job, std::less<>> & { return m_jobs; }
+    /*! \brief Returns the ids of the jobs that have not ended. */
+    auto activeIds() const -> const std::set<std::string> & { return m_activeIds; }
+    auto restore(std::vector<Job> jobs) -> void;
+
+private:
+    auto finishIfDone(Job &job, std::int64_t nowMs) -> void;
+    auto end(Job &job, JobState state, std::int64_t nowMs) -> void;
+
+    std::map<std::string, Job, std::less<>> m_jobs;
+    std::set<std::string> m_activeIds;
+};
+
+template <typename Archive>
+auto describe(Archive &archive, TaskProgress &task) -> void
+{
+    archive.optional("done", task.done);
+    archive.optional("failures", task.failures);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, StepProgress &step) -> void
+{
+    archive.required("tasks", step.tasks);
+    archive.required("done", step.doneTasks);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, OccurrenceProgress &occurrence) -> void
+{
+    archive.required("steps", occurrence.steps);
+}
+
+inline auto enumNames(JobState) -> std::span<const Utils::EnumName<JobState>>
+{
+    static constexpr Utils::EnumName<JobState> names[] = {{JobState::Active, "active"},
+                                                          {JobState::Done, "done"},
+                                                          {JobState::Failed, "failed"},
+                                                          {JobState::Cancelled, "cancelled"}};
+    return names;
+}
+
+} // namespace Jobs
--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -143,6 +143,7 @@
     });
     Wire::TransferRequest request;
     request.groupId = m_options.groupId;
+    request.targetId = best->second->voter.id;
     request.leaderId = m_options.processId;
     request.term = std::int64_t(m_vote.term);
     Connection connection(
@@ -316,6 +317,9 @@
     status.hasQuorum = hasQuorum(now);
     status.ready = m_ready;
     status.progress = progress(now);
+    status.voters = voters().voters;
+    if (m_role == Role::Leader)
+        status.leadingFor = now - m_leaderSince;
     return status;
 }
 
--- a/src/libs/replication/replicaelection.cpp
+++ b/src/libs/replication/replicaelection.cpp
@@ -172,6 +172,7 @@
     Wire::VoteRequest request;
     request.groupId = m_options.groupId;
     request.candidateId = m_options.processId;
+    request.targetId = peer.voter.id;
     request.term = std::int64_t(m_ballot.term);
     request.lastRevision = std::int64_t(m_entries.lastRevision());
     request.lastTerm = std::int64_t(m_entries.lastTerm());
@@ -194,6 +195,7 @@
 auto Replica::requestVote(Wire::VoteReply &reply, const Wire::VoteRequest &request) -> void
 {
     requireGroup(request.groupId, m_options.groupId);
+    requireTarget(request.targetId, m_options.processId);
     const auto term = std::uint64_t(request.term);
     const std::scoped_lock disk(m_diskMutex);
     StateLock lock(m_mutex);
@@ -232,6 +234,7 @@
     -> void
 {
     requireGroup(request.groupId, m_options.groupId);
+    requireTarget(request.targetId, m_options.processId);
     const StateLock lock(m_mutex);
     reply.accepted = !m_stopping && std::uint64_t(request.term) == m_vote.term
                      && m_leaderId == request.leaderId && voters().contains(m_options.processId);
--- a/src/libs/replication/replicafollower.cpp
+++ b/src/libs/replication/replicafollower.cpp
@@ -101,6 +101,7 @@
 auto Replica::appendEntries(Wire::AppendReply &reply, const Wire::AppendRequest &request) -> void
 {
     requireGroup(request.groupId, m_options.groupId);
+    requireTarget(request.targetId, m_options.processId);
     const std::scoped_lock disk(m_diskMutex);
     const auto accepted = acceptLeader(request.leaderId, std::uint64_t(request.term));
     StateLock lock(m_mutex);
@@ -158,6 +159,7 @@
     -> void
 {
     requireGroup(request.groupId, m_options.groupId);
+    requireTarget(request.targetId, m_options.processId);
     const std::scoped_lock applying(m_applier.mutex());
     const std::scoped_lock disk(m_diskMutex);
     const auto accepted = acceptLeader(request.leaderId, std::uint64_t(request.term));
--- a/src/libs/replication/replicaleader.cpp
+++ b/src/libs/replication/replicaleader.cpp
@@ -80,6 +80,7 @@
     Wire::AppendRequest request;
     request.groupId = m_options.groupId;
     request.leaderId = m_options.processId;
+    request.targetId = peer.voter.id;
     request.term = std::int64_t(m_vote.term);
     request.previousRevision = std::int64_t(previous);
     request.previousTerm = std::int64_t(m_entries.termAt(previous).value_or(0));
@@ -123,6 +124,7 @@
         if (part.snapshot) {
             request.groupId = m_options.groupId;
             request.leaderId = m_options.processId;
+            request.targetId = peer.voter.id;
             request.term = std::int64_t(term);
             request.revision = std::int64_t(part.snapshot->revision);
             request.revisionTerm = std::int64_t(part.snapshot->term);
--- a/src/libs/replication/replicatedlog.h
+++ b/src/libs/replication/replicatedlog.h
@@ -76,7 +76,9 @@
     //! True once the state here was confirmed by the leader or, cut off, taken from zone peers.
     bool ready = false;
     std::map<std::string, ProcessProgress>
-        progress; //!< By process id, complete at the leader only.
+        progress;                      //!< By process id, complete at the leader only.
+    std::vector<Voter> voters;         //!< As the voters know them; empty at observers.
+    Utils::Milliseconds leadingFor{0}; //!< How long this process has led; 0 if it does not.
 };
 
 /*!
--- a/src/libs/replication/wireconversion.cpp
+++ b/src/libs/replication/wireconversion.cpp
@@ -84,4 +84,10 @@
     throw wrongGroup;
 }
 
+auto requireTarget(const std::string &targetId, const std::string &expected) -> void
+{
+    if (!targetId.empty())
+        requireGroup(targetId, expected);
+}
+
 } // namespace Replication::Internal
--- a/src/libs/replication/wireconversion.h
+++ b/src/libs/replication/wireconversion.h
@@ -20,5 +20,12 @@
 auto fillChunk(Wire::SnapshotChunk &reply, const SnapshotPart &part) -> void;
 /*! \brief Throws Wire::WrongGroup if \a groupId is not \a expected. */
 auto requireGroup(const std::string &groupId, const std::string &expected) -> void;
+/*!
+    \brief Throws Wire::WrongGroup if a message for \a targetId reached \a expected.
+
+    A voter that lost its disk returns under another id at the same address; it must not answer for
+    its former self. Messages without a target are for whoever receives them.
+*/
+auto requireTarget(const std::string &targetId, const std::string &expected) -> void;
 
 } // namespace Replication::Internal
--- /dev/null
+++ b/src/libs/scheduling/joborder.cpp
@@ -0,0 +1,42 @@
+#include "joborder.h"
+
+#include <algorithm>
+
+namespace Scheduling {
+
+// An answer after this multiple of the objective counts as not served.
+constexpr std::int64_t lateObjectives = 3;
+
+auto longestChainMs(const Jobs::JobSpec &job) -> std::int64_t
+{
+    std::vector<std::int64_t> finishMs;
+    for (const auto &step : job.steps) {
+        std::int64_t startMs = 0;
+        for (const auto earlier : step.after) {
+            if (earlier >= 0 && std::size_t(earlier) < finishMs.size())
+                startMs = std::max(startMs, finishMs[std::size_t(earlier)]);
+        }
+        finishMs.push_back(startMs + step.estimateMs);
+    }
+    return finishMs.empty() ? 0 : std::ranges::max(finishMs);
+}
+
+auto rankOf(const QueueTerms &terms,
+            std::int64_t chainMs,
+            std::int64_t handedInMs,
+            std::int64_t remainingMs,
+            std::int64_t nowMs) -> JobRank
+{
+    const auto objectiveMs = std::int64_t(terms.stretch * double(chainMs)) + terms.objectiveMs;
+    const auto expectedMs = nowMs + remainingMs - handedInMs;
+    JobRank rank;
+    rank.priority = terms.priority;
+    rank.objectiveAtMs = handedInMs + objectiveMs;
+    if (expectedMs > objectiveMs * lateObjectives)
+        rank.outlook = Outlook::Missed;
+    else if (expectedMs > objectiveMs)
+        rank.outlook = Outlook::Late;
+    return rank;
+}
+
+} // namespace Scheduling
--- /dev/null
+++ b/src/libs/scheduling/joborder.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "jobs/jobtypes.h"
+
+#include <compare>
+#include <cstdint>
+
+/*! Decisions of job control: what goes first, and which endpoint runs it. Pure functions. */
+namespace Scheduling {
+
+/*! \brief The terms of a queue that order its jobs. */
+struct QueueTerms
+{
+    std::int64_t priority = 0; //!< 0 goes first.
+    double stretch = 1;
+    std::int64_t objectiveMs = 0;
+};
+
+/*! \brief What a job can still reach. */
+enum class Outlook {
+    OnTime, //!< The objective.
+    Late,   //!< Three times the objective, after which an answer is worth nothing.
+    Missed,
+};
+
+/*! \brief The place of a job among those that wait. Smaller goes first. */
+struct JobRank
+{
+    std::int64_t priority = 0;
+    Outlook outlook = Outlook::OnTime;
+    std::int64_t objectiveAtMs = 0; //!< Since 1970.
+
+    auto operator<=>(const JobRank &) const = default;
+};
+
+/*! \brief Returns the estimated work of the longest chain of steps, in milliseconds. */
+auto longestChainMs(const Jobs::JobSpec &job) -> std::int64_t;
+
+/*!
+    \brief Ranks a job handed in at \a handedInMs whose open steps still take \a remainingMs.
+
+    Answers demand peaks above the pool's capacity: a job that can no longer meet its objective
+    makes room for those that can, and one that has missed every objective waits for idle capacity.
+*/
+auto rankOf(const QueueTerms &terms,
+            std::int64_t chainMs,
+            std::int64_t handedInMs,
+            std::int64_t remainingMs,
+            std::int64_t nowMs) -> JobRank;
+
+} // namespace Scheduling
--- /dev/null
+++ b/src/libs/scheduling/placement.cpp
@@ -0,0 +1,60 @@
+#include "placement.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace Scheduling {
+namespace {
+
+auto canRun(const EndpointView &endpoint, const Jobs::StepSpec &step, std::int64_t tasksOfStep)
+    -> bool
+{
+    if (!endpoint.open || !occupiedBy(step).fitsInto(endpoint.free))
+        return false;
+    if (step.maximumPerHost > 0 && tasksOfStep >= step.maximumPerHost)
+        return false;
+    return step.requiredLabel.empty()
+           || std::ranges::find(endpoint.labels, step.requiredLabel) != endpoint.labels.end();
+}
+
+// Smaller is better.
+auto costOf(const EndpointView &endpoint, const Jobs::StepSpec &step, std::int64_t tasksOfStep)
+{
+    const auto far = !step.dataRack.empty() && step.dataRack != endpoint.rack;
+    const auto disturbs = step.fills && endpoint.servesUsers;
+    return std::tuple(far,
+                      disturbs,
+                      endpoint.recentFailures > 0,
+                      step.longRunning ? tasksOfStep : 0,
+                      -endpoint.free.cpuMillicores);
+}
+
+} // namespace
+
+auto occupiedBy(const Jobs::StepSpec &step) -> Jobs::Resources
+{
+    auto demand = step.demand;
+    if (step.fills)
+        demand.cpuMillicores = 0;
+    return demand;
+}
+
+auto chooseEndpoint(std::span<const EndpointView> endpoints, const PlacementRequest &request)
+    -> std::optional<std::size_t>
+{
+    std::optional<std::size_t> best;
+    for (std::size_t index = 0; index < endpoints.size(); ++index) {
+        const auto tasksOfStep = request.tasksOfStep.empty() ? 0 : request.tasksOfStep[index];
+        if (!canRun(endpoints[index], *request.step, tasksOfStep))
+            continue;
+        if (!best
+            || costOf(endpoints[index], *request.step, tasksOfStep)
+                   < costOf(endpoints[*best],
+                            *request.step,
+                            request.tasksOfStep.empty() ? 0 : request.tasksOfStep[*best]))
+            best = index;
+    }
+    return best;
+}
+
+} // namespace Scheduling
--- /dev/null
+++ b/src/libs/service/controlservice.cpp
@@ -0,0 +1,456 @@
+#include "controlservice.h"
+
+#include "utils/log.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+
+namespace Service {
+namespace {
+
+constexpr Utils::Milliseconds leadershipCheck{30};
+// Shorter than entries wait for the answer to a request for a newer configuration.
+constexpr Utils::Milliseconds configurationWait{4000};
+// Others are told of members that were heard of within this time.
+constexpr Utils::Milliseconds memberAge{30'000};
+
+auto reply(Wire::ControlOutcome::type outcome) -> Wire::ControlReply
+{
+    Wire::ControlReply reply;
+    reply.outcome = outcome;
+    return reply;
+}
+
+auto replyFor(Execution::CommitResult result) -> Wire::ControlReply
+{
+    switch (result) {
+    case Execution::CommitResult::Committed:
+        return reply(Wire::ControlOutcome::DONE);
+    case Execution::CommitResult::NotCommitted:
+        return reply(Wire::ControlOutcome::REFUSED);
+    case Execution::CommitResult::Unknown:
+        break;
+    }
+    return reply(Wire::ControlOutcome::OUTCOME_UNKNOWN);
+}
+
+auto outcomeFor(Execution::CommitResult result) -> Outcome
+{
+    switch (result) {
+    case Execution::CommitResult::Committed:
+        return Outcome::Done;
+    case Execution::CommitResult::NotCommitted:
+        return Outcome::NotLeader;
+    case Execution::CommitResult::Unknown:
+        break;
+    }
+    return Outcome::Unknown;
+}
+
+auto shownState(const Jobs::Job &job, bool started) -> ShownState
+{
+    switch (job.state) {
+    case Jobs::JobState::Done:
+        return ShownState::Done;
+    case Jobs::JobState::Failed:
+        return ShownState::Failed;
+    case Jobs::JobState::Cancelled:
+        return ShownState::Cancelled;
+    case Jobs::JobState::Active:
+        break;
+    }
+    return started || !job.occurrences.empty() ? ShownState::Running : ShownState::Queued;
+}
+
+} // namespace
+
+ControlService::ControlService(ControlParts parts, ControlOptions options)
+    : m_parts(parts)
+    , m_options(std::move(options))
+    , m_committer(parts.loop, parts.log, parts.clock)
+    , m_server(parts.loop,
+               [this](Wire::ControlRequest request) { return handle(std::move(request)); })
+    , m_configurationChanged(parts.loop)
+{}
+
+ControlService::~ControlService() = default;
+
+auto ControlService::start() -> Utils::Result<void>
+{
+    BOOST_OUTCOME_TRY(m_server.start(m_options.linkAddress));
+    AsyncNet::start(m_parts.loop, "leadership", watchLeadership());
+    return Utils::success();
+}
+
+auto ControlService::stop() -> void
+{
+    m_stopped = true;
+    if (m_session)
+        m_session->end();
+    m_session.reset();
+}
+
+auto ControlService::stateChanged() -> void
+{
+    const auto version =
+        m_parts.state.read([](const Control::State &state) { return state.configuration.version; });
+    if (std::exchange(m_toldVersion, version) != version)
+        m_configurationChanged.notify();
+    if (m_session)
+        m_session->wake();
+}
+
+auto ControlService::session() const -> Execution::LeaderSession *
+{
+    return m_session && m_session->isActive() ? m_session.get() : nullptr;
+}
+
+auto ControlService::leads() const -> bool
+{
+    return session() != nullptr;
+}
+
+auto ControlService::leaderAddress() const -> std::string
+{
+    return leads() ? m_options.linkAddress : m_parts.link.leader();
+}
+
+auto ControlService::watchLeadership() -> AsyncNet::Task<void>
+{
+    while (!m_stopped) {
+        const auto status = m_parts.log.status();
+        const auto leads = status.role == Replication::Role::Leader && status.hasQuorum;
+        const auto term = std::int64_t(status.term);
+        if (m_session && (!leads || m_session->term() != term || !m_session->isActive())) {
+            m_session->end();
+            m_session.reset();
+        }
+        if (!m_session && leads) {
+            // Once this is committed, all that earlier leaders committed is applied here.
+            const auto ready = co_await commit({});
+            const auto current = m_parts.log.status();
+            if (m_stopped)
+                co_return;
+            if (ready == Execution::CommitResult::Committed
+                && current.role == Replication::Role::Leader
+                && std::int64_t(current.term) == term) {
+                m_session = std::make_shared<Execution::LeaderSession>(
+                    Execution::LeaderParts{m_parts.loop,
+                                           m_parts.state,
+                                           m_parts.endpoints,
+                                           m_committer,
+                                           m_parts.hosts,
+                                           m_parts.clock,
+                                           m_parts.metrics},
+                    m_options.timing,
+                    term);
+                m_sequences.clear();
+                m_session->start();
+            }
+        }
+        co_await AsyncNet::pause(leadershipCheck);
+    }
+}
+
+auto ControlService::commit(Control::Command command) -> AsyncNet::Task<Execution::CommitResult>
+{
+    std::vector<Control::Command> commands;
+    commands.push_back(std::move(command));
+    co_return co_await m_committer.commit(std::move(commands));
+}
+
+auto ControlService::notLeader() const -> Wire::ControlReply
+{
+    auto answer = reply(Wire::ControlOutcome::NOT_LEADER);
+    answer.leaderAddress = m_parts.link.leader();
+    return answer;
+}
+
+auto ControlService::handle(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>
+{
+    if (request.call == Wire::ControlCall::HELLO)
+        co_return hello(request);
+    if (!leads())
+        co_return notLeader();
+    switch (request.call) {
+    case Wire::ControlCall::HAND_IN:
+        co_return co_await handIn(std::move(request));
+    case Wire::ControlCall::JOB_STATE:
+        co_return jobState(request);
+    case Wire::ControlCall::CANCEL_JOB:
+        co_return co_await cancel(std::move(request));
+    case Wire::ControlCall::COUNT_WAITING:
+        co_return countWaiting(request);
+    case Wire::ControlCall::AWAIT_CONFIGURATION:
+        co_return co_await awaitConfiguration(std::move(request));
+    case Wire::ControlCall::HELLO:
+        break;
+    }
+    co_return reply(Wire::ControlOutcome::REFUSED);
+}
+
+auto ControlService::hello(const Wire::ControlRequest &request) -> Wire::ControlReply
+{
+    const auto now = m_parts.clock.now();
+    if (!request.processId.empty())
+        m_parts.members.note({request.processId, request.zone, request.address}, now);
+    auto answer = leads() ? reply(Wire::ControlOutcome::DONE) : notLeader();
+    answer.members.assign(m_parts.link.members().begin(), m_parts.link.members().end());
+    answer.members.push_back(m_options.linkAddress);
+    if (leads())
+        answer.leaderAddress = m_options.linkAddress;
+    return answer;
+}
+
+auto ControlService::handIn(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>
+{
+    auto job = Utils::fromCbor<Jobs::JobSpec>(request.job);
+    if (!job) {
+        Utils::Log::warning(
+            "service", "a handed-in job cannot be read", {{"reason", job.error().details}});
+        co_return reply(Wire::ControlOutcome::REFUSED);
+    }
+    auto &spec = job.value();
+    const auto [known, queueKnown] = m_parts.state.read([&](const Control::State &state) {
+        return std::pair(state.jobs.find(spec.id) != nullptr,
+                         state.configuration.findQueue(spec.queue) != nullptr);
+    });
+    if (known)
+        co_return reply(Wire::ControlOutcome::DONE);
+    if (!queueKnown)
+        co_return reply(Wire::ControlOutcome::UNKNOWN_NAME);
+    spec.handedInMs = m_parts.clock.wallTime();
+    Control::Command command;
+    command.handIn = std::move(spec);
+    const auto result = co_await commit(std::move(command));
+    m_parts.metrics.count("trefoilshelf_hand_ins_total");
+    if (auto *active = session())
+        active->wake();
+    co_return replyFor(result);
+}
+
+auto ControlService::jobState(const Wire::ControlRequest &request) -> Wire::ControlReply
+{
+    const auto started = m_session->ledger().hasStarted(request.jobId);
+    return m_parts.state.read([&](const Control::State &state) {
+        const auto *job = state.jobs.find(request.jobId);
+        if (job == nullptr || job->spec.queue != request.queue)
+            return reply(Wire::ControlOutcome::UNKNOWN_NAME);
+        auto answer = reply(Wire::ControlOutcome::DONE);
+        answer.jobState = int(shownState(*job, started));
+        return answer;
+    });
+}
+
+auto ControlService::cancel(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>
+{
+    const auto known = m_parts.state.read([&](const Control::State &state) {
+        const auto *job = state.jobs.find(request.jobId);
+        return job != nullptr && job->spec.queue == request.queue;
+    });
+    if (!known)
+        co_return reply(Wire::ControlOutcome::UNKNOWN_NAME);
+    Control::Command command;
+    command.cancelJob = request.jobId;
+    const auto result = co_await commit(std::move(command));
+    Utils::Log::info(
+        "service",
+        "a job was cancelled",
+        {{"job", request.jobId}, {"committed", result == Execution::CommitResult::Committed}});
+    if (auto *active = session())
+        active->wake();
+    co_return replyFor(result);
+}
+
+auto ControlService::countWaiting(const Wire::ControlRequest &request) -> Wire::ControlReply
+{
+    auto answer = reply(Wire::ControlOutcome::DONE);
+    m_parts.state.read([&](const Control::State &state) {
+        for (const auto &id : state.jobs.activeIds()) {
+            const auto *job = state.jobs.find(id);
+            const auto waits = job->spec.queue == request.queue && job->occurrences.empty()
+                               && !m_session->ledger().hasStarted(id);
+            answer.count += waits ? 1 : 0;
+        }
+    });
+    return answer;
+}
+
+auto ControlService::awaitConfiguration(Wire::ControlRequest request)
+    -> AsyncNet::Task<Wire::ControlReply>
+{
+    const auto newerThan = [this](std::int64_t version) {
+        return m_parts.state.read([version](const Control::State &state) {
+            return state.configuration.version > version ? Utils::toCbor(state.configuration)
+                                                         : std::string();
+        });
+    };
+    auto answer = reply(Wire::ControlOutcome::DONE);
+    answer.configuration = newerThan(request.version);
+    if (answer.configuration.empty()) {
+        co_await m_configurationChanged.waitFor(configurationWait);
+        if (!leads())
+            co_return notLeader();
+        answer.configuration = newerThan(request.version);
+    }
+    co_return answer;
+}
+
+// An address belongs to one process: who used it before has ended.
+auto ControlService::endReplacedLives(const Control::EndpointRecord &record) -> AsyncNet::Task<bool>
+{
+    std::vector<Control::EndpointLife> replaced;
+    const auto stale = m_parts.state.read([&](const Control::State &state) {
+        for (const auto &[id, known] : state.endpoints) {
+            if (known.record.address != record.address || known.record.life == record.life)
+                continue;
+            if (known.record.life.bornMs > record.life.bornMs)
+                return true;
+            replaced.push_back(known.record.life);
+        }
+        return false;
+    });
+    if (stale)
+        co_return false;
+    std::vector<Control::Command> commands;
+    for (const auto &life : replaced) {
+        Control::Command command;
+        command.removeEndpoint = life;
+        commands.push_back(std::move(command));
+        if (auto *active = session())
+            active->endpointReplaced(life);
+    }
+    if (!commands.empty())
+        co_await m_committer.commit(std::move(commands));
+    co_return true;
+}
+
+auto ControlService::announce(Announcement announcement) -> AsyncNet::Task<Outcome>
+{
+    if (!leads())
+        co_return Outcome::NotLeader;
+    auto &record = announcement.record;
+    auto &sequence = m_sequences[record.life];
+    if (announcement.sequence <= sequence)
+        co_return Outcome::Done;
+    sequence = announcement.sequence;
+    enum class Standing { Known, New, Stale };
+    const auto standing = m_parts.state.read([&](const Control::State &state) {
+        if (state.configuration.findPool(record.pool) == nullptr)
+            return Standing::Stale;
+        const auto found = state.endpoints.find(record.life.id);
+        if (found == state.endpoints.end())
+            return Standing::New;
+        const auto &known = found->second.record;
+        if (known.life.bornMs > record.life.bornMs)
+            return Standing::Stale;
+        const auto same = known.life == record.life && known.pool == record.pool
+                          && known.address == record.address && known.labels == record.labels
+                          && known.capacity == record.capacity
+                          && (known.draining || !record.draining);
+        return same ? Standing::Known : Standing::New;
+    });
+    if (standing != Standing::New)
+        co_return Outcome::Done;
+    if (!co_await endReplacedLives(record))
+        co_return Outcome::Done;
+    Utils::Log::info("service",
+                     "an endpoint announced itself",
+                     {{"endpoint", record.life.id},
+                      {"born", record.life.bornMs},
+                      {"pool", record.pool},
+                      {"address", record.address},
+                      {"draining", record.draining}});
+    Control::Command command;
+    command.addEndpoint = record;
+    const auto result = co_await commit(std::move(command));
+    if (auto *active = session(); active != nullptr && result == Execution::CommitResult::Committed)
+        active->endpointKnown(record);
+    else
+        m_sequences.erase(record.life);
+    co_return outcomeFor(result);
+}
+
+auto ControlService::leave(std::string endpoint, std::int64_t bornMs) -> AsyncNet::Task<Outcome>
+{
+    if (!leads())
+        co_return Outcome::NotLeader;
+    auto record = m_parts.state.read(
+        [&](const Control::State &state) -> std::optional<Control::EndpointRecord> {
+            const auto found = state.endpoints.find(endpoint);
+            const auto known = found != state.endpoints.end()
+                               && (bornMs == 0 || found->second.record.life.bornMs == bornMs);
+            return known ? std::optional(found->second.record) : std::nullopt;
+        });
+    if (!record)
+        co_return Outcome::Done;
+    record->draining = true;
+    Control::Command command;
+    command.addEndpoint = *record;
+    const auto result = co_await commit(std::move(command));
+    if (auto *active = session())
+        active->endpointLeaves(record->life);
+    Utils::Log::info("service", "an endpoint leaves", {{"endpoint", endpoint}});
+    co_return outcomeFor(result);
+}
+
+auto ControlService::putConfiguration(Control::Configuration configuration)
+    -> AsyncNet::Task<Outcome>
+{
+    if (!leads())
+        co_return Outcome::NotLeader;
+    const auto version = configuration.version;
+    Control::Command command;
+    const auto held =
+        m_parts.state.read([](const Control::State &state) { return state.configuration.version; });
+    // What has been overtaken is acknowledged and changes nothing.
+    if (version > held)
+        command.configuration = std::move(configuration);
+    const auto result = co_await commit(std::move(command));
+    Utils::Log::info("service",
+                     "a configuration was put",
+                     {{"version", version},
+                      {"held", held},
+                      {"committed", result == Execution::CommitResult::Committed}});
+    co_return outcomeFor(result);
+}
+
+auto ControlService::readConfiguration() -> AsyncNet::Task<std::optional<std::string>>
+{
+    // A commit proves that no other leader has taken a newer one.
+    if (!leads() || co_await commit({}) != Execution::CommitResult::Committed)
+        co_return std::nullopt;
+    co_return m_parts.state.read([](const Control::State &state) -> std::optional<std::string> {
+        if (state.configuration.version == 0)
+            return std::nullopt;
+        return state.configuration.document;
+    });
+}
+
+auto ControlService::startWave(Control::Wave wave) -> AsyncNet::Task<Outcome>
+{
+    if (!leads())
+        co_return Outcome::NotLeader;
+    Utils::Log::info("service",
+                     "a maintenance wave was asked for",
+                     {{"wave", wave.number},
+                      {"hosts", wave.hosts.size()},
+                      {"at_once", wave.maximumAtOnce},
+                      {"duration_ms", wave.durationMs}});
+    Control::Command command;
+    command.startWave = std::move(wave);
+    co_return outcomeFor(co_await commit(std::move(command)));
+}
+
+auto ControlService::isWaveDone(std::int64_t number) -> AsyncNet::Task<std::optional<bool>>
+{
+    if (!leads())
+        co_return std::nullopt;
+    co_return m_parts.state.read([number](const Control::State &state) -> std::optional<bool> {
+        const auto found = state.waves.find(number);
+        return found != state.waves.end() ? std::optional(found->second.isDone()) : std::nullopt;
+    });
+}
+
+} // namespace Service
--- /dev/null
+++ b/src/libs/service/controlservice.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "committer.h"
+#include "leaderlink.h"
+#include "membertable.h"
+#include "outcomes.h"
+
+#include "execution/leadersession.h"
+#include "utils/metrics.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace Service {
+
+/*! \brief An endpoint's announcement. */
+struct Announcement
+{
+    Control::EndpointRecord record;
+    std::int64_t sequence = 0; //!< Rises with each announcement of one life.
+};
+
+/*! \brief What a control process needs. All outlive the service. */
+struct ControlParts
+{
+    AsyncNet::asio::io_context &loop;
+    Control::StateReplica &state;
+    Replication::ReplicatedLog &log;
+    Execution::EndpointLink &endpoints;
+    Execution::HostProvider &hosts;
+    const Utils::Clock &clock;
+    Utils::Metrics &metrics;
+    LeaderLink &link;
+    MemberTable &members;
+};
+
+struct ControlOptions
+{
+    std::string linkAddress; //!< Where entries and other control processes connect.
+    Execution::LedgerTiming timing;
+};
+
+/*!
+    \brief What a control process does: it leads, or tells who does. Lives on one event loop.
+*/
+class ControlService
+{
+public:
+    ControlService(ControlParts parts, ControlOptions options);
+    ~ControlService();
+
+    auto start() -> Utils::Result<void>;
+    /*! \brief Ends leading; requests are then refused as by a process that does not lead. */
+    auto stop() -> void;
+    /*! \brief Called on the loop after the log has applied an entry. */
+    auto stateChanged() -> void;
+
+    auto leads() const -> bool;
+    /*! \brief Returns the link address of the leader, or an empty text if none is known. */
+    auto leaderAddress() const -> std::string;
+
+    auto announce(Announcement announcement) -> AsyncNet::Task<Outcome>;
+    /*! \brief Notes that an endpoint ends; \a bornMs 0 means whichever life is known. */
+    auto leave(std::string endpoint, std::int64_t bornMs) -> AsyncNet::Task<Outcome>;
+    auto putConfiguration(Control::Configuration configuration) -> AsyncNet::Task<Outcome>;
+    /*! \brief Returns the newest configuration's document, or nothing if this cannot be sure of it. */
+    auto readConfiguration() -> AsyncNet::Task<std::optional<std::string>>;
+    auto startWave(Control::Wave wave) -> AsyncNet::Task<Outcome>;
+    /*! \brief Returns whether wave \a number is done, or nothing if it is not known here. */
+    auto isWaveDone(std::int64_t number) -> AsyncNet::Task<std::optional<bool>>;
+
+private:
+    auto watchLeadership() -> AsyncNet::Task<void>;
+    auto handle(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>;
+    auto hello(const Wire::ControlRequest &request) -> Wire::ControlReply;
+    auto handIn(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>;
+    auto jobState(const Wire::ControlRequest &request) -> Wire::ControlReply;
+    auto cancel(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>;
+    auto countWaiting(const Wire::ControlRequest &request) -> Wire::ControlReply;
+    auto awaitConfiguration(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>;
+    auto notLeader() const -> Wire::ControlReply;
+    auto commit(Control::Command command) -> AsyncNet::Task<Execution::CommitResult>;
+    auto session() const -> Execution::LeaderSession *;
+    auto endReplacedLives(const Control::EndpointRecord &record) -> AsyncNet::Task<bool>;
+
+    ControlParts m_parts;
+    ControlOptions m_options;
+    Committer m_committer;
+    AsyncNet::FrameServer m_server;
+    std::shared_ptr<Execution::LeaderSession> m_session;
+    std::map<Control::EndpointLife, std::int64_t> m_sequences; //!< Last announcement of each life.
+    AsyncNet::Signal m_configurationChanged;
+    std::int64_t m_toldVersion = 0;
+    bool m_stopped = false;
+};
+
+} // namespace Service
--- /dev/null
+++ b/src/libs/service/entryservice.cpp
@@ -0,0 +1,162 @@
+#include "entryservice.h"
+
+#include "utils/log.h"
+
+namespace Service {
+namespace {
+
+// How long a request waits for a leader before it is refused: a small part of any objective.
+constexpr Utils::Milliseconds leaderPatience{400};
+// Shorter than callers wait for an answer.
+constexpr Utils::Milliseconds callTimeout{2600};
+// The leader answers a request for a newer configuration after this time at the latest.
+constexpr Utils::Milliseconds configurationWait{6000};
+constexpr Utils::Milliseconds configurationRetry{100};
+constexpr Utils::Milliseconds leaderCheck{250};
+// Without a leader for this time, callers are better served by other entries.
+constexpr Utils::Milliseconds leaderAbsence{2500};
+
+auto outcomeOf(const Utils::Result<Wire::ControlReply> &reply) -> Outcome
+{
+    if (!reply)
+        return reply.error().type == Utils::ErrorType::Unavailable ? Outcome::NotLeader
+                                                                   : Outcome::Unknown;
+    switch (reply.value().outcome) {
+    case Wire::ControlOutcome::DONE:
+        return Outcome::Done;
+    case Wire::ControlOutcome::NOT_LEADER:
+        return Outcome::NotLeader;
+    case Wire::ControlOutcome::REFUSED:
+        return Outcome::Refused;
+    case Wire::ControlOutcome::UNKNOWN_NAME:
+        return Outcome::UnknownName;
+    case Wire::ControlOutcome::OUTCOME_UNKNOWN:
+        break;
+    }
+    return Outcome::Unknown;
+}
+
+auto makeRequest(Wire::ControlCall::type call, std::string queue, std::string id)
+    -> Wire::ControlRequest
+{
+    Wire::ControlRequest request;
+    request.call = call;
+    request.queue = std::move(queue);
+    request.jobId = std::move(id);
+    return request;
+}
+
+} // namespace
+
+EntryService::EntryService(AsyncNet::asio::io_context &loop, LeaderLink &link)
+    : m_loop(loop)
+    , m_link(link)
+{}
+
+auto EntryService::start() -> void
+{
+    AsyncNet::start(m_loop, "configuration", followConfiguration());
+    AsyncNet::start(m_loop, "leader watch", watchLeader());
+}
+
+auto EntryService::stop() -> void
+{
+    m_stopped = true;
+}
+
+auto EntryService::onConfiguration(std::function<void()> changed) -> void
+{
+    m_configurationChanged = std::move(changed);
+}
+
+auto EntryService::isReady() const -> bool
+{
+    return !m_stopped && m_configuration.version > 0
+           && m_clock.now() - m_leaderSeen < leaderAbsence;
+}
+
+auto EntryService::watchLeader() -> AsyncNet::Task<void>
+{
+    while (!m_stopped) {
+        if (!m_link.leader().empty())
+            m_leaderSeen = m_clock.now();
+        co_await AsyncNet::pause(leaderCheck);
+    }
+}
+
+auto EntryService::followConfiguration() -> AsyncNet::Task<void>
+{
+    while (!m_stopped) {
+        auto request = makeRequest(Wire::ControlCall::AWAIT_CONFIGURATION, {}, {});
+        request.version = m_configuration.version;
+        const auto reply =
+            co_await m_link.call(std::move(request), configurationWait, configurationWait);
+        if (!reply || reply.value().configuration.empty()) {
+            co_await AsyncNet::pause(configurationRetry);
+            continue;
+        }
+        auto configuration = Utils::fromCbor<Control::Configuration>(reply.value().configuration);
+        if (!configuration) {
+            Utils::Log::error("service",
+                              "a configuration cannot be read",
+                              {{"reason", configuration.error().details}});
+            co_await AsyncNet::pause(configurationRetry);
+            continue;
+        }
+        // Never back to an older one, whoever sends it.
+        if (configuration.value().version <= m_configuration.version)
+            continue;
+        m_configuration = std::move(configuration.value());
+        Utils::Log::info(
+            "service", "a configuration is in force", {{"version", m_configuration.version}});
+        if (m_configurationChanged)
+            m_configurationChanged();
+    }
+}
+
+auto EntryService::handIn(Jobs::JobSpec job) -> AsyncNet::Task<HandInResult>
+{
+    auto request = makeRequest(Wire::ControlCall::HAND_IN, job.queue, job.id);
+    request.job = Utils::toCbor(job);
+    const auto reply = co_await m_link.call(std::move(request), leaderPatience, callTimeout);
+    HandInResult result;
+    result.outcome = outcomeOf(reply);
+    if (reply) {
+        result.overloaded = reply.value().retryAfterMs > 0;
+        result.retryAfterMs = reply.value().retryAfterMs;
+    }
+    co_return result;
+}
+
+auto EntryService::jobState(std::string queue, std::string id) -> AsyncNet::Task<JobStateResult>
+{
+    auto request = makeRequest(Wire::ControlCall::JOB_STATE, std::move(queue), std::move(id));
+    const auto reply = co_await m_link.call(std::move(request), leaderPatience, callTimeout);
+    JobStateResult result;
+    result.outcome = outcomeOf(reply);
+    if (reply)
+        result.state = ShownState(reply.value().jobState);
+    co_return result;
+}
+
+auto EntryService::cancel(std::string queue, std::string id) -> AsyncNet::Task<CancelResult>
+{
+    auto request = makeRequest(Wire::ControlCall::CANCEL_JOB, std::move(queue), std::move(id));
+    const auto reply = co_await m_link.call(std::move(request), leaderPatience, callTimeout);
+    CancelResult result;
+    result.outcome = outcomeOf(reply);
+    co_return result;
+}
+
+auto EntryService::countWaiting(std::string queue) -> AsyncNet::Task<CountResult>
+{
+    auto request = makeRequest(Wire::ControlCall::COUNT_WAITING, std::move(queue), {});
+    const auto reply = co_await m_link.call(std::move(request), leaderPatience, callTimeout);
+    CountResult result;
+    result.outcome = outcomeOf(reply);
+    if (reply)
+        result.waiting = reply.value().count;
+    co_return result;
+}
+
+} // namespace Service
--- a/src/libs/utils/log.cpp
+++ b/src/libs/utils/log.cpp
@@ -39,7 +39,7 @@
 auto openStream(const Options &options) -> boost::shared_ptr<std::ostream>
 {
     if (options.file.empty())
-        return {&std::clog, [](std::ostream *) {}};
+        return {options.toStandardOutput ? &std::cout : &std::clog, [](std::ostream *) {}};
     auto file = boost::make_shared<std::ofstream>(options.file, std::ios::app);
     if (*file)
         return file;
--- a/src/libs/utils/log.h
+++ b/src/libs/utils/log.h
@@ -51,9 +51,10 @@
 struct Options
 {
     Level level = Level::Info;
-    std::string file; //!< Empty: standard error.
+    std::string file; //!< Empty: a standard stream.
     std::string process;
     std::string zone;
+    bool toStandardOutput = false; //!< Without a file: standard output, not standard error.
 };
 
 auto initialize(const Options &options) -> void;
--- a/src/libs/wire/gen/replication_types.cpp
+++ b/src/libs/wire/gen/replication_types.cpp
@@ -333,6 +333,10 @@
 void VoteRequest::__set_leadershipTransfer(const bool val) {
   this->leadershipTransfer = val;
 }
+
+void VoteRequest::__set_targetId(const std::string& val) {
+  this->targetId = val;
+}
 std::ostream& operator<<(std::ostream& out, const VoteRequest& obj)
 {
   obj.printTo(out);
@@ -417,6 +421,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetId);
+          this->__isset.targetId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -462,6 +474,10 @@
   xfer += oprot->writeBool(this->leadershipTransfer);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetId", ::apache::thrift::protocol::T_STRING, 8);
+  xfer += oprot->writeString(this->targetId);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -476,6 +492,7 @@
   swap(a.lastTerm, b.lastTerm);
   swap(a.preVote, b.preVote);
   swap(a.leadershipTransfer, b.leadershipTransfer);
+  swap(a.targetId, b.targetId);
   swap(a.__isset, b.__isset);
 }
 
@@ -487,6 +504,7 @@
   lastTerm = other4.lastTerm;
   preVote = other4.preVote;
   leadershipTransfer = other4.leadershipTransfer;
+  targetId = other4.targetId;
   __isset = other4.__isset;
 }
 VoteRequest& VoteRequest::operator=(const VoteRequest& other5) {
@@ -497,6 +515,7 @@
   lastTerm = other5.lastTerm;
   preVote = other5.preVote;
   leadershipTransfer = other5.leadershipTransfer;
+  targetId = other5.targetId;
   __isset = other5.__isset;
   return *this;
 }
@@ -510,6 +529,7 @@
   out << ", " << "lastTerm=" << to_string(lastTerm);
   out << ", " << "preVote=" << to_string(preVote);
   out << ", " << "leadershipTransfer=" << to_string(leadershipTransfer);
+  out << ", " << "targetId=" << to_string(targetId);
   out << ")";
 }
 
@@ -793,6 +813,10 @@
 void AppendRequest::__set_quorumAgeMs(const int64_t val) {
   this->quorumAgeMs = val;
 }
+
+void AppendRequest::__set_targetId(const std::string& val) {
+  this->targetId = val;
+}
 std::ostream& operator<<(std::ostream& out, const AppendRequest& obj)
 {
   obj.printTo(out);
@@ -897,6 +921,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetId);
+          this->__isset.targetId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -954,6 +986,10 @@
   xfer += oprot->writeI64(this->quorumAgeMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetId", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->targetId);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -969,6 +1005,7 @@
   swap(a.commitRevision, b.commitRevision);
   swap(a.entries, b.entries);
   swap(a.quorumAgeMs, b.quorumAgeMs);
+  swap(a.targetId, b.targetId);
   swap(a.__isset, b.__isset);
 }
 
@@ -981,6 +1018,7 @@
   commitRevision = other16.commitRevision;
   entries = other16.entries;
   quorumAgeMs = other16.quorumAgeMs;
+  targetId = other16.targetId;
   __isset = other16.__isset;
 }
 AppendRequest& AppendRequest::operator=(const AppendRequest& other17) {
@@ -992,6 +1030,7 @@
   commitRevision = other17.commitRevision;
   entries = other17.entries;
   quorumAgeMs = other17.quorumAgeMs;
+  targetId = other17.targetId;
   __isset = other17.__isset;
   return *this;
 }
@@ -1006,6 +1045,7 @@
   out << ", " << "commitRevision=" << to_string(commitRevision);
   out << ", " << "entries=" << to_string(entries);
   out << ", " << "quorumAgeMs=" << to_string(quorumAgeMs);
+  out << ", " << "targetId=" << to_string(targetId);
   out << ")";
 }
 
@@ -1241,6 +1281,10 @@
 void SnapshotRequest::__set_voters(const std::string& val) {
   this->voters = val;
 }
+
+void SnapshotRequest::__set_targetId(const std::string& val) {
+  this->targetId = val;
+}
 std::ostream& operator<<(std::ostream& out, const SnapshotRequest& obj)
 {
   obj.printTo(out);
@@ -1341,6 +1385,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetId);
+          this->__isset.targetId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1394,6 +1446,10 @@
   xfer += oprot->writeBinary(this->voters);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetId", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->targetId);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1410,6 +1466,7 @@
   swap(a.data, b.data);
   swap(a.last, b.last);
   swap(a.voters, b.voters);
+  swap(a.targetId, b.targetId);
   swap(a.__isset, b.__isset);
 }
 
@@ -1423,6 +1480,7 @@
   data = other26.data;
   last = other26.last;
   voters = other26.voters;
+  targetId = other26.targetId;
   __isset = other26.__isset;
 }
 SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other27) {
@@ -1435,6 +1493,7 @@
   data = other27.data;
   last = other27.last;
   voters = other27.voters;
+  targetId = other27.targetId;
   __isset = other27.__isset;
   return *this;
 }
@@ -1450,6 +1509,7 @@
   out << ", " << "data=" << to_string(data);
   out << ", " << "last=" << to_string(last);
   out << ", " << "voters=" << to_string(voters);
+  out << ", " << "targetId=" << to_string(targetId);
   out << ")";
 }
 
@@ -3255,6 +3315,10 @@
 void TransferRequest::__set_term(const int64_t val) {
   this->term = val;
 }
+
+void TransferRequest::__set_targetId(const std::string& val) {
+  this->targetId = val;
+}
 std::ostream& operator<<(std::ostream& out, const TransferRequest& obj)
 {
   obj.printTo(out);
@@ -3307,6 +3371,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->targetId);
+          this->__isset.targetId = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3336,6 +3408,10 @@
   xfer += oprot->writeI64(this->term);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("targetId", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->targetId);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3346,6 +3422,7 @@
   swap(a.groupId, b.groupId);
   swap(a.leaderId, b.leaderId);
   swap(a.term, b.term);
+  swap(a.targetId, b.targetId);
   swap(a.__isset, b.__isset);
 }
 
@@ -3353,12 +3430,14 @@
   groupId = other77.groupId;
   leaderId = other77.leaderId;
   term = other77.term;
+  targetId = other77.targetId;
   __isset = other77.__isset;
 }
 TransferRequest& TransferRequest::operator=(const TransferRequest& other78) {
   groupId = other78.groupId;
   leaderId = other78.leaderId;
   term = other78.term;
+  targetId = other78.targetId;
   __isset = other78.__isset;
   return *this;
 }
@@ -3368,6 +3447,7 @@
   out << "groupId=" << to_string(groupId);
   out << ", " << "leaderId=" << to_string(leaderId);
   out << ", " << "term=" << to_string(term);
+  out << ", " << "targetId=" << to_string(targetId);
   out << ")";
 }
 
--- a/src/libs/wire/gen/replication_types.h
+++ b/src/libs/wire/gen/replication_types.h
@@ -194,7 +194,7 @@
 std::ostream& operator<<(std::ostream& out, const ReplicaEntry& obj);
 
 typedef struct _VoteRequest__isset {
-  _VoteRequest__isset() : groupId(false), candidateId(false), term(false), lastRevision(false), lastTerm(false), preVote(false), leadershipTransfer(false) {}
+  _VoteRequest__isset() : groupId(false), candidateId(false), term(false), lastRevision(false), lastTerm(false), preVote(false), leadershipTransfer(false), targetId(false) {}
   bool groupId :1;
   bool candidateId :1;
   bool term :1;
@@ -202,6 +202,7 @@
   bool lastTerm :1;
   bool preVote :1;
   bool leadershipTransfer :1;
+  bool targetId :1;
 } _VoteRequest__isset;
 
 class VoteRequest : public virtual ::apache::thrift::TBase {
@@ -216,7 +217,8 @@
                 lastRevision(0),
                 lastTerm(0),
                 preVote(0),
-                leadershipTransfer(0) {
+                leadershipTransfer(0),
+                targetId() {
   }
 
   virtual ~VoteRequest() noexcept;
@@ -227,6 +229,7 @@
   int64_t lastTerm;
   bool preVote;
   bool leadershipTransfer;
+  std::string targetId;
 
   _VoteRequest__isset __isset;
 
@@ -244,6 +247,8 @@
 
   void __set_leadershipTransfer(const bool val);
 
+  void __set_targetId(const std::string& val);
+
   bool operator == (const VoteRequest & rhs) const
   {
     if (!(groupId == rhs.groupId))
@@ -260,6 +265,8 @@
       return false;
     if (!(leadershipTransfer == rhs.leadershipTransfer))
       return false;
+    if (!(targetId == rhs.targetId))
+      return false;
     return true;
   }
   bool operator != (const VoteRequest &rhs) const {
@@ -386,7 +393,7 @@
 std::ostream& operator<<(std::ostream& out, const ProcessApplied& obj);
 
 typedef struct _AppendRequest__isset {
-  _AppendRequest__isset() : groupId(false), leaderId(false), term(false), previousRevision(false), previousTerm(false), commitRevision(false), entries(false), quorumAgeMs(false) {}
+  _AppendRequest__isset() : groupId(false), leaderId(false), term(false), previousRevision(false), previousTerm(false), commitRevision(false), entries(false), quorumAgeMs(false), targetId(false) {}
   bool groupId :1;
   bool leaderId :1;
   bool term :1;
@@ -395,6 +402,7 @@
   bool commitRevision :1;
   bool entries :1;
   bool quorumAgeMs :1;
+  bool targetId :1;
 } _AppendRequest__isset;
 
 class AppendRequest : public virtual ::apache::thrift::TBase {
@@ -409,7 +417,8 @@
                   previousRevision(0),
                   previousTerm(0),
                   commitRevision(0),
-                  quorumAgeMs(0) {
+                  quorumAgeMs(0),
+                  targetId() {
   }
 
   virtual ~AppendRequest() noexcept;
@@ -421,6 +430,7 @@
   int64_t commitRevision;
   std::vector<ReplicaEntry>  entries;
   int64_t quorumAgeMs;
+  std::string targetId;
 
   _AppendRequest__isset __isset;
 
@@ -440,6 +450,8 @@
 
   void __set_quorumAgeMs(const int64_t val);
 
+  void __set_targetId(const std::string& val);
+
   bool operator == (const AppendRequest & rhs) const
   {
     if (!(groupId == rhs.groupId))
@@ -458,6 +470,8 @@
       return false;
     if (!(quorumAgeMs == rhs.quorumAgeMs))
       return false;
+    if (!(targetId == rhs.targetId))
+      return false;
     return true;
   }
   bool operator != (const AppendRequest &rhs) const {
@@ -547,7 +561,7 @@
 std::ostream& operator<<(std::ostream& out, const AppendReply& obj);
 
 typedef struct _SnapshotRequest__isset {
-  _SnapshotRequest__isset() : groupId(false), leaderId(false), term(false), revision(false), revisionTerm(false), offset(false), data(false), last(false), voters(false) {}
+  _SnapshotRequest__isset() : groupId(false), leaderId(false), term(false), revision(false), revisionTerm(false), offset(false), data(false), last(false), voters(false), targetId(false) {}
   bool groupId :1;
   bool leaderId :1;
   bool term :1;
@@ -557,6 +571,7 @@
   bool data :1;
   bool last :1;
   bool voters :1;
+  bool targetId :1;
 } _SnapshotRequest__isset;
 
 class SnapshotRequest : public virtual ::apache::thrift::TBase {
@@ -573,7 +588,8 @@
                     offset(0),
                     data(),
                     last(0),
-                    voters() {
+                    voters(),
+                    targetId() {
   }
 
   virtual ~SnapshotRequest() noexcept;
@@ -586,6 +602,7 @@
   std::string data;
   bool last;
   std::string voters;
+  std::string targetId;
 
   _SnapshotRequest__isset __isset;
 
@@ -607,6 +624,8 @@
 
   void __set_voters(const std::string& val);
 
+  void __set_targetId(const std::string& val);
+
   bool operator == (const SnapshotRequest & rhs) const
   {
     if (!(groupId == rhs.groupId))
@@ -627,6 +646,8 @@
       return false;
     if (!(voters == rhs.voters))
       return false;
+    if (!(targetId == rhs.targetId))
+      return false;
     return true;
   }
   bool operator != (const SnapshotRequest &rhs) const {
@@ -1372,10 +1393,11 @@
 std::ostream& operator<<(std::ostream& out, const StatusReply& obj);
 
 typedef struct _TransferRequest__isset {
-  _TransferRequest__isset() : groupId(false), leaderId(false), term(false) {}
+  _TransferRequest__isset() : groupId(false), leaderId(false), term(false), targetId(false) {}
   bool groupId :1;
   bool leaderId :1;
   bool term :1;
+  bool targetId :1;
 } _TransferRequest__isset;
 
 class TransferRequest : public virtual ::apache::thrift::TBase {
@@ -1386,13 +1408,15 @@
   TransferRequest() noexcept
                   : groupId(),
                     leaderId(),
-                    term(0) {
+                    term(0),
+                    targetId() {
   }
 
   virtual ~TransferRequest() noexcept;
   std::string groupId;
   std::string leaderId;
   int64_t term;
+  std::string targetId;
 
   _TransferRequest__isset __isset;
 
@@ -1402,6 +1426,8 @@
 
   void __set_term(const int64_t val);
 
+  void __set_targetId(const std::string& val);
+
   bool operator == (const TransferRequest & rhs) const
   {
     if (!(groupId == rhs.groupId))
@@ -1410,6 +1436,8 @@
       return false;
     if (!(term == rhs.term))
       return false;
+    if (!(targetId == rhs.targetId))
+      return false;
     return true;
   }
   bool operator != (const TransferRequest &rhs) const {
--- a/src/libs/wire/replication.thrift
+++ b/src/libs/wire/replication.thrift
@@ -22,6 +22,8 @@
   5: i64 lastTerm
   6: bool preVote
   7: bool leadershipTransfer
+  // The voter that the message is for: a process that lost its disk has another id.
+  8: string targetId
 }
 
 struct VoteReply {
@@ -46,6 +48,7 @@
   7: list<ReplicaEntry> entries
   // Time since a majority last confirmed the leader.
   8: i64 quorumAgeMs
+  9: string targetId
 }
 
 struct AppendReply {
@@ -69,6 +72,7 @@
   8: bool last
   // The encoded voter set at the snapshot's revision.
   9: binary voters
+  10: string targetId
 }
 
 struct SnapshotReply {
@@ -166,6 +170,7 @@
   1: string groupId
   2: string leaderId
   3: i64 term
+  4: string targetId
 }
 
 struct TransferReply {
