--- a/src/libs/asyncnet/framelink.cpp
+++ b/src/libs/asyncnet/framelink.cpp
@@ -93,7 +93,7 @@
     {
         m_frames.push_back(std::move(frame));
         if (!std::exchange(m_writing, true))
-            AsyncNet::start(m_loop, "frame writer", write());
+            AsyncNet::start(m_loop, "frame writer", write(), shared_from_this());
     }
 
     auto close() -> void
@@ -105,7 +105,6 @@
 private:
     auto write() -> Task<void>
     {
-        const auto self = shared_from_this();
         while (!m_frames.empty()) {
             // One write for all that has gathered meanwhile.
             std::string bytes;
@@ -142,7 +141,6 @@
 
     auto accept() -> Task<void>
     {
-        const auto self = shared_from_this();
         while (!stopped) {
             boost::system::error_code error;
             auto socket =
@@ -157,13 +155,13 @@
             auto connection = std::make_shared<FrameWriter>(loop, std::move(socket));
             std::erase_if(connections, [](const auto &item) { return item.expired(); });
             connections.push_back(connection);
-            AsyncNet::start(loop, "frame connection", serve(std::move(connection)));
+            AsyncNet::start(
+                loop, "frame connection", serve(std::move(connection)), shared_from_this());
         }
     }
 
     auto serve(std::shared_ptr<FrameWriter> connection) -> Task<void>
     {
-        const auto self = shared_from_this();
         std::string body;
         while (co_await readFrame(connection->socket(), body)) {
             auto request = decode<Wire::ControlRequest>(body);
@@ -173,14 +171,16 @@
                                     {{"reason", request.error().details}});
                 break;
             }
-            AsyncNet::start(loop, "frame request", answer(connection, std::move(request.value())));
+            AsyncNet::start(loop,
+                            "frame request",
+                            answer(connection, std::move(request.value())),
+                            shared_from_this());
         }
         connection->close();
     }
 
     auto answer(std::shared_ptr<FrameWriter> connection, Wire::ControlRequest request) -> Task<void>
     {
-        const auto self = shared_from_this();
         const auto sequence = request.sequence;
         auto reply = co_await handler(std::move(request));
         reply.sequence = sequence;
@@ -220,7 +220,7 @@
     if (error)
         return Utils::failure(
             Utils::ErrorType::IoFailure, "cannot listen on " + address, error.message());
-    AsyncNet::start(m_d->loop, "frame listener", m_d->accept());
+    AsyncNet::start(m_d->loop, "frame listener", m_d->accept(), m_d);
     return Utils::success();
 }
 
@@ -261,7 +261,6 @@
 
     auto read(std::shared_ptr<FrameWriter> link) -> Task<void>
     {
-        const auto self = shared_from_this();
         std::string body;
         while (co_await readFrame(link->socket(), body)) {
             auto reply = decode<Wire::ControlReply>(body);
@@ -337,7 +336,7 @@
     auto socket = stream.release_socket();
     socket.set_option(Tcp::no_delay(true), error);
     d->connection = std::make_shared<FrameWriter>(d->loop, std::move(socket));
-    AsyncNet::start(d->loop, "frame replies", d->read(d->connection));
+    AsyncNet::start(d->loop, "frame replies", d->read(d->connection), d);
     co_return Utils::success();
 }
 
--- a/src/libs/asyncnet/httplistener.cpp
+++ b/src/libs/asyncnet/httplistener.cpp
@@ -111,7 +111,6 @@
 
 auto HttpListener::Private::accept() -> Task<void>
 {
-    const auto self = shared_from_this();
     while (!stopped) {
         boost::system::error_code error;
         auto socket =
@@ -131,13 +130,12 @@
         std::erase_if(connections, [](const auto &item) { return item.expired(); });
         auto connection = std::make_shared<Connection>(std::move(socket));
         connections.push_back(connection);
-        AsyncNet::start(loop, name, serve(std::move(connection)));
+        AsyncNet::start(loop, name, serve(std::move(connection)), shared_from_this());
     }
 }
 
 auto HttpListener::Private::serve(std::shared_ptr<Connection> connection) -> Task<void>
 {
-    const auto self = shared_from_this();
     ++openConnections;
     co_await serveRequests(*connection);
     --openConnections;
@@ -229,7 +227,7 @@
     if (error)
         return Utils::failure(
             Utils::ErrorType::IoFailure, "cannot listen on " + address, error.message());
-    AsyncNet::start(m_d->loop, m_d->name, m_d->accept());
+    AsyncNet::start(m_d->loop, m_d->name, m_d->accept(), m_d);
     return Utils::success();
 }
 
--- a/src/libs/asyncnet/task.cpp
+++ b/src/libs/asyncnet/task.cpp
@@ -15,9 +15,13 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
 }
 
-auto start(asio::io_context &loop, std::string_view name, Task<void> task) -> void
+auto start(asio::io_context &loop,
+           std::string_view name,
+           Task<void> task,
+           std::shared_ptr<const void> owner) -> void
 {
-    asio::co_spawn(loop, std::move(task), [name = std::string(name)](std::exception_ptr failure) {
+    const auto finish = [name = std::string(name),
+                         owner = std::move(owner)](std::exception_ptr failure) {
         if (!failure)
             return;
         try {
@@ -27,7 +31,8 @@
                               "a task ended with an exception",
                               {{"task", name}, {"reason", exception.what()}});
         }
-    });
+    };
+    asio::co_spawn(loop, std::move(task), finish);
 }
 
 Signal::Signal(asio::io_context &loop)
--- a/src/libs/asyncnet/task.h
+++ b/src/libs/asyncnet/task.h
@@ -13,6 +13,7 @@
 
 #include "utils/clock.h"
 
+#include <memory>
 #include <string_view>
 #include <vector>
 
@@ -28,8 +29,15 @@
 /*! \brief Waits for \a duration; returns early if the loop ends. */
 auto pause(Utils::Milliseconds duration) -> Task<void>;
 
-/*! \brief Runs \a task on \a loop; logs what escapes from it under \a name. */
-auto start(asio::io_context &loop, std::string_view name, Task<void> task) -> void;
+/*!
+    \brief Runs \a task on \a loop; logs what escapes from it under \a name.
+
+    A task begins only when the loop comes to it, so \a owner keeps the object that it works on.
+*/
+auto start(asio::io_context &loop,
+           std::string_view name,
+           Task<void> task,
+           std::shared_ptr<const void> owner = {}) -> void;
 
 /*! \brief Lets coroutines wait until another one has something for them. Not thread-safe. */
 class Signal
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -42,7 +42,8 @@
 struct EndpointEntry
 {
     Control::EndpointRecord record;
-    bool looked = false; //!< Has answered a look of this term.
+    bool looked = false;  //!< Has answered a look of this term.
+    bool answers = false; //!< Has answered the last look.
     bool draining = false;
     bool closed = false;      //!< For maintenance.
     bool leaving = false;     //!< Said that it ends.
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -66,10 +66,10 @@
                      {{"term", m_term}, {"endpoints", m_ledger.endpoints().size()}});
     for (const auto &[id, endpoint] : m_ledger.endpoints()) {
         m_watched.insert(endpoint.record.life);
-        AsyncNet::start(m_parts.loop, "endpoint", watch(endpoint.record.life));
+        AsyncNet::start(m_parts.loop, "endpoint", watch(endpoint.record.life), shared_from_this());
     }
-    AsyncNet::start(m_parts.loop, "leader tick", tick());
-    AsyncNet::start(m_parts.loop, "maintenance", maintain());
+    AsyncNet::start(m_parts.loop, "leader tick", tick(), shared_from_this());
+    AsyncNet::start(m_parts.loop, "maintenance", maintain(), shared_from_this());
 }
 
 auto LeaderSession::end() -> void
@@ -83,7 +83,7 @@
 {
     if (!m_active || std::exchange(m_passPending, true))
         return;
-    AsyncNet::start(m_parts.loop, "scheduling", schedulePass());
+    AsyncNet::start(m_parts.loop, "scheduling", schedulePass(), shared_from_this());
 }
 
 auto LeaderSession::endpointKnown(const Control::EndpointRecord &record) -> void
@@ -92,7 +92,7 @@
     if (record.draining)
         m_ledger.drain(record.life.id);
     if (m_watched.insert(record.life).second)
-        AsyncNet::start(m_parts.loop, "endpoint", watch(record.life));
+        AsyncNet::start(m_parts.loop, "endpoint", watch(record.life), shared_from_this());
     wake();
 }
 
@@ -110,7 +110,6 @@
 // Looks at one endpoint for as long as its life lasts.
 auto LeaderSession::watch(Control::EndpointLife life) -> Task
 {
-    const auto self = shared_from_this();
     auto answered = false;
     while (m_active) {
         const auto order = m_ledger.lookOrder(life.id, m_parts.clock.now());
@@ -176,7 +175,6 @@
 
 auto LeaderSession::endLife(Control::EndpointLife life, std::string_view reason) -> Task
 {
-    const auto self = shared_from_this();
     Utils::Log::info("execution",
                      "an endpoint's life is over",
                      {{"endpoint", life.id}, {"born", life.bornMs}, {"reason", reason}});
@@ -195,7 +193,6 @@
 
 auto LeaderSession::schedulePass() -> Task
 {
-    const auto self = shared_from_this();
     const auto since = m_parts.clock.now() - m_lastPass;
     if (since < passInterval)
         co_await AsyncNet::pause(passInterval - since);
@@ -207,16 +204,15 @@
         return m_ledger.schedule(state, m_lastPass, m_parts.clock.wallTime());
     });
     for (auto &order : orders.stops)
-        AsyncNet::start(m_parts.loop, "stop", sendStop(std::move(order)));
+        AsyncNet::start(m_parts.loop, "stop", sendStop(std::move(order)), shared_from_this());
     for (auto &order : orders.starts)
-        AsyncNet::start(m_parts.loop, "start", sendStart(std::move(order)));
+        AsyncNet::start(m_parts.loop, "start", sendStart(std::move(order)), shared_from_this());
     for (auto &order : orders.paces)
-        AsyncNet::start(m_parts.loop, "pace", sendPace(std::move(order)));
+        AsyncNet::start(m_parts.loop, "pace", sendPace(std::move(order)), shared_from_this());
 }
 
 auto LeaderSession::tick() -> Task
 {
-    const auto self = shared_from_this();
     while (m_active) {
         for (const auto &life : m_ledger.expireLeases(m_parts.clock.now()))
             co_await endLife(life, "it said that it leaves and its lease has run out");
@@ -227,7 +223,6 @@
 
 auto LeaderSession::sendStart(StartOrder order) -> Task
 {
-    const auto self = shared_from_this();
     const auto reply = co_await m_parts.endpoints.start(order);
     m_parts.metrics.count("trefoilshelf_starts_total",
                           {{"result", std::string(nameOf(reply.result))}});
@@ -249,7 +244,6 @@
 
 auto LeaderSession::sendStop(StopOrder order) -> Task
 {
-    const auto self = shared_from_this();
     const auto result = co_await m_parts.endpoints.stop(order);
     if (m_active)
         m_ledger.stopAnswered(order, result, m_parts.clock.now());
@@ -257,7 +251,6 @@
 
 auto LeaderSession::sendPace(PaceOrder order) -> Task
 {
-    const auto self = shared_from_this();
     const auto result = co_await m_parts.endpoints.pace(order);
     if (m_active)
         m_ledger.paceAnswered(order, result);
@@ -265,7 +258,6 @@
 
 auto LeaderSession::maintain() -> Task
 {
-    const auto self = shared_from_this();
     HostList hosts;
     auto listedAt = Utils::Instant();
     while (m_active) {
@@ -304,7 +296,6 @@
 
 auto LeaderSession::maintainHost(MaintenanceStep step) -> Task
 {
-    const auto self = shared_from_this();
     const auto result = co_await m_parts.hosts.maintain(step.host, step.wave, m_term);
     if (!m_active)
         co_return;
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -140,8 +140,9 @@
     LookOrder order;
     order.target = target(endpoint);
     order.notedEnds = endpoint.notedEnds;
-    // Its clock is not known before the first look, and what leaves need not be kept.
-    if (!endpoint.looked || endpoint.leaving)
+    // Its clock is not known before the first look, and what leaves need not be kept. What does not
+    // answer may still get the order: its lease must run out before its tasks start elsewhere.
+    if (!endpoint.looked || !endpoint.answers || endpoint.leaving)
         return order;
     order.leaseEndMs = endpoint.clockAtLeast(now) + m_timing.lease.count();
     endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestReal(m_timing.lease));
@@ -170,7 +171,8 @@
     effects.fenced = reply.result == LookResult::Fenced;
     effects.lifeOver = reply.result == LookResult::OtherLife
                        || (reply.bornMs != 0 && reply.bornMs != order.target.life.bornMs);
-    if (effects.lifeOver || reply.result != LookResult::Seen)
+    endpoint.answers = reply.result == LookResult::Seen;
+    if (effects.lifeOver || !endpoint.answers)
         return effects;
     endpoint.looked = true;
     endpoint.seenAt = now;
@@ -221,6 +223,8 @@
             job->second.setState(end.task, TaskState::Done);
         m_checkpoints.erase(end.task);
     } else if (counts && !longRunning) {
+        // Not started again before it is durable how often the task has failed.
+        job->second.setState(end.task, TaskState::Booked);
         endpoint.reopenWhenNoted.push_back(end.task);
     } else if (known) {
         reopen(end.task);
--- /dev/null
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -0,0 +1,116 @@
+#include "control/controlstate.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+auto entry(const Control::CommandBatch &batch) -> Replication::Entry
+{
+    return {1, 1, Utils::toCbor(batch), Replication::EntryKind::Command};
+}
+
+auto configuration(std::int64_t version) -> Control::Command
+{
+    Control::Command command;
+    command.configuration.emplace();
+    command.configuration->version = version;
+    command.configuration->document = "document " + std::to_string(version);
+    return command;
+}
+
+TEST(ControlState, TheHighestConfigurationIsInForce)
+{
+    Control::State state;
+    state.apply(configuration(5), 1);
+    state.apply(configuration(3), 1);
+    EXPECT_EQ(state.configuration.version, 5);
+}
+
+TEST(ControlState, OtherContentUnderTheSameVersionChangesNothing)
+{
+    Control::State state;
+    state.apply(configuration(5), 1);
+    auto other = configuration(5);
+    other.configuration->document = "other";
+    state.apply(other, 1);
+    EXPECT_EQ(state.configuration.document, "document 5");
+}
+
+TEST(ControlState, AnAnnouncementOfAnEarlierLifeIsIgnored)
+{
+    Control::State state;
+    Control::Command command;
+    command.addEndpoint.emplace();
+    command.addEndpoint->life = {"a", 20};
+    state.apply(command, 1);
+    command.addEndpoint->life = {"a", 10};
+    state.apply(command, 1);
+    EXPECT_EQ(state.endpoints.at("a").record.life.bornMs, 20);
+}
+
+TEST(ControlState, AnEndpointThatDrainsStaysSo)
+{
+    Control::State state;
+    Control::Command command;
+    command.addEndpoint.emplace();
+    command.addEndpoint->life = {"a", 20};
+    command.addEndpoint->draining = true;
+    state.apply(command, 1);
+    command.addEndpoint->draining = false;
+    state.apply(command, 1);
+    EXPECT_TRUE(state.endpoints.at("a").record.draining);
+}
+
+TEST(ControlState, ASnapshotRestoresEverything)
+{
+    Control::StateReplica replica;
+    Control::CommandBatch batch;
+    batch.timeMs = 1000;
+    batch.commands.push_back(configuration(5));
+    Control::Command handIn;
+    handIn.handIn.emplace();
+    handIn.handIn->id = "job";
+    handIn.handIn->queue = "queue";
+    handIn.handIn->steps.resize(1);
+    handIn.handIn->steps[0].count = 2;
+    batch.commands.push_back(handIn);
+    Control::Command endpoint;
+    endpoint.addEndpoint.emplace();
+    endpoint.addEndpoint->life = {"a", 20};
+    batch.commands.push_back(endpoint);
+    Control::Command ends;
+    ends.recordEnds.emplace();
+    ends.recordEnds->life = {"a", 20};
+    ends.recordEnds->ends.push_back({4, {"job", 0, 0, 1}, Jobs::TaskOutcome::Done});
+    batch.commands.push_back(ends);
+    Control::Command wave;
+    wave.startWave.emplace();
+    wave.startWave->number = 2;
+    wave.startWave->hosts = {"h1"};
+    batch.commands.push_back(wave);
+    replica.apply(entry(batch));
+
+    Control::StateReplica other;
+    ASSERT_TRUE(other.restore(replica.snapshot(), 1));
+    other.read([](const Control::State &state) {
+        EXPECT_EQ(state.configuration.version, 5);
+        EXPECT_TRUE(state.jobs.find("job")->progress(0).steps[0].tasks[1].done);
+        EXPECT_FALSE(state.jobs.find("job")->progress(0).steps[0].tasks[0].done);
+        EXPECT_TRUE(state.jobs.activeIds().contains("job"));
+        EXPECT_EQ(state.endpoints.at("a").recordedEnds, 4);
+        EXPECT_FALSE(state.waves.at(2).isDone());
+        return 0;
+    });
+}
+
+TEST(ControlState, AnUnreadableEntryIsSkipped)
+{
+    Control::StateReplica replica;
+    replica.apply({1, 1, "not CBOR", Replication::EntryKind::Command});
+    replica.read([](const Control::State &state) {
+        EXPECT_EQ(state.configuration.version, 0);
+        return 0;
+    });
+}
+
+} // namespace
--- /dev/null
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -0,0 +1,122 @@
+#include "ledgerfixture.h"
+
+namespace ExecutionTest {
+namespace {
+
+constexpr auto poolName = "pool";
+constexpr auto queueName = "queue";
+constexpr std::int64_t maximumAttempts = 3;
+constexpr Utils::Milliseconds roundTrip{3};
+
+} // namespace
+
+LedgerFixture::LedgerFixture()
+{
+    Control::Queue queue;
+    queue.name = queueName;
+    queue.pool = poolName;
+    queue.maximumAttempts = maximumAttempts;
+    queue.objectiveMs = 600;
+    state.configuration.version = 1;
+    state.configuration.queues.push_back(queue);
+    state.configuration.pools.push_back({poolName, true, false});
+}
+
+auto LedgerFixture::addEndpoint(const std::string &id) -> Control::EndpointRecord
+{
+    Control::EndpointRecord record;
+    record.life = {id, 1000};
+    record.pool = poolName;
+    record.address = id + ":1";
+    record.capacity = {4000, 8000, 0};
+    Control::Command command;
+    command.addEndpoint = record;
+    state.apply(command, m_wallMs);
+    ledger.addEndpoint(record, m_now);
+    return record;
+}
+
+auto LedgerFixture::addJob(const std::string &id, const Jobs::StepSpec &step) -> Jobs::JobSpec
+{
+    Jobs::JobSpec job;
+    job.id = id;
+    job.queue = queueName;
+    job.pool = poolName;
+    job.steps.push_back(step);
+    job.handedInMs = m_wallMs;
+    state.jobs.add(job);
+    return job;
+}
+
+auto LedgerFixture::begin() -> void
+{
+    ledger.begin(term, state, m_now);
+}
+
+auto LedgerFixture::look(const std::string &id,
+                         std::vector<Execution::RunningTask> running,
+                         std::vector<Execution::EndedTask> ended) -> Execution::LookEffects
+{
+    const auto order = ledger.lookOrder(id, m_now);
+    const auto sentAt = m_now;
+    advance(roundTrip);
+    Execution::LookReply reply;
+    reply.result = Execution::LookResult::Seen;
+    reply.bornMs = order->target.life.bornMs;
+    reply.clockMs = m_now.time_since_epoch().count();
+    reply.running = std::move(running);
+    reply.ended = std::move(ended);
+    return ledger.lookAnswered(*order, reply, sentAt, m_now);
+}
+
+auto LedgerFixture::failLook(const std::string &id) -> void
+{
+    const auto order = ledger.lookOrder(id, m_now);
+    ledger.lookAnswered(*order, {}, m_now, m_now);
+}
+
+auto LedgerFixture::lookAll() -> void
+{
+    std::vector<std::string> ids;
+    for (const auto &[id, endpoint] : ledger.endpoints())
+        ids.push_back(id);
+    for (const auto &id : ids)
+        look(id);
+}
+
+auto LedgerFixture::schedule() -> Execution::Orders
+{
+    ledger.expireLeases(m_now);
+    return ledger.schedule(state, m_now, m_wallMs);
+}
+
+auto LedgerFixture::confirm(const Execution::StartOrder &order) -> void
+{
+    Execution::StartReply reply;
+    reply.result = Execution::StartResult::Started;
+    ledger.startAnswered(order, reply, m_now);
+}
+
+auto LedgerFixture::record(const Execution::LookEffects &effects) -> void
+{
+    Control::Command command;
+    command.recordEnds = effects.record;
+    state.apply(command, m_wallMs);
+    ledger.endsRecorded(effects.record, effects.lastEnd);
+}
+
+auto LedgerFixture::task(const std::string &job, std::int64_t index) const -> Jobs::TaskId
+{
+    return {job, 0, 0, index};
+}
+
+auto plainStep(std::int64_t count) -> Jobs::StepSpec
+{
+    Jobs::StepSpec step;
+    step.count = count;
+    step.demand = {1000, 100, 0};
+    step.estimateMs = 1000;
+    return step;
+}
+
+} // namespace ExecutionTest
--- /dev/null
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -0,0 +1,285 @@
+#include "ledgerfixture.h"
+
+#include <gtest/gtest.h>
+
+using namespace ExecutionTest;
+using Execution::EndKind;
+using Execution::StartResult;
+
+namespace {
+
+constexpr Utils::Milliseconds longerThanAnyLease{6300};
+
+TEST(RunLedger, StartsReadyTasksOnceEveryEndpointHasAnswered)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", plainStep(3));
+    fixture.begin();
+    fixture.look("a");
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.look("b");
+    EXPECT_EQ(fixture.schedule().starts.size(), 3U);
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+}
+
+TEST(RunLedger, StartsAfterTheLongestLeaseOfAnEndpointThatDoesNotAnswer)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("silent");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.advance(longerThanAnyLease);
+    fixture.look("a");
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
+TEST(RunLedger, TakesUpWhatRunsAlready)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.look("a", {{fixture.task("job"), 3, "", 100, 0}});
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    EXPECT_TRUE(fixture.ledger.hasStarted("job"));
+}
+
+TEST(RunLedger, StopsASecondRunOfATask)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.look("a", {{fixture.task("job"), 3, "", 100, 0}});
+    fixture.look("b", {{fixture.task("job"), 4, "", 100, 0}});
+    const auto orders = fixture.schedule();
+    ASSERT_EQ(orders.stops.size(), 1U);
+    EXPECT_EQ(orders.stops.front().target.life.id, "b");
+}
+
+TEST(RunLedger, RestartsTheTasksOfASilentEndpointWhenItsLeaseHasRunOut)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.look("a");
+    const auto first = fixture.schedule();
+    ASSERT_EQ(first.starts.size(), 1U);
+    fixture.confirm(first.starts.front());
+    fixture.addEndpoint("b");
+    // Looks go on all the time, but none of them may prolong the lease.
+    for (auto waited = Utils::Milliseconds(0); waited < longerThanAnyLease;
+         waited += Utils::Milliseconds(250)) {
+        fixture.failLook("a");
+        fixture.advance(Utils::Milliseconds(250));
+        fixture.look("b");
+    }
+    const auto second = fixture.schedule();
+    ASSERT_EQ(second.starts.size(), 1U);
+    EXPECT_EQ(second.starts.front().target.life.id, "b");
+    EXPECT_GT(second.starts.front().run, first.starts.front().run);
+}
+
+TEST(RunLedger, KeepsTheTaskOfASilentEndpointBeforeThat)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.lookAll();
+    const auto first = fixture.schedule();
+    fixture.confirm(first.starts.front());
+    fixture.failLook(first.starts.front().target.life.id);
+    fixture.advance(Utils::Milliseconds(4500));
+    fixture.look("b");
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+}
+
+TEST(RunLedger, DoesNotStartATaskAgainBeforeItsFailedEndIsDurable)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    // The previous leader started it; the end was not noted before the change of leader.
+    const auto effects = fixture.look("a", {}, {{1, fixture.task("job"), 3, EndKind::Failed, ""}});
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.record(effects);
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
+TEST(RunLedger, DoesNotStartATaskThatHasFailedTooOften)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    for (std::int64_t number = 1; number <= 3; ++number)
+        fixture.record(
+            fixture.look("a", {}, {{number, fixture.task("job"), number, EndKind::Failed, ""}}));
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    EXPECT_EQ(fixture.state.jobs.find("job")->state, Jobs::JobState::Failed);
+}
+
+TEST(RunLedger, AnEndCountsOnceAlthoughItIsListedAgain)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    const std::vector<Execution::EndedTask> ended{{1, fixture.task("job"), 1, EndKind::Failed, ""}};
+    fixture.record(fixture.look("a", {}, ended));
+    fixture.record(fixture.look("a", {}, ended));
+    EXPECT_EQ(fixture.state.jobs.find("job")->progress(0).steps[0].tasks[0].failures, 1);
+}
+
+TEST(RunLedger, StartsTheNextStepBeforeTheLastEndIsDurable)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    Jobs::JobSpec job;
+    job.id = "job";
+    job.queue = "queue";
+    job.pool = "pool";
+    job.steps = {plainStep(1), plainStep(1)};
+    job.steps[1].after = {0};
+    fixture.state.jobs.add(job);
+    fixture.begin();
+    fixture.look("a");
+    const auto first = fixture.schedule();
+    ASSERT_EQ(first.starts.size(), 1U);
+    fixture.confirm(first.starts.front());
+    fixture.look("a", {}, {{1, fixture.task("job"), first.starts.front().run, EndKind::Done, ""}});
+    const auto second = fixture.schedule();
+    ASSERT_EQ(second.starts.size(), 1U);
+    EXPECT_EQ(second.starts.front().task.step, 1);
+}
+
+TEST(RunLedger, AStartWithoutAnswerIsStoppedBeforeTheTaskStartsElsewhere)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.lookAll();
+    const auto first = fixture.schedule().starts.front();
+    fixture.ledger.startAnswered(first, {}, Utils::Instant());
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.advance(Utils::Milliseconds(700));
+    fixture.lookAll();
+    const auto orders = fixture.schedule();
+    ASSERT_EQ(orders.stops.size(), 1U);
+    EXPECT_TRUE(orders.starts.empty());
+    fixture.ledger.stopAnswered(orders.stops.front(),
+                                Execution::OrderResult::Accepted,
+                                Utils::Instant() + Utils::Milliseconds(1));
+    fixture.look(first.target.life.id);
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
+TEST(RunLedger, AStartWithoutAnswerThatALookShowsGoesOn)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.look("a");
+    const auto first = fixture.schedule().starts.front();
+    fixture.ledger.startAnswered(first, {}, Utils::Instant());
+    fixture.look("a", {{first.task, first.run, "", 100, 0}});
+    fixture.advance(Utils::Milliseconds(1000));
+    fixture.look("a", {{first.task, first.run, "", 100, 0}});
+    const auto orders = fixture.schedule();
+    EXPECT_TRUE(orders.stops.empty());
+    EXPECT_TRUE(orders.starts.empty());
+}
+
+TEST(RunLedger, ANewLifeUnderTheSameIdRunsNothingOfTheOldOne)
+{
+    LedgerFixture fixture;
+    auto record = fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.look("a");
+    fixture.confirm(fixture.schedule().starts.front());
+    record.life.bornMs += 1;
+    fixture.ledger.addEndpoint(record, Utils::Instant());
+    fixture.look("a");
+    const auto orders = fixture.schedule();
+    ASSERT_EQ(orders.starts.size(), 1U);
+    EXPECT_EQ(orders.starts.front().target.life.bornMs, record.life.bornMs);
+}
+
+TEST(RunLedger, StopsAllRunsOfACancelledJob)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(2));
+    fixture.begin();
+    fixture.look("a");
+    for (const auto &order : fixture.schedule().starts)
+        fixture.confirm(order);
+    fixture.state.jobs.cancel("job", 1);
+    EXPECT_EQ(fixture.schedule().stops.size(), 2U);
+}
+
+TEST(RunLedger, StartsAGangWholeAndUnderOneNumber)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    auto step = plainStep(5);
+    step.gang = true;
+    fixture.addJob("job", step);
+    fixture.begin();
+    fixture.look("a");
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.addEndpoint("b");
+    fixture.look("b");
+    const auto orders = fixture.schedule();
+    ASSERT_EQ(orders.starts.size(), 5U);
+    for (const auto &order : orders.starts)
+        EXPECT_EQ(order.run, orders.starts.front().run);
+}
+
+TEST(RunLedger, AnEndpointThatFailsEverythingGetsNoMoreTasksForAWhile)
+{
+    LedgerFixture fixture;
+    for (const auto *id : {"a", "b", "c"})
+        fixture.addEndpoint(id);
+    for (const auto *id : {"j1", "j2", "j3", "j4"})
+        fixture.addJob(id, plainStep(1));
+    fixture.begin();
+    fixture.lookAll();
+    fixture.look("a",
+                 {},
+                 {{1, fixture.task("j1"), 1, EndKind::Failed, ""},
+                  {2, fixture.task("j2"), 1, EndKind::Failed, ""},
+                  {3, fixture.task("j3"), 1, EndKind::Failed, ""}});
+    for (const auto &order : fixture.schedule().starts)
+        EXPECT_NE(order.target.life.id, "a");
+}
+
+TEST(RunLedger, RestartsALongRunningTaskHoweverItEnds)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    auto step = plainStep(1);
+    step.longRunning = true;
+    fixture.addJob("job", step);
+    fixture.begin();
+    fixture.look("a");
+    const auto first = fixture.schedule().starts.front();
+    fixture.confirm(first);
+    const auto effects = fixture.look("a", {}, {{1, first.task, first.run, EndKind::Done, ""}});
+    EXPECT_TRUE(effects.record.ends.empty());
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
+} // namespace
