Find a leader that is no seed, and ask all known processes at once

Entries knew only the seeds and what those had learned as clients, so they found no leader and kept an old configuration. Ruled out: the push of configurations; entries that had a leader held each new version within 5 ms. Answers now name all voters and members, and the leader that the log knows.

--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -1,10 +1,13 @@
 #include "controlservice.h"
 
+#include "addresses.h"
+
 #include "utils/log.h"
 
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
+#include <set>
 
 namespace Service {
 namespace {
@@ -113,7 +116,10 @@
 
 auto ControlService::leaderAddress() const -> std::string
 {
-    return leads() ? m_options.linkAddress : m_parts.link.leader();
+    if (leads())
+        return m_options.linkAddress;
+    const auto found = m_parts.link.leader();
+    return found.empty() ? leaderOfLog() : found;
 }
 
 auto ControlService::watchLeadership() -> AsyncNet::Task<void>
@@ -163,10 +169,30 @@
 auto ControlService::notLeader() const -> Wire::ControlReply
 {
     auto answer = reply(Wire::ControlOutcome::NOT_LEADER);
-    answer.leaderAddress = m_parts.link.leader();
+    answer.leaderAddress = leaderAddress();
     return answer;
 }
 
+// Returns the link address of the voter that leads as far as this one knows.
+auto ControlService::leaderOfLog() const -> std::string
+{
+    const auto status = m_parts.log.status();
+    const auto leader = std::ranges::find(status.voters, status.leaderId, &Replication::Voter::id);
+    return leader != status.voters.end() ? linkAddressOf(leader->address) : std::string();
+}
+
+// The seeds need not include all control processes, nor any that is still there.
+auto ControlService::knownMembers() const -> std::vector<std::string>
+{
+    std::set<std::string> addresses(m_parts.link.members());
+    addresses.insert(m_options.linkAddress);
+    for (const auto &voter : m_parts.log.status().voters)
+        addresses.insert(linkAddressOf(voter.address));
+    for (const auto &member : m_parts.members.recent(m_parts.clock.now(), memberAge))
+        addresses.insert(linkAddressOf(member.identity.address));
+    return {addresses.begin(), addresses.end()};
+}
+
 auto ControlService::handle(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>
 {
     if (request.call == Wire::ControlCall::HELLO)
@@ -196,8 +222,7 @@
     if (!request.processId.empty())
         m_parts.members.note({request.processId, request.zone, request.address}, now);
     auto answer = leads() ? reply(Wire::ControlOutcome::DONE) : notLeader();
-    answer.members.assign(m_parts.link.members().begin(), m_parts.link.members().end());
-    answer.members.push_back(m_options.linkAddress);
+    answer.members = knownMembers();
     if (leads())
         answer.leaderAddress = m_options.linkAddress;
     return answer;
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -81,6 +81,8 @@
     auto countWaiting(const Wire::ControlRequest &request) -> Wire::ControlReply;
     auto awaitConfiguration(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>;
     auto notLeader() const -> Wire::ControlReply;
+    auto leaderOfLog() const -> std::string;
+    auto knownMembers() const -> std::vector<std::string>;
     auto commit(Control::Command command) -> AsyncNet::Task<Execution::CommitResult>;
     auto session() const -> Execution::LeaderSession *;
     auto endReplacedLives(const Control::EndpointRecord &record) -> AsyncNet::Task<bool>;
--- a/src/libs/service/leaderlink.cpp
+++ b/src/libs/service/leaderlink.cpp
@@ -8,7 +8,8 @@
 constexpr Utils::Milliseconds connectTimeout{400};
 constexpr Utils::Milliseconds helloTimeout{800};
 constexpr Utils::Milliseconds helloInterval{500};
-constexpr Utils::Milliseconds searchPause{60};
+// Between two questions to the same process while no leader is known.
+constexpr Utils::Milliseconds searchInterval{100};
 constexpr std::size_t mostMembers = 64;
 
 } // namespace
@@ -58,41 +59,40 @@
     return request;
 }
 
-auto LeaderLink::nextAddress() -> std::string
-{
-    if (!m_hint.empty())
-        return std::exchange(m_hint, {});
-    if (m_members.empty())
-        return {};
-    auto member = m_members.begin();
-    std::advance(member, m_tries++ % m_members.size());
-    return *member;
-}
-
 auto LeaderLink::run() -> AsyncNet::Task<void>
 {
     while (!m_stopped) {
-        const auto address = nextAddress();
-        if (!address.empty())
-            co_await tryAddress(address);
-        co_await AsyncNet::pause(searchPause);
+        if (!m_leader) {
+            for (const auto &address : m_members) {
+                if (m_asked.insert(address).second)
+                    AsyncNet::start(m_loop, "leader search", ask(address));
+            }
+        }
+        co_await AsyncNet::pause(searchInterval);
     }
 }
 
-auto LeaderLink::tryAddress(std::string address) -> AsyncNet::Task<void>
+auto LeaderLink::ask(std::string address) -> AsyncNet::Task<void>
 {
     const auto client = std::make_shared<AsyncNet::FrameClient>(m_loop, address);
     const auto connected = co_await client->connect(connectTimeout);
-    if (!connected)
-        co_return;
-    const auto reply = co_await client->call(hello(), helloTimeout);
-    if (!reply)
-        co_return;
-    addMembers(reply.value().members);
-    if (reply.value().outcome == Wire::ControlOutcome::DONE)
+    auto known = false;
+    while (connected && !m_leader && !m_stopped) {
+        const auto reply = co_await client->call(hello(), helloTimeout);
+        if (!reply)
+            break;
+        addMembers(reply.value().members);
+        if (!reply.value().leaderAddress.empty())
+            addMembers({reply.value().leaderAddress});
+        known = reply.value().outcome == Wire::ControlOutcome::DONE;
+        if (known)
+            break;
+        co_await AsyncNet::pause(searchInterval);
+    }
+    if (known && !m_leader && !m_stopped)
         co_await keep(client);
-    else if (reply.value().leaderAddress != address)
-        m_hint = reply.value().leaderAddress;
+    client->close();
+    m_asked.erase(address);
 }
 
 // Holds the connection for as long as the process at its other end leads.
@@ -109,13 +109,11 @@
         if (!reply) {
             drop(client, reply.error().message);
         } else if (reply.value().outcome != Wire::ControlOutcome::DONE) {
-            m_hint = reply.value().leaderAddress;
             drop(client, "it no longer leads");
         } else {
             addMembers(reply.value().members);
         }
     }
-    client->close();
 }
 
 auto LeaderLink::drop(const Client &client, std::string_view reason) -> void
@@ -153,7 +151,6 @@
         }
         if (reply.value().outcome != Wire::ControlOutcome::NOT_LEADER)
             co_return std::move(reply.value());
-        m_hint = reply.value().leaderAddress;
         drop(client, "it no longer leads");
     }
 }
--- a/src/libs/service/leaderlink.h
+++ b/src/libs/service/leaderlink.h
@@ -20,8 +20,8 @@
 /*!
     \brief Finds the leader, starting from seeds, and keeps a connection to it.
 
-    Every control process that is met tells which others it knows, so that the seeds may be gone
-    later. Lives on one event loop.
+    All known processes are asked at once, since any of them may be down. Each tells which others it
+    knows, so that the seeds may be gone later. Lives on one event loop.
 */
 class LeaderLink
 {
@@ -53,18 +53,16 @@
     using Client = std::shared_ptr<AsyncNet::FrameClient>;
 
     auto run() -> AsyncNet::Task<void>;
-    auto tryAddress(std::string address) -> AsyncNet::Task<void>;
+    auto ask(std::string address) -> AsyncNet::Task<void>;
     auto keep(Client client) -> AsyncNet::Task<void>;
     auto hello() const -> Wire::ControlRequest;
-    auto nextAddress() -> std::string;
     auto drop(const Client &client, std::string_view reason) -> void;
 
     AsyncNet::asio::io_context &m_loop;
     std::vector<std::string> m_seeds;
     ControlIdentity m_identity;
     std::set<std::string> m_members;
-    std::string m_hint; //!< Where the last process that was asked thinks the leader is.
-    std::size_t m_tries = 0;
+    std::set<std::string> m_asked; //!< Members that are being asked now.
     Client m_leader;
     AsyncNet::Signal m_changed;
     bool m_stopped = false;
