Let hosts follow demand between pools

Cause: demand comes to one pool after the other, each time more than the pool holds, while hosts of the others idle and are paid for. Pools are sized by their known work, spread over the time until its objectives, and its trend; idle hosts go where work waits, or are turned off. Tasks gather on few hosts.

--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -21,6 +21,11 @@
                                [](const auto &item) { return item.second.latencyTargetMs > 0; });
 }
 
+auto EndpointEntry::holdsLongRunning() const -> bool
+{
+    return std::ranges::any_of(runs, [](const auto &item) { return item.second.longRunning; });
+}
+
 auto EndpointEntry::clockAtLeast(Utils::Instant now) const -> std::int64_t
 {
     return clockMs + (now - clockAt).count() * slowestClockPercent / 100;
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -46,6 +46,7 @@
     bool answers = false; //!< Has answered the last look.
     bool draining = false;
     bool closed = false;      //!< For maintenance.
+    bool endOrdered = false;  //!< An order that ends everything here is not settled.
     bool leaving = false;     //!< Said that it ends.
     Utils::Instant seenAt;    //!< Of the last answered look.
     std::int64_t clockMs = 0; //!< Its clock at clockAt.
@@ -62,6 +63,7 @@
 
     auto freeResources() const -> Jobs::Resources;
     auto servesUsers() const -> bool;
+    auto holdsLongRunning() const -> bool;
     /*! \brief Returns a time on the endpoint's clock that is not ahead of it. */
     auto clockAtLeast(Utils::Instant now) const -> std::int64_t;
 };
--- /dev/null
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -0,0 +1,184 @@
+#include "hostmoveplan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace Execution {
+namespace {
+
+// Long enough that one large job is no trend.
+constexpr double trendSmoothingMs = 700;
+// A host comes to a pool within about this time of the decision.
+constexpr double lookAheadMs = 1800;
+// A new leader hears of endpoints and jobs first.
+constexpr Utils::Milliseconds firstMoves{2000};
+// After this idle time a host has cost as much as moving it away and back.
+constexpr Utils::Milliseconds parkAfter{2200};
+// A moved host announces its endpoint within this time of the order.
+constexpr Utils::Milliseconds moveSettles{4000};
+
+} // namespace
+
+auto HostMovePlan::observe(const RunLedger &ledger, Utils::Instant now) -> void
+{
+    const auto elapsed = double((now - m_observedAt).count());
+    const auto first = m_observedAt == Utils::Instant();
+    m_observedAt = now;
+    if (first)
+        m_firstObserved = now;
+    const auto weight = 1 - std::exp(-elapsed / trendSmoothingMs);
+    for (const auto &[pool, demand] : ledger.demand()) {
+        auto &trend = m_trends[pool];
+        const auto change =
+            demand.batchMillicores - std::exchange(trend.millicores, demand.batchMillicores);
+        if (!first && elapsed > 0)
+            trend.millicoresPerMs += weight * (change / elapsed - trend.millicoresPerMs);
+    }
+    for (const auto &[id, endpoint] : ledger.endpoints()) {
+        const auto idle = endpoint.looked && endpoint.runs.empty();
+        if (!idle)
+            m_idleSince.erase(id);
+        else
+            m_idleSince.try_emplace(id, now);
+    }
+    std::erase_if(m_idleSince,
+                  [&](const auto &item) { return !ledger.endpoints().contains(item.first); });
+}
+
+auto HostMovePlan::isIdle(const RunLedger &ledger, const HostInfo &host) const -> bool
+{
+    if (host.state != HostState::Up || m_moving.contains(host.name))
+        return false;
+    if (host.endpoint.empty())
+        return true;
+    const auto endpoint = ledger.endpoints().find(host.endpoint);
+    return endpoint != ledger.endpoints().end() && m_idleSince.contains(host.endpoint)
+           && endpoint->second.runs.empty() && endpoint->second.answers
+           && !endpoint->second.draining && !endpoint->second.closed && !endpoint->second.leaving;
+}
+
+auto HostMovePlan::loadOf(const Control::Pool &pool,
+                          const RunLedger &ledger,
+                          const HostList &hosts,
+                          Utils::Instant now) const -> Scheduling::PoolLoad
+{
+    Scheduling::PoolLoad load;
+    load.name = pool.name;
+    load.spare = pool.spare;
+    if (const auto demand = ledger.demand().find(pool.name); demand != ledger.demand().end()) {
+        load.lastingMillicores = demand->second.lastingMillicores;
+        load.batchMillicores = demand->second.batchMillicores;
+        load.minimumHosts = demand->second.minimumHosts;
+    }
+    // Bursts go on rising while a host is on its way.
+    if (const auto trend = m_trends.find(pool.name); trend != m_trends.end())
+        load.batchMillicores += std::max(0.0, trend->second.millicoresPerMs) * lookAheadMs;
+    for (const auto &[id, endpoint] : ledger.endpoints())
+        load.hostMillicores = std::max(load.hostMillicores, endpoint.record.capacity.cpuMillicores);
+    for (const auto &host : hosts.hosts) {
+        const auto moving = m_moving.find(host.name);
+        if (moving != m_moving.end()) {
+            load.hosts += moving->second.step.to == pool.name ? 1 : 0;
+            continue;
+        }
+        if (host.pool != pool.name || host.state == HostState::Down)
+            continue;
+        const auto endpoint = ledger.endpoints().find(host.endpoint);
+        const auto leaves =
+            endpoint != ledger.endpoints().end()
+            && (endpoint->second.draining || endpoint->second.leaving || endpoint->second.closed);
+        load.hosts += leaves ? 0 : 1;
+        if (!isIdle(ledger, host))
+            continue;
+        ++load.idleHosts;
+        const auto since = m_idleSince.find(host.endpoint);
+        load.parkableHosts += since != m_idleSince.end() && now - since->second > parkAfter ? 1 : 0;
+    }
+    return load;
+}
+
+auto HostMovePlan::loads(const Control::Configuration &configuration,
+                         const RunLedger &ledger,
+                         const HostList &hosts,
+                         Utils::Instant now) const -> std::vector<Scheduling::PoolLoad>
+{
+    std::vector<Scheduling::PoolLoad> loads;
+    for (const auto &pool : configuration.pools)
+        loads.push_back(loadOf(pool, ledger, hosts, now));
+    return loads;
+}
+
+auto HostMovePlan::next(const Control::Configuration &configuration,
+                        const RunLedger &ledger,
+                        const HostList &hosts,
+                        Utils::Instant now) -> std::vector<MoveStep>
+{
+    std::vector<MoveStep> steps;
+    if (!hosts.complete || now - m_firstObserved < firstMoves)
+        return steps;
+    for (const auto &transfer :
+         Scheduling::planTransfers(loads(configuration, ledger, hosts, now))) {
+        for (auto &step : chooseHosts(transfer, ledger, hosts, now))
+            steps.push_back(std::move(step));
+    }
+    return steps;
+}
+
+auto HostMovePlan::chooseHosts(const Scheduling::Transfer &transfer,
+                               const RunLedger &ledger,
+                               const HostList &hosts,
+                               Utils::Instant now) -> std::vector<MoveStep>
+{
+    std::vector<const HostInfo *> idle;
+    for (const auto &host : hosts.hosts) {
+        if (host.pool == transfer.from && isIdle(ledger, host))
+            idle.push_back(&host);
+    }
+    // The longest idle ones first.
+    std::ranges::stable_sort(idle, {}, [&](const HostInfo *host) {
+        const auto since = m_idleSince.find(host->endpoint);
+        return since != m_idleSince.end() ? since->second : Utils::Instant();
+    });
+    std::vector<MoveStep> steps;
+    for (const auto *host : idle) {
+        if (std::int64_t(steps.size()) >= transfer.count)
+            break;
+        MoveStep step{host->name, transfer.from, transfer.to, {}};
+        if (const auto endpoint = ledger.endpoints().find(host->endpoint);
+            endpoint != ledger.endpoints().end())
+            step.life = endpoint->second.record.life;
+        m_moving[host->name] = {step, now};
+        steps.push_back(std::move(step));
+    }
+    return steps;
+}
+
+auto HostMovePlan::ordered(const MoveStep &step, HostOrderResult result, Utils::Instant now) -> bool
+{
+    if (result == HostOrderResult::Accepted || result == HostOrderResult::Unknown) {
+        m_moving[step.host].at = now;
+        return false;
+    }
+    m_moving.erase(step.host);
+    return !step.life.id.empty();
+}
+
+auto HostMovePlan::takeUnmoved(const HostList &hosts, Utils::Instant listedAt)
+    -> std::vector<std::string>
+{
+    std::vector<std::string> unmoved;
+    for (auto moving = m_moving.begin(); moving != m_moving.end();) {
+        const auto &[name, order] = *moving;
+        const auto host = std::ranges::find(hosts.hosts, name, &HostInfo::name);
+        const auto listed = host != hosts.hosts.end() && listedAt > order.at;
+        const auto arrived = listed && host->state == HostState::Up && host->pool == order.step.to
+                             && host->endpoint != order.step.life.id;
+        const auto overdue = listedAt - order.at > moveSettles;
+        if (overdue && listed && host->pool == order.step.from && !order.step.life.id.empty())
+            unmoved.push_back(order.step.life.id);
+        moving = arrived || overdue ? m_moving.erase(moving) : std::next(moving);
+    }
+    return unmoved;
+}
+
+} // namespace Execution
--- /dev/null
+++ b/src/libs/execution/hostmoveplan.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "ports.h"
+#include "runledger.h"
+
+#include "scheduling/poolsizing.h"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace Execution {
+
+/*! \brief A host that should change its pool now. */
+struct MoveStep
+{
+    std::string host;
+    std::string from;
+    std::string to;
+    Control::EndpointLife life; //!< Of the endpoint that runs there; without id if there is none.
+};
+
+/*!
+    \brief Sizes the pools by their work and chooses the hosts that move. Pure.
+
+    Only hosts on which nothing runs are moved.
+*/
+class HostMovePlan
+{
+public:
+    /*! \brief Returns the load of each pool, for reports. */
+    auto loads(const Control::Configuration &configuration,
+               const RunLedger &ledger,
+               const HostList &hosts,
+               Utils::Instant now) const -> std::vector<Scheduling::PoolLoad>;
+    /*! \brief Updates what is measured over time; called often. */
+    auto observe(const RunLedger &ledger, Utils::Instant now) -> void;
+    auto next(const Control::Configuration &configuration,
+              const RunLedger &ledger,
+              const HostList &hosts,
+              Utils::Instant now) -> std::vector<MoveStep>;
+    /*! \brief Notes what became of an order; returns true if the endpoint is to be opened again. */
+    auto ordered(const MoveStep &step, HostOrderResult result, Utils::Instant now) -> bool;
+    /*! \brief Returns the endpoints whose hosts did not move after all, once the list shows it. */
+    auto takeUnmoved(const HostList &hosts, Utils::Instant listedAt) -> std::vector<std::string>;
+
+private:
+    /*! \brief How the work of a pool changes. */
+    struct Trend
+    {
+        double millicores = 0;      //!< At the last observation.
+        double millicoresPerMs = 0; //!< Smoothed.
+    };
+    struct Moving
+    {
+        MoveStep step;
+        Utils::Instant at;
+    };
+
+    auto loadOf(const Control::Pool &pool,
+                const RunLedger &ledger,
+                const HostList &hosts,
+                Utils::Instant now) const -> Scheduling::PoolLoad;
+    auto isIdle(const RunLedger &ledger, const HostInfo &host) const -> bool;
+    auto chooseHosts(const Scheduling::Transfer &transfer,
+                     const RunLedger &ledger,
+                     const HostList &hosts,
+                     Utils::Instant now) -> std::vector<MoveStep>;
+
+    std::map<std::string, Trend> m_trends;             //!< By pool.
+    std::map<std::string, Utils::Instant> m_idleSince; //!< By endpoint.
+    std::map<std::string, Moving> m_moving;            //!< By host.
+    Utils::Instant m_observedAt;
+    Utils::Instant m_firstObserved;
+};
+
+} // namespace Execution
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hostmoveplan.h"
 #include "maintenanceplan.h"
 #include "ports.h"
 #include "runledger.h"
@@ -60,16 +61,24 @@
     auto sendStop(StopOrder order) -> Task;
     auto sendPace(PaceOrder order) -> Task;
     auto endLife(Control::EndpointLife life, std::string_view reason) -> Task;
-    auto maintain() -> Task;
+    auto manageHosts() -> Task;
+    auto runWaves(HostList hosts) -> Task;
     auto maintainHost(MaintenanceStep step) -> Task;
+    auto moveHost(MoveStep step) -> Task;
+    auto forgetEndpoint(const Control::EndpointLife &life, std::vector<Control::Command> commands)
+        -> Task;
+    auto hasOpenWave() const -> bool;
+    auto reportPools(const HostList &hosts) -> void;
 
     LeaderParts m_parts;
     RunLedger m_ledger;
     MaintenancePlan m_maintenance;
+    HostMovePlan m_moves;
     std::int64_t m_term;
     bool m_active = true;
     bool m_passPending = false;
     Utils::Instant m_lastPass;
+    Utils::Instant m_lastReport;
     std::set<Control::EndpointLife> m_watched;
 };
 
--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -25,9 +25,7 @@
 auto holdsLongRunning(const RunLedger &ledger, const std::string &endpoint) -> bool
 {
     const auto found = ledger.endpoints().find(endpoint);
-    return found != ledger.endpoints().end()
-           && std::ranges::any_of(found->second.runs,
-                                  [](const auto &item) { return item.second.longRunning; });
+    return found != ledger.endpoints().end() && found->second.holdsLongRunning();
 }
 
 auto lifeOf(const RunLedger &ledger, const std::string &endpoint) -> Control::EndpointLife
@@ -92,7 +90,7 @@
         const auto longRunning = holdsLongRunning(ledger, host->endpoint);
         if (longRunning)
             work.evacuate.push_back(host->endpoint);
-        if (empty || (due && !longRunning))
+        if (empty || (due && ledger.canLose(host->endpoint)))
             work.begin.push_back({wave.number, host->name, lifeOf(ledger, host->endpoint)});
     }
 }
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -36,6 +36,8 @@
     m_jobs.clear();
     m_checkpoints.clear();
     m_startedJobs.clear();
+    m_demand.clear();
+    m_inheritedJobs = state.jobs.activeIds();
     for (const auto &[id, known] : state.endpoints) {
         addEndpoint(known.record, now);
         auto &endpoint = m_endpoints[id];
@@ -99,6 +101,24 @@
     }
 }
 
+auto RunLedger::setEndOrdered(const std::string &endpoint, bool ordered) -> void
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found != m_endpoints.end())
+        found->second.endOrdered = ordered;
+}
+
+auto RunLedger::canLose(const std::string &endpoint) const -> bool
+{
+    const auto found = m_endpoints.find(endpoint);
+    if (found == m_endpoints.end())
+        return true;
+    return std::ranges::all_of(found->second.runs, [this](const auto &item) {
+        const auto *spec = specOf(item.first);
+        return spec == nullptr || spec->mayMiss == 0 || tasksAway(item.first) < spec->mayMiss;
+    });
+}
+
 // Counts the other tasks of the step that are not at work.
 auto RunLedger::tasksAway(const Jobs::TaskId &task) const -> std::int64_t
 {
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -5,6 +5,7 @@
 #include "orders.h"
 
 #include "control/controlstate.h"
+#include "scheduling/joborder.h"
 #include "scheduling/placement.h"
 #include "utils/clock.h"
 
@@ -45,6 +46,14 @@
     bool fenced = false;      //!< A leader of a higher term has given orders there.
 };
 
+/*! \brief The work of one pool. */
+struct PoolDemand
+{
+    double batchMillicores = 0;         //!< To do all known work with an end by its objectives.
+    std::int64_t lastingMillicores = 0; //!< Of long-running tasks, running or waiting.
+    std::int64_t minimumHosts = 0;      //!< For long-running tasks that must not share a host.
+};
+
 /*! \brief How many runs are in which state. */
 struct RunCount
 {
@@ -82,6 +91,10 @@
         They start again elsewhere; a step never misses more tasks at once than it may.
     */
     auto evacuate(const std::string &endpoint) -> void;
+    /*! \brief Notes that an order that ends everything on the endpoint is under way, or is not. */
+    auto setEndOrdered(const std::string &endpoint, bool ordered) -> void;
+    /*! \brief Returns true if no step would miss too many tasks if the endpoint ended now. */
+    auto canLose(const std::string &endpoint) const -> bool;
     /*! \brief Notes that everything on the endpoint has ended, because its life is over. */
     auto endLife(const Control::EndpointLife &life) -> void;
 
@@ -109,6 +122,8 @@
     /*! \brief Returns true if a task of the job has been started, as far as is known here. */
     auto hasStarted(const std::string &job) const -> bool;
     auto countRuns() const -> RunCount;
+    /*! \brief Returns the work of each pool, as of the last scheduling. */
+    auto demand() const -> const std::map<std::string, PoolDemand> & { return m_demand; }
 
 private:
     /*! \brief The endpoints of one pool during one scheduling pass. */
@@ -148,6 +163,8 @@
     startGang(const Jobs::Job &job, const Jobs::TaskId &first, PoolPlacement &pool, Orders &orders)
         -> void;
     auto updateAvoided(PoolPlacement &pool) -> void;
+    auto noteDemand(const Jobs::Job &job, const Scheduling::JobRank &rank, std::int64_t wallMs)
+        -> void;
     auto findRun(const OrderTarget &target, const Jobs::TaskId &task, std::int64_t number) -> Run *;
     auto tasksAway(const Jobs::TaskId &task) const -> std::int64_t;
     auto nextNumber() -> std::int64_t;
@@ -159,6 +176,9 @@
     std::map<std::string, JobProgress> m_jobs;
     std::map<Jobs::TaskId, std::string> m_checkpoints;
     std::set<std::string> m_startedJobs;
+    //! Jobs that an earlier leader may have started tasks of.
+    std::set<std::string> m_inheritedJobs;
+    std::map<std::string, PoolDemand> m_demand;
 };
 
 } // namespace Execution
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -88,9 +88,35 @@
     const auto &active = state.jobs.activeIds();
     std::erase_if(m_jobs, [&](const auto &item) { return !active.contains(item.first); });
     for (const auto &id : active) {
-        if (!m_jobs.contains(id))
-            m_jobs.try_emplace(id, *state.jobs.find(id));
+        if (m_jobs.contains(id))
+            continue;
+        m_jobs.try_emplace(id, *state.jobs.find(id));
+    }
+}
+
+// Adds up what the job still needs: its work, spread over the time it has, and tasks that last.
+auto RunLedger::noteDemand(const Jobs::Job &job,
+                           const Scheduling::JobRank &rank,
+                           std::int64_t wallMs) -> void
+{
+    auto &demand = m_demand[job.spec.pool];
+    const auto &occurrence = m_jobs.at(job.spec.id).occurrence(0);
+    double work = 0;
+    for (std::size_t index = 0; index < occurrence.size(); ++index) {
+        const auto &spec = job.spec.steps[index];
+        const auto millicores = Scheduling::occupiedBy(spec).cpuMillicores;
+        if (!spec.longRunning) {
+            const auto open = occurrence[index].tasks.size() - occurrence[index].done;
+            work += double(open) * double(millicores) * double(spec.estimateMs);
+            continue;
+        }
+        demand.lastingMillicores += millicores * spec.count;
+        if (spec.maximumPerHost > 0) {
+            const auto apart = (spec.count + spec.maximumPerHost - 1) / spec.maximumPerHost;
+            demand.minimumHosts = std::max(demand.minimumHosts, apart);
+        }
     }
+    demand.batchMillicores += work / double(Scheduling::timeForWorkMs(rank, wallMs));
 }
 
 auto RunLedger::stopUnwanted(Utils::Instant now, Orders &orders) -> void
@@ -155,6 +181,7 @@
         view.labels = endpoint->record.labels;
         view.free = endpoint->freeResources();
         view.servesUsers = endpoint->servesUsers();
+        view.holdsLongRunning = endpoint->holdsLongRunning();
         view.recentFailures = endpoint->failureStreak;
         view.open = endpoint->looked && !endpoint->draining && !endpoint->closed
                     && !endpoint->leaving && now - endpoint->seenAt < m_timing.lookFreshness
@@ -200,14 +227,17 @@
         candidates.push_back({rank, job});
     }
     std::ranges::sort(candidates, {}, &Candidate::rank);
+    m_demand.clear();
     std::map<std::string, PoolPlacement> pools;
     for (const auto &candidate : candidates) {
         const auto &pool = candidate.job->spec.pool;
         auto found = pools.find(pool);
         if (found == pools.end())
             found = pools.emplace(pool, placementFor(pool, now)).first;
-        if (found->second.settled)
+        // What earlier leaders did not know of, they cannot have started.
+        if (found->second.settled || !m_inheritedJobs.contains(candidate.job->spec.id))
             startJob(*candidate.job, found->second, wallMs, orders);
+        noteDemand(*candidate.job, candidate.rank, wallMs);
     }
 }
 
@@ -255,6 +285,7 @@
         auto &view = pool.views[*chosen];
         view.free -= Scheduling::occupiedBy(spec);
         view.servesUsers = view.servesUsers || spec.latencyTargetMs > 0;
+        view.holdsLongRunning = view.holdsLongRunning || spec.longRunning;
         if (!tasksOfStep.empty())
             ++tasksOfStep[*chosen];
         orders.starts.push_back(book(*pool.endpoints[*chosen], job, task, nextNumber(), pool.now));
--- a/src/libs/scheduling/joborder.cpp
+++ b/src/libs/scheduling/joborder.cpp
@@ -4,6 +4,11 @@
 
 namespace Scheduling {
 
+// No host comes faster from another pool.
+constexpr std::int64_t shortestTimeMs = 1500;
+// Work whose objective has passed earns little, but has to be done.
+constexpr std::int64_t lateTimeMs = 6000;
+constexpr std::int64_t missedTimeMs = 15'000;
 // An answer after this multiple of the objective counts as not served.
 constexpr std::int64_t lateObjectives = 3;
 
@@ -39,4 +44,17 @@
     return rank;
 }
 
+auto timeForWorkMs(const JobRank &rank, std::int64_t nowMs) -> std::int64_t
+{
+    switch (rank.outlook) {
+    case Outlook::OnTime:
+        return std::max(rank.objectiveAtMs - nowMs, shortestTimeMs);
+    case Outlook::Late:
+        return lateTimeMs;
+    case Outlook::Missed:
+        break;
+    }
+    return missedTimeMs;
+}
+
 } // namespace Scheduling
--- a/src/libs/scheduling/joborder.h
+++ b/src/libs/scheduling/joborder.h
@@ -48,4 +48,11 @@
             std::int64_t remainingMs,
             std::int64_t nowMs) -> JobRank;
 
+/*!
+    \brief Returns within which time the open work of a job of this rank should be done.
+
+    It is the time until the job's objective, within bounds; what is late anyway has longer.
+*/
+auto timeForWorkMs(const JobRank &rank, std::int64_t nowMs) -> std::int64_t;
+
 } // namespace Scheduling
--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -22,11 +22,13 @@
 {
     const auto far = !step.dataRack.empty() && step.dataRack != endpoint.rack;
     const auto disturbs = step.fills && endpoint.servesUsers;
+    const auto free = endpoint.free.cpuMillicores;
     return std::tuple(far,
                       disturbs,
                       endpoint.recentFailures > 0,
                       step.longRunning ? tasksOfStep : 0,
-                      -endpoint.free.cpuMillicores);
+                      !endpoint.holdsLongRunning,
+                      step.longRunning ? -free : free);
 }
 
 } // namespace
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -15,8 +15,9 @@
     std::string_view rack;
     std::span<const std::string> labels;
     Jobs::Resources free;
-    bool open = false;        //!< May be given new tasks.
-    bool servesUsers = false; //!< Runs a task with a latency target.
+    bool open = false;             //!< May be given new tasks.
+    bool servesUsers = false;      //!< Runs a task with a latency target.
+    bool holdsLongRunning = false; //!< Runs a task without an end of its own.
     std::int64_t recentFailures = 0;
 };
 
@@ -35,8 +36,8 @@
     \brief Returns the index of the endpoint that should run the task, if one can.
 
     Data close by comes first, then endpoints without recent failures, then for filling tasks those
-    that serve no users, then the one with the most free processors, so that the loss of one
-    endpoint takes few tasks of a job.
+    that serve no users. Tasks gather where long-running tasks are, and then on the fullest hosts,
+    so that others become idle and can go to other pools. Long-running tasks spread over those.
 */
 auto chooseEndpoint(std::span<const EndpointView> endpoints, const PlacementRequest &request)
     -> std::optional<std::size_t>;
--- /dev/null
+++ b/tests/auto/scheduling/tst_poolsizing.cpp
@@ -0,0 +1,110 @@
+#include "scheduling/poolsizing.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+
+namespace {
+
+using Scheduling::PoolLoad;
+
+auto pool(std::string name, std::int64_t hosts, std::int64_t idle) -> PoolLoad
+{
+    PoolLoad load;
+    load.name = std::move(name);
+    load.hosts = hosts;
+    load.idleHosts = idle;
+    load.hostMillicores = 16000;
+    return load;
+}
+
+auto spare(std::int64_t hosts) -> PoolLoad
+{
+    auto load = pool("spare", hosts, hosts);
+    load.spare = true;
+    return load;
+}
+
+TEST(PoolSizing, FollowsWorkAndTasksThatLast)
+{
+    auto load = pool("a", 8, 0);
+    EXPECT_EQ(Scheduling::wantedHosts(load), 2);
+    load.batchMillicores = 128'000;
+    EXPECT_EQ(Scheduling::wantedHosts(load), 10);
+    load.lastingMillicores = 12'800;
+    EXPECT_EQ(Scheduling::wantedHosts(load), 11);
+    load.minimumHosts = 20;
+    EXPECT_EQ(Scheduling::wantedHosts(load), 20);
+}
+
+TEST(PoolSizing, TakesHostsThatAreOffBeforeIdleOnesOfOtherPools)
+{
+    auto busy = pool("busy", 8, 0);
+    busy.batchMillicores = 128'000.0 * 1.4;
+    const std::array pools{busy, pool("quiet", 8, 6), spare(3)};
+    const auto transfers = Scheduling::planTransfers(pools);
+    ASSERT_EQ(transfers.size(), 2U);
+    EXPECT_EQ(transfers[0].from, "spare");
+    EXPECT_EQ(transfers[0].count, 3);
+    EXPECT_EQ(transfers[1].from, "quiet");
+    EXPECT_EQ(transfers[1].count, 3);
+}
+
+TEST(PoolSizing, NeverTakesHostsThatRunSomethingOrThatAPoolNeeds)
+{
+    auto busy = pool("busy", 8, 0);
+    busy.batchMillicores = 1'000'000;
+    auto needed = pool("needed", 4, 4);
+    needed.minimumHosts = 4;
+    const std::array pools{busy, needed, pool("working", 8, 0), spare(0)};
+    EXPECT_TRUE(Scheduling::planTransfers(pools).empty());
+}
+
+TEST(PoolSizing, TurnsOffHostsThatHaveBeenIdleForLong)
+{
+    auto idle = pool("idle", 8, 7);
+    EXPECT_TRUE(Scheduling::planTransfers(std::array{idle, spare(0)}).empty());
+    idle.parkableHosts = 7;
+    const auto transfers = Scheduling::planTransfers(std::array{idle, spare(0)});
+    ASSERT_EQ(transfers.size(), 1U);
+    EXPECT_EQ(transfers[0].to, "spare");
+    // Two stay for the next burst, and one more against moving back and forth.
+    EXPECT_EQ(transfers[0].count, 5);
+}
+
+TEST(PoolSizing, KeepsHostsWhereNoPoolIsSpare)
+{
+    auto idle = pool("idle", 8, 8);
+    idle.parkableHosts = 8;
+    EXPECT_TRUE(Scheduling::planTransfers(std::array{idle}).empty());
+}
+
+// Four pools whose demand peaks one after the other for four seconds each, above what each holds.
+TEST(PoolSizing, HostsFollowDemandThatComesInTurns)
+{
+    constexpr std::size_t poolCount = 4;
+    constexpr std::int64_t turns = 4;
+    constexpr double peakMillicores = 200'000;
+    std::vector<PoolLoad> pools;
+    for (const auto *name : {"a", "b", "c", "d"})
+        pools.push_back(pool(name, 10, 10));
+    pools.push_back(spare(8));
+    for (std::int64_t turn = 0; turn < turns; ++turn) {
+        for (std::size_t index = 0; index < poolCount; ++index) {
+            const auto peaks = std::int64_t(index) == turn;
+            pools[index].batchMillicores = peaks ? peakMillicores : 3000;
+            pools[index].idleHosts = peaks ? 0 : pools[index].hosts;
+        }
+        for (const auto &transfer : Scheduling::planTransfers(pools)) {
+            for (auto &load : pools) {
+                load.hosts += load.name == transfer.to ? transfer.count : 0;
+                load.hosts -= load.name == transfer.from ? transfer.count : 0;
+            }
+        }
+        pools.back().idleHosts = pools.back().hosts;
+        const auto &peaking = pools[std::size_t(turn)];
+        EXPECT_GE(double(peaking.hosts * peaking.hostMillicores), peakMillicores);
+    }
+}
+
+} // namespace
