--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -13,7 +13,7 @@
 // A new leader hears of endpoints and jobs first.
 constexpr Utils::Milliseconds firstMoves{2000};
 // After this idle time a host has cost as much as moving it away and back.
-constexpr Utils::Milliseconds parkAfter{2200};
+constexpr Utils::Milliseconds parkAfter{1200};
 // A moved host announces its endpoint within this time of the order.
 constexpr Utils::Milliseconds moveSettles{4000};
 
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -16,7 +16,7 @@
 constexpr Utils::Milliseconds commitRetry{100};
 // The provider charges for each call.
 constexpr Utils::Milliseconds hostListInterval{1000};
-constexpr Utils::Milliseconds hostsInterval{200};
+constexpr Utils::Milliseconds hostsInterval{100};
 constexpr Utils::Milliseconds reportInterval{2000};
 
 auto describe(const Jobs::TaskId &task) -> std::string
--- a/src/libs/scheduling/joborder.cpp
+++ b/src/libs/scheduling/joborder.cpp
@@ -4,8 +4,9 @@
 
 namespace Scheduling {
 
-// No host comes faster from another pool.
-constexpr std::int64_t shortestTimeMs = 1500;
+// The steps of a job follow each other, so its work cannot fill all the time to its objective.
+constexpr std::int64_t usableTimePercent = 70;
+constexpr std::int64_t shortestTimeMs = 1000;
 // Work whose objective has passed earns little, but has to be done.
 constexpr std::int64_t lateTimeMs = 6000;
 constexpr std::int64_t missedTimeMs = 15'000;
@@ -48,7 +49,7 @@
 {
     switch (rank.outlook) {
     case Outlook::OnTime:
-        return std::max(rank.objectiveAtMs - nowMs, shortestTimeMs);
+        return std::max((rank.objectiveAtMs - nowMs) * usableTimePercent / 100, shortestTimeMs);
     case Outlook::Late:
         return lateTimeMs;
     case Outlook::Missed:
--- a/src/libs/scheduling/poolsizing.cpp
+++ b/src/libs/scheduling/poolsizing.cpp
@@ -10,8 +10,6 @@
 constexpr double usablePart = 0.8;
 // Kept even without work, so that the first task of a burst starts at once.
 constexpr std::int64_t leastHosts = 2;
-// Kept above the need before hosts are turned off, against moving back and forth.
-constexpr std::int64_t sparedHosts = 1;
 
 struct Balance
 {
