--- a/src/libs/scheduling/poolsizing.cpp
+++ b/src/libs/scheduling/poolsizing.cpp
@@ -75,7 +75,7 @@
         if (from.pool->spare)
             continue;
         const auto count =
-            std::min({from.pool->parkableHosts, from.idle, from.hosts - from.wanted - sparedHosts});
+            std::min({from.pool->parkableHosts, from.idle, from.hosts - from.wanted});
         if (count > 0)
             transfers.push_back({from.pool->name, spare->pool->name, count});
     }
