Keep leading while a silent voter is replaced

Stepping down now allows an election timeout after a change of voters; the lease still counts confirmed voters only.

--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -162,6 +162,7 @@
 auto Replica::setVoters(Revision revision, VoterSet voters) -> void
 {
     m_voterChanges.push_back({revision, std::move(voters)});
+    m_votersChangedAt = m_clock.now();
     updatePeers();
 }
 
@@ -287,7 +288,7 @@
     if (m_failed || m_stopping)
         return false;
     if (m_role == Role::Leader)
-        return now - majorityConfirmedAt() <= m_options.timing.electionTimeout;
+        return now - majorityContactAt() <= m_options.timing.electionTimeout;
     return now - m_quorumSeen <= m_options.timing.electionTimeout * quorumAgeElectionTimeouts;
 }
 
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -167,6 +167,7 @@
     auto submitHere(std::string payload, Utils::Instant deadline) -> Utils::Result<SubmitReply>;
     auto advanceCommit() -> void;
     auto majorityConfirmedAt() const -> Utils::Instant;
+    auto majorityContactAt() const -> Utils::Instant;
     auto hasLease(Utils::Instant now) const -> bool;
     auto confirmHere(StateLock &lock, Utils::Instant deadline) -> std::optional<Revision>;
     auto waitApplied(StateLock &lock, Revision revision, Utils::Instant deadline) -> bool;
@@ -228,6 +229,7 @@
     Utils::Instant m_quorumSeen; //!< When a majority last confirmed the leader.
     Utils::Instant m_electionDue;
     Utils::Instant m_leaderSince;
+    Utils::Instant m_votersChangedAt; //!< When the set of voters last changed here.
     Revision m_termStart = 0; //!< Revision of the first entry of this leader's term.
     bool m_transferring = false;
     bool m_takeLeadership = false;
--- a/src/libs/replication/replicaelection.cpp
+++ b/src/libs/replication/replicaelection.cpp
@@ -15,8 +15,7 @@
     while (!m_stopping) {
         const auto now = m_clock.now();
         if (m_role == Role::Leader) {
-            const auto confirmed = std::max(majorityConfirmedAt(), m_leaderSince);
-            if (now - confirmed > m_options.timing.electionTimeout)
+            if (now - majorityContactAt() > m_options.timing.electionTimeout)
                 stepDown("no contact with a majority");
             m_workChanged.wait_for(lock, m_options.timing.heartbeat);
             continue;
--- a/src/libs/replication/replicaleader.cpp
+++ b/src/libs/replication/replicaleader.cpp
@@ -260,6 +260,13 @@
     return confirmed[voters().majority() - 1];
 }
 
+// A new leader, and one with a new voter, has an election timeout to reach a majority. This decides
+// on stepping down only: the lease counts what voters have confirmed.
+auto Replica::majorityContactAt() const -> Utils::Instant
+{
+    return std::max({majorityConfirmedAt(), m_leaderSince, m_votersChangedAt});
+}
+
 auto Replica::hasLease(Utils::Instant now) const -> bool
 {
     // Shorter than the time in which voters elect no other leader.
--- a/tests/auto/replication/tst_replicafaults.cpp
+++ b/tests/auto/replication/tst_replicafaults.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <future>
 #include <atomic>
 #include <thread>
 
@@ -227,6 +228,39 @@
     cluster.submit("v4", "without the first leader");
 }
 
+TEST(ReplicaFaults, ALeaderGoesOnLeadingWhileASilentVoterIsReplaced)
+{
+    Cluster cluster(3);
+    cluster.start();
+    const auto leader = cluster.waitForLeader();
+    cluster.submit(leader, "before");
+    const auto term = cluster.log(leader).status().term;
+    const auto removed = otherVoter(leader);
+    cluster.stopNode(removed);
+    // Silent for longer than an election timeout, so that it no longer counts for the majority.
+    ASSERT_TRUE(eventually([&] {
+        const auto progress = cluster.log(leader).status().progress;
+        return progress.contains(removed)
+               && progress.at(removed).age > cluster.options.timing.electionTimeout * 2;
+    }));
+    cluster.addVoter("v4");
+    ASSERT_TRUE(cluster.startNode("v4"));
+    // The new voter cannot be reached at first.
+    cluster.links.cutBoth(leader, "v4");
+    auto replaced = std::async(std::launch::async, [&] {
+        return bool(cluster.log(leader).replaceVoter(removed, cluster.voter("v4"), submitTimeout));
+    });
+    const auto changed = eventually([&] {
+        const auto status = cluster.log(leader).status();
+        return status.voters.size() == 4 || status.term != term;
+    });
+    cluster.links.heal();
+    EXPECT_TRUE(changed);
+    EXPECT_TRUE(replaced.get());
+    EXPECT_EQ(cluster.log(leader).status().term, term);
+    EXPECT_EQ(cluster.log(leader).status().role, Role::Leader);
+}
+
 TEST(ReplicaFaults, MessagesOfAnotherGroupAreRefused)
 {
     Cluster cluster(1, 1);
