--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -54,7 +54,8 @@
     const auto endpoint = ledger.endpoints().find(host.endpoint);
     return endpoint != ledger.endpoints().end() && m_idleSince.contains(host.endpoint)
            && endpoint->second.runs.empty() && endpoint->second.answers
-           && !endpoint->second.draining && !endpoint->second.closed && !endpoint->second.leaving;
+           && !endpoint->second.draining && !endpoint->second.leaving
+           && (!endpoint->second.closed || m_releasing.contains(host.endpoint));
 }
 
 auto HostMovePlan::loadOf(const Control::Pool &pool,
@@ -111,17 +112,52 @@
 auto HostMovePlan::next(const Control::Configuration &configuration,
                         const RunLedger &ledger,
                         const HostList &hosts,
-                        Utils::Instant now) -> std::vector<MoveStep>
+                        Utils::Instant now) -> HostMoves
 {
-    std::vector<MoveStep> steps;
+    HostMoves moves;
     if (!hosts.complete || now - m_firstObserved < firstMoves)
-        return steps;
-    for (const auto &transfer :
-         Scheduling::planTransfers(loads(configuration, ledger, hosts, now))) {
+        return moves;
+    const auto plan = Scheduling::planTransfers(loads(configuration, ledger, hosts, now));
+    for (const auto &transfer : plan.transfers) {
         for (auto &step : chooseHosts(transfer, ledger, hosts, now))
-            steps.push_back(std::move(step));
+            moves.steps.push_back(std::move(step));
+    }
+    releaseHosts(plan.releases, configuration, ledger, moves);
+    return moves;
+}
+
+// Closes as many endpoints as their pool is to release, and opens those that it may keep.
+auto HostMovePlan::releaseHosts(std::span<const Scheduling::Release> releases,
+                                const Control::Configuration &configuration,
+                                const RunLedger &ledger,
+                                HostMoves &moves) -> void
+{
+    std::erase_if(m_releasing, [&](const auto &id) { return !ledger.endpoints().contains(id); });
+    for (const auto &pool : configuration.pools) {
+        const auto release = std::ranges::find(releases, pool.name, &Scheduling::Release::pool);
+        auto wanted = release != releases.end() ? release->count : 0;
+        std::vector<const EndpointEntry *> open;
+        for (const auto &[id, endpoint] : ledger.endpoints()) {
+            if (endpoint.record.pool != pool.name)
+                continue;
+            if (m_releasing.contains(id)) {
+                if (wanted-- > 0)
+                    continue;
+                m_releasing.erase(id);
+                moves.open.push_back(id);
+            } else if (endpoint.looked && !endpoint.closed && !endpoint.draining
+                       && !endpoint.holdsLongRunning()) {
+                open.push_back(&endpoint);
+            }
+        }
+        std::ranges::stable_sort(open, {}, [](const auto *entry) { return entry->runs.size(); });
+        for (const auto *endpoint : open) {
+            if (wanted-- <= 0)
+                break;
+            m_releasing.insert(endpoint->record.life.id);
+            moves.close.push_back(endpoint->record.life.id);
+        }
     }
-    return steps;
 }
 
 auto HostMovePlan::chooseHosts(const Scheduling::Transfer &transfer,
@@ -148,6 +184,7 @@
             endpoint != ledger.endpoints().end())
             step.life = endpoint->second.record.life;
         m_moving[host->name] = {step, now};
+        m_releasing.erase(host->endpoint);
         steps.push_back(std::move(step));
     }
     return steps;
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -6,6 +6,8 @@
 #include "scheduling/poolsizing.h"
 
 #include <map>
+#include <set>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -20,6 +22,15 @@
     Control::EndpointLife life; //!< Of the endpoint that runs there; without id if there is none.
 };
 
+/*! \brief What the plan wants done next. */
+struct HostMoves
+{
+    std::vector<MoveStep> steps;
+    std::vector<std::string>
+        close; //!< Endpoints that get no new tasks, so that their hosts can move.
+    std::vector<std::string> open; //!< Endpoints that get tasks again.
+};
+
 /*!
     \brief Sizes the pools by their work and chooses the hosts that move. Pure.
 
@@ -38,7 +49,7 @@
     auto next(const Control::Configuration &configuration,
               const RunLedger &ledger,
               const HostList &hosts,
-              Utils::Instant now) -> std::vector<MoveStep>;
+              Utils::Instant now) -> HostMoves;
     /*! \brief Notes what became of an order; returns true if the endpoint is to be opened again. */
     auto ordered(const MoveStep &step, HostOrderResult result, Utils::Instant now) -> bool;
     /*! \brief Returns the endpoints whose hosts did not move after all, once the list shows it. */
@@ -62,6 +73,10 @@
                 const HostList &hosts,
                 Utils::Instant now) const -> Scheduling::PoolLoad;
     auto isIdle(const RunLedger &ledger, const HostInfo &host) const -> bool;
+    auto releaseHosts(std::span<const Scheduling::Release> releases,
+                      const Control::Configuration &configuration,
+                      const RunLedger &ledger,
+                      HostMoves &moves) -> void;
     auto chooseHosts(const Scheduling::Transfer &transfer,
                      const RunLedger &ledger,
                      const HostList &hosts,
@@ -70,6 +85,7 @@
     std::map<std::string, Trend> m_trends;             //!< By pool.
     std::map<std::string, Utils::Instant> m_idleSince; //!< By endpoint.
     std::map<std::string, Moving> m_moving;            //!< By host.
+    std::set<std::string> m_releasing; //!< Endpoints closed so that their hosts can move.
     Utils::Instant m_observedAt;
     Utils::Instant m_firstObserved;
 };
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -309,11 +309,15 @@
             co_await runWaves(hosts);
         if (!m_active)
             co_return;
-        const auto steps = m_parts.state.read([&](const Control::State &state) {
+        const auto moves = m_parts.state.read([&](const Control::State &state) {
             return m_moves.next(state.configuration, m_ledger, hosts, m_parts.clock.now());
         });
         reportPools(hosts);
-        for (const auto &step : steps) {
+        for (const auto &endpoint : moves.close)
+            m_ledger.setClosed(endpoint, true);
+        for (const auto &endpoint : moves.open)
+            m_ledger.setClosed(endpoint, false);
+        for (const auto &step : moves.steps) {
             m_ledger.setClosed(step.life.id, true);
             AsyncNet::start(m_parts.loop, "move", moveHost(step), shared_from_this());
         }
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -230,7 +230,7 @@
     Utils::Instant m_electionDue;
     Utils::Instant m_leaderSince;
     Utils::Instant m_votersChangedAt; //!< When the set of voters last changed here.
-    Revision m_termStart = 0; //!< Revision of the first entry of this leader's term.
+    Revision m_termStart = 0;         //!< Revision of the first entry of this leader's term.
     bool m_transferring = false;
     bool m_takeLeadership = false;
     bool m_ready = false;
--- a/src/libs/scheduling/poolsizing.cpp
+++ b/src/libs/scheduling/poolsizing.cpp
@@ -32,6 +32,56 @@
     to.hosts += count;
 }
 
+// Reduces what pools want to what there is: the least for each, and equal parts of the rest.
+auto shareHosts(std::vector<Balance> &balances) -> void
+{
+    std::int64_t available = 0;
+    std::int64_t wanted = 0;
+    std::int64_t least = 0;
+    const auto leastOf = [](const Balance &balance) {
+        return std::min(balance.wanted, std::max(leastHosts, balance.pool->minimumHosts));
+    };
+    for (const auto &balance : balances) {
+        available += balance.hosts;
+        wanted += balance.wanted;
+        least += leastOf(balance);
+    }
+    if (wanted <= available || wanted <= least)
+        return;
+    const auto part = double(std::max<std::int64_t>(0, available - least)) / double(wanted - least);
+    for (auto &balance : balances) {
+        const auto more = double(balance.wanted - leastOf(balance)) * part;
+        balance.wanted = leastOf(balance) + std::int64_t(more);
+    }
+}
+
+// Returns the pools that lack hosts, those that lack most first.
+auto needyPools(std::vector<Balance> &balances) -> std::vector<Balance *>
+{
+    std::vector<Balance *> needy;
+    for (auto &balance : balances) {
+        if (!balance.pool->spare && balance.wanted > balance.hosts)
+            needy.push_back(&balance);
+    }
+    std::ranges::sort(needy, std::greater<>(), [](const auto *b) { return b->wanted - b->hosts; });
+    return needy;
+}
+
+auto turnOff(std::vector<Balance> &balances, std::vector<Transfer> &transfers) -> void
+{
+    const auto spare = std::ranges::find_if(balances, [](const auto &b) { return b.pool->spare; });
+    if (spare == balances.end())
+        return;
+    for (auto &from : balances) {
+        if (from.pool->spare)
+            continue;
+        const auto count =
+            std::min({from.pool->parkableHosts, from.idle, from.hosts - from.wanted});
+        if (count > 0)
+            transfers.push_back({from.pool->name, spare->pool->name, count});
+    }
+}
+
 } // namespace
 
 auto wantedHosts(const PoolLoad &load) -> std::int64_t
@@ -46,40 +96,34 @@
     return std::max(least, std::int64_t(hosts));
 }
 
-auto planTransfers(std::span<const PoolLoad> pools) -> std::vector<Transfer>
+auto planTransfers(std::span<const PoolLoad> pools) -> TransferPlan
 {
     std::vector<Balance> balances;
     for (const auto &pool : pools)
         balances.push_back({&pool, wantedHosts(pool), pool.hosts, pool.idleHosts});
-    std::vector<Transfer> transfers;
-    std::vector<Balance *> needy;
-    for (auto &balance : balances) {
-        if (!balance.pool->spare && balance.wanted > balance.hosts)
-            needy.push_back(&balance);
-    }
-    std::ranges::sort(needy, std::greater<>(), [](const auto *b) { return b->wanted - b->hosts; });
-    for (auto *to : needy) {
+    shareHosts(balances);
+    TransferPlan plan;
+    std::int64_t missing = 0;
+    for (auto *to : needyPools(balances)) {
         for (auto &from : balances) {
             if (from.pool->spare)
-                give(from, *to, from.idle, transfers);
+                give(from, *to, from.idle, plan.transfers);
         }
         for (auto &from : balances) {
             if (!from.pool->spare)
-                give(from, *to, std::min(from.idle, from.hosts - from.wanted), transfers);
+                give(from, *to, std::min(from.idle, from.hosts - from.wanted), plan.transfers);
         }
+        missing += std::max<std::int64_t>(0, to->wanted - to->hosts);
     }
-    const auto spare = std::ranges::find_if(balances, [](const auto &b) { return b.pool->spare; });
-    if (spare == balances.end())
-        return transfers;
     for (auto &from : balances) {
-        if (from.pool->spare)
+        const auto count = std::min(missing, from.hosts - from.wanted);
+        if (from.pool->spare || count <= 0)
             continue;
-        const auto count =
-            std::min({from.pool->parkableHosts, from.idle, from.hosts - from.wanted});
-        if (count > 0)
-            transfers.push_back({from.pool->name, spare->pool->name, count});
+        plan.releases.push_back({from.pool->name, count});
+        missing -= count;
     }
-    return transfers;
+    turnOff(balances, plan.transfers);
+    return plan;
 }
 
 } // namespace Scheduling
--- a/src/libs/scheduling/poolsizing.h
+++ b/src/libs/scheduling/poolsizing.h
@@ -30,6 +30,19 @@
     std::int64_t count = 0;
 };
 
+/*! \brief Hosts that should take no new tasks, so that they can go to other pools soon. */
+struct Release
+{
+    std::string pool;
+    std::int64_t count = 0;
+};
+
+struct TransferPlan
+{
+    std::vector<Transfer> transfers;
+    std::vector<Release> releases;
+};
+
 /*! \brief Returns how many hosts the pool's work needs. */
 auto wantedHosts(const PoolLoad &load) -> std::int64_t;
 
@@ -38,8 +51,9 @@
 
     Answers demand that comes to one pool after the other, each time more than the pool holds: hosts
     that are off, and then hosts that are idle elsewhere, go where work waits. Idle hosts that no
-    pool needs are turned off once keeping them would cost more than moving them twice.
+    pool needs are turned off once keeping them would cost more than moving them twice. When all pools
+    together need more than there is, each gets its share, and those with more release hosts.
 */
-auto planTransfers(std::span<const PoolLoad> pools) -> std::vector<Transfer>;
+auto planTransfers(std::span<const PoolLoad> pools) -> TransferPlan;
 
 } // namespace Scheduling
--- a/tests/auto/replication/tst_replicafaults.cpp
+++ b/tests/auto/replication/tst_replicafaults.cpp
@@ -3,8 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <future>
 #include <atomic>
+#include <future>
 #include <thread>
 
 namespace Replication::Test {
--- a/tests/auto/scheduling/tst_poolsizing.cpp
+++ b/tests/auto/scheduling/tst_poolsizing.cpp
@@ -42,7 +42,7 @@
     auto busy = pool("busy", 8, 0);
     busy.batchMillicores = 128'000.0 * 1.4;
     const std::array pools{busy, pool("quiet", 8, 6), spare(3)};
-    const auto transfers = Scheduling::planTransfers(pools);
+    const auto transfers = Scheduling::planTransfers(pools).transfers;
     ASSERT_EQ(transfers.size(), 2U);
     EXPECT_EQ(transfers[0].from, "spare");
     EXPECT_EQ(transfers[0].count, 3);
@@ -57,15 +57,15 @@
     auto needed = pool("needed", 4, 4);
     needed.minimumHosts = 4;
     const std::array pools{busy, needed, pool("working", 8, 0), spare(0)};
-    EXPECT_TRUE(Scheduling::planTransfers(pools).empty());
+    EXPECT_TRUE(Scheduling::planTransfers(pools).transfers.empty());
 }
 
 TEST(PoolSizing, TurnsOffHostsThatHaveBeenIdleForLong)
 {
     auto idle = pool("idle", 8, 7);
-    EXPECT_TRUE(Scheduling::planTransfers(std::array{idle, spare(0)}).empty());
+    EXPECT_TRUE(Scheduling::planTransfers(std::array{idle, spare(0)}).transfers.empty());
     idle.parkableHosts = 7;
-    const auto transfers = Scheduling::planTransfers(std::array{idle, spare(0)});
+    const auto transfers = Scheduling::planTransfers(std::array{idle, spare(0)}).transfers;
     ASSERT_EQ(transfers.size(), 1U);
     EXPECT_EQ(transfers[0].to, "spare");
     // Two stay for the next burst.
@@ -76,7 +76,28 @@
 {
     auto idle = pool("idle", 8, 8);
     idle.parkableHosts = 8;
-    EXPECT_TRUE(Scheduling::planTransfers(std::array{idle}).empty());
+    EXPECT_TRUE(Scheduling::planTransfers(std::array{idle}).transfers.empty());
+}
+
+// A burst in one pool while another still works on its own: each gets its share.
+TEST(PoolSizing, PoolsWithMoreThanTheirShareReleaseHosts)
+{
+    auto hog = pool("hog", 34, 0);
+    hog.batchMillicores = 700'000;
+    auto burst = pool("burst", 4, 0);
+    burst.batchMillicores = 700'000;
+    const auto plan = Scheduling::planTransfers(std::array{hog, burst, spare(0)});
+    EXPECT_TRUE(plan.transfers.empty());
+    ASSERT_EQ(plan.releases.size(), 1U);
+    EXPECT_EQ(plan.releases[0].pool, "hog");
+    EXPECT_EQ(plan.releases[0].count, 15);
+}
+
+TEST(PoolSizing, NothingIsReleasedWhenNoPoolLacksHosts)
+{
+    auto working = pool("working", 10, 0);
+    working.batchMillicores = 20'000;
+    EXPECT_TRUE(Scheduling::planTransfers(std::array{working, spare(3)}).releases.empty());
 }
 
 // Four pools whose demand peaks one after the other for four seconds each, above what each holds.
@@ -95,7 +116,7 @@
             pools[index].batchMillicores = peaks ? peakMillicores : 3000;
             pools[index].idleHosts = peaks ? 0 : pools[index].hosts;
         }
-        for (const auto &transfer : Scheduling::planTransfers(pools)) {
+        for (const auto &transfer : Scheduling::planTransfers(pools).transfers) {
             for (auto &load : pools) {
                 load.hosts += load.name == transfer.to ? transfer.count : 0;
                 load.hosts -= load.name == transfer.from ? transfer.count : 0;
