--- a/src/libs/asyncnet/httpclient.cpp
+++ b/src/libs/asyncnet/httpclient.cpp
@@ -44,12 +44,8 @@
     message.set(http::field::host, request.host.empty() ? address : request.host);
     if (!request.body.empty())
         message.set(http::field::content_type, "application/json");
-    if (!request.expectedInstance.empty())
-        message.set("Expect-Instance", request.expectedInstance);
-    if (!request.dutyHolder.empty())
-        message.set("Duty-Holder", request.dutyHolder);
-    if (!request.fencingToken.empty())
-        message.set("Fence-Token", request.fencingToken);
+    for (const auto &header : request.headers)
+        message.set(header.name, header.value);
     message.body() = request.body;
     message.prepare_payload();
     return message;
--- a/src/libs/asyncnet/httplistener.cpp
+++ b/src/libs/asyncnet/httplistener.cpp
@@ -7,7 +7,6 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <charconv>
 #include <list>
 
 namespace AsyncNet {
@@ -21,17 +20,6 @@
 
 namespace {
 
-constexpr auto deadlineHeader = "Deadline-Ms";
-
-auto parseNumber(std::string_view text) -> std::optional<std::int64_t>
-{
-    std::int64_t number = 0;
-    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-    if (error != std::errc() || end != text.data() + text.size())
-        return std::nullopt;
-    return number;
-}
-
 auto view(beast::string_view text) -> std::string_view
 {
     return {text.data(), text.size()};
@@ -51,8 +39,6 @@
     request.target = view(message.target());
     request.host = view(message[http::field::host]);
     request.body = std::move(message.body());
-    if (const auto found = message.find(deadlineHeader); found != message.end())
-        request.deadlineMs = parseNumber(view(found->value()));
     return request;
 }
 
--- a/src/libs/asyncnet/httpmessage.h
+++ b/src/libs/asyncnet/httpmessage.h
@@ -3,9 +3,16 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace AsyncNet {
 
+struct HttpHeader
+{
+    std::string name;
+    std::string value;
+};
+
 /*! \brief A request, as far as the system uses it. */
 struct HttpRequest
 {
@@ -13,10 +20,7 @@
     std::string target; //!< Path and query.
     std::string host;   //!< Host header.
     std::string body;
-    std::string expectedInstance;           //!< Life of the server that the call is for.
-    std::string dutyHolder;                 //!< Who gives orders for a host.
-    std::string fencingToken;               //!< With dutyHolder.
-    std::optional<std::int64_t> deadlineMs; //!< How long the caller waits.
+    std::vector<HttpHeader> headers; //!< Further ones, of requests that this process sends.
 };
 
 /*! \brief An answer. */
