--- a/src/app/platformcommands.cpp
+++ b/src/app/platformcommands.cpp
@@ -118,7 +118,7 @@
     PlatformProcess m_process;
     Service::LeaderLink m_link{m_process.loop(), m_process.settings().seedLinkAddresses(), {}};
     Service::EntryService m_service{m_process.loop(), m_link};
-    Platform::EntryRoutes m_routes{m_service};
+    Platform::EntryRoutes m_routes{m_service, m_process.metrics()};
     AsyncNet::HttpListener m_callers{
         m_process.loop(), "callers", [this](AsyncNet::HttpRequest request) {
             return m_routes.handleCaller(std::move(request));
@@ -225,7 +225,6 @@
 
     PlatformProcess m_process;
     Utils::SystemClock m_clock;
-    Utils::Metrics m_metrics;
     Service::MemberTable m_members;
     Control::StateReplica m_state{
         [this] { AsyncNet::asio::post(m_process.loop(), [this] { m_service.stateChanged(); }); }};
@@ -242,7 +241,7 @@
          m_endpoints,
          m_hosts,
          m_clock,
-         m_metrics,
+         m_process.metrics(),
          m_link,
          m_members},
         {m_process.settings().linkAddress(), ledgerTiming(m_process.settings())}};
--- a/src/app/platformprocess.cpp
+++ b/src/app/platformprocess.cpp
@@ -9,11 +9,16 @@
 
 // The settings file may change without a signal.
 constexpr Utils::Milliseconds fileCheckInterval{3000};
+constexpr std::string_view metricsPath = "/metrics";
+constexpr int statusNotFound = 404;
 
 } // namespace
 
 PlatformProcess::PlatformProcess(Platform::NodeSettings settings)
     : m_settings(std::move(settings))
+    , m_metricsListener(m_loop, "metrics", [this](AsyncNet::HttpRequest request) {
+        return showMetrics(std::move(request));
+    })
 {
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -28,9 +33,25 @@
     AsyncNet::start(m_loop, "stop signal", awaitStop(std::move(stop)));
     AsyncNet::start(m_loop, "reload signal", awaitReloadSignals());
     AsyncNet::start(m_loop, "settings file", watchFile());
+    if (!m_settings.listen.metrics.empty()) {
+        // The process serves its callers without metrics too.
+        if (const auto started = m_metricsListener.start(m_settings.listen.metrics); !started)
+            Utils::Log::error("app", "cannot serve metrics", {{"reason", started.error().details}});
+    }
     m_loop.run();
 }
 
+auto PlatformProcess::showMetrics(AsyncNet::HttpRequest request)
+    -> AsyncNet::Task<AsyncNet::HttpResponse>
+{
+    if (request.target != metricsPath)
+        co_return AsyncNet::plainResponse(statusNotFound);
+    AsyncNet::HttpResponse response;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = m_metrics.toPrometheusText();
+    co_return response;
+}
+
 auto PlatformProcess::awaitStop(std::function<AsyncNet::Task<void>()> stop) -> AsyncNet::Task<void>
 {
     boost::system::error_code error;
--- a/src/app/platformprocess.h
+++ b/src/app/platformprocess.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "asyncnet/task.h"
+#include "asyncnet/httplistener.h"
 #include "platform/nodesettings.h"
+#include "utils/metrics.h"
 
 #include <boost/asio/signal_set.hpp>
 
@@ -9,13 +10,14 @@
 
 namespace App {
 
-/*! \brief What every process on the platform has: an event loop, signals, settings that change. */
+/*! \brief What every process on the platform has: an event loop, signals, metrics, settings that change. */
 class PlatformProcess
 {
 public:
     explicit PlatformProcess(Platform::NodeSettings settings);
 
     auto loop() -> AsyncNet::asio::io_context & { return m_loop; }
+    auto metrics() -> Utils::Metrics & { return m_metrics; }
     auto settings() const -> const Platform::NodeSettings & { return m_settings; }
 
     /*! \brief Called with changed settings, after SIGHUP or when the file has changed. */
@@ -27,10 +29,13 @@
     auto awaitStop(std::function<AsyncNet::Task<void>()> stop) -> AsyncNet::Task<void>;
     auto awaitReloadSignals() -> AsyncNet::Task<void>;
     auto watchFile() -> AsyncNet::Task<void>;
+    auto showMetrics(AsyncNet::HttpRequest request) -> AsyncNet::Task<AsyncNet::HttpResponse>;
     auto reload() -> void;
 
     AsyncNet::asio::io_context m_loop{1};
     Platform::NodeSettings m_settings;
+    Utils::Metrics m_metrics;
+    AsyncNet::HttpListener m_metricsListener;
     AsyncNet::asio::signal_set m_stopSignals{m_loop, SIGTERM, SIGINT};
     AsyncNet::asio::signal_set m_reloadSignals{m_loop, SIGHUP};
     std::function<void(const Platform::NodeSettings &)> m_reloaded;
--- a/src/libs/asyncnet/framelink.cpp
+++ b/src/libs/asyncnet/framelink.cpp
@@ -164,17 +164,15 @@
     {
         std::string body;
         while (co_await readFrame(connection->socket(), body)) {
-            auto request = decode<Wire::ControlRequest>(body);
+            const auto request = decode<Wire::ControlRequest>(body);
             if (!request) {
                 Utils::Log::warning("wire",
                                     "closed a connection that sent a message that cannot be read",
                                     {{"reason", request.error().details}});
                 break;
             }
-            AsyncNet::start(loop,
-                            "frame request",
-                            answer(connection, std::move(request.value())),
-                            shared_from_this());
+            AsyncNet::start(
+                loop, "frame request", answer(connection, request.value()), shared_from_this());
         }
         connection->close();
     }
@@ -182,7 +180,7 @@
     auto answer(std::shared_ptr<FrameWriter> connection, Wire::ControlRequest request) -> Task<void>
     {
         const auto sequence = request.sequence;
-        auto reply = co_await handler(std::move(request));
+        auto reply = co_await handler(request);
         reply.sequence = sequence;
         connection->send(encode(reply));
     }
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -18,6 +18,9 @@
 constexpr Utils::Milliseconds hostListInterval{1000};
 constexpr Utils::Milliseconds hostsInterval{100};
 constexpr Utils::Milliseconds reportInterval{2000};
+// Of each kind: enough to follow single jobs at a calm time, little beside a burst's work.
+constexpr std::int64_t linesPerSecond = 40;
+constexpr double millisecondsPerSecond = 1000;
 
 auto describe(const Jobs::TaskId &task) -> std::string
 {
@@ -50,12 +53,33 @@
     return "unknown";
 }
 
+auto nameOf(EndKind kind) -> std::string_view
+{
+    switch (kind) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::LeaseExpired:
+        return "lease expired";
+    case EndKind::PartnerEnded:
+        return "another member of its gang ended";
+    case EndKind::NoPartners:
+        return "its gang did not become complete";
+    }
+    return "unknown";
+}
+
 } // namespace
 
 LeaderSession::LeaderSession(LeaderParts parts, LedgerTiming timing, std::int64_t term)
     : m_parts(parts)
     , m_ledger(timing)
     , m_term(term)
+    , m_startLines("starts of tasks", linesPerSecond)
+    , m_endLines("ends of tasks", linesPerSecond)
 {}
 
 auto LeaderSession::start() -> void
@@ -143,6 +167,7 @@
 auto LeaderSession::takeLook(const LookOrder &order, const LookReply &reply, Utils::Instant sentAt)
     -> Task
 {
+    logEnds(order, reply);
     const auto effects = m_ledger.lookAnswered(order, reply, sentAt, m_parts.clock.now());
     if (effects.fenced) {
         Utils::Log::warning("execution",
@@ -171,9 +196,49 @@
     if (!m_active)
         co_return;
     m_ledger.endsRecorded(effects.record, effects.lastEnd);
+    logEndedJobs(effects.record);
     wake();
 }
 
+auto LeaderSession::logEnds(const LookOrder &order, const LookReply &reply) -> void
+{
+    for (const auto &end : reply.ended) {
+        // Ends that are durable already may be listed once more.
+        if (end.number <= order.notedEnds)
+            continue;
+        m_parts.metrics.count("trefoilshelf_task_ends_total",
+                              {{"how", std::string(nameOf(end.kind))}});
+        if (!m_endLines.allow(m_parts.clock.now()))
+            continue;
+        Utils::Log::info("execution",
+                         "a task ended",
+                         {{"job", end.task.job},
+                          {"task", describe(end.task)},
+                          {"run", end.run},
+                          {"endpoint", order.target.life.id},
+                          {"how", nameOf(end.kind)}});
+    }
+}
+
+auto LeaderSession::logEndedJobs(const Control::RecordEnds &record) -> void
+{
+    std::set<std::string> jobs;
+    for (const auto &end : record.ends)
+        jobs.insert(end.task.job);
+    m_parts.state.read([&](const Control::State &state) {
+        for (const auto &id : jobs) {
+            const auto *job = state.jobs.find(id);
+            if (job == nullptr || job->state == Jobs::JobState::Active)
+                continue;
+            Utils::Log::info("execution",
+                             "a job has ended",
+                             {{"job", id},
+                              {"state", Utils::nameOf(job->state)},
+                              {"after_ms", job->endedMs - job->spec.handedInMs}});
+        }
+    });
+}
+
 auto LeaderSession::endLife(Control::EndpointLife life, std::string_view reason) -> Task
 {
     Utils::Log::info("execution",
@@ -225,24 +290,41 @@
 auto LeaderSession::sendStart(StartOrder order) -> Task
 {
     const auto reply = co_await m_parts.endpoints.start(order);
-    m_parts.metrics.count("trefoilshelf_starts_total",
-                          {{"result", std::string(nameOf(reply.result))}});
     if (!m_active)
         co_return;
+    noteStart(order, reply);
     m_ledger.startAnswered(order, reply, m_parts.clock.now());
     if (reply.result == StartResult::Started)
         co_return;
-    Utils::Log::info("execution",
-                     "a start was not confirmed",
-                     {{"task", describe(order.task)},
-                      {"run", order.run},
-                      {"endpoint", order.target.life.id},
-                      {"reason", nameOf(reply.result)}});
     if (reply.result == StartResult::Fenced)
         end();
     wake();
 }
 
+auto LeaderSession::noteStart(const StartOrder &order, const StartReply &reply) -> void
+{
+    const auto result = nameOf(reply.result);
+    m_parts.metrics.count("trefoilshelf_starts_total", {{"result", std::string(result)}});
+    if (reply.result == StartResult::Started && !m_ledger.hasStarted(order.task.job)) {
+        const auto waitedMs = m_parts.state.read([&](const Control::State &state) {
+            const auto *job = state.jobs.find(order.task.job);
+            return job != nullptr ? m_parts.clock.wallTime() - job->spec.handedInMs : 0;
+        });
+        m_parts.metrics.observe(
+            "trefoilshelf_first_start_seconds", {}, double(waitedMs) / millisecondsPerSecond);
+    }
+    if (!m_startLines.allow(m_parts.clock.now()))
+        return;
+    Utils::Log::info("execution",
+                     "ordered a task to start",
+                     {{"job", order.task.job},
+                      {"task", describe(order.task)},
+                      {"run", order.run},
+                      {"endpoint", order.target.life.id},
+                      {"checkpoint", !order.checkpoint.empty()},
+                      {"result", result}});
+}
+
 auto LeaderSession::sendStop(StopOrder order) -> Task
 {
     const auto result = co_await m_parts.endpoints.stop(order);
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -6,6 +6,7 @@
 #include "runledger.h"
 
 #include "control/controlstate.h"
+#include "utils/logbudget.h"
 #include "utils/metrics.h"
 
 #include <memory>
@@ -69,6 +70,9 @@
         -> Task;
     auto hasOpenWave() const -> bool;
     auto reportPools(const HostList &hosts) -> void;
+    auto logEnds(const LookOrder &order, const LookReply &reply) -> void;
+    auto logEndedJobs(const Control::RecordEnds &record) -> void;
+    auto noteStart(const StartOrder &order, const StartReply &reply) -> void;
 
     LeaderParts m_parts;
     RunLedger m_ledger;
@@ -79,6 +83,8 @@
     bool m_passPending = false;
     Utils::Instant m_lastPass;
     Utils::Instant m_lastReport;
+    Utils::LogBudget m_startLines;
+    Utils::LogBudget m_endLines;
     std::set<Control::EndpointLife> m_watched;
 };
 
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -97,7 +97,7 @@
         const auto *spec = specOf(task);
         if (!run.longRunning || run.stopWanted || spec == nullptr)
             continue;
-        run.stopWanted = spec->mayMiss == 0 || tasksAway(task) < spec->mayMiss;
+        run.stopWanted = spec->mayMiss == 0 || tasksAway(task, {}) < spec->mayMiss;
     }
 }
 
@@ -115,16 +115,20 @@
         return true;
     return std::ranges::all_of(found->second.runs, [this](const auto &item) {
         const auto *spec = specOf(item.first);
-        return spec == nullptr || spec->mayMiss == 0 || tasksAway(item.first) < spec->mayMiss;
+        return spec == nullptr || spec->mayMiss == 0
+               || tasksAway(item.first, endpoint) < spec->mayMiss;
     });
 }
 
-// Counts the other tasks of the step that are not at work.
-auto RunLedger::tasksAway(const Jobs::TaskId &task) const -> std::int64_t
+// Counts the other tasks of the step that are not at work, or would not be without an endpoint.
+auto RunLedger::tasksAway(const Jobs::TaskId &task, std::string_view withoutEndpoint) const
+    -> std::int64_t
 {
     const auto *spec = specOf(task);
     auto away = spec->count - 1;
     for (const auto &[id, endpoint] : m_endpoints) {
+        if (id == withoutEndpoint)
+            continue;
         for (const auto &[other, run] : endpoint.runs) {
             const auto sameStep = other.job == task.job && other.occurrence == task.occurrence
                                   && other.step == task.step && other.index != task.index;
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -166,7 +166,8 @@
     auto noteDemand(const Jobs::Job &job, const Scheduling::JobRank &rank, std::int64_t wallMs)
         -> void;
     auto findRun(const OrderTarget &target, const Jobs::TaskId &task, std::int64_t number) -> Run *;
-    auto tasksAway(const Jobs::TaskId &task) const -> std::int64_t;
+    auto tasksAway(const Jobs::TaskId &task, std::string_view withoutEndpoint) const
+        -> std::int64_t;
     auto nextNumber() -> std::int64_t;
 
     const LedgerTiming m_timing;
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Utils::Milliseconds leadershipCheck{30};
+constexpr std::int64_t handInLinesPerSecond = 40;
 // Shorter than entries wait for the answer to a request for a newer configuration.
 constexpr Utils::Milliseconds configurationWait{4000};
 // Others are told of members that were heard of within this time.
@@ -75,6 +76,7 @@
     , m_server(parts.loop,
                [this](Wire::ControlRequest request) { return handle(std::move(request)); })
     , m_configurationChanged(parts.loop)
+    , m_handInLines("hand-ins", handInLinesPerSecond)
 {}
 
 ControlService::~ControlService() = default;
@@ -246,10 +248,18 @@
     if (!queueKnown)
         co_return reply(Wire::ControlOutcome::UNKNOWN_NAME);
     spec.handedInMs = m_parts.clock.wallTime();
+    const auto id = spec.id;
+    const auto queue = spec.queue;
     Control::Command command;
     command.handIn = std::move(spec);
     const auto result = co_await commit(std::move(command));
-    m_parts.metrics.count("trefoilshelf_hand_ins_total");
+    const auto committed = result == Execution::CommitResult::Committed;
+    m_parts.metrics.count("trefoilshelf_hand_ins_total",
+                          {{"result", committed ? "accepted" : "not confirmed"}});
+    if (m_handInLines.allow(m_parts.clock.now()))
+        Utils::Log::info("service",
+                         "a job was handed in",
+                         {{"job", id}, {"queue", queue}, {"committed", committed}});
     if (auto *active = session())
         active->wake();
     co_return replyFor(result);
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -6,6 +6,7 @@
 #include "outcomes.h"
 
 #include "execution/leadersession.h"
+#include "utils/logbudget.h"
 #include "utils/metrics.h"
 
 #include <map>
@@ -94,6 +95,7 @@
     std::shared_ptr<Execution::LeaderSession> m_session;
     std::map<Control::EndpointLife, std::int64_t> m_sequences; //!< Last announcement of each life.
     AsyncNet::Signal m_configurationChanged;
+    Utils::LogBudget m_handInLines;
     std::int64_t m_toldVersion = 0;
     bool m_stopped = false;
 };
--- /dev/null
+++ b/tests/auto/asyncnet/tst_http.cpp
@@ -0,0 +1,166 @@
+#include "asyncnet/httpclient.h"
+#include "asyncnet/httplistener.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+namespace {
+
+using namespace AsyncNet;
+using Utils::Milliseconds;
+
+constexpr Milliseconds longestTest{5000};
+constexpr Milliseconds callTimeout{1000};
+
+class HttpTest : public testing::Test
+{
+protected:
+    auto listen(HttpHandler handler) -> std::string
+    {
+        m_listener = std::make_unique<HttpListener>(m_loop, "test", std::move(handler));
+        EXPECT_TRUE(m_listener->start("127.0.0.1:0"));
+        return "127.0.0.1:" + std::to_string(m_listener->port());
+    }
+    auto run(Task<void> task) -> void
+    {
+        AsyncNet::start(m_loop, "test", finish(std::move(task)));
+        m_loop.run_for(longestTest);
+        EXPECT_TRUE(m_finished);
+    }
+    auto post(std::string body) -> HttpRequest
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/path";
+        request.body = std::move(body);
+        return request;
+    }
+    // Sends raw bytes and returns all that comes back until the listener closes.
+    auto exchangeRaw(const std::string &address, std::string bytes, std::string &answer)
+        -> Task<void>
+    {
+        asio::ip::tcp::socket socket(m_loop);
+        const auto port =
+            static_cast<unsigned short>(std::stoi(address.substr(address.find(':') + 1)));
+        boost::system::error_code error;
+        co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), port},
+                                      asio::redirect_error(asio::use_awaitable, error));
+        co_await asio::async_write(
+            socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        co_await asio::async_read(
+            socket, asio::dynamic_buffer(answer), asio::redirect_error(asio::use_awaitable, error));
+    }
+
+    asio::io_context m_loop;
+    HttpClient m_client{m_loop, 2};
+    std::unique_ptr<HttpListener> m_listener;
+
+private:
+    auto finish(Task<void> task) -> Task<void>
+    {
+        co_await std::move(task);
+        m_finished = true;
+        m_listener->stopAccepting();
+        m_loop.stop();
+    }
+
+    bool m_finished = false;
+};
+
+TEST_F(HttpTest, AnswersGoToTheirOwnRequestsOverKeptConnections)
+{
+    const auto address = listen([](HttpRequest request) -> Task<HttpResponse> {
+        HttpResponse response;
+        response.body = request.body + request.target;
+        co_return response;
+    });
+    const auto calls = [&]() -> Task<void> {
+        for (const auto *body : {"one", "two", "three"}) {
+            const auto response = co_await m_client.call(address, post(body), callTimeout);
+            EXPECT_TRUE(response);
+            if (response) {
+                EXPECT_EQ(response.value().body, std::string(body) + "/path");
+            }
+        }
+    };
+    run(calls());
+}
+
+TEST_F(HttpTest, ACallWithoutAnswerMayHaveBeenCarriedOut)
+{
+    const auto address = listen([](HttpRequest) -> Task<HttpResponse> {
+        co_await pause(longestTest);
+        co_return HttpResponse();
+    });
+    const auto calls = [&]() -> Task<void> {
+        const auto response = co_await m_client.call(address, post("x"), Milliseconds(100));
+        EXPECT_FALSE(response);
+        if (!response) {
+            EXPECT_EQ(response.error().type, Utils::ErrorType::OutcomeUnknown);
+        }
+    };
+    run(calls());
+}
+
+TEST_F(HttpTest, ARefusedConnectionIsCertainlyNotCarriedOut)
+{
+    const auto address =
+        listen([](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse(); });
+    m_listener->stopAccepting();
+    const auto calls = [&]() -> Task<void> {
+        const auto response = co_await m_client.call(address, post("x"), callTimeout);
+        EXPECT_FALSE(response);
+        if (!response) {
+            EXPECT_EQ(response.error().type, Utils::ErrorType::Unavailable);
+        }
+    };
+    run(calls());
+}
+
+TEST_F(HttpTest, RefusesMalformedAndOversizedRequests)
+{
+    const auto address =
+        listen([](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse(); });
+    HttpListenerLimits limits;
+    limits.bodyBytes = 10;
+    limits.headerBytes = 300;
+    m_listener->setLimits(limits);
+    const auto calls = [&]() -> Task<void> {
+        std::string answer;
+        co_await exchangeRaw(address, "nonsense\r\n\r\n", answer);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 400")) << answer;
+        answer.clear();
+        co_await exchangeRaw(
+            address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n", answer);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 413")) << answer;
+        answer.clear();
+        co_await exchangeRaw(
+            address, "GET / HTTP/1.1\r\nX: " + std::string(400, 'x') + "\r\n\r\n", answer);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 431")) << answer;
+    };
+    run(calls());
+}
+
+TEST_F(HttpTest, EndsAConnectionAfterItsAnswerWhenItStops)
+{
+    const auto address = listen([this](HttpRequest) -> Task<HttpResponse> {
+        m_listener->endConnections();
+        HttpResponse response;
+        response.body = "last";
+        co_return response;
+    });
+    const auto calls = [&]() -> Task<void> {
+        std::string answer;
+        co_await exchangeRaw(address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n", answer);
+        EXPECT_TRUE(answer.starts_with("HTTP/1.1 200")) << answer;
+        EXPECT_NE(answer.find("Connection: close"), std::string::npos);
+        EXPECT_TRUE(answer.ends_with("last"));
+    };
+    run(calls());
+}
+
+} // namespace
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -266,6 +266,27 @@
         EXPECT_NE(order.target.life.id, "a");
 }
 
+// Ending an endpoint ends all its tasks of a step together.
+TEST(RunLedger, AnEndpointWithMoreTasksOfAStepThanMayBeMissedCannotBeLost)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    auto step = plainStep(4);
+    step.longRunning = true;
+    step.mayMiss = 2;
+    fixture.addJob("job", step);
+    fixture.begin();
+    fixture.look(
+        "a", {{fixture.task("job", 0), 1, "", 100, 0}, {fixture.task("job", 1), 1, "", 100, 0}});
+    fixture.look("b", {{fixture.task("job", 2), 1, "", 100, 0}});
+    // One task is away already, so only one more may be.
+    EXPECT_FALSE(fixture.ledger.canLose("a"));
+    EXPECT_TRUE(fixture.ledger.canLose("b"));
+    fixture.ledger.setEndOrdered("b", true);
+    EXPECT_FALSE(fixture.ledger.canLose("a"));
+}
+
 TEST(RunLedger, RestartsALongRunningTaskHoweverItEnds)
 {
     LedgerFixture fixture;
