--- a/src/libs/asyncnet/framelink.cpp
+++ b/src/libs/asyncnet/framelink.cpp
@@ -267,7 +267,7 @@
             const auto found = pending.find(reply.value().sequence);
             if (found == pending.end())
                 continue;
-            found->second->reply = std::move(reply.value());
+            found->second->reply = reply.value();
             found->second->answered.notify();
         }
         if (connection == link)
@@ -352,7 +352,7 @@
     co_await call->answered.waitFor(timeout);
     d->pending.erase(request.sequence);
     if (call->reply)
-        co_return std::move(*call->reply);
+        co_return *call->reply;
     if (!call->failed)
         co_return Utils::failure(Utils::ErrorType::OutcomeUnknown,
                                  "no answer in time from " + d->address);
--- a/src/libs/control/controlcommands.h
+++ b/src/libs/control/controlcommands.h
@@ -5,6 +5,7 @@
 #include "jobs/jobtypes.h"
 
 #include <optional>
+#include <tuple>
 
 /*! The replicated state of job control: configuration, jobs, endpoints and maintenance waves. */
 namespace Control {
@@ -15,7 +16,11 @@
     std::string id;
     std::int64_t bornMs = 0; //!< Start of this life, since 1970, by the endpoint's own clock.
 
-    auto operator<=>(const EndpointLife &) const = default;
+    auto operator==(const EndpointLife &) const -> bool = default;
+    auto operator<(const EndpointLife &other) const -> bool
+    {
+        return std::tie(id, bornMs) < std::tie(other.id, other.bornMs);
+    }
 };
 
 /*! \brief What is known of an endpoint from its announcements. */
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -113,7 +113,7 @@
     const auto found = m_endpoints.find(endpoint);
     if (found == m_endpoints.end())
         return true;
-    return std::ranges::all_of(found->second.runs, [this](const auto &item) {
+    return std::ranges::all_of(found->second.runs, [&](const auto &item) {
         const auto *spec = specOf(item.first);
         return spec == nullptr || spec->mayMiss == 0
                || tasksAway(item.first, endpoint) < spec->mayMiss;
@@ -299,8 +299,9 @@
     -> void
 {
     std::vector<Jobs::TaskId> gone;
-    for (const auto &[task, run] : endpoint.runs) {
-        const auto listed = std::ranges::any_of(reply.running, [&](const RunningTask &row) {
+    for (const auto &item : endpoint.runs) {
+        const auto &run = item.second;
+        const auto listed = std::ranges::any_of(reply.running, [&run](const RunningTask &row) {
             return row.task == run.task && row.run == run.number;
         });
         if (listed)
@@ -309,7 +310,7 @@
         const auto vanished = run.state == RunState::Running && run.confirmedAt <= sentAt;
         const auto leaseOver = run.state == RunState::Uncertain && run.leaseEndMs < reply.clockMs;
         if (stopped || vanished || leaseOver)
-            gone.push_back(task);
+            gone.push_back(run.task);
     }
     for (const auto &task : gone) {
         endpoint.runs.erase(task);
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -4,6 +4,7 @@
 #include "scheduling/joborder.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <utility>
 
@@ -226,7 +227,7 @@
                                              wallMs);
         candidates.push_back({rank, job});
     }
-    std::ranges::sort(candidates, {}, &Candidate::rank);
+    std::ranges::sort(candidates, std::less<>(), &Candidate::rank);
     m_demand.clear();
     std::map<std::string, PoolPlacement> pools;
     for (const auto &candidate : candidates) {
--- a/src/libs/jobs/jobtypes.h
+++ b/src/libs/jobs/jobtypes.h
@@ -2,9 +2,9 @@
 
 #include "utils/fields.h"
 
-#include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 /*! Jobs of several steps: what callers hand in and how far it has come. */
@@ -97,7 +97,12 @@
     std::int64_t step = 0;
     std::int64_t index = 0;
 
-    auto operator<=>(const TaskId &) const = default;
+    auto operator==(const TaskId &) const -> bool = default;
+    auto operator<(const TaskId &other) const -> bool
+    {
+        return std::tie(job, occurrence, step, index)
+               < std::tie(other.job, other.occurrence, other.step, other.index);
+    }
 };
 
 /*! \brief How a run of a task ended, as far as it counts for the job. */
--- a/src/libs/scheduling/joborder.h
+++ b/src/libs/scheduling/joborder.h
@@ -2,8 +2,8 @@
 
 #include "jobs/jobtypes.h"
 
-#include <compare>
 #include <cstdint>
+#include <tuple>
 
 /*! Decisions of job control: what goes first, and which endpoint runs it. Pure functions. */
 namespace Scheduling {
@@ -30,7 +30,11 @@
     Outlook outlook = Outlook::OnTime;
     std::int64_t objectiveAtMs = 0; //!< Since 1970.
 
-    auto operator<=>(const JobRank &) const = default;
+    auto operator<(const JobRank &other) const -> bool
+    {
+        return std::tie(priority, outlook, objectiveAtMs)
+               < std::tie(other.priority, other.outlook, other.objectiveAtMs);
+    }
 };
 
 /*! \brief Returns the estimated work of the longest chain of steps, in milliseconds. */
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -73,8 +73,7 @@
     : m_parts(parts)
     , m_options(std::move(options))
     , m_committer(parts.loop, parts.log, parts.clock)
-    , m_server(parts.loop,
-               [this](Wire::ControlRequest request) { return handle(std::move(request)); })
+    , m_server(parts.loop, [this](Wire::ControlRequest request) { return handle(request); })
     , m_configurationChanged(parts.loop)
     , m_handInLines("hand-ins", handInLinesPerSecond)
 {}
@@ -203,15 +202,15 @@
         co_return notLeader();
     switch (request.call) {
     case Wire::ControlCall::HAND_IN:
-        co_return co_await handIn(std::move(request));
+        co_return co_await handIn(request);
     case Wire::ControlCall::JOB_STATE:
         co_return jobState(request);
     case Wire::ControlCall::CANCEL_JOB:
-        co_return co_await cancel(std::move(request));
+        co_return co_await cancel(request);
     case Wire::ControlCall::COUNT_WAITING:
         co_return countWaiting(request);
     case Wire::ControlCall::AWAIT_CONFIGURATION:
-        co_return co_await awaitConfiguration(std::move(request));
+        co_return co_await awaitConfiguration(request);
     case Wire::ControlCall::HELLO:
         break;
     }
--- a/src/libs/service/entryservice.cpp
+++ b/src/libs/service/entryservice.cpp
@@ -89,8 +89,7 @@
     while (!m_stopped) {
         auto request = makeRequest(Wire::ControlCall::AWAIT_CONFIGURATION, {}, {});
         request.version = m_configuration.version;
-        const auto reply =
-            co_await m_link.call(std::move(request), configurationWait, configurationWait);
+        const auto reply = co_await m_link.call(request, configurationWait, configurationWait);
         if (!reply || reply.value().configuration.empty()) {
             co_await AsyncNet::pause(configurationRetry);
             continue;
@@ -118,7 +117,7 @@
 {
     auto request = makeRequest(Wire::ControlCall::HAND_IN, job.queue, job.id);
     request.job = Utils::toCbor(job);
-    const auto reply = co_await m_link.call(std::move(request), leaderPatience, callTimeout);
+    const auto reply = co_await m_link.call(request, leaderPatience, callTimeout);
     HandInResult result;
     result.outcome = outcomeOf(reply);
     if (reply) {
@@ -131,7 +130,7 @@
 auto EntryService::jobState(std::string queue, std::string id) -> AsyncNet::Task<JobStateResult>
 {
     auto request = makeRequest(Wire::ControlCall::JOB_STATE, std::move(queue), std::move(id));
-    const auto reply = co_await m_link.call(std::move(request), leaderPatience, callTimeout);
+    const auto reply = co_await m_link.call(request, leaderPatience, callTimeout);
     JobStateResult result;
     result.outcome = outcomeOf(reply);
     if (reply)
@@ -142,7 +141,7 @@
 auto EntryService::cancel(std::string queue, std::string id) -> AsyncNet::Task<CancelResult>
 {
     auto request = makeRequest(Wire::ControlCall::CANCEL_JOB, std::move(queue), std::move(id));
-    const auto reply = co_await m_link.call(std::move(request), leaderPatience, callTimeout);
+    const auto reply = co_await m_link.call(request, leaderPatience, callTimeout);
     CancelResult result;
     result.outcome = outcomeOf(reply);
     co_return result;
@@ -151,7 +150,7 @@
 auto EntryService::countWaiting(std::string queue) -> AsyncNet::Task<CountResult>
 {
     auto request = makeRequest(Wire::ControlCall::COUNT_WAITING, std::move(queue), {});
-    const auto reply = co_await m_link.call(std::move(request), leaderPatience, callTimeout);
+    const auto reply = co_await m_link.call(request, leaderPatience, callTimeout);
     CountResult result;
     result.outcome = outcomeOf(reply);
     if (reply)
--- a/src/libs/service/leaderlink.cpp
+++ b/src/libs/service/leaderlink.cpp
@@ -150,7 +150,7 @@
             co_return reply.error();
         }
         if (reply.value().outcome != Wire::ControlOutcome::NOT_LEADER)
-            co_return std::move(reply.value());
+            co_return reply.value();
         drop(client, "it no longer leads");
     }
 }
