--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -80,6 +80,8 @@
     , m_term(term)
     , m_startLines("starts of tasks", linesPerSecond)
     , m_endLines("ends of tasks", linesPerSecond)
+    , m_firstStartLines("first starts of jobs", linesPerSecond)
+    , m_failureLines("failures of tasks", linesPerSecond)
 {}
 
 auto LeaderSession::start() -> void
@@ -208,7 +210,8 @@
             continue;
         m_parts.metrics.count("trefoilshelf_task_ends_total",
                               {{"how", std::string(nameOf(end.kind))}});
-        if (!m_endLines.allow(m_parts.clock.now()))
+        auto &budget = end.kind == EndKind::Done ? m_endLines : m_failureLines;
+        if (!budget.allow(m_parts.clock.now()))
             continue;
         Utils::Log::info("execution",
                          "a task ended",
@@ -305,15 +308,10 @@
 {
     const auto result = nameOf(reply.result);
     m_parts.metrics.count("trefoilshelf_starts_total", {{"result", std::string(result)}});
-    if (reply.result == StartResult::Started && !m_ledger.hasStarted(order.task.job)) {
-        const auto waitedMs = m_parts.state.read([&](const Control::State &state) {
-            const auto *job = state.jobs.find(order.task.job);
-            return job != nullptr ? m_parts.clock.wallTime() - job->spec.handedInMs : 0;
-        });
-        m_parts.metrics.observe(
-            "trefoilshelf_first_start_seconds", {}, double(waitedMs) / millisecondsPerSecond);
-    }
-    if (!m_startLines.allow(m_parts.clock.now()))
+    if (reply.result == StartResult::Started && !m_ledger.hasStarted(order.task.job))
+        noteFirstStart(order);
+    auto &budget = reply.result == StartResult::Started ? m_startLines : m_failureLines;
+    if (!budget.allow(m_parts.clock.now()))
         return;
     Utils::Log::info("execution",
                      "ordered a task to start",
@@ -325,6 +323,21 @@
                       {"result", result}});
 }
 
+auto LeaderSession::noteFirstStart(const StartOrder &order) -> void
+{
+    const auto waitedMs = m_parts.state.read([&](const Control::State &state) {
+        const auto *job = state.jobs.find(order.task.job);
+        return job != nullptr ? m_parts.clock.wallTime() - job->spec.handedInMs : 0;
+    });
+    m_parts.metrics.observe(
+        "trefoilshelf_first_start_seconds", {}, double(waitedMs) / millisecondsPerSecond);
+    if (m_firstStartLines.allow(m_parts.clock.now()))
+        Utils::Log::info(
+            "execution",
+            "a job began",
+            {{"job", order.task.job}, {"waited_ms", waitedMs}, {"endpoint", order.target.life.id}});
+}
+
 auto LeaderSession::sendStop(StopOrder order) -> Task
 {
     const auto result = co_await m_parts.endpoints.stop(order);
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -73,6 +73,7 @@
     auto logEnds(const LookOrder &order, const LookReply &reply) -> void;
     auto logEndedJobs(const Control::RecordEnds &record) -> void;
     auto noteStart(const StartOrder &order, const StartReply &reply) -> void;
+    auto noteFirstStart(const StartOrder &order) -> void;
 
     LeaderParts m_parts;
     RunLedger m_ledger;
@@ -85,6 +86,9 @@
     Utils::Instant m_lastReport;
     Utils::LogBudget m_startLines;
     Utils::LogBudget m_endLines;
+    // Apart from the others, since callers ask about slow and failed jobs.
+    Utils::LogBudget m_firstStartLines;
+    Utils::LogBudget m_failureLines;
     std::set<Control::EndpointLife> m_watched;
 };
 
