--- a/src/libs/asyncnet/framelink.cpp
+++ b/src/libs/asyncnet/framelink.cpp
@@ -1,6 +1,7 @@
 #include "framelink.h"
 
-#include "utils/address.h"
+#include "tcpaddress.h"
+
 #include "utils/log.h"
 
 #include <boost/asio/connect.hpp>
@@ -203,21 +204,7 @@
 
 auto FrameServer::start(const std::string &address) -> Utils::Result<void>
 {
-    BOOST_OUTCOME_TRY(parsed, Utils::parseAddress(address));
-    boost::system::error_code error;
-    const Tcp::endpoint endpoint(asio::ip::make_address(parsed.host, error),
-                                 static_cast<unsigned short>(parsed.port));
-    if (!error)
-        m_d->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        m_d->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_d->acceptor.bind(endpoint, error);
-    if (!error)
-        m_d->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return Utils::failure(
-            Utils::ErrorType::IoFailure, "cannot listen on " + address, error.message());
+    BOOST_OUTCOME_TRY(listenOn(m_d->acceptor, address));
     AsyncNet::start(m_d->loop, "frame listener", m_d->accept(), m_d);
     return Utils::success();
 }
@@ -314,19 +301,14 @@
 auto FrameClient::connect(Utils::Milliseconds timeout) -> Task<Utils::Result<void>>
 {
     const auto d = m_d;
-    const auto parsed = Utils::parseAddress(d->address);
-    if (!parsed)
-        co_return parsed.error();
+    const auto server = parseTcpAddress(d->address);
+    if (!server)
+        co_return server.error();
     boost::system::error_code error;
-    const auto ip = asio::ip::make_address(parsed.value().host, error);
-    if (error)
-        co_return Utils::failure(Utils::ErrorType::InvalidInput, "not an address", d->address);
     // This stream type bounds the time of connecting.
     boost::beast::tcp_stream stream(d->loop);
     stream.expires_after(timeout);
-    co_await stream.async_connect(
-        Tcp::endpoint(ip, static_cast<unsigned short>(parsed.value().port)),
-        asio::redirect_error(asio::use_awaitable, error));
+    co_await stream.async_connect(server.value(), asio::redirect_error(asio::use_awaitable, error));
     if (error)
         co_return Utils::failure(
             Utils::ErrorType::Unavailable, "cannot connect to " + d->address, error.message());
--- a/src/libs/asyncnet/httpclient.cpp
+++ b/src/libs/asyncnet/httpclient.cpp
@@ -1,12 +1,11 @@
 #include "httpclient.h"
 
-#include "utils/address.h"
+#include "tcpaddress.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <charconv>
 #include <chrono>
 #include <vector>
 
@@ -85,17 +84,12 @@
 auto connect(beast::tcp_stream &stream, const std::string &address, SteadyTime deadline)
     -> Task<Utils::Result<void>>
 {
-    const auto parsed = Utils::parseAddress(address);
+    const auto server = parseTcpAddress(address);
+    if (!server)
+        co_return server.error();
     boost::system::error_code error;
-    if (!parsed)
-        co_return Utils::failure(Utils::ErrorType::InvalidInput, "not an address", address);
-    const auto ip = asio::ip::make_address(parsed.value().host, error);
-    if (error)
-        co_return Utils::failure(Utils::ErrorType::InvalidInput, "not an address", address);
     stream.expires_at(deadline);
-    co_await stream.async_connect(
-        Tcp::endpoint(ip, static_cast<unsigned short>(parsed.value().port)),
-        asio::redirect_error(asio::use_awaitable, error));
+    co_await stream.async_connect(server.value(), asio::redirect_error(asio::use_awaitable, error));
     if (error == asio::error::connection_refused)
         co_return Utils::failure(
             Utils::ErrorType::Unavailable, "the connection was refused", address);
--- a/src/libs/asyncnet/httplistener.cpp
+++ b/src/libs/asyncnet/httplistener.cpp
@@ -1,6 +1,7 @@
 #include "httplistener.h"
 
-#include "utils/address.h"
+#include "tcpaddress.h"
+
 #include "utils/log.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -198,21 +199,7 @@
 
 auto HttpListener::start(const std::string &address) -> Utils::Result<void>
 {
-    BOOST_OUTCOME_TRY(parsed, Utils::parseAddress(address));
-    boost::system::error_code error;
-    const auto ip = asio::ip::make_address(parsed.host, error);
-    const Tcp::endpoint endpoint(ip, static_cast<unsigned short>(parsed.port));
-    if (!error)
-        m_d->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        m_d->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        m_d->acceptor.bind(endpoint, error);
-    if (!error)
-        m_d->acceptor.listen(asio::socket_base::max_listen_connections, error);
-    if (error)
-        return Utils::failure(
-            Utils::ErrorType::IoFailure, "cannot listen on " + address, error.message());
+    BOOST_OUTCOME_TRY(listenOn(m_d->acceptor, address));
     AsyncNet::start(m_d->loop, m_d->name, m_d->accept(), m_d);
     return Utils::success();
 }
--- /dev/null
+++ b/src/libs/asyncnet/tcpaddress.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "utils/error.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <string>
+
+namespace AsyncNet {
+
+/*! \brief Returns the TCP endpoint that HOST:PORT names, where HOST is an IP number. */
+auto parseTcpAddress(const std::string &address) -> Utils::Result<boost::asio::ip::tcp::endpoint>;
+
+/*! \brief Opens \a acceptor and has it listen on HOST:PORT. */
+auto listenOn(boost::asio::ip::tcp::acceptor &acceptor, const std::string &address)
+    -> Utils::Result<void>;
+
+} // namespace AsyncNet
