--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -127,7 +127,7 @@
     const auto *spec = specOf(task);
     auto away = spec->count - 1;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (id == withoutEndpoint)
+        if (id == withoutEndpoint || !endpoint.answers)
             continue;
         for (const auto &[other, run] : endpoint.runs) {
             const auto sameStep = other.job == task.job && other.occurrence == task.occurrence
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -287,6 +287,24 @@
     EXPECT_FALSE(fixture.ledger.canLose("a"));
 }
 
+// What does not answer may be gone, though its lease has not run out.
+TEST(RunLedger, TasksOnAnEndpointThatDoesNotAnswerCountAsAway)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    auto step = plainStep(2);
+    step.longRunning = true;
+    step.mayMiss = 1;
+    fixture.addJob("job", step);
+    fixture.begin();
+    fixture.look("a", {{fixture.task("job", 0), 1, "", 100, 0}});
+    fixture.look("b", {{fixture.task("job", 1), 1, "", 100, 0}});
+    EXPECT_TRUE(fixture.ledger.canLose("a"));
+    fixture.failLook("b");
+    EXPECT_FALSE(fixture.ledger.canLose("a"));
+}
+
 TEST(RunLedger, RestartsALongRunningTaskHoweverItEnds)
 {
     LedgerFixture fixture;
