--- /dev/null
+++ b/src/libs/execution/leaderlog.cpp
@@ -0,0 +1,139 @@
+// The part of LeaderSession that logs and counts what it decides and learns.
+#include "leadersession.h"
+
+#include "utils/log.h"
+
+#include <set>
+
+namespace Execution {
+namespace {
+
+constexpr double millisecondsPerSecond = 1000;
+
+auto describe(const Jobs::TaskId &task) -> std::string
+{
+    return task.job + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
+           + std::to_string(task.index);
+}
+
+auto nameOf(StartResult result) -> std::string_view
+{
+    switch (result) {
+    case StartResult::Started:
+        return "started";
+    case StartResult::Fenced:
+        return "a later leader gives orders there";
+    case StartResult::Outdated:
+        return "the run is not newer than one that ended there";
+    case StartResult::TooLate:
+        return "the lease had run out";
+    case StartResult::NoRoom:
+        return "no room";
+    case StartResult::Invalid:
+        return "the order is not understood";
+    case StartResult::Unhealthy:
+        return "the endpoint is not healthy";
+    case StartResult::OtherLife:
+        return "another life answers at the address";
+    case StartResult::Unknown:
+        return "no answer";
+    }
+    return "unknown";
+}
+
+auto nameOf(EndKind kind) -> std::string_view
+{
+    switch (kind) {
+    case EndKind::Done:
+        return "done";
+    case EndKind::Failed:
+        return "failed";
+    case EndKind::Stopped:
+        return "stopped";
+    case EndKind::LeaseExpired:
+        return "lease expired";
+    case EndKind::PartnerEnded:
+        return "another member of its gang ended";
+    case EndKind::NoPartners:
+        return "its gang did not become complete";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+auto LeaderSession::logEnds(const LookOrder &order, const LookReply &reply) -> void
+{
+    for (const auto &end : reply.ended) {
+        // Ends that are durable already may be listed once more.
+        if (end.number <= order.notedEnds)
+            continue;
+        m_parts.metrics.count("trefoilshelf_task_ends_total",
+                              {{"how", std::string(nameOf(end.kind))}});
+        auto &budget = end.kind == EndKind::Done ? m_endLines : m_failureLines;
+        if (!budget.allow(m_parts.clock.now()))
+            continue;
+        Utils::Log::info("execution",
+                         "a task ended",
+                         {{"job", end.task.job},
+                          {"task", describe(end.task)},
+                          {"run", end.run},
+                          {"endpoint", order.target.life.id},
+                          {"how", nameOf(end.kind)}});
+    }
+}
+
+auto LeaderSession::logEndedJobs(const Control::RecordEnds &record) -> void
+{
+    std::set<std::string> jobs;
+    for (const auto &end : record.ends)
+        jobs.insert(end.task.job);
+    m_parts.state.read([&](const Control::State &state) {
+        for (const auto &id : jobs) {
+            const auto *job = state.jobs.find(id);
+            if (job == nullptr || job->state == Jobs::JobState::Active)
+                continue;
+            Utils::Log::info("execution",
+                             "a job has ended",
+                             {{"job", id},
+                              {"state", Utils::nameOf(job->state)},
+                              {"after_ms", job->endedMs - job->spec.handedInMs}});
+        }
+    });
+}
+
+auto LeaderSession::noteStart(const StartOrder &order, const StartReply &reply) -> void
+{
+    const auto result = nameOf(reply.result);
+    m_parts.metrics.count("trefoilshelf_starts_total", {{"result", std::string(result)}});
+    if (reply.result == StartResult::Started && !m_ledger.hasStarted(order.task.job))
+        noteFirstStart(order);
+    auto &budget = reply.result == StartResult::Started ? m_startLines : m_failureLines;
+    if (!budget.allow(m_parts.clock.now()))
+        return;
+    Utils::Log::info("execution",
+                     "ordered a task to start",
+                     {{"job", order.task.job},
+                      {"task", describe(order.task)},
+                      {"run", order.run},
+                      {"endpoint", order.target.life.id},
+                      {"checkpoint", !order.checkpoint.empty()},
+                      {"result", result}});
+}
+
+auto LeaderSession::noteFirstStart(const StartOrder &order) -> void
+{
+    const auto waitedMs = m_parts.state.read([&](const Control::State &state) {
+        const auto *job = state.jobs.find(order.task.job);
+        return job != nullptr ? m_parts.clock.wallTime() - job->spec.handedInMs : 0;
+    });
+    m_parts.metrics.observe(
+        "trefoilshelf_first_start_seconds", {}, double(waitedMs) / millisecondsPerSecond);
+    if (m_firstStartLines.allow(m_parts.clock.now()))
+        Utils::Log::info(
+            "execution",
+            "a job began",
+            {{"job", order.task.job}, {"waited_ms", waitedMs}, {"endpoint", order.target.life.id}});
+}
+
+} // namespace Execution
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -15,6 +15,9 @@
 
 namespace Execution {
 
+/*! \brief Between two tries to commit what must not be lost. */
+inline constexpr Utils::Milliseconds commitRetry{100};
+
 /*! \brief What a leader's work needs. All outlive the session. */
 struct LeaderParts
 {
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -24,7 +24,6 @@
     std::vector<MaintenanceStep> begin;        //!< Order maintenance of these hosts.
     std::vector<Control::FinishWaveHost> left; //!< Hosts that have left the fleet.
     std::vector<std::string> close;            //!< Endpoints that get no new tasks.
-    std::vector<std::string> open;             //!< Endpoints that get tasks again.
     std::vector<std::string> evacuate; //!< Closed endpoints to move long-running tasks from.
 };
 
