Remove members that nothing used; make runs of tasks in one place

Read once more: the maintenance plan kept two members that nothing read, the ledger a count that nothing asked for, waves copied the list of hosts ten times a second, and taking up a run filled the same fields as booking one.

--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -1,5 +1,7 @@
 #include "endpointtable.h"
 
+#include "scheduling/placement.h"
+
 #include <algorithm>
 
 namespace Execution {
@@ -7,6 +9,18 @@
 // Endpoints' clocks may be this much slower than ours.
 constexpr std::int64_t slowestClockPercent = 98;
 
+auto makeRun(const Jobs::StepSpec &step, const Jobs::TaskId &task, std::int64_t number) -> Run
+{
+    Run run;
+    run.task = task;
+    run.number = number;
+    run.occupies = Scheduling::occupiedBy(step);
+    run.fills = step.fills;
+    run.longRunning = step.longRunning;
+    run.latencyTargetMs = step.latencyTargetMs;
+    return run;
+}
+
 auto EndpointEntry::freeResources() const -> Jobs::Resources
 {
     auto free = record.capacity;
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -38,6 +38,9 @@
     Utils::Instant stopAnsweredAt; //!< Of an accepted stop; zero: none.
 };
 
+/*! \brief Returns a run of a task of \a step, which occupies what the step asks for. */
+auto makeRun(const Jobs::StepSpec &step, const Jobs::TaskId &task, std::int64_t number) -> Run;
+
 /*! \brief One endpoint as the leader knows it. */
 struct EndpointEntry
 {
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -83,7 +83,7 @@
     }
 }
 
-auto LeaderSession::runWaves(HostList hosts) -> Task
+auto LeaderSession::runWaves(const HostList &hosts) -> Task
 {
     const auto work = m_parts.state.read([&](const Control::State &state) {
         return m_maintenance.next(state, m_ledger, hosts, m_parts.clock.now());
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -66,7 +66,7 @@
     auto sendPace(PaceOrder order) -> Task;
     auto endLife(Control::EndpointLife life, std::string_view reason) -> Task;
     auto manageHosts() -> Task;
-    auto runWaves(HostList hosts) -> Task;
+    auto runWaves(const HostList &hosts) -> Task;
     auto maintainHost(MaintenanceStep step) -> Task;
     auto moveHost(MoveStep step) -> Task;
     auto forgetEndpoint(const Control::EndpointLife &life, std::vector<Control::Command> commands)
--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -21,7 +21,6 @@
     return found != ledger.endpoints().end() ? found->second.runs.size() : 0;
 }
 
-// True if only tasks are left that have no end of their own.
 auto holdsLongRunning(const RunLedger &ledger, const std::string &endpoint) -> bool
 {
     const auto found = ledger.endpoints().find(endpoint);
@@ -81,12 +80,11 @@
         if (away >= wave.maximumAtOnce)
             return;
         ++away;
-        const auto [preparation, fresh] =
-            m_preparing.try_emplace(host->name, Preparation{wave.number, host->endpoint, now});
+        const auto [since, fresh] = m_preparing.try_emplace(host->name, now);
         if (fresh && !host->endpoint.empty())
             work.close.push_back(host->endpoint);
         const auto empty = runsOn(ledger, host->endpoint) == 0;
-        const auto due = now - preparation->second.since > longestEmptying;
+        const auto due = now - since->second > longestEmptying;
         const auto longRunning = holdsLongRunning(ledger, host->endpoint);
         if (longRunning)
             work.evacuate.push_back(host->endpoint);
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -44,22 +44,14 @@
     auto ordered(const MaintenanceStep &step, HostOrderResult result, Utils::Instant now) -> void;
 
 private:
-    struct Preparation
-    {
-        std::int64_t wave = 0;
-        std::string endpoint;
-        Utils::Instant since;
-    };
-
     auto prepare(const Control::Wave &wave,
                  const RunLedger &ledger,
                  const HostList &hosts,
                  Utils::Instant now,
                  MaintenanceWork &work) -> void;
 
-    std::map<std::string, Preparation> m_preparing;     //!< By host.
-    std::map<std::string, Utils::Instant> m_away;       //!< Hosts whose maintenance was ordered.
-    std::map<std::int64_t, Utils::Instant> m_firstSeen; //!< When each wave was first planned here.
+    std::map<std::string, Utils::Instant> m_preparing; //!< By host: since when it is emptied.
+    std::map<std::string, Utils::Instant> m_away;      //!< Hosts whose maintenance was ordered.
 };
 
 } // namespace Execution
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -266,18 +266,11 @@
     const auto wanted =
         spec != nullptr && job != m_jobs.end() && job->second.state(row.task) != TaskState::Done;
     if (known == endpoint.runs.end() || known->second.number < row.run) {
-        Run run;
-        run.task = row.task;
-        run.number = row.run;
+        // Of a job that is not known here, only that it has to be stopped matters.
+        auto run = makeRun(spec != nullptr ? *spec : Jobs::StepSpec(), row.task, row.run);
         run.state = RunState::Running;
         run.confirmedAt = now;
         run.stopWanted = !wanted || isBooked(row.task);
-        if (spec != nullptr) {
-            run.occupies = Scheduling::occupiedBy(*spec);
-            run.fills = spec->fills;
-            run.longRunning = spec->longRunning;
-            run.latencyTargetMs = spec->latencyTargetMs;
-        }
         endpoint.runs[row.task] = run;
         m_startedJobs.insert(row.task.job);
         if (wanted)
@@ -379,17 +372,4 @@
     return m_startedJobs.contains(job);
 }
 
-auto RunLedger::countRuns() const -> RunCount
-{
-    RunCount count;
-    for (const auto &[id, endpoint] : m_endpoints) {
-        for (const auto &[task, run] : endpoint.runs) {
-            count.ordered += run.state == RunState::Ordered ? 1 : 0;
-            count.running += run.state == RunState::Running ? 1 : 0;
-            count.uncertain += run.state == RunState::Uncertain ? 1 : 0;
-        }
-    }
-    return count;
-}
-
 } // namespace Execution
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -54,14 +54,6 @@
     std::int64_t minimumHosts = 0;      //!< For long-running tasks that must not share a host.
 };
 
-/*! \brief How many runs are in which state. */
-struct RunCount
-{
-    std::int64_t ordered = 0;
-    std::int64_t running = 0;
-    std::int64_t uncertain = 0;
-};
-
 /*!
     \brief What the leader knows of runs on endpoints. Pure: it sends nothing and reads no clock.
 
@@ -121,7 +113,6 @@
 
     /*! \brief Returns true if a task of the job has been started, as far as is known here. */
     auto hasStarted(const std::string &job) const -> bool;
-    auto countRuns() const -> RunCount;
     /*! \brief Returns the work of each pool, as of the last scheduling. */
     auto demand() const -> const std::map<std::string, PoolDemand> & { return m_demand; }
 
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -336,14 +336,8 @@
                      Utils::Instant now) -> StartOrder
 {
     const auto &spec = job.spec.steps[std::size_t(task.step)];
-    Run run;
-    run.task = task;
-    run.number = number;
+    auto run = makeRun(spec, task, number);
     run.orderedAt = now;
-    run.occupies = Scheduling::occupiedBy(spec);
-    run.fills = spec.fills;
-    run.longRunning = spec.longRunning;
-    run.latencyTargetMs = spec.latencyTargetMs;
     run.leaseEndMs = endpoint.clockAtLeast(now) + m_timing.lease.count();
     endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestReal(m_timing.lease));
     if (spec.fills && endpoint.servesUsers())
