Run waves on idle hosts first and side by side; record starts before they are ordered

Cause: orders of maintenance waited for each other and for a commit each (about 250 ms, so 144 hosts took 36 s), and a wave closed as many busy hosts as it may at its beginning, in the first peak. Hosts that are idle or off now go first; busy ones are emptied only when the time left needs it. An order without an answer counts as away for as long as it may be carried out.

The leader now logs where a task starts before it sends the order, so that a later leader holds back just the tasks of silent endpoints. Two tests of the ledger named the old wait; they are replaced by five that demand the new one: at once where nothing was recorded, and not before the lease's end where it was.

--- a/src/libs/control/controlcommands.h
+++ b/src/libs/control/controlcommands.h
@@ -49,6 +49,17 @@
     std::vector<End> ends;
 };
 
+/*!
+    \brief Notes that tasks are about to be ordered to start on an endpoint.
+
+    A later leader then knows where a task may run, although it cannot reach that endpoint.
+*/
+struct RecordStarts
+{
+    EndpointLife life;
+    std::vector<Jobs::TaskId> tasks;
+};
+
 /*! \brief Hosts that an operator wants maintained, a few at a time. */
 struct Wave
 {
@@ -56,6 +67,7 @@
     std::vector<std::string> hosts;
     std::int64_t durationMs = 0;
     std::int64_t maximumAtOnce = 1;
+    std::int64_t startedMs = 0; //!< When it was asked for, since 1970, by the leader's clock.
     std::vector<std::string> finishedHosts; //!< Whose maintenance has begun or that have left.
 
     auto isDone() const -> bool { return finishedHosts.size() == hosts.size(); }
@@ -72,6 +84,7 @@
 {
     std::optional<Jobs::JobSpec> handIn;
     std::optional<std::string> cancelJob;
+    std::optional<RecordStarts> recordStarts;
     std::optional<RecordEnds> recordEnds;
     std::optional<Configuration> configuration;
     std::optional<EndpointRecord> addEndpoint;
@@ -115,6 +128,13 @@
     archive.required("outcome", end.outcome);
 }
 
+template <typename Archive>
+auto describe(Archive &archive, RecordStarts &record) -> void
+{
+    archive.required("life", record.life);
+    archive.required("tasks", record.tasks);
+}
+
 template <typename Archive>
 auto describe(Archive &archive, RecordEnds &record) -> void
 {
@@ -129,6 +149,7 @@
     archive.required("hosts", wave.hosts);
     archive.optional("duration", wave.durationMs);
     archive.optional("atOnce", wave.maximumAtOnce);
+    archive.optional("started", wave.startedMs);
     archive.optional("finished", wave.finishedHosts);
 }
 
@@ -144,6 +165,7 @@
 {
     archive.optional("handIn", command.handIn);
     archive.optional("cancel", command.cancelJob);
+    archive.optional("starts", command.recordStarts);
     archive.optional("ends", command.recordEnds);
     archive.optional("configuration", command.configuration);
     archive.optional("addEndpoint", command.addEndpoint);
--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -31,6 +31,7 @@
     std::vector<JobSnapshot> jobs;
     std::vector<KnownEndpoint> endpoints;
     std::vector<Wave> waves;
+    std::vector<RecordStarts> starts;
 };
 
 template <typename Archive>
@@ -56,6 +57,7 @@
     archive.required("jobs", state.jobs);
     archive.required("endpoints", state.endpoints);
     archive.required("waves", state.waves);
+    archive.optional("starts", state.starts);
 }
 
 } // namespace Internal
@@ -69,6 +71,33 @@
 
 namespace {
 
+auto isActive(const State &state, const std::string &job) -> bool
+{
+    const auto *found = state.jobs.find(job);
+    return found != nullptr && found->state == Jobs::JobState::Active;
+}
+
+auto apply(State &state, const RecordStarts &record) -> void
+{
+    for (const auto &task : record.tasks) {
+        if (isActive(state, task.job))
+            state.startedTasks[task.job][task] = record.life;
+    }
+}
+
+// Follows the end of a run, and of the job if that was its last one.
+auto forgetStart(State &state, const Jobs::TaskId &task, const EndpointLife &life) -> void
+{
+    const auto job = state.startedTasks.find(task.job);
+    if (job == state.startedTasks.end())
+        return;
+    const auto start = job->second.find(task);
+    if (start != job->second.end() && start->second == life)
+        job->second.erase(start);
+    if (job->second.empty() || !isActive(state, task.job))
+        state.startedTasks.erase(job);
+}
+
 auto apply(State &state, const RecordEnds &record, std::int64_t nowMs) -> void
 {
     const auto found = state.endpoints.find(record.life.id);
@@ -85,6 +114,7 @@
             job != nullptr ? state.configuration.findQueue(job->spec.queue) : nullptr;
         state.jobs.recordEnd(
             end.task, end.outcome, queue != nullptr ? queue->maximumAttempts : 0, nowMs);
+        forgetStart(state, end.task, record.life);
     }
 }
 
@@ -126,8 +156,12 @@
 {
     if (command.handIn)
         jobs.add(*command.handIn);
-    if (command.cancelJob)
+    if (command.cancelJob) {
         jobs.cancel(*command.cancelJob, nowMs);
+        startedTasks.erase(*command.cancelJob);
+    }
+    if (command.recordStarts)
+        Control::apply(*this, *command.recordStarts);
     if (command.recordEnds)
         Control::apply(*this, *command.recordEnds, nowMs);
     if (command.configuration && command.configuration->version > configuration.version) {
@@ -188,6 +222,10 @@
         snapshot.endpoints.push_back(endpoint);
     for (const auto &[number, wave] : m_state.waves)
         snapshot.waves.push_back(wave);
+    for (const auto &[job, starts] : m_state.startedTasks) {
+        for (const auto &[task, life] : starts)
+            snapshot.starts.push_back({life, {task}});
+    }
     return Utils::toCbor(snapshot);
 }
 
@@ -210,6 +248,8 @@
         state.endpoints[endpoint.record.life.id] = std::move(endpoint);
     for (auto &wave : snapshot.waves)
         state.waves[wave.number] = std::move(wave);
+    for (const auto &start : snapshot.starts)
+        Control::apply(state, start);
     {
         const std::unique_lock lock(m_mutex);
         m_state = std::move(state);
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -26,6 +26,9 @@
     Jobs::JobTable jobs;
     std::map<std::string, KnownEndpoint> endpoints; //!< By endpoint id.
     std::map<std::int64_t, Wave> waves;             //!< By number.
+    //! Where each task of an active job was last ordered to start, by job. Ends remove nothing
+    //! here, but for those that are durable.
+    std::map<std::string, std::map<Jobs::TaskId, EndpointLife>> startedTasks;
 
     auto apply(const CommandBatch &batch) -> void;
     auto apply(const Command &command, std::int64_t nowMs) -> void;
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -5,6 +5,7 @@
 #include "utils/clock.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -97,6 +98,8 @@
     Utils::Instant leaseEnd;    //!< When everything there has certainly ended, unless prolonged.
     std::int64_t notedEnds = 0; //!< Number of the last end that is durable.
     std::int64_t seenEnds = 0;  //!< Number of the last end that was taken into account.
+    //! Tasks that an earlier leader ordered to start here, until a look tells what became of them.
+    std::set<Jobs::TaskId> inherited;
     std::vector<Jobs::TaskId> reopenWhenNoted; //!< Tasks whose failed end is being logged.
     std::int64_t failureStreak = 0;            //!< Failed ends since the last good one.
     Utils::Instant avoidUntil;
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -65,7 +65,7 @@
             }
         }
         if (hasOpenWave())
-            co_await runWaves(hosts);
+            co_await runWaves(hosts, listedAt);
         if (!m_active)
             co_return;
         const auto moves = m_parts.state.read([&](const Control::State &state) {
@@ -84,17 +84,25 @@
     }
 }
 
-auto LeaderSession::runWaves(const HostList &hosts) -> Task
+auto LeaderSession::runWaves(const HostList &hosts, Utils::Instant listedAt) -> Task
 {
     const auto work = m_parts.state.read([&](const Control::State &state) {
-        return m_maintenance.next(state, m_ledger, hosts, m_parts.clock.now());
+        return m_maintenance.next(
+            state, m_ledger, hosts, listedAt, m_parts.clock.now(), m_parts.clock.wallTime());
     });
     for (const auto &endpoint : work.close)
         m_ledger.setClosed(endpoint, true);
     for (const auto &endpoint : work.evacuate)
         m_ledger.evacuate(endpoint);
-    for (const auto &step : work.begin)
-        co_await maintainHost(step);
+    for (const auto &step : work.begin) {
+        // What was ordered since the plan was made counts too.
+        if (!m_ledger.canLose(step.life.id)) {
+            m_maintenance.ordered(step, HostOrderResult::Busy, m_parts.clock.now());
+            continue;
+        }
+        m_ledger.setEndOrdered(step.life.id, true);
+        AsyncNet::start(m_parts.loop, "maintenance", maintainHost(step), shared_from_this());
+    }
     std::vector<Control::Command> commands;
     for (const auto &left : work.left) {
         Control::Command command;
@@ -109,10 +117,6 @@
 
 auto LeaderSession::maintainHost(MaintenanceStep step) -> Task
 {
-    // What was ordered since the plan was made counts too.
-    if (!m_ledger.canLose(step.life.id))
-        co_return;
-    m_ledger.setEndOrdered(step.life.id, true);
     const auto result = co_await m_parts.hosts.maintain(step.host, step.wave, m_term);
     if (!m_active)
         co_return;
@@ -162,13 +166,8 @@
         removed.removeEndpoint = life;
         commands.push_back(std::move(removed));
     }
-    while (m_active && !commands.empty()) {
-        auto copy = commands;
-        if (co_await m_parts.log.commit(std::move(copy)) == CommitResult::Committed)
-            break;
-        co_await AsyncNet::pause(commitRetry);
-    }
-    wake();
+    if (co_await commitUntilDone(std::move(commands)))
+        wake();
 }
 
 } // namespace Execution
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -129,17 +129,10 @@
     wake();
     if (effects.lastEnd == 0)
         co_return;
-    while (m_active && !effects.record.ends.empty()) {
-        Control::Command command;
-        command.recordEnds = effects.record;
-        std::vector<Control::Command> commands;
-        commands.push_back(std::move(command));
-        const auto result = co_await m_parts.log.commit(std::move(commands));
-        if (result == CommitResult::Committed)
-            break;
-        co_await AsyncNet::pause(commitRetry);
-    }
-    if (!m_active)
+    std::vector<Control::Command> commands;
+    if (!effects.record.ends.empty())
+        commands.emplace_back().recordEnds = effects.record;
+    if (!co_await commitUntilDone(std::move(commands)))
         co_return;
     m_ledger.endsRecorded(effects.record, effects.lastEnd);
     logEndedJobs(effects.record);
@@ -178,8 +171,9 @@
     });
     for (auto &order : orders.stops)
         AsyncNet::start(m_parts.loop, "stop", sendStop(std::move(order)), shared_from_this());
-    for (auto &order : orders.starts)
-        AsyncNet::start(m_parts.loop, "start", sendStart(std::move(order)), shared_from_this());
+    if (!orders.starts.empty())
+        AsyncNet::start(
+            m_parts.loop, "starts", recordAndSend(std::move(orders.starts)), shared_from_this());
     for (auto &order : orders.paces)
         AsyncNet::start(m_parts.loop, "pace", sendPace(std::move(order)), shared_from_this());
 }
@@ -194,6 +188,35 @@
     }
 }
 
+// Commits what must not be lost; returns false if another leader has to do it.
+auto LeaderSession::commitUntilDone(std::vector<Control::Command> commands) -> AsyncNet::Task<bool>
+{
+    while (m_active && !commands.empty()) {
+        auto copy = commands;
+        if (co_await m_parts.log.commit(std::move(copy)) == CommitResult::Committed)
+            break;
+        co_await AsyncNet::pause(commitRetry);
+    }
+    co_return m_active;
+}
+
+// A start is durable before its order is sent: a later leader has to know where the task may run.
+auto LeaderSession::recordAndSend(std::vector<StartOrder> orders) -> Task
+{
+    std::map<Control::EndpointLife, std::vector<Jobs::TaskId>> tasks;
+    for (const auto &order : orders)
+        tasks[order.target.life].push_back(order.task);
+    std::vector<Control::Command> commands;
+    for (auto &[life, started] : tasks)
+        commands.emplace_back().recordStarts = Control::RecordStarts{life, std::move(started)};
+    if (!co_await commitUntilDone(std::move(commands)))
+        co_return;
+    for (auto &order : orders) {
+        if (m_ledger.confirmStart(order))
+            AsyncNet::start(m_parts.loop, "start", sendStart(std::move(order)), shared_from_this());
+    }
+}
+
 auto LeaderSession::sendStart(StartOrder order) -> Task
 {
     const auto reply = co_await m_parts.endpoints.start(order);
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -61,12 +61,14 @@
     auto takeLook(const LookOrder &order, const LookReply &reply, Utils::Instant sentAt) -> Task;
     auto schedulePass() -> Task;
     auto tick() -> Task;
+    auto recordAndSend(std::vector<StartOrder> orders) -> Task;
+    auto commitUntilDone(std::vector<Control::Command> commands) -> AsyncNet::Task<bool>;
     auto sendStart(StartOrder order) -> Task;
     auto sendStop(StopOrder order) -> Task;
     auto sendPace(PaceOrder order) -> Task;
     auto endLife(Control::EndpointLife life, std::string_view reason) -> Task;
     auto manageHosts() -> Task;
-    auto runWaves(const HostList &hosts) -> Task;
+    auto runWaves(const HostList &hosts, Utils::Instant listedAt) -> Task;
     auto maintainHost(MaintenanceStep step) -> Task;
     auto moveHost(MoveStep step) -> Task;
     auto forgetEndpoint(const Control::EndpointLife &life, std::vector<Control::Command> commands)
--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -7,8 +7,24 @@
 
 // Tasks get this long to end by themselves before maintenance ends them.
 constexpr Utils::Milliseconds longestEmptying{3000};
-// A host counts as away for this long after its order, until the list shows it.
-constexpr Utils::Milliseconds orderSettles{1500};
+// A list that was asked for so soon after an order may not show it yet.
+constexpr Utils::Milliseconds listLag{300};
+// An order without an answer may be carried out this much later.
+constexpr Utils::Milliseconds longestUncertain{13'000};
+// An order without an answer is given again after this time.
+constexpr Utils::Milliseconds orderRetry{1500};
+// To empty as many hosts as may be away at once, maintain them and see them back.
+constexpr std::int64_t roundMs = 6000;
+// Kept free at the end of a wave, for changes of leader and hosts that fail.
+constexpr std::int64_t reserveMs = 3000;
+
+auto isHurried(const Control::Wave &wave, std::size_t hostsLeft, std::int64_t wallMs) -> bool
+{
+    const auto atOnce = std::max<std::int64_t>(1, wave.maximumAtOnce);
+    const auto rounds = (std::int64_t(hostsLeft) + atOnce - 1) / atOnce;
+    const auto leftMs = wave.durationMs - (wallMs - wave.startedMs);
+    return leftMs < rounds * roundMs + reserveMs;
+}
 
 auto isFinished(const Control::Wave &wave, const std::string &host) -> bool
 {
@@ -38,58 +54,87 @@
 auto MaintenancePlan::next(const Control::State &state,
                            const RunLedger &ledger,
                            const HostList &hosts,
-                           Utils::Instant now) -> MaintenanceWork
+                           Utils::Instant listedAt,
+                           Utils::Instant now,
+                           std::int64_t wallMs) -> MaintenanceWork
 {
     MaintenanceWork work;
     if (!hosts.complete)
         return work;
+    std::map<std::string_view, const HostInfo *> byName;
+    for (const auto &host : hosts.hosts)
+        byName[host.name] = &host;
     for (const auto &[number, wave] : state.waves) {
         if (!wave.isDone())
-            prepare(wave, ledger, hosts, now, work);
+            planWave(wave, ledger, byName, listedAt, now, wallMs, work);
     }
     return work;
 }
 
-auto MaintenancePlan::prepare(const Control::Wave &wave,
-                              const RunLedger &ledger,
-                              const HostList &hosts,
-                              Utils::Instant now,
-                              MaintenanceWork &work) -> void
+auto MaintenancePlan::planWave(const Control::Wave &wave,
+                               const RunLedger &ledger,
+                               const std::map<std::string_view, const HostInfo *> &hosts,
+                               Utils::Instant listedAt,
+                               Utils::Instant now,
+                               std::int64_t wallMs,
+                               MaintenanceWork &work) -> void
 {
     std::int64_t away = 0;
-    std::vector<const HostInfo *> candidates;
+    std::vector<Candidate> candidates;
     for (const auto &name : wave.hosts) {
-        const auto host = std::ranges::find(hosts.hosts, name, &HostInfo::name);
         const auto finished = isFinished(wave, name);
-        if (host == hosts.hosts.end()) {
+        const auto found = hosts.find(name);
+        if (found == hosts.end()) {
             if (!finished)
                 work.left.push_back({wave.number, name});
             continue;
         }
-        const auto ordered = m_away.find(name);
-        const auto settling = ordered != m_away.end() && now - ordered->second < orderSettles;
-        if (host->state != HostState::Up || settling)
-            ++away;
-        else if (!finished)
-            candidates.push_back(&*host);
+        const auto &host = *found->second;
+        const auto order = m_orders.find(name);
+        const auto ordered = order != m_orders.end();
+        const auto settling = ordered && listedAt < order->second.at + listLag;
+        const auto uncertain =
+            ordered && order->second.uncertain && now - order->second.at < longestUncertain;
+        const auto countsAsAway = host.state == HostState::Maintenance || settling || uncertain;
+        away += countsAsAway ? 1 : 0;
+        const auto waits = settling && now - order->second.at < orderRetry;
+        if (finished || host.state != HostState::Up || waits)
+            continue;
+        candidates.push_back(
+            {&host, runsOn(ledger, host.endpoint), m_preparing.contains(name), countsAsAway});
     }
-    std::ranges::stable_sort(candidates, {}, [&](const HostInfo *host) {
-        return std::pair(!m_preparing.contains(host->name), runsOn(ledger, host->endpoint));
+    const auto hurry = isHurried(wave, wave.hosts.size() - wave.finishedHosts.size(), wallMs);
+    prepare(wave, ledger, now, hurry, std::move(candidates), away, work);
+}
+
+auto MaintenancePlan::prepare(const Control::Wave &wave,
+                              const RunLedger &ledger,
+                              Utils::Instant now,
+                              bool hurry,
+                              std::vector<Candidate> candidates,
+                              std::int64_t away,
+                              MaintenanceWork &work) -> void
+{
+    std::ranges::stable_sort(candidates, {}, [](const Candidate &candidate) {
+        return std::pair(!candidate.preparing, candidate.runs);
     });
-    for (const auto *host : candidates) {
-        if (away >= wave.maximumAtOnce)
+    for (const auto &candidate : candidates) {
+        const auto &host = *candidate.host;
+        if (candidate.runs > 0 && !candidate.preparing && !hurry)
+            continue;
+        if (away >= wave.maximumAtOnce && !candidate.countsAsAway)
             return;
-        ++away;
-        const auto [since, fresh] = m_preparing.try_emplace(host->name, now);
-        if (fresh && !host->endpoint.empty())
-            work.close.push_back(host->endpoint);
-        const auto empty = runsOn(ledger, host->endpoint) == 0;
+        away += candidate.countsAsAway ? 0 : 1;
+        const auto [since, fresh] = m_preparing.try_emplace(host.name, now);
+        if (fresh && !host.endpoint.empty())
+            work.close.push_back(host.endpoint);
         const auto due = now - since->second > longestEmptying;
-        const auto longRunning = holdsLongRunning(ledger, host->endpoint);
-        if (longRunning)
-            work.evacuate.push_back(host->endpoint);
-        if (empty || (due && ledger.canLose(host->endpoint)))
-            work.begin.push_back({wave.number, host->name, lifeOf(ledger, host->endpoint)});
+        if (holdsLongRunning(ledger, host.endpoint))
+            work.evacuate.push_back(host.endpoint);
+        if (candidate.runs == 0 || (due && ledger.canLose(host.endpoint))) {
+            m_orders[host.name] = {now, true};
+            work.begin.push_back({wave.number, host.name, lifeOf(ledger, host.endpoint)});
+        }
     }
 }
 
@@ -99,7 +144,10 @@
 {
     if (result == HostOrderResult::Accepted)
         m_preparing.erase(step.host);
-    m_away[step.host] = now;
+    if (result == HostOrderResult::Accepted || result == HostOrderResult::Unknown)
+        m_orders[step.host] = {now, result == HostOrderResult::Unknown};
+    else
+        m_orders.erase(step.host);
 }
 
 } // namespace Execution
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -4,8 +4,8 @@
 #include "runledger.h"
 
 #include <map>
-#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Execution {
@@ -30,28 +30,60 @@
 /*!
     \brief Chooses which hosts of the waves are emptied and maintained next. Pure.
 
-    At most as many hosts of a wave are away at once as it allows. A host is closed for new tasks
-    first; its maintenance begins once nothing runs there, or when its time has come.
+    At most as many hosts of a wave are away at once as it allows. Hosts on which nothing runs go
+    first. Only when the time left would not do otherwise are hosts emptied: closed for new tasks,
+    and maintained once nothing runs there or their time has come.
 */
 class MaintenancePlan
 {
 public:
+    /*!
+        \brief Returns what to do next, by a list of hosts that was asked for at \a listedAt.
+
+        \a wallMs is the time since 1970. Hosts in \c begin count as away from then on.
+    */
     auto next(const Control::State &state,
               const RunLedger &ledger,
               const HostList &hosts,
-              Utils::Instant now) -> MaintenanceWork;
+              Utils::Instant listedAt,
+              Utils::Instant now,
+              std::int64_t wallMs) -> MaintenanceWork;
     /*! \brief Notes what became of an order. */
     auto ordered(const MaintenanceStep &step, HostOrderResult result, Utils::Instant now) -> void;
 
 private:
+    /*! \brief An order of maintenance that the list of hosts may not show yet. */
+    struct Order
+    {
+        Utils::Instant at;
+        bool uncertain = false; //!< Not answered: it may be carried out much later.
+    };
+    /*! \brief What one pass needs to know of a host. */
+    struct Candidate
+    {
+        const HostInfo *host = nullptr;
+        std::size_t runs = 0;
+        bool preparing = false;
+        bool countsAsAway = false; //!< Already counted.
+    };
+
     auto prepare(const Control::Wave &wave,
                  const RunLedger &ledger,
-                 const HostList &hosts,
                  Utils::Instant now,
+                 bool hurry,
+                 std::vector<Candidate> candidates,
+                 std::int64_t away,
                  MaintenanceWork &work) -> void;
+    auto planWave(const Control::Wave &wave,
+                  const RunLedger &ledger,
+                  const std::map<std::string_view, const HostInfo *> &hosts,
+                  Utils::Instant listedAt,
+                  Utils::Instant now,
+                  std::int64_t wallMs,
+                  MaintenanceWork &work) -> void;
 
     std::map<std::string, Utils::Instant> m_preparing; //!< By host: since when it is emptied.
-    std::map<std::string, Utils::Instant> m_away;      //!< Hosts whose maintenance was ordered.
+    std::map<std::string, Order> m_orders;             //!< By host.
 };
 
 } // namespace Execution
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -38,7 +38,6 @@
     m_startedJobs.clear();
     m_demand.clear();
     m_jobsVersion = 0;
-    m_inheritedJobs = state.jobs.activeIds();
     for (const auto &[id, known] : state.endpoints) {
         addEndpoint(known.record, now);
         auto &endpoint = m_endpoints[id];
@@ -49,6 +48,26 @@
         endpoint.draining = known.record.draining;
     }
     syncJobs(state);
+    inheritStarts(state);
+}
+
+// Takes over what earlier leaders may have started. What is not recorded, they did not start.
+auto RunLedger::inheritStarts(const Control::State &state) -> void
+{
+    for (const auto &[id, starts] : state.startedTasks) {
+        const auto job = m_jobs.find(id);
+        if (job == m_jobs.end())
+            continue;
+        m_startedJobs.insert(id);
+        for (const auto &[task, life] : starts) {
+            const auto endpoint = m_endpoints.find(life.id);
+            if (endpoint == m_endpoints.end() || endpoint->second.record.life != life
+                || job->second.state(task) == TaskState::Done)
+                continue;
+            endpoint->second.inherited.insert(task);
+            job->second.setState(task, TaskState::Booked);
+        }
+    }
 }
 
 auto RunLedger::addEndpoint(const Control::EndpointRecord &record, Utils::Instant now) -> void
@@ -130,7 +149,7 @@
     const auto *spec = specOf(task);
     auto away = spec->count - 1;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (id == withoutEndpoint || !endpoint.answers)
+        if (id == withoutEndpoint || !endpoint.answers || endpoint.endOrdered)
             continue;
         for (const auto &[other, run] : endpoint.runs) {
             const auto sameStep = other.job == task.job && other.occurrence == task.occurrence
@@ -209,6 +228,9 @@
     for (const auto &row : reply.running)
         adopt(endpoint, row, now);
     reconcile(endpoint, reply, sentAt);
+    // Those that neither run nor have ended here were never started, or have ended for all.
+    for (const auto &task : std::exchange(endpoint.inherited, {}))
+        reopen(task);
     return effects;
 }
 
@@ -278,6 +300,7 @@
         adopted.state = RunState::Running;
         adopted.confirmedAt = now;
         adopted.adopted = true;
+        endpoint.inherited.erase(row.task);
         adopted.stopWanted = !wanted || isBooked(row.task);
         m_stopsDue = m_stopsDue || adopted.stopWanted;
         run = &endpoint.runs.add(adopted);
@@ -340,7 +363,7 @@
 {
     return std::ranges::any_of(m_endpoints, [&](const auto &item) {
         const auto &endpoint = item.second;
-        return endpoint.runs.contains(task)
+        return endpoint.runs.contains(task) || endpoint.inherited.contains(task)
                || std::ranges::find(endpoint.reopenWhenNoted, task)
                       != endpoint.reopenWhenNoted.end();
     });
@@ -358,6 +381,8 @@
     const auto runs = endpoint.runs.take();
     for (const auto &[task, run] : runs)
         reopen(task);
+    for (const auto &task : std::exchange(endpoint.inherited, {}))
+        reopen(task);
     for (const auto &task : std::exchange(endpoint.reopenWhenNoted, {}))
         reopen(task);
 }
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -58,9 +58,9 @@
 /*!
     \brief What the leader knows of runs on endpoints. Pure: it sends nothing and reads no clock.
 
-    Nothing here is durable. A new leader begins with an empty ledger, looks at every endpoint with
-    its own fencing token, and starts a task only when no endpoint can still run an earlier start
-    of it: all endpoints of the pool have answered, or their leases have run out.
+    Nothing here is durable, but where a task starts is logged before its order is sent. A new leader
+    looks at every endpoint with its own fencing token; a task that was ordered to start somewhere is
+    started again only when that endpoint has answered, its life has ended or its lease has run out.
 */
 class RunLedger
 {
@@ -104,6 +104,8 @@
 
     /*! \brief Decides on starts and stops, and books them. */
     auto schedule(const Control::State &state, Utils::Instant now, std::int64_t wallMs) -> Orders;
+    /*! \brief Returns false if the order is not to be sent any more; its task is then open again. */
+    auto confirmStart(const StartOrder &order) -> bool;
     auto startAnswered(const StartOrder &order, const StartReply &reply, Utils::Instant now)
         -> void;
     auto stopAnswered(const StopOrder &order, OrderResult result, Utils::Instant now) -> void;
@@ -126,7 +128,6 @@
         std::vector<EndpointEntry *> endpoints;
         std::vector<Scheduling::EndpointView> views;
         Utils::Instant now;
-        bool settled = false; //!< No endpoint can still run a task that is unknown here.
         std::vector<Jobs::Resources> tooLarge; //!< What no open endpoint has room for.
     };
     struct Candidate
@@ -147,6 +148,7 @@
     auto isBooked(const Jobs::TaskId &task) const -> bool;
     auto specOf(const Jobs::TaskId &task) const -> const Jobs::StepSpec *;
     auto syncJobs(const Control::State &state) -> void;
+    auto inheritStarts(const Control::State &state) -> void;
     auto addJob(const Jobs::Job &job) -> void;
     auto stopUnwanted(Utils::Instant now, Orders &orders) -> void;
     auto paceFilling(Orders &orders) -> void;
@@ -183,8 +185,6 @@
     Utils::Instant m_stopsCheckedAt;
     std::map<Jobs::TaskId, std::string> m_checkpoints;
     std::set<std::string> m_startedJobs;
-    //! Jobs that an earlier leader may have started tasks of.
-    std::set<std::string> m_inheritedJobs;
     std::map<std::string, PoolDemand> m_demand;
 };
 
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -189,12 +189,9 @@
 {
     PoolPlacement placement;
     placement.now = now;
-    placement.settled = true;
     for (auto &[id, endpoint] : m_endpoints) {
         if (endpoint.record.pool != pool)
             continue;
-        if (!endpoint.looked && now <= endpoint.leaseEnd)
-            placement.settled = false;
         placement.endpoints.push_back(&endpoint);
     }
     updateAvoided(placement);
@@ -243,9 +240,7 @@
         auto found = pools.find(pool);
         if (found == pools.end())
             found = pools.emplace(pool, placementFor(pool, now)).first;
-        // What earlier leaders did not know of, they cannot have started.
-        if (found->second.settled || !m_inheritedJobs.contains(candidate.job->spec().id))
-            startJob(*candidate.job, found->second, wallMs, orders);
+        startJob(*candidate.job, found->second, wallMs, orders);
     }
 }
 
@@ -380,6 +375,18 @@
     return run != nullptr && run->number == number ? run : nullptr;
 }
 
+auto RunLedger::confirmStart(const StartOrder &order) -> bool
+{
+    const auto *run = findRun(order.target, order.task, order.run);
+    if (run == nullptr || run->state != RunState::Ordered)
+        return false;
+    if (!run->stopWanted && specOf(order.task) != nullptr)
+        return true;
+    m_endpoints.at(order.target.life.id).runs.erase(order.task);
+    reopen(order.task);
+    return false;
+}
+
 auto RunLedger::startAnswered(const StartOrder &order, const StartReply &reply, Utils::Instant now)
     -> void
 {
--- a/src/libs/fleetmodel/fleetmodel.cpp
+++ b/src/libs/fleetmodel/fleetmodel.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::int64_t stepMs = 5;
 constexpr std::int64_t roundTripMs = 3;
+constexpr std::int64_t startMs = 12; // From the decision on a start, with its log entry.
 constexpr std::int64_t hostsIntervalMs = 100;
 constexpr std::int64_t moveMs = 1600; // Until the endpoint has announced itself.
 constexpr std::int64_t stopMs = 100;
@@ -316,7 +317,7 @@
         m_result.starts += std::int64_t(orders.starts.size());
         m_result.stops += std::int64_t(orders.stops.size());
         for (auto &order : orders.starts)
-            m_starts.push_back({m_nowMs + roundTripMs, std::move(order)});
+            m_starts.push_back({m_nowMs + startMs, std::move(order)});
         for (auto &order : orders.stops)
             m_stops.push_back({m_nowMs + roundTripMs, std::move(order)});
     }
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -325,8 +325,7 @@
 // Returns the update as CBOR; nothing if there is no newer version.
 auto ControlService::routesNewerThan(std::int64_t version) -> std::string
 {
-    m_parts.state.read(
-        [this](const Control::State &state) { m_routes.add(state.configuration); });
+    m_parts.state.read([this](const Control::State &state) { m_routes.add(state.configuration); });
     return m_routes.newestVersion() > version ? Utils::toCbor(m_routes.updateFrom(version))
                                               : std::string();
 }
@@ -486,6 +485,7 @@
                       {"hosts", wave.hosts.size()},
                       {"at_once", wave.maximumAtOnce},
                       {"duration_ms", wave.durationMs}});
+    wave.startedMs = m_parts.clock.wallTime();
     Control::Command command;
     command.startWave = std::move(wave);
     co_return outcomeFor(co_await commit(std::move(command)));
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -113,4 +113,61 @@
     });
 }
 
+TEST(ControlState, RemembersWhereTasksStartUntilTheyOrTheirJobEnd)
+{
+    Control::State state;
+    Control::EndpointRecord endpoint;
+    endpoint.life = {"e", 5};
+    Control::Command added;
+    added.addEndpoint = endpoint;
+    state.apply(added, 1);
+    Jobs::JobSpec job;
+    job.id = "job";
+    job.steps.emplace_back().count = 2;
+    Control::Command handedIn;
+    handedIn.handIn = job;
+    state.apply(handedIn, 1);
+    const Jobs::TaskId first{"job", 0, 0, 0};
+    const Jobs::TaskId second{"job", 0, 0, 1};
+    Control::Command started;
+    started.recordStarts = Control::RecordStarts{endpoint.life, {first, second}};
+    state.apply(started, 1);
+    ASSERT_EQ(state.startedTasks["job"].size(), 2U);
+    Control::Command ended;
+    ended.recordEnds = Control::RecordEnds{endpoint.life, {{1, first, Jobs::TaskOutcome::Done}}};
+    state.apply(ended, 1);
+    EXPECT_FALSE(state.startedTasks["job"].contains(first));
+    EXPECT_EQ(state.startedTasks["job"].at(second), endpoint.life);
+    Control::Command cancelled;
+    cancelled.cancelJob = "job";
+    state.apply(cancelled, 1);
+    EXPECT_TRUE(state.startedTasks.empty());
+    // A start that is logged after the end of its job leaves nothing behind.
+    state.apply(started, 1);
+    EXPECT_TRUE(state.startedTasks.empty());
+}
+
+TEST(ControlState, ASnapshotKeepsWhereTasksStart)
+{
+    Control::CommandBatch batch;
+    Jobs::JobSpec job;
+    job.id = "job";
+    job.queue = "queue";
+    job.pool = "pool";
+    job.steps.emplace_back().count = 1;
+    batch.commands.emplace_back().handIn = job;
+    Control::RecordStarts starts;
+    starts.life = {"e", 5};
+    starts.tasks.push_back({"job", 0, 0, 0});
+    batch.commands.emplace_back().recordStarts = starts;
+    Control::StateReplica replica;
+    replica.apply(entry(batch));
+    Control::StateReplica restored;
+    ASSERT_TRUE(restored.restore(replica.snapshot(), 1));
+    const auto life = restored.read([](const Control::State &state) {
+        return state.startedTasks.at("job").at(Jobs::TaskId{"job", 0, 0, 0});
+    });
+    EXPECT_EQ(life, (Control::EndpointLife{"e", 5}));
+}
+
 } // namespace
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -48,6 +48,13 @@
     return job;
 }
 
+auto LedgerFixture::recordStart(const std::string &endpoint, const Jobs::TaskId &task) -> void
+{
+    Control::Command command;
+    command.recordStarts = Control::RecordStarts{state.endpoints.at(endpoint).record.life, {task}};
+    state.apply(command, m_wallMs);
+}
+
 auto LedgerFixture::begin() -> void
 {
     ledger.begin(term, state, m_now);
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -17,6 +17,8 @@
 
     auto addEndpoint(const std::string &id) -> Control::EndpointRecord;
     auto addJob(const std::string &id, const Jobs::StepSpec &step) -> Jobs::JobSpec;
+    /*! \brief Notes durably that an earlier leader was about to start \a task there. */
+    auto recordStart(const std::string &endpoint, const Jobs::TaskId &task) -> void;
     auto begin() -> void;
     auto advance(Utils::Milliseconds by) -> void { m_now += by; }
 
--- /dev/null
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -0,0 +1,104 @@
+#include "ledgerfixture.h"
+
+#include "execution/maintenanceplan.h"
+
+#include <gtest/gtest.h>
+
+using namespace ExecutionTest;
+using Execution::HostOrderResult;
+using Execution::HostState;
+
+namespace {
+
+constexpr std::int64_t startedMs = 1'700'000'000'000;
+
+/*! \brief Hosts "a", "b", ... of one wave, each with an endpoint of the same name. */
+class WaveFixture
+{
+public:
+    WaveFixture(std::size_t hosts, std::int64_t atOnce)
+    {
+        Control::Wave wave;
+        wave.number = 1;
+        wave.durationMs = 30'000;
+        wave.maximumAtOnce = atOnce;
+        wave.startedMs = startedMs;
+        for (std::size_t index = 0; index < hosts; ++index) {
+            const std::string name(1, char('a' + index));
+            wave.hosts.push_back(name);
+            m_ledger.addEndpoint(name);
+            list.hosts.push_back({name, "pool", HostState::Up, name});
+        }
+        list.complete = true;
+        m_ledger.state.waves[1] = wave;
+        m_ledger.begin();
+        m_ledger.lookAll();
+    }
+
+    auto next(std::int64_t elapsedMs) -> Execution::MaintenanceWork
+    {
+        const auto now = at(elapsedMs);
+        return plan.next(m_ledger.state, m_ledger.ledger, list, now, now, startedMs + elapsedMs);
+    }
+    auto at(std::int64_t elapsedMs) const -> Utils::Instant
+    {
+        return Utils::Instant(Utils::Milliseconds(1'000'000 + elapsedMs));
+    }
+    auto runTaskOn(const std::string &endpoint) -> void
+    {
+        m_ledger.addJob("job-" + endpoint, plainStep(1));
+        m_ledger.schedule();
+        m_ledger.look(endpoint, {{m_ledger.task("job-" + endpoint), 1, "", 100, 0}});
+    }
+
+    Execution::HostList list;
+    Execution::MaintenancePlan plan;
+
+private:
+    LedgerFixture m_ledger;
+};
+
+TEST(MaintenancePlan, TakesAsManyIdleHostsAtOnceAsMayBeAway)
+{
+    WaveFixture fixture(4, 2);
+    EXPECT_EQ(fixture.next(0).begin.size(), 2U);
+    // The orders are under way.
+    EXPECT_TRUE(fixture.next(100).begin.empty());
+}
+
+TEST(MaintenancePlan, LeavesBusyHostsAloneWhileThereIsTime)
+{
+    WaveFixture fixture(2, 2);
+    fixture.runTaskOn("a");
+    const auto early = fixture.next(0);
+    ASSERT_EQ(early.begin.size(), 1U);
+    EXPECT_EQ(early.begin[0].host, "b");
+    EXPECT_EQ(early.close, std::vector<std::string>{"b"});
+    // One round of emptying and the reserve are left.
+    const auto late = fixture.next(22'000);
+    EXPECT_EQ(late.close, std::vector<std::string>{"a"});
+}
+
+TEST(MaintenancePlan, CountsAnOrderWithoutAnswerAsAwayUntilItCannotBeCarriedOutAnyMore)
+{
+    WaveFixture fixture(2, 1);
+    const auto first = fixture.next(0);
+    ASSERT_EQ(first.begin.size(), 1U);
+    fixture.plan.ordered(first.begin[0], HostOrderResult::Unknown, fixture.at(100));
+    // The same host may be ordered again, but no other one.
+    for (std::int64_t elapsedMs = 500; elapsedMs < 13'000; elapsedMs += 500) {
+        for (const auto &step : fixture.next(elapsedMs).begin) {
+            EXPECT_EQ(step.host, first.begin[0].host);
+            fixture.plan.ordered(step, HostOrderResult::Unknown, fixture.at(100));
+        }
+    }
+}
+
+TEST(MaintenancePlan, AHostInAnotherPoolsMoveIsNotAwayForItsWave)
+{
+    WaveFixture fixture(3, 1);
+    fixture.list.hosts[0].state = HostState::Moving;
+    EXPECT_EQ(fixture.next(0).begin.size(), 1U);
+}
+
+} // namespace
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -10,32 +10,86 @@
 
 constexpr Utils::Milliseconds longerThanAnyLease{6300};
 
-TEST(RunLedger, StartsReadyTasksOnceEveryEndpointHasAnswered)
+// A start is recorded before it is ordered, so what is not recorded runs nowhere.
+TEST(RunLedger, StartsWhatNoEarlierLeaderStartedAtOnce)
 {
     LedgerFixture fixture;
     fixture.addEndpoint("a");
-    fixture.addEndpoint("b");
+    fixture.addEndpoint("silent");
     fixture.addJob("job", plainStep(3));
     fixture.begin();
-    fixture.look("a");
     EXPECT_TRUE(fixture.schedule().starts.empty());
-    fixture.look("b");
+    fixture.look("a");
     EXPECT_EQ(fixture.schedule().starts.size(), 3U);
     EXPECT_TRUE(fixture.schedule().starts.empty());
 }
 
-TEST(RunLedger, StartsAfterTheLongestLeaseOfAnEndpointThatDoesNotAnswer)
+TEST(RunLedger, KeepsATaskThatMayRunOnASilentEndpointUntilItsLeaseHasRunOut)
 {
     LedgerFixture fixture;
     fixture.addEndpoint("a");
     fixture.addEndpoint("silent");
+    fixture.addJob("job", plainStep(2));
+    fixture.recordStart("silent", fixture.task("job", 0));
+    fixture.begin();
+    fixture.look("a");
+    const auto first = fixture.schedule().starts;
+    ASSERT_EQ(first.size(), 1U);
+    EXPECT_EQ(first.front().task.index, 1);
+    EXPECT_TRUE(fixture.ledger.hasStarted("job"));
+    fixture.advance(Utils::Milliseconds(5900));
+    fixture.look("a", {{first.front().task, first.front().run, "", 100, 0}});
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.advance(Utils::Milliseconds(400));
+    fixture.look("a", {{first.front().task, first.front().run, "", 100, 0}});
+    const auto second = fixture.schedule().starts;
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second.front().task.index, 0);
+    EXPECT_EQ(second.front().target.life.id, "a");
+}
+
+TEST(RunLedger, StartsARecordedTaskAgainOnceItsEndpointDoesNotListIt)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
     fixture.addJob("job", plainStep(1));
+    fixture.recordStart("a", fixture.task("job"));
     fixture.begin();
-    fixture.advance(longerThanAnyLease);
+    fixture.look("b");
+    EXPECT_TRUE(fixture.schedule().starts.empty());
     fixture.look("a");
     EXPECT_EQ(fixture.schedule().starts.size(), 1U);
 }
 
+TEST(RunLedger, ARecordedTaskOfALifeThatIsOverIsStartedAtOnce)
+{
+    LedgerFixture fixture;
+    auto record = fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.recordStart("a", fixture.task("job"));
+    record.life.bornMs += 1;
+    Control::Command command;
+    command.addEndpoint = record;
+    fixture.state.apply(command, 1);
+    fixture.begin();
+    fixture.look("a");
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
+TEST(RunLedger, AStartOfACancelledJobIsNotSentAnyMore)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.look("a");
+    const auto order = fixture.schedule().starts.front();
+    fixture.state.jobs.cancel("job", 1);
+    fixture.schedule();
+    EXPECT_FALSE(fixture.ledger.confirmStart(order));
+}
+
 TEST(RunLedger, TakesUpWhatRunsAlready)
 {
     LedgerFixture fixture;
