Add a randomized fault soak of real processes

Real entry and control processes run behind relays that delay, silence, cut one way and reset; they are killed, stopped, paused and wiped; stand-in endpoints crash and carry out orders late. Callers and stand-ins check the promises: no task twice, order of steps, refusals that are true, nothing accepted that is lost, configurations that never go back, no process that ends by itself. Links may listen on another address than the one they are reached at (listen_ip), so that relays fit in between.

--- a/src/app/platformcommands.cpp
+++ b/src/app/platformcommands.cpp
@@ -229,22 +229,23 @@
     Control::StateReplica m_state{
         [this] { AsyncNet::asio::post(m_process.loop(), [this] { m_service.stateChanged(); }); }};
     Replication::ReplicaLog m_log;
-    Wire::PeerServer m_peers{{m_process.settings().replicationAddress(), peerConnections}};
+    Wire::PeerServer m_peers{{m_process.settings().replicationListenAddress(), peerConnections}};
     Service::LeaderLink m_link;
     Platform::EndpointClient m_endpoints{m_process.loop()};
     Platform::HostClient m_hosts{
         m_process.loop(), m_process.settings().hostsAddress, m_process.settings().id};
-    Service::ControlService m_service{
-        {m_process.loop(),
-         m_state,
-         m_log,
-         m_endpoints,
-         m_hosts,
-         m_clock,
-         m_process.metrics(),
-         m_link,
-         m_members},
-        {m_process.settings().linkAddress(), ledgerTiming(m_process.settings())}};
+    Service::ControlService m_service{{m_process.loop(),
+                                       m_state,
+                                       m_log,
+                                       m_endpoints,
+                                       m_hosts,
+                                       m_clock,
+                                       m_process.metrics(),
+                                       m_link,
+                                       m_members},
+                                      {m_process.settings().linkAddress(),
+                                       m_process.settings().linkListenAddress(),
+                                       ledgerTiming(m_process.settings())}};
     Platform::ControlRoutes m_routes{m_service, m_process.settings()};
     AsyncNet::HttpListener m_listener{
         m_process.loop(), "control", [this](AsyncNet::HttpRequest request) {
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -84,7 +84,7 @@
 
 auto ControlService::start() -> Utils::Result<void>
 {
-    BOOST_OUTCOME_TRY(m_server.start(m_options.linkAddress));
+    BOOST_OUTCOME_TRY(m_server.start(m_options.listenAddress));
     AsyncNet::start(m_parts.loop, "leadership", watchLeadership());
     return Utils::success();
 }
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -40,7 +40,8 @@
 
 struct ControlOptions
 {
-    std::string linkAddress; //!< Where entries and other control processes connect.
+    std::string linkAddress;   //!< Where entries and other control processes connect.
+    std::string listenAddress; //!< Where this process listens for them.
     Execution::LedgerTiming timing;
 };
 
--- a/src/libs/service/entryservice.cpp
+++ b/src/libs/service/entryservice.cpp
@@ -71,8 +71,7 @@
 
 auto EntryService::isReady() const -> bool
 {
-    return !m_stopped && m_routes.version() > 0
-           && m_clock.now() - m_leaderSeen < leaderAbsence;
+    return !m_stopped && m_routes.version() > 0 && m_clock.now() - m_leaderSeen < leaderAbsence;
 }
 
 auto EntryService::watchLeader() -> AsyncNet::Task<void>
@@ -97,9 +96,8 @@
         const auto update =
             Utils::fromCbor<Control::CallerRoutesUpdate>(reply.value().configuration);
         if (!update) {
-            Utils::Log::error("service",
-                              "a configuration cannot be read",
-                              {{"reason", update.error().details}});
+            Utils::Log::error(
+                "service", "a configuration cannot be read", {{"reason", update.error().details}});
             co_await AsyncNet::pause(configurationRetry);
             continue;
         }
@@ -107,7 +105,9 @@
         if (!m_routes.apply(update.value()))
             continue;
         Utils::Log::info(
-            "service", "a configuration is in force", {{"version", m_routes.version()}, {"changed", update.value().changed.size()}});
+            "service",
+            "a configuration is in force",
+            {{"version", m_routes.version()}, {"changed", update.value().changed.size()}});
         if (m_configurationChanged)
             m_configurationChanged();
     }
--- /dev/null
+++ b/tests/process/soak/faultrelay.cpp
@@ -0,0 +1,121 @@
+#include "faultrelay.h"
+
+#include "asyncnet/tcpaddress.h"
+
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <iostream>
+
+namespace Soak {
+namespace {
+
+namespace asio = AsyncNet::asio;
+
+constexpr std::size_t bufferBytes = 16 * 1024;
+constexpr Utils::Milliseconds delay{60};
+
+auto ignoringErrors(boost::system::error_code &error)
+{
+    return asio::redirect_error(asio::use_awaitable, error);
+}
+
+} // namespace
+
+FaultRelay::FaultRelay(asio::io_context &loop, std::string address, std::string target)
+    : m_loop(loop)
+    , m_address(std::move(address))
+    , m_target(std::move(target))
+    , m_acceptor(loop)
+{}
+
+auto FaultRelay::start() -> void
+{
+    if (const auto listens = AsyncNet::listenOn(m_acceptor, m_address); !listens) {
+        std::cerr << "a relay cannot listen on " << m_address << '\n';
+        std::abort();
+    }
+    AsyncNet::start(m_loop, "relay", accept(), shared_from_this());
+}
+
+auto FaultRelay::setMode(RelayMode mode) -> void
+{
+    const auto lost = m_mode != RelayMode::Pass && m_mode != RelayMode::Delay;
+    m_mode = mode;
+    if (lost)
+        resetConnections();
+}
+
+auto FaultRelay::resetConnections() -> void
+{
+    for (const auto &weak : m_pairs) {
+        const auto pair = weak.lock();
+        if (!pair)
+            continue;
+        boost::system::error_code error;
+        // Closing without lingering sends a reset.
+        pair->caller.set_option(Socket::linger(true, 0), error);
+        pair->caller.close(error);
+        pair->target.set_option(Socket::linger(true, 0), error);
+        pair->target.close(error);
+    }
+    m_pairs.clear();
+}
+
+auto FaultRelay::accept() -> AsyncNet::Task<void>
+{
+    for (;;) {
+        boost::system::error_code error;
+        auto socket = co_await m_acceptor.async_accept(ignoringErrors(error));
+        if (error)
+            co_return;
+        auto pair = std::make_shared<Pair>(Pair{std::move(socket), Socket(m_loop)});
+        std::erase_if(m_pairs, [](const auto &known) { return known.expired(); });
+        m_pairs.push_back(pair);
+        AsyncNet::start(m_loop, "relay connection", serve(pair), shared_from_this());
+    }
+}
+
+auto FaultRelay::serve(std::shared_ptr<Pair> pair) -> AsyncNet::Task<void>
+{
+    boost::system::error_code error;
+    co_await pair->target.async_connect(AsyncNet::parseTcpAddress(m_target).value(),
+                                        ignoringErrors(error));
+    if (error) {
+        pair->caller.set_option(Socket::linger(true, 0), error);
+        pair->caller.close(error);
+        co_return;
+    }
+    AsyncNet::start(m_loop, "relay answers", pump(pair, false), shared_from_this());
+    co_await pump(pair, true);
+}
+
+auto FaultRelay::pump(std::shared_ptr<Pair> pair, bool requests) -> AsyncNet::Task<void>
+{
+    auto &from = requests ? pair->caller : pair->target;
+    auto &to = requests ? pair->target : pair->caller;
+    std::array<char, bufferBytes> buffer{};
+    boost::system::error_code error;
+    while (!error) {
+        const auto count =
+            co_await from.async_read_some(asio::buffer(buffer), ignoringErrors(error));
+        if (error)
+            break;
+        if (m_mode == RelayMode::Delay)
+            co_await AsyncNet::pause(delay);
+        if (!loses(requests))
+            co_await asio::async_write(to, asio::buffer(buffer, count), ignoringErrors(error));
+    }
+    // What ends silently is seen by nobody.
+    if (loses(requests))
+        co_return;
+    to.shutdown(Socket::shutdown_send, error);
+}
+
+auto FaultRelay::loses(bool requests) const -> bool
+{
+    return m_mode == RelayMode::Silent
+           || m_mode == (requests ? RelayMode::RequestsAreLost : RelayMode::AnswersAreLost);
+}
+
+} // namespace Soak
--- /dev/null
+++ b/tests/process/soak/standinendpoint.cpp
@@ -0,0 +1,254 @@
+#include "standinendpoint.h"
+
+#include <algorithm>
+
+namespace Soak {
+namespace {
+
+constexpr std::int64_t longestLeaseMs = 6000;
+constexpr std::int64_t stopMs = 100;
+constexpr Utils::Milliseconds workInterval{10};
+constexpr Utils::Milliseconds announceInterval{700};
+constexpr Utils::Milliseconds announceTimeout{1000};
+constexpr std::int64_t latestMs = 5000; // Of an order that is carried out late.
+constexpr std::int64_t cpu = 4000;
+
+auto reply(int status, Utils::Json body) -> AsyncNet::HttpResponse
+{
+    AsyncNet::HttpResponse response;
+    response.status = status;
+    response.body = body.dump();
+    return response;
+}
+
+} // namespace
+
+SoakWorld::SoakWorld(AsyncNet::asio::io_context &eventLoop,
+                     Promises &seenPromises,
+                     std::mt19937_64 &randomEngine)
+    : loop(eventLoop)
+    , promises(seenPromises)
+    , engine(randomEngine)
+    , began(clock.now())
+{}
+
+auto SoakWorld::draw(std::int64_t below) -> std::int64_t
+{
+    return std::uniform_int_distribution<std::int64_t>(0, below - 1)(engine);
+}
+
+StandInEndpoint::StandInEndpoint(SoakWorld &world,
+                                 std::string host,
+                                 std::vector<std::string> controls)
+    : m_world(world)
+    , m_host(std::move(host))
+    , m_id("i-" + std::to_string(world.engine() % 1'000'000'000))
+    , m_bornMs(world.clock.wallTime())
+    , m_controls(std::move(controls))
+    , m_listener(world.loop,
+                 "endpoint",
+                 [this](AsyncNet::HttpRequest request) { return handle(std::move(request)); })
+    , m_client(world.loop, 1)
+    , m_ended(world.loop)
+{}
+
+auto StandInEndpoint::start() -> void
+{
+    if (!m_listener.start("127.0.0.1:0"))
+        m_world.promises.fail("a stand-in endpoint cannot listen");
+    AsyncNet::start(m_world.loop, "endpoint work", work(), shared_from_this());
+    AsyncNet::start(m_world.loop, "endpoint announcements", announce(), shared_from_this());
+}
+
+auto StandInEndpoint::crash() -> void
+{
+    m_alive = false;
+    m_listener.stopAccepting();
+    m_listener.endConnections();
+    for (const auto &[task, run] : m_runs)
+        m_world.promises.ended(task);
+    m_runs.clear();
+}
+
+auto StandInEndpoint::answerLate(Utils::Milliseconds duration) -> void
+{
+    m_lateUntilMs = m_world.nowMs() + duration.count();
+}
+
+auto StandInEndpoint::handle(AsyncNet::HttpRequest request) -> Response
+{
+    const auto self = shared_from_this();
+    auto body = Utils::Json::parse(request.body, nullptr, false);
+    if (!m_alive || !body.is_object())
+        co_return reply(m_alive ? 400 : 421, Utils::Json::object());
+    if (request.target == "/trefoilshelf/hold")
+        co_return co_await look(std::move(body));
+    if (m_world.nowMs() < m_lateUntilMs && m_world.draw(2) == 0) {
+        co_await AsyncNet::pause(Utils::Milliseconds(1000 + m_world.draw(latestMs)));
+        if (m_alive)
+            carryOut(request.target, body);
+        co_return reply(504, Utils::Json::object());
+    }
+    co_return carryOut(request.target, body);
+}
+
+auto StandInEndpoint::carryOut(const std::string &target, const Utils::Json &body)
+    -> AsyncNet::HttpResponse
+{
+    if (!takeToken(body))
+        return reply(409, {{"reason", "fence"}, {"clock_ms", m_world.nowMs()}});
+    endDueRuns();
+    if (target == "/trefoilshelf/run-start")
+        return startRun(body);
+    if (target == "/trefoilshelf/run-stop")
+        return stopRun(body);
+    return reply(200, {{"clock_ms", m_world.nowMs()}});
+}
+
+auto StandInEndpoint::takeToken(const Utils::Json &body) -> bool
+{
+    const auto token = body.value("fence_token", std::int64_t(0));
+    if (token < m_token)
+        return false;
+    m_token = token;
+    return true;
+}
+
+auto StandInEndpoint::prolong(const Utils::Json &body) -> void
+{
+    const auto until = body.value("until_ms", std::int64_t(0));
+    m_leaseEndMs = std::max(m_leaseEndMs, std::min(until, m_world.nowMs() + longestLeaseMs));
+}
+
+auto StandInEndpoint::startRun(const Utils::Json &body) -> AsyncNet::HttpResponse
+{
+    const auto task = body.value("task", std::string());
+    const auto run = body.value("run", std::int64_t(0));
+    const auto now = m_world.nowMs();
+    const auto refuse = [now](std::string_view reason) {
+        return reply(409, {{"reason", reason}, {"clock_ms", now}});
+    };
+    if (body.value("until_ms", std::int64_t(0)) <= now)
+        return refuse("late");
+    prolong(body);
+    const auto known = m_runs.find(task);
+    if (known != m_runs.end() && known->second.number == run)
+        return reply(200, {{"clock_ms", now}});
+    if (known != m_runs.end() || run <= m_highest[task])
+        return refuse("old");
+    if (std::int64_t(m_runs.size()) * 1000 >= cpu)
+        return refuse("room");
+    const auto *job = m_world.promises.job(task.substr(0, task.find('.')));
+    m_runs[task] = {run, now + (job != nullptr ? job->taskMs : 100), 0};
+    m_world.promises.started(task, now);
+    return reply(200, {{"clock_ms", now}});
+}
+
+auto StandInEndpoint::stopRun(const Utils::Json &body) -> AsyncNet::HttpResponse
+{
+    const auto task = body.value("task", std::string());
+    const auto run = body.value("run", std::int64_t(0));
+    m_highest[task] = std::max(m_highest[task], run);
+    const auto known = m_runs.find(task);
+    if (known != m_runs.end() && known->second.number <= run && known->second.stopsMs == 0)
+        known->second.stopsMs = m_world.nowMs() + stopMs;
+    return reply(200, {{"clock_ms", m_world.nowMs()}});
+}
+
+auto StandInEndpoint::look(Utils::Json body) -> Response
+{
+    if (!takeToken(body))
+        co_return reply(409, {{"reason", "fence"}, {"clock_ms", m_world.nowMs()}});
+    prolong(body);
+    forgetEnds(body.value("last_seen", std::int64_t(0)));
+    endDueRuns();
+    const auto wait = Utils::Milliseconds(body.value("wait_ms", std::int64_t(0)));
+    if (m_unseen.empty() && wait.count() > 0)
+        co_await m_ended.waitFor(wait);
+    if (!m_alive)
+        co_return reply(421, Utils::Json::object());
+    co_return lists();
+}
+
+auto StandInEndpoint::lists() const -> AsyncNet::HttpResponse
+{
+    auto running = Utils::Json::array();
+    for (const auto &[task, run] : m_runs)
+        running.push_back({task, run.number, "", 100, 0});
+    auto ended = Utils::Json::array();
+    for (const auto &end : m_unseen)
+        ended.push_back({end.number, end.task, end.run, end.how, ""});
+    return reply(200,
+                 {{"clock_ms", m_world.nowMs()},
+                  {"born", m_bornMs},
+                  {"running_count", running},
+                  {"ended", ended}});
+}
+
+auto StandInEndpoint::forgetEnds(std::int64_t lastSeen) -> void
+{
+    while (!m_unseen.empty() && m_unseen.front().number <= lastSeen) {
+        if (m_unseen.front().how == "done")
+            m_world.promises.doneNoted(m_unseen.front().task);
+        m_unseen.pop_front();
+    }
+}
+
+auto StandInEndpoint::endRun(const std::string &task, const std::string &how) -> void
+{
+    const auto number = m_runs[task].number;
+    m_runs.erase(task);
+    m_highest[task] = std::max(m_highest[task], number);
+    m_unseen.push_back({++m_ends, task, number, how});
+    m_world.promises.ended(task);
+    if (how == "done")
+        m_world.promises.done(task);
+    m_ended.notify();
+}
+
+auto StandInEndpoint::endDueRuns() -> void
+{
+    const auto now = m_world.nowMs();
+    const auto lapsed = now >= m_leaseEndMs;
+    const auto runs = m_runs;
+    for (const auto &[task, run] : runs) {
+        if (lapsed)
+            endRun(task, "lapsed");
+        else if (now >= run.endsMs)
+            endRun(task, "done");
+        else if (run.stopsMs > 0 && now >= run.stopsMs)
+            endRun(task, "stopped");
+    }
+}
+
+auto StandInEndpoint::work() -> AsyncNet::Task<void>
+{
+    while (m_alive) {
+        endDueRuns();
+        co_await AsyncNet::pause(workInterval);
+    }
+}
+
+auto StandInEndpoint::announce() -> AsyncNet::Task<void>
+{
+    for (std::int64_t sequence = 1; m_alive; ++sequence) {
+        AsyncNet::HttpRequest request;
+        request.method = "PUT";
+        request.target = "/trefoilshelf/instances/" + m_id;
+        request.body = Utils::Json{
+            {"service", "work"},
+            {"address", "127.0.0.1:" + std::to_string(m_listener.port())},
+            {"zone", "z1"},
+            {"state", "ready"},
+            {"born", m_bornMs},
+            {"capacity", {{"cpu", cpu}, {"mem_mb", 64'000}, {"gpu", 0}}},
+            {"labels", {"a", "r1"}},
+            {"seq_no",
+             sequence}}.dump();
+        const auto control = std::size_t(m_world.draw(std::int64_t(m_controls.size())));
+        co_await m_client.call(m_controls[control], std::move(request), announceTimeout);
+        co_await AsyncNet::pause(announceInterval);
+    }
+}
+
+} // namespace Soak
