Wake fewer threads for a commit, and tell followers of it with the next entries

Cause: strace of the leader in a calm soak (100 jobs a second, 440 commits a second): 47 futex calls, 12 receives and 8 setsockopt calls for each commit. Each reply of a follower woke all peers' threads, each commit was told in a request of its own, and each call set the socket's timeouts again. On the machines each call and wake-up is charged.

Change: those who wait for a majority have a condition of their own; a commit travels with the next entries, or alone after 20 ms; timeouts are set when they change. In 5 s of the same soak: futex 104123 -> 51448, sendto 11937 -> 7490, recvfrom 26632 -> 17736, setsockopt 17598 -> 2.

--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -113,6 +113,7 @@
         handOver(lock);
         m_stopping = true;
         m_workChanged.notify_all();
+        m_peersConfirmed.notify_all();
         m_queueChanged.notify_all();
         m_commitChanged.notify_all();
         m_appliedChanged.notify_all();
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -43,6 +43,7 @@
     Utils::Instant heardAt;     //!< Of its last reply.
     Utils::Instant confirmedAt; //!< When the last request that it accepted in this term was sent.
     Utils::Instant nextSend;    //!< When a heartbeat is due.
+    Utils::Instant sentAt;      //!< When the last request was sent.
     Utils::Instant retryAt;     //!< Not called before, after a failure.
     std::uint64_t ballot = 0;   //!< The last ballot it was asked in.
     bool removed = false;
@@ -204,6 +205,7 @@
 
     mutable std::mutex m_mutex;
     std::condition_variable m_workChanged;    //!< For the peers' tasks and the elector.
+    std::condition_variable m_peersConfirmed; //!< For those who wait for a majority.
     std::condition_variable m_queueChanged;   //!< For the writer.
     std::condition_variable m_commitChanged;  //!< For the applier and observers' requests.
     std::condition_variable m_appliedChanged; //!< For submitters.
--- a/src/libs/replication/replicaelection.cpp
+++ b/src/libs/replication/replicaelection.cpp
@@ -115,6 +115,7 @@
     m_queue.clear();
     delayElection(m_clock.now());
     m_workChanged.notify_all();
+    m_peersConfirmed.notify_all();
     m_appliedChanged.notify_all();
 }
 
--- a/src/libs/replication/replicaleader.cpp
+++ b/src/libs/replication/replicaleader.cpp
@@ -42,8 +42,16 @@
         return now + m_options.timing.electionTimeout;
     if (peer.retryAt > now)
         return peer.retryAt;
-    if (peer.nextRevision <= m_entries.lastRevision() || peer.toldCommit < m_commitRevision)
+    if (peer.nextRevision <= m_entries.lastRevision())
         return now;
+    // The next entries tell of the commit as well; only without them it is told apart.
+    if (peer.toldCommit < m_entries.lastRevision()) {
+        const auto notice = peer.sentAt + m_options.timing.commitNotice;
+        if (notice > now)
+            return std::min(notice, peer.nextSend);
+        if (peer.toldCommit < m_commitRevision)
+            return now;
+    }
     return peer.nextSend;
 }
 
@@ -51,6 +59,7 @@
 {
     const auto sentAt = m_clock.now();
     const auto request = appendRequestFor(peer, sentAt);
+    peer.sentAt = sentAt;
     lock.unlock();
     const auto reply = connection.call<Wire::AppendReply>(
         m_options.timing.callTimeout,
@@ -108,7 +117,7 @@
         peer.nextRevision = std::max<Revision>(1, std::min(peer.nextRevision - 1, last + 1));
         peer.nextSend = {};
     }
-    m_workChanged.notify_all();
+    m_peersConfirmed.notify_all();
 }
 
 auto Replica::sendSnapshot(StateLock &lock, ReplicaPeer &peer, Connection &connection) -> void
@@ -241,7 +250,7 @@
         return;
     m_commitRevision = revision;
     m_commitChanged.notify_all();
-    m_workChanged.notify_all();
+    m_peersConfirmed.notify_all();
 }
 
 auto Replica::majorityConfirmedAt() const -> Utils::Instant
@@ -286,7 +295,7 @@
         const auto confirmed = hasLease(m_clock.now()) || majorityConfirmedAt() > startedAt;
         if (m_commitRevision >= m_termStart && confirmed)
             return m_commitRevision;
-        m_workChanged.wait_for(lock, m_options.timing.heartbeat);
+        m_peersConfirmed.wait_for(lock, m_options.timing.heartbeat);
     }
     return std::nullopt;
 }
--- a/src/libs/replication/replicaoptions.h
+++ b/src/libs/replication/replicaoptions.h
@@ -18,6 +18,7 @@
 {
     Utils::Milliseconds electionTimeout{600};
     Utils::Milliseconds heartbeat{100};
+    Utils::Milliseconds commitNotice{20}; //!< Followers hear of a commit within this time.
     Utils::Milliseconds callTimeout{500}; //!< Of one call to a peer.
 };
 
--- a/src/libs/wire/peerclient.h
+++ b/src/libs/wire/peerclient.h
@@ -51,9 +51,12 @@
         if (!m_client) {
             BOOST_OUTCOME_TRY(dial(timeout));
         }
-        const auto milliseconds = int(timeout.count());
-        m_socket->setRecvTimeout(milliseconds);
-        m_socket->setSendTimeout(milliseconds);
+        // Each setting is a system call, and the timeout is nearly always the same.
+        if (const auto milliseconds = int(timeout.count()); m_timeoutMs != milliseconds) {
+            m_socket->setRecvTimeout(milliseconds);
+            m_socket->setSendTimeout(milliseconds);
+            m_timeoutMs = milliseconds;
+        }
         try {
             Reply reply;
             function(*m_client, reply);
@@ -85,6 +88,7 @@
         using namespace apache::thrift;
         BOOST_OUTCOME_TRY(address, Utils::parseAddress(m_target.address));
         m_socket = m_sockets.make(m_target.id, address);
+        m_timeoutMs = 0;
         m_socket->setConnTimeout(int(timeout.count()));
         m_socket->setNoDelay(true);
         try {
@@ -107,6 +111,7 @@
     std::string m_service;
     std::shared_ptr<apache::thrift::transport::TSocket> m_socket;
     std::unique_ptr<Client> m_client;
+    int m_timeoutMs = 0; //!< Set on the socket; 0: none yet.
 };
 
 } // namespace Wire
