Give scheduling passes a bounded part of the loop; write tasks as text in the log

Passes are made every 5 ms whatever they cost, and they cost most at the peaks.

Change: a pass is followed by a pause of eight times its own time, 5 to 40 ms. Lines of ended jobs have a budget like the others; failed ones go with the failures.

--- a/src/libs/control/controlcommands.h
+++ b/src/libs/control/controlcommands.h
@@ -120,19 +120,28 @@
     archive.optional("draining", endpoint.draining);
 }
 
+// Tasks are written as text: thousands of starts and ends a second are logged by every process.
 template <typename Archive>
 auto describe(Archive &archive, RecordEnds::End &end) -> void
 {
+    auto task = Jobs::toText(end.task);
     archive.required("number", end.number);
-    archive.required("task", end.task);
+    archive.required("task", task);
     archive.required("outcome", end.outcome);
+    end.task = Jobs::taskFromText(task).value_or(Jobs::TaskId{});
 }
 
 template <typename Archive>
 auto describe(Archive &archive, RecordStarts &record) -> void
 {
+    std::vector<std::string> tasks;
+    for (const auto &task : record.tasks)
+        tasks.push_back(Jobs::toText(task));
     archive.required("life", record.life);
-    archive.required("tasks", record.tasks);
+    archive.required("tasks", tasks);
+    record.tasks.clear();
+    for (const auto &task : tasks)
+        record.tasks.push_back(Jobs::taskFromText(task).value_or(Jobs::TaskId{}));
 }
 
 template <typename Archive>
--- a/src/libs/execution/leaderlog.cpp
+++ b/src/libs/execution/leaderlog.cpp
@@ -10,12 +10,6 @@
 
 constexpr double millisecondsPerSecond = 1000;
 
-auto describe(const Jobs::TaskId &task) -> std::string
-{
-    return task.job + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
-           + std::to_string(task.index);
-}
-
 auto nameOf(StartResult result) -> std::string_view
 {
     switch (result) {
@@ -76,7 +70,7 @@
         Utils::Log::info("execution",
                          "a task ended",
                          {{"job", end.task.job},
-                          {"task", describe(end.task)},
+                          {"task", Jobs::toText(end.task)},
                           {"run", end.run},
                           {"endpoint", order.target.life.id},
                           {"how", nameOf(end.kind)}});
@@ -93,6 +87,12 @@
             const auto *job = state.jobs.find(id);
             if (job == nullptr || job->state == Jobs::JobState::Active)
                 continue;
+            m_parts.metrics.count("trefoilshelf_jobs_ended_total",
+                                  {{"state", std::string(Utils::nameOf(job->state))}});
+            // Callers ask about those that failed.
+            const auto failed = job->state == Jobs::JobState::Failed;
+            if (!(failed ? m_failureLines : m_endedJobLines).allow(m_parts.clock.now()))
+                continue;
             Utils::Log::info("execution",
                              "a job has ended",
                              {{"job", id},
@@ -114,7 +114,7 @@
     Utils::Log::info("execution",
                      "ordered a task to start",
                      {{"job", order.task.job},
-                      {"task", describe(order.task)},
+                      {"task", Jobs::toText(order.task)},
                       {"run", order.run},
                       {"endpoint", order.target.life.id},
                       {"checkpoint", !order.checkpoint.empty()},
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -10,7 +10,10 @@
 
 constexpr Utils::Milliseconds tickInterval{100};
 // Collects what arrives together into one scheduling pass.
-constexpr Utils::Milliseconds passInterval{5};
+constexpr Utils::Milliseconds shortestPassPause{5};
+constexpr Utils::Milliseconds longestPassPause{40};
+// Passes get at most one part of so many of the loop's time; the rest is for orders and looks.
+constexpr int passPart = 8;
 // Between two tries to look at an endpoint that does not answer.
 constexpr Utils::Milliseconds lookRetry{250};
 // Of each kind: enough to follow single jobs at a calm time, little beside a burst's work.
@@ -24,6 +27,7 @@
     , m_term(term)
     , m_startLines("starts of tasks", linesPerSecond)
     , m_endLines("ends of tasks", linesPerSecond)
+    , m_endedJobLines("ends of jobs", linesPerSecond)
     , m_firstStartLines("first starts of jobs", linesPerSecond)
     , m_failureLines("failures of tasks", linesPerSecond)
 {}
@@ -160,15 +164,20 @@
 auto LeaderSession::schedulePass() -> Task
 {
     const auto since = m_parts.clock.now() - m_lastPass;
-    if (since < passInterval)
-        co_await AsyncNet::pause(passInterval - since);
+    if (since < m_passPause)
+        co_await AsyncNet::pause(m_passPause - since);
     m_passPending = false;
     if (!m_active)
         co_return;
     m_lastPass = m_parts.clock.now();
+    const auto began = std::chrono::steady_clock::now();
     auto orders = m_parts.state.read([&](const Control::State &state) {
         return m_ledger.schedule(state, m_lastPass, m_parts.clock.wallTime());
     });
+    const auto took = std::chrono::steady_clock::now() - began;
+    m_passPause = std::clamp(std::chrono::duration_cast<Utils::Milliseconds>(took * passPart),
+                             shortestPassPause,
+                             longestPassPause);
     for (auto &order : orders.stops)
         AsyncNet::start(m_parts.loop, "stop", sendStop(std::move(order)), shared_from_this());
     if (!orders.starts.empty())
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -88,9 +88,11 @@
     bool m_active = true;
     bool m_passPending = false;
     Utils::Instant m_lastPass;
+    Utils::Milliseconds m_passPause{0}; //!< Between two passes, by the time that they take.
     Utils::Instant m_lastReport;
     Utils::LogBudget m_startLines;
     Utils::LogBudget m_endLines;
+    Utils::LogBudget m_endedJobLines;
     // Apart from the others, since callers ask about slow and failed jobs.
     Utils::LogBudget m_firstStartLines;
     Utils::LogBudget m_failureLines;
--- a/src/libs/jobs/jobtypes.h
+++ b/src/libs/jobs/jobtypes.h
@@ -3,7 +3,9 @@
 #include "utils/fields.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -105,6 +107,11 @@
     }
 };
 
+/*! \brief Returns JOB.OCCURRENCE.STEP.INDEX. */
+auto toText(const TaskId &task) -> std::string;
+/*! \brief Reads what toText() gives; nothing if \a text has another form. */
+auto taskFromText(std::string_view text) -> std::optional<TaskId>;
+
 /*! \brief How a run of a task ended, as far as it counts for the job. */
 enum class TaskOutcome { Done, Failed };
 
@@ -157,15 +164,6 @@
     archive.optional("handedIn", job.handedInMs);
 }
 
-template <typename Archive>
-auto describe(Archive &archive, TaskId &task) -> void
-{
-    archive.required("job", task.job);
-    archive.optional("occurrence", task.occurrence);
-    archive.optional("step", task.step);
-    archive.optional("index", task.index);
-}
-
 inline auto enumNames(TaskOutcome) -> std::span<const Utils::EnumName<TaskOutcome>>
 {
     static constexpr Utils::EnumName<TaskOutcome> names[] = {{TaskOutcome::Done, "done"},
--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -88,7 +88,7 @@
 TEST(JobCodec, TaskNamesAreReadAsTheyAreWritten)
 {
     const Jobs::TaskId task{"5c0e7a21d94b36f8", 2, 1, 17};
-    EXPECT_EQ(Platform::encodeTask(task), "5c0e7a21d94b36f8.2.1.17");
+    EXPECT_EQ(Jobs::toText(task), "5c0e7a21d94b36f8.2.1.17");
     EXPECT_EQ(Platform::decodeTask("5c0e7a21d94b36f8.2.1.17"), task);
     for (const auto *name : {"",
                              "a.b.c.d",
