--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Utils::Milliseconds tickInterval{100};
+// Orders and answers that wait longer for their turn are told.
+constexpr Utils::Milliseconds longestLag{200};
 // Collects what arrives together into one scheduling pass.
 constexpr Utils::Milliseconds shortestPassPause{5};
 constexpr Utils::Milliseconds longestPassPause{40};
@@ -193,7 +195,9 @@
         for (const auto &life : m_ledger.expireLeases(m_parts.clock.now()))
             co_await endLife(life, "it said that it leaves and its lease has run out");
         wake();
+        const auto pausedAt = m_parts.clock.now();
         co_await AsyncNet::pause(tickInterval);
+        noteLag(m_parts.clock.now() - pausedAt - tickInterval);
     }
 }
 
@@ -240,6 +244,14 @@
     wake();
 }
 
+auto LeaderSession::noteLag(Utils::Milliseconds lag) -> void
+{
+    m_parts.metrics.observe(
+        "trefoilshelf_loop_lag_seconds", {}, std::chrono::duration<double>(lag).count());
+    if (lag > longestLag)
+        Utils::Log::warning("execution", "the event loop is late", {{"late_ms", lag.count()}});
+}
+
 auto LeaderSession::sendStop(StopOrder order) -> Task
 {
     const auto result = co_await m_parts.endpoints.stop(order);
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -63,6 +63,7 @@
     auto tick() -> Task;
     auto recordAndSend(std::vector<StartOrder> orders) -> Task;
     auto commitUntilDone(std::vector<Control::Command> commands) -> AsyncNet::Task<bool>;
+    auto noteLag(Utils::Milliseconds lag) -> void;
     auto sendStart(StartOrder order) -> Task;
     auto sendStop(StopOrder order) -> Task;
     auto sendPace(PaceOrder order) -> Task;
--- a/src/libs/jobs/jobtable.cpp
+++ b/src/libs/jobs/jobtable.cpp
@@ -102,6 +102,9 @@
     job.state = state;
     job.endedMs = nowMs;
     job.occurrences.clear();
+    // Only the state is asked for from now on, and snapshots hold ended jobs for minutes.
+    job.spec.payload = {};
+    job.spec.steps = {};
     m_ended.emplace(nowMs, job.spec.id);
     m_activeIds.erase(job.spec.id);
     ++m_version;
--- a/src/libs/jobs/jobtable.h
+++ b/src/libs/jobs/jobtable.h
@@ -36,7 +36,7 @@
     auto isDone() const -> bool;
 };
 
-/*! \brief A job and what is durably known about it. */
+/*! \brief A job and what is durably known about it. Once ended, it has no payload and no steps. */
 struct Job
 {
     JobSpec spec;
@@ -84,7 +84,8 @@
 
     std::map<std::string, Job, std::less<>> m_jobs;
     std::set<std::string> m_activeIds;
-    std::multimap<std::int64_t, std::string> m_ended; //!< Ids of ended jobs, by the time of the end.
+    std::multimap<std::int64_t, std::string>
+        m_ended; //!< Ids of ended jobs, by the time of the end.
     std::uint64_t m_version = 1;
 };
 
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -326,8 +326,15 @@
 auto ControlService::routesNewerThan(std::int64_t version) -> std::string
 {
     m_parts.state.read([this](const Control::State &state) { m_routes.add(state.configuration); });
-    return m_routes.newestVersion() > version ? Utils::toCbor(m_routes.updateFrom(version))
-                                              : std::string();
+    if (m_routes.newestVersion() <= version)
+        return {};
+    if (std::exchange(m_encodedVersion, m_routes.newestVersion()) != m_routes.newestVersion())
+        m_encodedUpdates.clear();
+    // Many entries ask for the same update at the same time.
+    auto &encoded = m_encodedUpdates[version];
+    if (encoded.empty())
+        encoded = Utils::toCbor(m_routes.updateFrom(version));
+    return encoded;
 }
 
 auto ControlService::awaitConfiguration(Wire::ControlRequest request)
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -99,6 +99,8 @@
     std::shared_ptr<Execution::LeaderSession> m_session;
     std::map<Control::EndpointLife, std::int64_t> m_sequences; //!< Last announcement of each life.
     Control::CallerRoutesHistory m_routes;
+    std::map<std::int64_t, std::string> m_encodedUpdates; //!< By the version that they change.
+    std::int64_t m_encodedVersion = 0;                    //!< That they lead to.
     AsyncNet::Signal m_configurationChanged;
     std::map<std::string, std::int64_t> m_waiting; //!< Jobs that have not begun, by queue.
     Utils::Instant m_waitingCountedAt;
--- a/tests/auto/jobs/tst_jobtable.cpp
+++ b/tests/auto/jobs/tst_jobtable.cpp
@@ -106,4 +106,23 @@
     EXPECT_NE(table.find("b"), nullptr);
 }
 
+// Snapshots hold ended jobs for minutes.
+TEST(JobTable, AnEndedJobKeepsItsStateAndNothingElse)
+{
+    Jobs::JobTable table;
+    Jobs::JobSpec spec;
+    spec.id = "job";
+    spec.queue = "queue";
+    spec.payload = std::string(4000, 'x');
+    spec.steps.emplace_back().count = 1;
+    table.add(spec);
+    table.recordEnd({"job", 0, 0, 0}, Jobs::TaskOutcome::Done, 3, 1);
+    const auto *job = table.find("job");
+    ASSERT_NE(job, nullptr);
+    EXPECT_EQ(job->state, Jobs::JobState::Done);
+    EXPECT_EQ(job->spec.queue, "queue");
+    EXPECT_TRUE(job->spec.payload.empty());
+    EXPECT_TRUE(job->spec.steps.empty());
+}
+
 } // namespace
