--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -14,9 +14,9 @@
 // An order without an answer is given again after this time.
 constexpr Utils::Milliseconds orderRetry{1500};
 // To empty a host, maintain it and see it back.
-constexpr std::int64_t hostMs = 7000;
+constexpr std::int64_t hostMs = 8000;
 // Kept free at the end of a wave, for changes of leader and hosts that fail.
-constexpr std::int64_t reserveMs = 4000;
+constexpr std::int64_t reserveMs = 5000;
 
 // Returns how many hosts have to be away at once for the wave to be done in time.
 auto neededAtOnce(const Control::Wave &wave, std::int64_t wallMs) -> std::int64_t
