Do not take a run for gone while it is being stopped

Cause: a look that was sent within the time of a stop does not list the run, and the run was taken for gone. Ruled out: two leaders (one term), a refused start (the run began).

Runs with a stop under way are settled by their end, or by a look that was sent after the longest time of a stop, which is a setting now (longest_stop_ms).

--- a/src/app/platformcommands.cpp
+++ b/src/app/platformcommands.cpp
@@ -155,6 +155,7 @@
 {
     Execution::LedgerTiming timing;
     timing.maximumLease = Utils::Milliseconds(settings.maximumLeaseMs);
+    timing.longestStop = Utils::Milliseconds(settings.longestStopMs);
     timing.lease = std::min(timing.lease, timing.maximumLease);
     return timing;
 }
--- a/src/libs/control/configuration.h
+++ b/src/libs/control/configuration.h
@@ -54,7 +54,7 @@
 /*! \brief The operators' configuration. The highest version is in force. */
 struct Configuration
 {
-    std::int64_t version = 0; //!< 0: none has been put yet.
+    std::int64_t version = 0;  //!< 0: none has been put yet.
     std::vector<Queue> queues; //!< By name.
     std::vector<Pool> pools;
     CallerLimits limits;
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -23,6 +23,7 @@
 {
     Utils::Milliseconds maximumLease{6000};  //!< Longer leases are cut by endpoints.
     Utils::Milliseconds lease{5000};         //!< Asked for with each order.
+    Utils::Milliseconds longestStop{400};    //!< From a stop's answer to the end of the run.
     Utils::Milliseconds lookWait{1500};      //!< How long a look waits for an end.
     Utils::Milliseconds lookFreshness{2800}; //!< An endpoint not seen for longer gets no tasks.
 };
--- a/src/libs/fleetmodel/fleetmodel.cpp
+++ b/src/libs/fleetmodel/fleetmodel.cpp
@@ -258,12 +258,7 @@
     {
         for (auto &[id, endpoint] : m_endpoints) {
             if (!endpoint.look) {
-                endpoint.look = m_ledger.lookOrder(id, now());
-                endpoint.lookSentMs = m_nowMs;
-                if (endpoint.look)
-                    std::erase_if(endpoint.ended, [&](const auto &end) {
-                        return end.number <= endpoint.look->notedEnds;
-                    });
+                sendLook(endpoint);
                 continue;
             }
             const auto waited = m_nowMs - endpoint.lookSentMs;
@@ -273,6 +268,14 @@
         }
     }
 
+    auto sendLook(SimulatedEndpoint &endpoint) -> void
+    {
+        endpoint.look = m_ledger.lookOrder(endpoint.record.life.id, now());
+        endpoint.lookSentMs = m_nowMs;
+        const auto noted = endpoint.look ? endpoint.look->notedEnds : 0;
+        std::erase_if(endpoint.ended, [noted](const auto &end) { return end.number <= noted; });
+    }
+
     auto answer(SimulatedEndpoint &endpoint) -> void
     {
         Execution::LookReply reply;
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -104,6 +104,11 @@
     ledger.startAnswered(order, reply, m_now);
 }
 
+auto LedgerFixture::acceptStop(const Execution::StopOrder &order) -> void
+{
+    ledger.stopAnswered(order, Execution::OrderResult::Accepted, m_now);
+}
+
 auto LedgerFixture::record(const Execution::LookEffects &effects) -> void
 {
     Control::Command command;
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -31,6 +31,7 @@
     auto lookAll() -> void;
     auto schedule() -> Execution::Orders;
     auto confirm(const Execution::StartOrder &order) -> void;
+    auto acceptStop(const Execution::StopOrder &order) -> void;
     /*! \brief Applies the ends to the durable state and tells the ledger. */
     auto record(const Execution::LookEffects &effects) -> void;
     auto task(const std::string &job, std::int64_t index = 0) const -> Jobs::TaskId;
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -94,6 +94,33 @@
     EXPECT_EQ(fixture.schedule().starts.size(), 1U);
 }
 
+// Endpoints take a while to stop a task and need not list it meanwhile.
+TEST(RunLedger, AStoppedTaskStartsElsewhereOnlyWhenItCannotWorkOnAnyMore)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    auto step = plainStep(1);
+    step.longRunning = true;
+    fixture.addJob("job", step);
+    fixture.begin();
+    fixture.lookAll();
+    const auto order = fixture.schedule().starts.front();
+    fixture.confirm(order);
+    const auto &endpoint = order.target.life.id;
+    fixture.look(endpoint, {{order.task, order.run, "", 100, 0}});
+    fixture.ledger.drain(endpoint);
+    const auto stops = fixture.schedule().stops;
+    ASSERT_EQ(stops.size(), 1U);
+    fixture.acceptStop(stops.front());
+    fixture.advance(Utils::Milliseconds(50));
+    fixture.look(endpoint);
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.advance(Utils::Milliseconds(400));
+    fixture.lookAll();
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
 TEST(RunLedger, AStartOfACancelledJobIsNotSentAnyMore)
 {
     LedgerFixture fixture;
