--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -38,7 +38,7 @@
     bool paceInFlight = false;      //!< A change of that share is not answered yet.
     bool stopWanted = false;
     Utils::Instant stopSentAt;     //!< Of the last stop order; zero: none.
-    Utils::Instant stopAnsweredAt; //!< Of an accepted stop; zero: none.
+    Utils::Instant stopAnsweredAt; //!< Of the first accepted stop; zero: none.
 };
 
 /*! \brief Returns a run of a task of \a step, which occupies what the step asks for. */
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -334,11 +334,13 @@
         // in the millisecond of the look's sending may have been carried out after the look.
         const auto stopped = run.stopAnsweredAt != Utils::Instant() && run.stopAnsweredAt < sentAt;
         const auto vanished = run.state == RunState::Running && run.confirmedAt < sentAt;
+        const auto leaseOver = run.state == RunState::Uncertain && run.leaseEndMs < reply.clockMs;
         // A run that is being stopped need not be listed, although it works on for a while.
-        const auto stopAt = std::max(run.stopSentAt, run.stopAnsweredAt);
-        if (stopAt != Utils::Instant() && stopAt + m_timing.longestStop >= sentAt)
+        const auto stopping = run.stopSentAt != Utils::Instant()
+                              && (run.stopAnsweredAt == Utils::Instant()
+                                  || run.stopAnsweredAt + m_timing.longestStop >= sentAt);
+        if (stopping && !leaseOver)
             continue;
-        const auto leaseOver = run.state == RunState::Uncertain && run.leaseEndMs < reply.clockMs;
         if (stopped || vanished || leaseOver)
             gone.push_back(run.task);
     }
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -415,7 +415,9 @@
 auto RunLedger::stopAnswered(const StopOrder &order, OrderResult result, Utils::Instant now) -> void
 {
     auto *run = findRun(order.target, order.task, order.run);
-    if (run != nullptr && result == OrderResult::Accepted)
+    // Stops are sent again until the run is settled; the first one that was accepted counts.
+    if (run != nullptr && result == OrderResult::Accepted
+        && run->stopAnsweredAt == Utils::Instant())
         run->stopAnsweredAt = now;
 }
 
