--- a/src/app/experimentcommand.cpp
+++ b/src/app/experimentcommand.cpp
@@ -1,7 +1,6 @@
 #include "experimentcommand.h"
 
 #include "commandline.h"
-#include "tableprinter.h"
 
 #include "fleetmodel/fleetmodel.h"
 
--- a/src/libs/control/callerroutes.h
+++ b/src/libs/control/callerroutes.h
@@ -4,7 +4,6 @@
 
 #include <deque>
 #include <map>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
