Bound the connections to all endpoints together, and what a listener accepts

Cause: idle connections to endpoints were kept without a limit over all of them, and a listener that was full closed what came new.

The listener finds expired connections without a walk over all. Tests: a thousand servers within a limit of three connections; calls that wait for one; a full listener.

--- a/src/app/platformcommands.cpp
+++ b/src/app/platformcommands.cpp
@@ -12,6 +12,7 @@
 #include "replication/replicalog.h"
 #include "service/controlservice.h"
 #include "service/entryservice.h"
+#include "service/filebudget.h"
 #include "service/voterkeeper.h"
 #include "utils/ids.h"
 #include "utils/log.h"
@@ -52,6 +53,18 @@
     return settings;
 }
 
+auto fileBudget(const PlatformProcess &process) -> Service::FileBudget
+{
+    return Service::budgetOf(process.settings().openFiles);
+}
+
+auto limitsFor(std::int64_t connections) -> AsyncNet::HttpListenerLimits
+{
+    AsyncNet::HttpListenerLimits limits;
+    limits.connections = int(connections);
+    return limits;
+}
+
 auto reportFailure(const Utils::Error &error) -> int
 {
     Utils::Log::error(
@@ -77,6 +90,7 @@
     auto run() -> int
     {
         const auto &settings = m_process.settings();
+        m_callers.setLimits(callerLimits());
         m_service.onConfiguration([this] { applyLimits(); });
         m_process.onReload([this](const Platform::NodeSettings &changed) {
             m_link.addMembers(changed.seedLinkAddresses());
@@ -104,10 +118,17 @@
         m_link.stop();
     }
 
+    // Entries call no endpoints, so callers get those files too.
+    auto callerLimits() const -> AsyncNet::HttpListenerLimits
+    {
+        const auto budget = fileBudget(m_process);
+        return limitsFor(budget.endpoints + budget.listener);
+    }
+
     auto applyLimits() -> void
     {
         const auto &limits = m_service.routes().limits();
-        AsyncNet::HttpListenerLimits changed;
+        auto changed = callerLimits();
         changed.headerBytes = limits.headerBytes;
         changed.bodyBytes = limits.bodyBytes;
         changed.requestTimeout = Utils::Milliseconds(limits.headerTimeoutMs);
@@ -177,6 +198,7 @@
 
     auto run() -> int
     {
+        m_listener.setLimits(limitsFor(fileBudget(m_process).listener));
         m_peers.addService(Replication::serviceName, m_log.processor());
         m_process.onReload([this](const Platform::NodeSettings &changed) {
             m_link.addMembers(changed.seedLinkAddresses());
@@ -232,7 +254,8 @@
     Replication::ReplicaLog m_log;
     Wire::PeerServer m_peers{{m_process.settings().replicationListenAddress(), peerConnections}};
     Service::LeaderLink m_link;
-    Platform::EndpointClient m_endpoints{m_process.loop()};
+    Platform::EndpointClient m_endpoints{m_process.loop(),
+                                         std::size_t(fileBudget(m_process).endpoints)};
     Platform::HostClient m_hosts{
         m_process.loop(), m_process.settings().hostsAddress, m_process.settings().id};
     Service::ControlService m_service{{m_process.loop(),
--- /dev/null
+++ b/src/libs/asyncnet/connectionpool.cpp
@@ -0,0 +1,87 @@
+#include "connectionpool.h"
+
+#include <algorithm>
+
+namespace AsyncNet {
+
+// Servers that have gone for good leave their half of a connection closed.
+constexpr std::chrono::seconds longestIdle{30};
+
+auto Internal::ConnectionCloser::operator()(boost::beast::tcp_stream *stream) const -> void
+{
+    delete stream;
+    --count->open;
+    count->freed.notify();
+}
+
+ConnectionPool::ConnectionPool(asio::io_context &loop, std::size_t limit)
+    : m_loop(loop)
+    , m_limit(limit)
+    , m_count(std::make_shared<Internal::ConnectionCount>(loop))
+{}
+
+auto ConnectionPool::takeIdle(const std::string &server) -> Connection
+{
+    const auto found = m_idleByServer.find(server);
+    if (found == m_idleByServer.end())
+        return Connection(nullptr, {m_count});
+    const auto last = found->second.back();
+    auto connection = std::move(last->connection);
+    m_idle.erase(last);
+    found->second.pop_back();
+    if (found->second.empty())
+        m_idleByServer.erase(found);
+    return connection;
+}
+
+auto ConnectionPool::makeConnection(Deadline deadline) -> Task<Connection>
+{
+    while (m_count->open >= m_limit) {
+        if (!m_idle.empty()) {
+            closeOldest();
+            continue;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= deadline)
+            co_return Connection(nullptr, {m_count});
+        co_await m_count->freed.waitFor(
+            std::chrono::duration_cast<Utils::Milliseconds>(deadline - now)
+            + Utils::Milliseconds(1));
+    }
+    ++m_count->open;
+    co_return Connection(new boost::beast::tcp_stream(m_loop), {m_count});
+}
+
+auto ConnectionPool::putBack(const std::string &server, Connection connection) -> void
+{
+    const auto now = std::chrono::steady_clock::now();
+    while (!m_idle.empty() && now - m_idle.front().since > longestIdle)
+        closeOldest();
+    m_idle.push_back({server, std::move(connection), now});
+    m_idleByServer[server].push_back(std::prev(m_idle.end()));
+    // One that waits for room takes the place of the longest idle one.
+    if (m_count->open >= m_limit)
+        m_count->freed.notify();
+}
+
+auto ConnectionPool::closeIdle(const std::string &server) -> void
+{
+    const auto found = m_idleByServer.find(server);
+    if (found == m_idleByServer.end())
+        return;
+    for (const auto idle : found->second)
+        m_idle.erase(idle);
+    m_idleByServer.erase(found);
+}
+
+auto ConnectionPool::closeOldest() -> void
+{
+    const auto oldest = m_idle.begin();
+    const auto found = m_idleByServer.find(oldest->server);
+    std::erase(found->second, oldest);
+    if (found->second.empty())
+        m_idleByServer.erase(found);
+    m_idle.erase(oldest);
+}
+
+} // namespace AsyncNet
--- /dev/null
+++ b/src/libs/asyncnet/connectionpool.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "task.h"
+
+#include <boost/beast/core/tcp_stream.hpp>
+
+#include <chrono>
+#include <cstddef>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace AsyncNet {
+
+namespace Internal {
+
+/*! \brief Counts the open connections of a pool. Connections may outlive their pool. */
+struct ConnectionCount
+{
+    explicit ConnectionCount(asio::io_context &loop)
+        : freed(loop)
+    {}
+
+    std::size_t open = 0;
+    Signal freed;
+};
+
+/*! \brief Closes a connection and counts it out. */
+struct ConnectionCloser
+{
+    std::shared_ptr<ConnectionCount> count;
+
+    auto operator()(boost::beast::tcp_stream *stream) const -> void;
+};
+
+} // namespace Internal
+
+/*!
+    \brief Bounds the connections to all servers together, and keeps idle ones for reuse.
+
+    When the limit is reached, the connection that has been idle for longest is closed to make room.
+    Lives on one event loop.
+*/
+class ConnectionPool
+{
+public:
+    using Connection = std::unique_ptr<boost::beast::tcp_stream, Internal::ConnectionCloser>;
+    using Deadline = std::chrono::steady_clock::time_point;
+
+    /*! \brief At most \a limit connections are open at once, idle ones included. */
+    ConnectionPool(asio::io_context &loop, std::size_t limit);
+
+    /*! \brief Returns the idle connection to \a server that was used last, or nullptr. */
+    auto takeIdle(const std::string &server) -> Connection;
+    /*! \brief Waits until another one may be opened; returns nullptr if that is after \a deadline. */
+    auto makeConnection(Deadline deadline) -> Task<Connection>;
+    auto putBack(const std::string &server, Connection connection) -> void;
+    auto closeIdle(const std::string &server) -> void;
+    auto openConnections() const -> std::size_t { return m_count->open; }
+
+private:
+    struct Idle
+    {
+        std::string server;
+        Connection connection;
+        std::chrono::steady_clock::time_point since;
+    };
+    using IdleList = std::list<Idle>;
+
+    auto closeOldest() -> void;
+
+    asio::io_context &m_loop;
+    std::size_t m_limit;
+    std::shared_ptr<Internal::ConnectionCount> m_count;
+    IdleList m_idle; //!< The longest idle ones first.
+    std::map<std::string, std::vector<IdleList::iterator>> m_idleByServer;
+};
+
+} // namespace AsyncNet
--- a/src/libs/asyncnet/httpclient.cpp
+++ b/src/libs/asyncnet/httpclient.cpp
@@ -19,15 +19,14 @@
 // Answers of servers are small but for lists of hosts.
 constexpr std::uint64_t answerBytes = 16 * 1024 * 1024;
 
-class HttpClient::Server
+// The calls to one server that are in progress or wait for their turn.
+struct HttpClient::Server
 {
-public:
     explicit Server(asio::io_context &loop)
         : freed(loop)
     {}
 
-    std::vector<std::unique_ptr<beast::tcp_stream>> idle;
-    int inUse = 0;
+    int calls = 0;
     Signal freed;
 };
 
@@ -58,29 +57,6 @@
     return response;
 }
 
-// Takes the place of a connection in use for the time of a call.
-class Slot
-{
-public:
-    Slot(int &inUse, Signal &freed)
-        : m_inUse(inUse)
-        , m_freed(freed)
-    {
-        ++m_inUse;
-    }
-    ~Slot()
-    {
-        --m_inUse;
-        m_freed.notify();
-    }
-    Slot(const Slot &) = delete;
-    auto operator=(const Slot &) -> Slot & = delete;
-
-private:
-    int &m_inUse;
-    Signal &m_freed;
-};
-
 auto connect(beast::tcp_stream &stream, const std::string &address, SteadyTime deadline)
     -> Task<Utils::Result<void>>
 {
@@ -126,54 +102,100 @@
 
 } // namespace
 
-HttpClient::HttpClient(asio::io_context &loop, int connectionsPerServer)
+// Takes the place of a call to a server for its time; the last one forgets the server.
+class HttpClient::Slot
+{
+public:
+    Slot(HttpClient &client, std::string address)
+        : m_servers(client.m_servers)
+        , m_address(std::move(address))
+        , m_server((*m_servers)[m_address].lock())
+    {
+        if (!m_server) {
+            m_server = std::make_shared<Server>(client.m_loop);
+            (*m_servers)[m_address] = m_server;
+        }
+    }
+    ~Slot()
+    {
+        if (m_taken) {
+            --m_server->calls;
+            m_server->freed.notify();
+        }
+        if (m_server.use_count() == 1)
+            m_servers->erase(m_address);
+    }
+    Slot(const Slot &) = delete;
+    auto operator=(const Slot &) -> Slot & = delete;
+
+    // Waits while "most" calls are in progress; returns false if that lasts past the deadline.
+    auto take(int most, SteadyTime deadline) -> Task<bool>
+    {
+        while (m_server->calls >= most) {
+            const auto now = std::chrono::steady_clock::now();
+            if (now >= deadline)
+                co_return false;
+            co_await m_server->freed.waitFor(
+                std::chrono::ceil<Utils::Milliseconds>(deadline - now));
+        }
+        ++m_server->calls;
+        m_taken = true;
+        co_return true;
+    }
+
+private:
+    std::shared_ptr<Servers> m_servers;
+    std::string m_address;
+    std::shared_ptr<Server> m_server;
+    bool m_taken = false;
+};
+
+HttpClient::HttpClient(asio::io_context &loop,
+                       int connectionsPerServer,
+                       std::shared_ptr<ConnectionPool> connections)
     : m_loop(loop)
     , m_connectionsPerServer(connectionsPerServer)
+    , m_connections(std::move(connections))
+    , m_servers(std::make_shared<Servers>())
 {}
 
 HttpClient::~HttpClient() = default;
 
-auto HttpClient::serverAt(const std::string &address) -> std::shared_ptr<Server>
-{
-    auto &server = m_servers[address];
-    if (!server)
-        server = std::make_shared<Server>(m_loop);
-    return server;
-}
-
 auto HttpClient::call(std::string address,
                       HttpRequest request,
                       Utils::Milliseconds timeout,
                       bool repeatable) -> Task<Utils::Result<HttpResponse>>
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
-    const auto server = serverAt(address);
-    while (server->inUse >= m_connectionsPerServer) {
-        co_await server->freed.waitFor(timeout);
-        if (std::chrono::steady_clock::now() >= deadline)
-            co_return Utils::failure(
-                Utils::ErrorType::Timeout, "too many calls to the server are in progress", address);
-    }
-    const Slot slot(server->inUse, server->freed);
+    Slot slot(*this, address);
+    const auto hasSlot = co_await slot.take(m_connectionsPerServer, deadline);
+    if (!hasSlot)
+        co_return Utils::failure(
+            Utils::ErrorType::Timeout, "too many calls to the server are in progress", address);
     const auto message = convert(request, address);
     HttpResponse response;
     auto sentBefore = false;
-    if (!server->idle.empty()) {
+    if (auto idle = m_connections->takeIdle(address)) {
         sentBefore = true;
-        auto stream = std::move(server->idle.back());
-        server->idle.pop_back();
-        const auto kept = co_await exchange(*stream, message, deadline, response);
+        const auto kept = co_await exchange(*idle, message, deadline, response);
         if (kept && kept.value())
-            server->idle.push_back(std::move(stream));
+            m_connections->putBack(address, std::move(idle));
         if (kept)
             co_return response;
         if (!repeatable || std::chrono::steady_clock::now() >= deadline)
             co_return kept.error();
         // Others of the kept connections are likely to be closed too.
-        server->idle.clear();
+        m_connections->closeIdle(address);
+    }
+    auto stream = co_await m_connections->makeConnection(deadline);
+    if (!stream) {
+        if (!sentBefore)
+            co_return Utils::failure(
+                Utils::ErrorType::Timeout, "too many connections are in use", address);
+        co_return Utils::failure(Utils::ErrorType::OutcomeUnknown, "no answer to the request");
     }
-    auto stream = std::make_unique<beast::tcp_stream>(m_loop);
-    if (const auto connected = co_await connect(*stream, address, deadline); !connected) {
+    const auto connected = co_await connect(*stream, address, deadline);
+    if (!connected) {
         if (!sentBefore)
             co_return connected.error();
         co_return Utils::failure(Utils::ErrorType::OutcomeUnknown,
@@ -184,7 +206,7 @@
     if (!kept)
         co_return kept.error();
     if (kept.value())
-        server->idle.push_back(std::move(stream));
+        m_connections->putBack(address, std::move(stream));
     co_return response;
 }
 
--- a/src/libs/asyncnet/httpclient.h
+++ b/src/libs/asyncnet/httpclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "connectionpool.h"
 #include "httpmessage.h"
 #include "task.h"
 
@@ -20,8 +21,14 @@
 class HttpClient
 {
 public:
-    /*! \brief At most \a connectionsPerServer calls to one server are in progress; others wait. */
-    HttpClient(asio::io_context &loop, int connectionsPerServer);
+    /*!
+        \brief At most \a connectionsPerServer calls to one server are in progress; others wait.
+
+        Clients that share \a connections share their limit and what is idle.
+    */
+    HttpClient(asio::io_context &loop,
+               int connectionsPerServer,
+               std::shared_ptr<ConnectionPool> connections);
     ~HttpClient();
     HttpClient(const HttpClient &) = delete;
     auto operator=(const HttpClient &) -> HttpClient & = delete;
@@ -38,13 +45,15 @@
               bool repeatable = true) -> Task<Utils::Result<HttpResponse>>;
 
 private:
-    class Server;
-
-    auto serverAt(const std::string &address) -> std::shared_ptr<Server>;
+    struct Server;
+    // With calls in progress, by address. Calls that are cut off by the loop's end may outlive the client.
+    using Servers = std::map<std::string, std::weak_ptr<Server>>;
+    class Slot;
 
     asio::io_context &m_loop;
     int m_connectionsPerServer;
-    std::map<std::string, std::shared_ptr<Server>> m_servers;
+    std::shared_ptr<ConnectionPool> m_connections;
+    std::shared_ptr<Servers> m_servers;
 };
 
 } // namespace AsyncNet
--- a/src/libs/asyncnet/httplistener.cpp
+++ b/src/libs/asyncnet/httplistener.cpp
@@ -69,8 +69,10 @@
             : stream(std::move(socket))
         {}
         beast::tcp_stream stream;
-        bool idle = true;
+        std::list<std::shared_ptr<Connection>>::iterator place; //!< In idle or busy.
+        bool closing = false; //!< Idle for longest when another needed its place.
     };
+    using Connections = std::list<std::shared_ptr<Connection>>;
 
     Private(asio::io_context &eventLoop, std::string listenerName, HttpHandler requestHandler)
         : loop(eventLoop)
@@ -81,6 +83,7 @@
 
     auto accept() -> Task<void>;
     auto serve(std::shared_ptr<Connection> connection) -> Task<void>;
+    auto makeRoom() -> bool;
     auto serveRequests(Connection &connection) -> Task<void>;
     auto answer(Connection &connection, HttpResponse response, bool keepAlive) -> Task<bool>;
 
@@ -89,8 +92,8 @@
     HttpHandler handler;
     Tcp::acceptor acceptor;
     HttpListenerLimits limits;
-    std::list<std::weak_ptr<Connection>> connections;
-    int openConnections = 0;
+    Connections idle; //!< That wait for a request, the longest idle ones first.
+    Connections busy;
     int requests = 0;
     bool ending = false;
     bool stopped = false;
@@ -111,21 +114,38 @@
             co_await pause(acceptPause);
             continue;
         }
-        if (openConnections >= limits.connections)
+        if (!makeRoom()) {
+            Utils::Log::warning("http",
+                                "closed a new connection because all others are in use",
+                                {{"listener", name}, {"connections", busy.size()}});
             continue;
+        }
         socket.set_option(Tcp::no_delay(true), error);
-        std::erase_if(connections, [](const auto &item) { return item.expired(); });
         auto connection = std::make_shared<Connection>(std::move(socket));
-        connections.push_back(connection);
+        connection->place = busy.insert(busy.end(), connection);
         AsyncNet::start(loop, name, serve(std::move(connection)), shared_from_this());
     }
 }
 
+// Closes the connection that has been idle for longest if there are too many.
+auto HttpListener::Private::makeRoom() -> bool
+{
+    if (int(idle.size() + busy.size()) < limits.connections)
+        return true;
+    if (idle.empty())
+        return false;
+    const auto oldest = idle.front();
+    oldest->closing = true;
+    oldest->stream.close();
+    // Counts as busy until its task has seen the end.
+    busy.splice(busy.end(), idle, oldest->place);
+    return true;
+}
+
 auto HttpListener::Private::serve(std::shared_ptr<Connection> connection) -> Task<void>
 {
-    ++openConnections;
     co_await serveRequests(*connection);
-    --openConnections;
+    busy.erase(connection->place);
     boost::system::error_code error;
     // A half-close lets the peer read the last answer even if it has sent more.
     connection->stream.socket().shutdown(Tcp::socket::shutdown_send, error);
@@ -139,7 +159,7 @@
         parser.header_limit(std::uint32_t(limits.headerBytes));
         parser.body_limit(std::uint64_t(limits.bodyBytes));
         boost::system::error_code error;
-        connection.idle = true;
+        idle.splice(idle.end(), busy, connection.place);
         connection.stream.expires_after(limits.idleTimeout);
         if (buffer.size() == 0) {
             co_await http::async_read_some(connection.stream,
@@ -147,7 +167,9 @@
                                            parser,
                                            asio::redirect_error(asio::use_awaitable, error));
         }
-        connection.idle = false;
+        if (connection.closing)
+            co_return;
+        busy.splice(busy.end(), idle, connection.place);
         if (!error && !parser.is_done()) {
             connection.stream.expires_after(limits.requestTimeout);
             co_await http::async_read(connection.stream,
@@ -220,11 +242,8 @@
     m_d->ending = true;
     boost::system::error_code error;
     m_d->acceptor.close(error);
-    for (const auto &item : m_d->connections) {
-        const auto connection = item.lock();
-        if (connection && connection->idle)
-            connection->stream.cancel();
-    }
+    for (const auto &connection : m_d->idle)
+        connection->stream.cancel();
 }
 
 auto HttpListener::requestsInProgress() const -> int
--- a/tests/auto/asyncnet/tst_http.cpp
+++ b/tests/auto/asyncnet/tst_http.cpp
@@ -15,14 +15,15 @@
 
 constexpr Milliseconds longestTest{5000};
 constexpr Milliseconds callTimeout{1000};
+constexpr std::size_t mostConnections = 3;
 
 class HttpTest : public testing::Test
 {
 protected:
-    auto listen(HttpHandler handler) -> std::string
+    auto listen(HttpHandler handler, const std::string &address = "127.0.0.1:0") -> std::string
     {
         m_listener = std::make_unique<HttpListener>(m_loop, "test", std::move(handler));
-        EXPECT_TRUE(m_listener->start("127.0.0.1:0"));
+        EXPECT_TRUE(m_listener->start(address));
         return "127.0.0.1:" + std::to_string(m_listener->port());
     }
     auto run(Task<void> task) -> void
@@ -47,8 +48,8 @@
         const auto port =
             static_cast<unsigned short>(std::stoi(address.substr(address.find(':') + 1)));
         boost::system::error_code error;
-        co_await socket.async_connect({asio::ip::make_address("127.0.0.1"), port},
-                                      asio::redirect_error(asio::use_awaitable, error));
+        const asio::ip::tcp::endpoint server(asio::ip::make_address("127.0.0.1"), port);
+        co_await socket.async_connect(server, asio::redirect_error(asio::use_awaitable, error));
         co_await asio::async_write(
             socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
         co_await asio::async_read(
@@ -56,7 +57,9 @@
     }
 
     asio::io_context m_loop;
-    HttpClient m_client{m_loop, 2};
+    std::shared_ptr<ConnectionPool> m_connections =
+        std::make_shared<ConnectionPool>(m_loop, mostConnections);
+    HttpClient m_client{m_loop, 2, m_connections};
     std::unique_ptr<HttpListener> m_listener;
 
 private:
@@ -163,4 +166,71 @@
     run(calls());
 }
 
+// Every number of the loopback range reaches a listener on all addresses.
+TEST_F(HttpTest, CallsToAThousandServersStayWithinTheLimitOfConnections)
+{
+    constexpr int servers = 1000;
+    listen([](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse(); }, "0.0.0.0:0");
+    const auto port = ':' + std::to_string(m_listener->port());
+    auto answered = 0;
+    const auto calls = [&]() -> Task<void> {
+        for (auto server = 0; server < servers; ++server) {
+            const auto address = "127.1." + std::to_string(server / 250) + '.'
+                                 + std::to_string(server % 250 + 1) + port;
+            const auto response = co_await m_client.call(address, post("x"), callTimeout);
+            answered += response ? 1 : 0;
+            EXPECT_LE(m_connections->openConnections(), mostConnections);
+        }
+    };
+    run(calls());
+    EXPECT_EQ(answered, servers);
+}
+
+TEST_F(HttpTest, CallsWaitForOneOfTheConnectionsThatAreAllInUse)
+{
+    listen(
+        [](HttpRequest) -> Task<HttpResponse> {
+            co_await pause(Milliseconds(20));
+            co_return HttpResponse();
+        },
+        "0.0.0.0:0");
+    const auto port = ':' + std::to_string(m_listener->port());
+    const auto servers = 4 * mostConnections;
+    std::size_t answered = 0;
+    const auto callOne = [&](std::string address) -> Task<void> {
+        const auto response = co_await m_client.call(std::move(address), post("x"), callTimeout);
+        answered += response ? 1 : 0;
+    };
+    const auto calls = [&]() -> Task<void> {
+        for (std::size_t server = 1; server <= servers; ++server)
+            AsyncNet::start(m_loop, "call", callOne("127.2.0." + std::to_string(server) + port));
+        while (answered < servers)
+            co_await pause(Milliseconds(5));
+    };
+    run(calls());
+    EXPECT_EQ(answered, servers);
+}
+
+TEST_F(HttpTest, AFullListenerMakesRoomByClosingTheLongestIdleConnection)
+{
+    const auto address =
+        listen([](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse(); });
+    HttpListenerLimits limits;
+    limits.connections = 2;
+    m_listener->setLimits(limits);
+    const auto calls = [&]() -> Task<void> {
+        const auto pool = [&] { return std::make_shared<ConnectionPool>(m_loop, 1); };
+        std::vector<std::unique_ptr<HttpClient>> clients;
+        for (auto client = 0; client < 5; ++client) {
+            clients.push_back(std::make_unique<HttpClient>(m_loop, 1, pool()));
+            const auto response = co_await clients.back()->call(address, post("x"), callTimeout);
+            EXPECT_TRUE(response);
+        }
+        // Its kept connection is gone, so it needs a new one.
+        const auto response = co_await clients.front()->call(address, post("x"), callTimeout);
+        EXPECT_TRUE(response);
+    };
+    run(calls());
+}
+
 } // namespace
--- a/tests/process/soak/soakrun.h
+++ b/tests/process/soak/soakrun.h
@@ -13,6 +13,9 @@
 
 namespace Soak {
 
+/*! \brief Of the soak's callers and operators, to all processes together. */
+inline constexpr std::size_t mostConnections = 512;
+
 struct SoakOptions
 {
     std::uint64_t seed = 1;
@@ -83,7 +86,8 @@
     AsyncNet::asio::io_context m_loop;
     Promises m_promises;
     SoakWorld m_world{m_loop, m_promises, m_engine};
-    AsyncNet::HttpClient m_client{m_loop, 64};
+    AsyncNet::HttpClient m_client{
+        m_loop, 64, std::make_shared<AsyncNet::ConnectionPool>(m_loop, mostConnections)};
     AsyncNet::HttpListener m_hosts;
     std::vector<std::string> m_controls; //!< Addresses for operators and endpoints.
     std::vector<std::string> m_entries;  //!< Addresses for callers.
--- a/tests/process/soak/standinendpoint.cpp
+++ b/tests/process/soak/standinendpoint.cpp
@@ -12,6 +12,7 @@
 constexpr Utils::Milliseconds announceTimeout{1000};
 constexpr std::int64_t latestMs = 5000; // Of an order that is carried out late.
 constexpr std::int64_t cpu = 4000;
+constexpr std::size_t mostConnections = 4;
 
 auto reply(int status, Utils::Json body) -> AsyncNet::HttpResponse
 {
@@ -48,7 +49,8 @@
     , m_listener(world.loop,
                  "endpoint",
                  [this](AsyncNet::HttpRequest request) { return handle(std::move(request)); })
-    , m_client(world.loop, 1)
+    , m_client(
+          world.loop, 1, std::make_shared<AsyncNet::ConnectionPool>(world.loop, mostConnections))
     , m_ended(world.loop)
 {}
 
