Move hosts at nearly the provider's rate, and list them beside the moves

Cause: orders to the provider of hosts went over two connections, and its list over the same two, so a burst moved 100 hosts a second (310 are taken), and the plan stood still while its list waited behind hundreds of moves. Ruled out: refusals by the provider (few, and of hosts that were away).

--- a/src/app/platformcommands.cpp
+++ b/src/app/platformcommands.cpp
@@ -269,7 +269,8 @@
                                        m_members},
                                       {m_process.settings().linkAddress(),
                                        m_process.settings().linkListenAddress(),
-                                       ledgerTiming(m_process.settings())}};
+                                       ledgerTiming(m_process.settings()),
+                                       m_process.settings().hostOrdersPerS}};
     Platform::ControlRoutes m_routes{m_service, m_process.settings()};
     AsyncNet::HttpListener m_listener{
         m_process.loop(), "control", [this](AsyncNet::HttpRequest request) {
--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -112,13 +112,15 @@
 auto HostMovePlan::next(const Control::Configuration &configuration,
                         const RunLedger &ledger,
                         const HostList &hosts,
+                        std::int64_t mostMoves,
                         Utils::Instant now) -> HostMoves
 {
     HostMoves moves;
     if (!hosts.complete || now - m_firstObserved < firstMoves)
         return moves;
     const auto plan = Scheduling::planTransfers(loads(configuration, ledger, hosts, now));
-    for (const auto &transfer : plan.transfers) {
+    for (auto transfer : plan.transfers) {
+        transfer.count = std::min(transfer.count, mostMoves - std::int64_t(moves.steps.size()));
         for (auto &step : chooseHosts(transfer, ledger, hosts, now))
             moves.steps.push_back(std::move(step));
     }
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -46,9 +46,11 @@
                Utils::Instant now) const -> std::vector<Scheduling::PoolLoad>;
     /*! \brief Updates what is measured over time; called often. */
     auto observe(const RunLedger &ledger, Utils::Instant now) -> void;
+    /*! \brief Returns what to do next, with at most \a mostMoves steps. */
     auto next(const Control::Configuration &configuration,
               const RunLedger &ledger,
               const HostList &hosts,
+              std::int64_t mostMoves,
               Utils::Instant now) -> HostMoves;
     /*! \brief Notes what became of an order; returns true if the endpoint is to be opened again. */
     auto ordered(const MoveStep &step, HostOrderResult result, Utils::Instant now) -> bool;
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -24,14 +24,14 @@
 }
 
 // Tells what the sizes of the pools are decided from.
-auto LeaderSession::reportPools(const HostList &hosts) -> void
+auto LeaderSession::reportPools() -> void
 {
     const auto now = m_parts.clock.now();
-    if (!hosts.complete || now - m_lastReport < reportInterval)
+    if (!m_hosts.complete || now - m_lastReport < reportInterval)
         return;
     m_lastReport = now;
     const auto loads = m_parts.state.read([&](const Control::State &state) {
-        return m_moves.loads(state.configuration, m_ledger, hosts, now);
+        return m_moves.loads(state.configuration, m_ledger, m_hosts, now);
     });
     for (const auto &load : loads) {
         Utils::Log::info("execution",
@@ -46,49 +46,65 @@
     }
 }
 
+auto LeaderSession::listHosts() -> Task
+{
+    while (m_active) {
+        const auto askedAt = m_parts.clock.now();
+        auto listed = co_await m_parts.hosts.list();
+        if (!m_active)
+            co_return;
+        m_hosts = std::move(listed);
+        m_hostsListedAt = askedAt;
+        if (m_hosts.complete) {
+            for (const auto &endpoint : m_moves.takeUnmoved(m_hosts, askedAt))
+                m_ledger.setClosed(endpoint, false);
+        }
+        co_await AsyncNet::pause(hostListInterval);
+    }
+}
+
 auto LeaderSession::manageHosts() -> Task
 {
-    HostList hosts;
-    auto listedAt = Utils::Instant();
     while (m_active) {
         m_ledger.updateDemand(m_parts.clock.wallTime());
         m_moves.observe(m_ledger, m_parts.clock.now());
-        if (m_parts.clock.now() - listedAt > hostListInterval) {
-            const auto askedAt = m_parts.clock.now();
-            hosts = co_await m_parts.hosts.list();
-            listedAt = askedAt;
-            if (!m_active)
-                co_return;
-            if (hosts.complete) {
-                for (const auto &endpoint : m_moves.takeUnmoved(hosts, askedAt))
-                    m_ledger.setClosed(endpoint, false);
-            }
-        }
         if (hasOpenWave())
-            co_await runWaves(hosts, listedAt);
+            co_await runWaves();
         if (!m_active)
             co_return;
-        const auto moves = m_parts.state.read([&](const Control::State &state) {
-            return m_moves.next(state.configuration, m_ledger, hosts, m_parts.clock.now());
-        });
-        reportPools(hosts);
-        for (const auto &endpoint : moves.close)
-            m_ledger.setClosed(endpoint, true);
-        for (const auto &endpoint : moves.open)
-            m_ledger.setClosed(endpoint, false);
-        for (const auto &step : moves.steps) {
-            m_ledger.setClosed(step.life.id, true);
-            AsyncNet::start(m_parts.loop, "move", moveHost(step), shared_from_this());
-        }
+        orderMoves();
+        reportPools();
         co_await AsyncNet::pause(hostsInterval);
     }
 }
 
-auto LeaderSession::runWaves(const HostList &hosts, Utils::Instant listedAt) -> Task
+auto LeaderSession::orderMoves() -> void
+{
+    const auto now = m_parts.clock.now();
+    const auto moves = m_parts.state.read([&](const Control::State &state) {
+        return m_moves.next(
+            state.configuration, m_ledger, m_hosts, m_hostOrders.available(now), now);
+    });
+    for (const auto &endpoint : moves.close)
+        m_ledger.setClosed(endpoint, true);
+    for (const auto &endpoint : moves.open)
+        m_ledger.setClosed(endpoint, false);
+    m_hostOrders.take(std::int64_t(moves.steps.size()));
+    for (const auto &step : moves.steps) {
+        m_ledger.setClosed(step.life.id, true);
+        AsyncNet::start(m_parts.loop, "move", moveHost(step), shared_from_this());
+    }
+}
+
+auto LeaderSession::runWaves() -> Task
 {
     const auto work = m_parts.state.read([&](const Control::State &state) {
-        return m_maintenance.next(
-            state, m_ledger, hosts, listedAt, m_parts.clock.now(), m_parts.clock.wallTime());
+        return m_maintenance.next(state,
+                                  m_ledger,
+                                  m_hosts,
+                                  m_hostsListedAt,
+                                  m_parts.clock.now(),
+                                  m_parts.clock.wallTime());
     });
     for (const auto &endpoint : work.close)
         m_ledger.setClosed(endpoint, true);
@@ -101,6 +117,7 @@
             continue;
         }
         m_ledger.setEndOrdered(step.life.id, true);
+        m_hostOrders.take(1);
         AsyncNet::start(m_parts.loop, "maintenance", maintainHost(step), shared_from_this());
     }
     std::vector<Control::Command> commands;
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -26,6 +26,7 @@
 LeaderSession::LeaderSession(LeaderParts parts, LedgerTiming timing, std::int64_t term)
     : m_parts(parts)
     , m_ledger(timing)
+    , m_hostOrders(parts.hostOrdersPerS)
     , m_term(term)
     , m_startLines("starts of tasks", linesPerSecond)
     , m_endLines("ends of tasks", linesPerSecond)
@@ -46,6 +47,7 @@
         AsyncNet::start(m_parts.loop, "endpoint", watch(endpoint.record.life), shared_from_this());
     }
     AsyncNet::start(m_parts.loop, "leader tick", tick(), shared_from_this());
+    AsyncNet::start(m_parts.loop, "list of hosts", listHosts(), shared_from_this());
     AsyncNet::start(m_parts.loop, "hosts", manageHosts(), shared_from_this());
 }
 
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -2,6 +2,7 @@
 
 #include "hostmoveplan.h"
 #include "maintenanceplan.h"
+#include "orderbudget.h"
 #include "ports.h"
 #include "runledger.h"
 
@@ -28,6 +29,7 @@
     HostProvider &hosts;
     const Utils::Clock &clock;
     Utils::Metrics &metrics;
+    double hostOrdersPerS = 0; //!< That the provider of hosts takes from all processes together.
 };
 
 /*!
@@ -68,13 +70,15 @@
     auto sendStop(StopOrder order) -> Task;
     auto sendPace(PaceOrder order) -> Task;
     auto endLife(Control::EndpointLife life, std::string_view reason) -> Task;
+    auto listHosts() -> Task;
     auto manageHosts() -> Task;
-    auto runWaves(const HostList &hosts, Utils::Instant listedAt) -> Task;
+    auto runWaves() -> Task;
+    auto orderMoves() -> void;
     auto maintainHost(MaintenanceStep step) -> Task;
     auto moveHost(MoveStep step) -> Task;
     auto forgetEndpoint(Control::EndpointLife life, std::vector<Control::Command> commands) -> Task;
     auto hasOpenWave() const -> bool;
-    auto reportPools(const HostList &hosts) -> void;
+    auto reportPools() -> void;
     auto logEnds(const LookOrder &order, const LookReply &reply) -> void;
     auto logEndedJobs(const Control::RecordEnds &record) -> void;
     auto noteStart(const StartOrder &order, const StartReply &reply) -> void;
@@ -84,6 +88,9 @@
     RunLedger m_ledger;
     MaintenancePlan m_maintenance;
     HostMovePlan m_moves;
+    OrderBudget m_hostOrders;
+    HostList m_hosts;
+    Utils::Instant m_hostsListedAt; //!< When the list was asked for.
     std::int64_t m_term;
     bool m_active = true;
     bool m_passPending = false;
--- a/src/libs/fleetmodel/fleetmodel.cpp
+++ b/src/libs/fleetmodel/fleetmodel.cpp
@@ -350,7 +350,8 @@
             m_result.hostSeconds += host.pool != sparePool ? double(hostsIntervalMs) / 1000.0 : 0.0;
         for (const auto &id : m_moves.takeUnmoved(hosts, now()))
             m_ledger.setClosed(id, false);
-        const auto moves = m_moves.next(m_state.configuration, m_ledger, hosts, now());
+        const auto moves = m_moves.next(
+            m_state.configuration, m_ledger, hosts, std::int64_t(hosts.hosts.size()), now());
         for (const auto &id : moves.close)
             m_ledger.setClosed(id, true);
         for (const auto &id : moves.open)
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -151,7 +151,8 @@
                                            m_committer,
                                            m_parts.hosts,
                                            m_parts.clock,
-                                           m_parts.metrics},
+                                           m_parts.metrics,
+                                           m_options.hostOrdersPerS},
                     m_options.timing,
                     term);
                 m_sequences.clear();
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -43,6 +43,7 @@
     std::string linkAddress;   //!< Where entries and other control processes connect.
     std::string listenAddress; //!< Where this process listens for them.
     Execution::LedgerTiming timing;
+    double hostOrdersPerS = 0; //!< That the provider of hosts takes from all processes together.
 };
 
 /*!
--- a/tests/auto/execution/tst_leadersession.cpp
+++ b/tests/auto/execution/tst_leadersession.cpp
@@ -10,6 +10,7 @@
 constexpr Utils::Milliseconds longestTest{20'000};
 constexpr Utils::Milliseconds conditionCheck{20};
 constexpr std::int64_t term = 3;
+constexpr double hostOrdersPerS = 50;
 
 /*! \brief A leader with one endpoint whose host is due for maintenance. */
 class SessionFixture
@@ -51,7 +52,8 @@
     auto leadUntil(const std::function<bool()> &condition) -> bool
     {
         const auto session = std::make_shared<Execution::LeaderSession>(
-            Execution::LeaderParts{m_loop, m_state, m_endpoints, m_log, hosts, m_clock, m_metrics},
+            Execution::LeaderParts{
+                m_loop, m_state, m_endpoints, m_log, hosts, m_clock, m_metrics, hostOrdersPerS},
             Execution::LedgerTiming(),
             term);
         session->start();
