Put more commands into each log entry, and do not decode what was just encoded

Cause: under load the leader committed entry after entry, each with a sync, a message and several wake-ups a voter, and decoded every entry that it had encoded itself. Now an entry begins 20 ms after the last one at the earliest, and the state keeps the commands that this process submits until their entry is applied. Ruled out: starts that wait for longer; a task's order follows its entry, and tasks take hundreds of milliseconds. Tests: commands that keep coming share entries; an expected entry changes the state as its encoding does.

--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -6,6 +6,8 @@
 
 namespace Control {
 
+// Of entries submitted and not applied yet; what is over is decoded.
+constexpr std::size_t mostExpectedEntries = 4;
 // Callers may ask for an ended job for a while; clocks of successive leaders differ by seconds.
 constexpr std::int64_t endedJobRetentionMs = 300'000;
 
@@ -185,11 +187,34 @@
     : m_changed(std::move(changed))
 {}
 
+auto StateReplica::expect(std::string payload, CommandBatch batch) -> void
+{
+    const std::lock_guard lock(m_expectedMutex);
+    m_expected.push_back({std::move(payload), std::move(batch)});
+    if (m_expected.size() > mostExpectedEntries)
+        m_expected.pop_front();
+}
+
+auto StateReplica::decode(const std::string &payload) -> Utils::Result<CommandBatch>
+{
+    {
+        const std::lock_guard lock(m_expectedMutex);
+        const auto found = std::ranges::find(m_expected, payload, &ExpectedEntry::payload);
+        if (found != m_expected.end()) {
+            auto batch = std::move(found->batch);
+            // Earlier ones were not committed.
+            m_expected.erase(m_expected.begin(), std::next(found));
+            return batch;
+        }
+    }
+    return Utils::fromCbor<CommandBatch>(payload);
+}
+
 auto StateReplica::apply(const Replication::Entry &entry) -> std::string
 {
     if (entry.payload.empty())
         return {};
-    const auto batch = Utils::fromCbor<CommandBatch>(entry.payload);
+    const auto batch = decode(entry.payload);
     if (!batch) {
         Utils::Log::error("control",
                           "skipped a log entry that cannot be read",
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -5,6 +5,7 @@
 #include "jobs/jobtable.h"
 #include "replication/replicatedlog.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -42,6 +43,12 @@
     explicit StateReplica(std::function<void()> changed = {});
 
     auto apply(const Replication::Entry &entry) -> std::string override;
+    /*!
+        \brief Keeps \a batch, so that apply() need not decode it from \a payload.
+
+        For entries that this process submits itself.
+    */
+    auto expect(std::string payload, CommandBatch batch) -> void;
     auto snapshot() const -> std::string override;
     auto restore(std::string_view bytes, Replication::Revision revision)
         -> Utils::Result<void> override;
@@ -55,6 +62,16 @@
     }
 
 private:
+    struct ExpectedEntry
+    {
+        std::string payload;
+        CommandBatch batch;
+    };
+
+    auto decode(const std::string &payload) -> Utils::Result<CommandBatch>;
+
+    std::mutex m_expectedMutex;
+    std::deque<ExpectedEntry> m_expected; //!< In the order of their submission.
     mutable std::shared_mutex m_mutex;
     State m_state;
     std::function<void()> m_changed;
--- a/src/libs/service/committer.h
+++ b/src/libs/service/committer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "control/controlstate.h"
 #include "execution/ports.h"
 #include "replication/replicatedlog.h"
 #include "utils/clock.h"
@@ -17,13 +18,15 @@
     \brief Writes commands to the replicated log.
 
     commit() belongs to the event loop; a thread of its own waits for the log. What arrives while
-    one entry is being committed goes into the next one.
+    one entry is being committed, or soon after an entry, goes into the next one: under load each
+    entry carries more commands instead of there being more entries.
 */
 class Committer final : public Execution::CommandLog
 {
 public:
     Committer(AsyncNet::asio::io_context &loop,
               Replication::ReplicatedLog &log,
+              Control::StateReplica &state,
               const Utils::Clock &clock);
     ~Committer() override;
 
@@ -47,6 +50,7 @@
 
     AsyncNet::asio::io_context &m_loop;
     Replication::ReplicatedLog &m_log;
+    Control::StateReplica &m_state;
     const Utils::Clock &m_clock;
     std::mutex m_mutex;
     std::condition_variable_any m_queued;
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -74,7 +74,7 @@
 ControlService::ControlService(ControlParts parts, ControlOptions options)
     : m_parts(parts)
     , m_options(std::move(options))
-    , m_committer(parts.loop, parts.log, parts.clock)
+    , m_committer(parts.loop, parts.log, parts.state, parts.clock)
     , m_server(parts.loop, [this](Wire::ControlRequest request) { return handle(request); })
     , m_configurationChanged(parts.loop)
     , m_handInLines("hand-ins", handInLinesPerSecond)
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -170,4 +170,74 @@
     EXPECT_EQ(life, (Control::EndpointLife{"e", 5}));
 }
 
+// Every field of a command has to survive its encoding: the process that submits an entry applies what
+// it has in memory, and the others what they decode.
+TEST(ControlState, AnExpectedEntryChangesTheStateAsItsEncodingDoes)
+{
+    Control::CommandBatch batch;
+    batch.timeMs = 17;
+    batch.commands.reserve(8); // References into it have to last.
+    batch.commands.push_back(configuration(5));
+    auto &configured = *batch.commands.back().configuration;
+    configured.queues.push_back({"q", "host", "/p/", "pool", 3000, 600, 1, 4, 1.6, {5, 6, 7}});
+    configured.pools.push_back({"pool", true, true});
+    configured.limits = {1, 2, 3, 4};
+    auto &job = batch.commands.emplace_back().handIn.emplace();
+    job.id = "0123456789abcdef";
+    job.queue = "q";
+    job.pool = "pool";
+    job.payload = "text";
+    job.handedInMs = 12;
+    job.repetition = {2, 30, 40};
+    auto &step = job.steps.emplace_back();
+    step.count = 2;
+    step.demand = {1, 2, 3};
+    step.estimateMs = 4;
+    step.checkpoints = step.gang = step.rackBound = step.allowsDuplicates = true;
+    step.longRunning = step.fills = true;
+    step.requiredLabel = "a";
+    step.dataRack = "r";
+    step.image = "i";
+    step.maximumPerHost = 5;
+    step.latencyTargetMs = 6;
+    step.mayMiss = 7;
+    const Control::EndpointLife life{"e", 8};
+    auto &endpoint = batch.commands.emplace_back().addEndpoint.emplace();
+    endpoint.life = life;
+    endpoint.pool = "pool";
+    endpoint.address = "address";
+    endpoint.zone = "zone";
+    endpoint.rack = "rack";
+    endpoint.labels = {"a"};
+    endpoint.capacity = {9, 10, 11};
+    endpoint.draining = true;
+    auto &starts = batch.commands.emplace_back().recordStarts.emplace();
+    starts.life = life;
+    starts.tasks.push_back({job.id, 1, 0, 1});
+    auto &ends = batch.commands.emplace_back().recordEnds.emplace();
+    ends.life = life;
+    ends.ends.push_back({3, {job.id, 0, 0, 0}, Jobs::TaskOutcome::Failed});
+    auto &wave = batch.commands.emplace_back().startWave.emplace();
+    wave.number = 4;
+    wave.hosts = {"h", "i"};
+    wave.durationMs = 5;
+    wave.maximumAtOnce = 6;
+    wave.startedMs = 7;
+    auto &finish = batch.commands.emplace_back().finishWaveHost.emplace();
+    finish.wave = 4;
+    finish.host = "h";
+    const auto encoded = entry(batch);
+
+    Control::StateReplica decoding;
+    decoding.apply(encoded);
+    Control::StateReplica expecting;
+    expecting.expect(encoded.payload, batch);
+    expecting.apply(encoded);
+    EXPECT_EQ(expecting.snapshot(), decoding.snapshot());
+    // Applied once more, it has to be decoded.
+    expecting.apply(encoded);
+    decoding.apply(encoded);
+    EXPECT_EQ(expecting.snapshot(), decoding.snapshot());
+}
+
 } // namespace
--- /dev/null
+++ b/tests/auto/service/tst_committer.cpp
@@ -0,0 +1,83 @@
+#include "service/committer.h"
+
+#include <gtest/gtest.h>
+
+namespace {
+
+using Utils::Milliseconds;
+
+constexpr Milliseconds entryInterval{20};
+constexpr Milliseconds pauseBetweenCommands{1};
+constexpr Milliseconds longestTest{20'000};
+
+/*! \brief A log that commits each entry at once and counts them. */
+class CountingLog final : public Replication::ReplicatedLog
+{
+public:
+    explicit CountingLog(Control::StateReplica &state)
+        : m_state(state)
+    {}
+
+    auto start() -> Utils::Result<void> override { return Utils::success(); }
+    auto stop() -> void override {}
+    auto submit(std::string payload, Milliseconds)
+        -> Utils::Result<Replication::SubmitReply> override
+    {
+        Replication::Entry entry;
+        entry.revision = Replication::Revision(++entries);
+        entry.payload = std::move(payload);
+        m_state.apply(entry);
+        return Replication::SubmitReply{entry.revision, {}};
+    }
+    auto confirmRevision(Milliseconds) -> Utils::Result<Replication::Revision> override
+    {
+        return Replication::Revision(entries.load());
+    }
+    auto status() const -> Replication::LogStatus override { return {}; }
+
+    std::atomic<int> entries = 0;
+
+private:
+    Control::StateReplica &m_state;
+};
+
+auto endpointCommand(int number) -> std::vector<Control::Command>
+{
+    std::vector<Control::Command> commands(1);
+    auto &record = commands[0].addEndpoint.emplace();
+    record.life = {"endpoint-" + std::to_string(number), 1};
+    record.pool = "pool";
+    return commands;
+}
+
+// As when hundreds of tasks end each second, each with a look of its own.
+TEST(Committer, CommandsThatKeepComingShareEntries)
+{
+    constexpr int commands = 200;
+    AsyncNet::asio::io_context loop;
+    Utils::SystemClock clock;
+    Control::StateReplica state;
+    CountingLog log(state);
+    Service::Committer committer(loop, log, state, clock);
+    auto committed = 0;
+    const auto commitOne = [&](int number) -> AsyncNet::Task<void> {
+        const auto result = co_await committer.commit(endpointCommand(number));
+        committed += result == Execution::CommitResult::Committed ? 1 : 0;
+    };
+    const auto commitAll = [&]() -> AsyncNet::Task<void> {
+        for (auto number = 0; number < commands; ++number) {
+            AsyncNet::start(loop, "commit", commitOne(number));
+            co_await AsyncNet::pause(pauseBetweenCommands);
+        }
+    };
+    const auto began = clock.now();
+    AsyncNet::start(loop, "commands", commitAll());
+    while (committed < commands && clock.now() - began < longestTest)
+        loop.run_for(pauseBetweenCommands);
+    EXPECT_EQ(committed, commands);
+    EXPECT_LE(log.entries, (clock.now() - began) / entryInterval + 2);
+    EXPECT_EQ(state.read([](const Control::State &seen) { return seen.endpoints.size(); }),
+              std::size_t(commands));
+}
+
+} // namespace
