Stay up without room on the disk, and hand over when the disk hangs

What failed before anything was synced can be undone: the log cuts the partial batch off, a replaced file stands until its successor is complete. A voter without room says so once, steps down, acknowledges nothing and seeks no election for a while; entries that it held as a leader are synced before anything after them is acknowledged. Only a failed sync, or a write that cannot be undone, ends the process as before. A leader whose disk does not answer for two election timeouts steps down.

--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -13,6 +13,10 @@
 
 constexpr int quorumAgeElectionTimeouts = 2;
 constexpr int hopelessElectionTimeouts = 4;
+// A voter without room on its disk seeks no election for so many election timeouts.
+constexpr int noRoomElectionTimeouts = 5;
+// A leader whose disk does not answer for so many election timeouts lets another voter lead.
+constexpr int hangingDiskElectionTimeouts = 2;
 
 } // namespace
 
@@ -267,8 +271,11 @@
     // A voter learns of its leader from the leader itself.
 }
 
+// Only what may have been written in part, or is not known to be durable, ends the process.
 auto Replica::storageFailed(const Utils::Error &error) -> void
 {
+    if (Store::isNothingWritten(error))
+        return noteNoRoom(error);
     Utils::Log::error("replication",
                       "cannot write the log, so this process stops",
                       {{"reason", error.message}, {"details", error.details}});
@@ -284,6 +291,38 @@
     m_options.onStorageFailure(error);
 }
 
+auto Replica::noteNoRoom(const Utils::Error &error) -> void
+{
+    const StateLock lock(m_mutex);
+    m_noRoomSince = m_clock.now();
+    if (!std::exchange(m_noRoom, true))
+        Utils::Log::error(
+            "replication",
+            "cannot write to the disk; takes no part in votes and commits until it can",
+            {{"reason", error.message}, {"details", error.details}});
+    if (m_role != Role::Follower)
+        stepDown("there is no room for the log");
+}
+
+// Called with m_mutex locked.
+auto Replica::noteWritten() -> void
+{
+    if (std::exchange(m_noRoom, false))
+        Utils::Log::info("replication", "can write to the disk again");
+}
+
+auto Replica::maySeekElection(Utils::Instant now) const -> bool
+{
+    const auto waits = m_options.timing.electionTimeout * noRoomElectionTimeouts;
+    return voters().contains(m_options.processId) && !(m_noRoom && now - m_noRoomSince < waits);
+}
+
+auto Replica::diskHangs(Utils::Instant now) const -> bool
+{
+    return m_writingSince != Utils::Instant()
+           && now - m_writingSince > m_options.timing.electionTimeout * hangingDiskElectionTimeouts;
+}
+
 auto Replica::hasQuorum(Utils::Instant now) const -> bool
 {
     if (m_failed || m_stopping)
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -133,6 +133,10 @@
     auto leaderToAsk() -> std::optional<Voter> override;
     auto noteNotLeader(const std::string &asked, const std::string &leaderId) -> void override;
     auto storageFailed(const Utils::Error &error) -> void;
+    auto noteNoRoom(const Utils::Error &error) -> void;
+    auto noteWritten() -> void;
+    auto maySeekElection(Utils::Instant now) const -> bool;
+    auto diskHangs(Utils::Instant now) const -> bool;
     auto hasQuorum(Utils::Instant now) const -> bool;
     auto progress(Utils::Instant now) const -> std::map<std::string, ProcessProgress>;
 
@@ -182,7 +186,9 @@
     auto acceptLeader(const std::string &leaderId, std::uint64_t term) -> bool;
     auto mismatchRevision(const Wire::AppendRequest &request) const -> std::optional<Revision>;
     auto newEntries(const Wire::AppendRequest &request) const -> std::vector<Entry>;
-    auto appendToLog(std::vector<Entry> entries) -> bool;
+    auto unsyncedRecords(Revision through) const -> std::vector<Store::LogRecord>;
+    auto appendToLog(Revision matched, std::vector<Entry> entries) -> bool;
+    auto refuseWithoutRoom() const -> void;
     auto takeObserverReports() -> std::vector<Wire::ProcessApplied>;
     auto restoreSnapshot(const Store::Snapshot &snapshot) -> bool;
 
@@ -211,6 +217,10 @@
     std::condition_variable m_appliedChanged; //!< For submitters.
     bool m_stopping = false;
     bool m_failed = false;
+    bool m_noRoom = false;         //!< The last write found no room.
+    Utils::Instant m_noRoomSince;  //!< Of the last such write.
+    Utils::Instant m_writingSince; //!< Of the leader's write in progress; zero: none.
+    Utils::Instant m_snapshotRetryAt;
     Role m_role = Role::Follower;
     Store::Vote m_vote;
     std::string m_leaderId;
--- a/src/libs/replication/replicaapply.cpp
+++ b/src/libs/replication/replicaapply.cpp
@@ -2,12 +2,24 @@
 
 #include "utils/log.h"
 
+#include "utils/log.h"
+
 #include <algorithm>
 
 namespace Replication::Internal {
 namespace {
 
 constexpr std::uint64_t applyBytes = 1024 * 1024;
+// A snapshot that could not be written is taken again after this time.
+constexpr Utils::Milliseconds snapshotRetry{5000};
+
+auto logSnapshotFailure(const Store::Snapshot &snapshot, const Utils::Error &error) -> void
+{
+    Utils::Log::warning(
+        "replication",
+        "could not store a snapshot, and will try again",
+        {{"revision", snapshot.revision}, {"reason", error.message}, {"details", error.details}});
+}
 
 } // namespace
 
@@ -68,20 +80,24 @@
         const StateLock lock(m_mutex);
         const auto due = m_appliedRevision - m_snapshotRevision >= m_options.snapshotEntries
                          && m_bytesSinceSnapshot >= m_snapshotBytes;
-        if (!due || m_failed)
+        if (!due || m_failed || m_clock.now() < m_snapshotRetryAt)
             return;
+        m_snapshotRetryAt = m_clock.now() + snapshotRetry;
     }
     const auto snapshot = m_applier.takeSnapshot();
     {
         // Snapshots are saved by this task and, under the same mutex, from the leader.
         const std::scoped_lock applying(m_applier.mutex());
+        // The log still holds all that the snapshot would have replaced.
         if (const auto saved = m_snapshots.save(*snapshot); !saved)
-            return storageFailed(saved.error());
+            return logSnapshotFailure(*snapshot, saved.error());
     }
     const std::scoped_lock disk(m_diskMutex);
+    // What was not removed now goes with the next snapshot.
     if (const auto removed = m_segments.removeThrough(snapshot->revision); !removed)
-        return storageFailed(removed.error());
+        logSnapshotFailure(*snapshot, removed.error());
     const StateLock lock(m_mutex);
+    m_snapshotRetryAt = {};
     m_snapshotRevision = snapshot->revision;
     m_snapshotBytes = snapshot->state.size();
     m_bytesSinceSnapshot = 0;
--- a/src/libs/replication/replicaelection.cpp
+++ b/src/libs/replication/replicaelection.cpp
@@ -17,10 +17,12 @@
         if (m_role == Role::Leader) {
             if (now - majorityContactAt() > m_options.timing.electionTimeout)
                 stepDown("no contact with a majority");
+            else if (diskHangs(now))
+                stepDown("the disk does not answer");
             m_workChanged.wait_for(lock, m_options.timing.heartbeat);
             continue;
         }
-        if (m_takeLeadership || (now >= m_electionDue && voters().contains(m_options.processId)))
+        if (m_takeLeadership || (now >= m_electionDue && maySeekElection(now)))
             campaign(lock);
         else
             m_workChanged.wait_for(lock, std::max(m_electionDue - now, m_options.timing.heartbeat));
--- a/src/libs/replication/replicafollower.cpp
+++ b/src/libs/replication/replicafollower.cpp
@@ -5,6 +5,7 @@
 #include "utils/log.h"
 
 #include <algorithm>
+#include <stdexcept>
 
 namespace Replication::Internal {
 namespace {
@@ -70,19 +71,41 @@
     return entries;
 }
 
-// Called with m_diskMutex locked. Entries from the first one's revision on are replaced.
-auto Replica::appendToLog(std::vector<Entry> entries) -> bool
+// Called with m_mutex locked. Entries that a leader could not write stay in memory without being synced.
+auto Replica::unsyncedRecords(Revision through) const -> std::vector<Store::LogRecord>
+{
+    std::vector<Store::LogRecord> records;
+    const auto synced = std::max(m_syncedRevision, m_entries.baseRevision());
+    if (synced >= through)
+        return records;
+    for (auto &entry : m_entries.slice(synced, through, UINT64_MAX))
+        records.push_back(
+            {entry.revision, entry.term, std::uint32_t(entry.kind), std::move(entry.payload)});
+    return records;
+}
+
+// Called with m_diskMutex locked. Syncs what is kept up to the matched revision, and the new entries,
+// which replace all from the first one's revision on.
+auto Replica::appendToLog(Revision matched, std::vector<Entry> entries) -> bool
 {
-    if (entries.empty())
-        return true;
     std::vector<Store::LogRecord> records;
+    {
+        const StateLock lock(m_mutex);
+        records = unsyncedRecords(entries.empty() ? matched : entries.front().revision - 1);
+    }
     for (const auto &entry : entries)
         records.push_back({entry.revision, entry.term, std::uint32_t(entry.kind), entry.payload});
+    if (records.empty())
+        return true;
     if (const auto written = m_segments.append(records); !written) {
         storageFailed(written.error());
         return false;
     }
     const StateLock lock(m_mutex);
+    noteWritten();
+    m_syncedRevision = records.back().revision;
+    if (entries.empty())
+        return true;
     const auto first = entries.front().revision;
     m_entries.truncateFrom(first);
     while (m_voterChanges.size() > 1 && m_voterChanges.back().revision >= first)
@@ -93,7 +116,6 @@
             setVoters(entry.revision, decodeVoters(entry.payload).value());
         m_entries.append(std::move(entry));
     }
-    m_syncedRevision = m_entries.lastRevision();
     updatePeers();
     return true;
 }
@@ -109,8 +131,11 @@
     reply.accepted = false;
     reply.lastRevision = std::int64_t(m_entries.lastRevision());
     reply.appliedRevision = std::int64_t(m_appliedRevision);
-    if (!accepted)
+    if (!accepted) {
+        if (std::uint64_t(request.term) > m_vote.term)
+            refuseWithoutRoom();
         return;
+    }
     m_quorumSeen = std::max(m_quorumSeen, m_clock.now() - Utils::Milliseconds(request.quorumAgeMs));
     if (const auto continueAfter = mismatchRevision(request)) {
         reply.lastRevision = std::int64_t(*continueAfter);
@@ -123,11 +148,14 @@
                           {{"revision", entries.front().revision}, {"leader", request.leaderId}});
         return;
     }
+    const auto matched = Revision(request.previousRevision) + request.entries.size();
     lock.unlock();
-    if (!appendToLog(std::move(entries)))
-        return;
+    const auto appended = appendToLog(matched, std::move(entries));
     lock.lock();
-    const auto matched = Revision(request.previousRevision) + request.entries.size();
+    if (!appended) {
+        refuseWithoutRoom();
+        return;
+    }
     const auto commit = std::min(Revision(request.commitRevision), matched);
     if (commit > m_commitRevision) {
         m_commitRevision = commit;
@@ -140,6 +168,14 @@
     reply.observers = takeObserverReports();
 }
 
+// Called with m_mutex locked. The leader tries again after a heartbeat, as after a lost message; a reply
+// that refuses would tell it that the logs differ.
+auto Replica::refuseWithoutRoom() const -> void
+{
+    if (m_noRoom)
+        throw std::runtime_error("there is no room on the disk");
+}
+
 auto Replica::takeObserverReports() -> std::vector<Wire::ProcessApplied>
 {
     const auto now = m_clock.now();
@@ -190,17 +226,18 @@
 // Called with the applier's mutex and m_diskMutex locked.
 auto Replica::restoreSnapshot(const Store::Snapshot &snapshot) -> bool
 {
-    if (const auto restored = m_applier.restore(snapshot); !restored) {
-        Utils::Log::error("replication",
-                          "cannot restore a snapshot",
-                          {{"revision", snapshot.revision}, {"reason", restored.error().message}});
+    // Saved first: without it on the disk, later entries would follow a gap at the next start.
+    if (const auto saved = m_snapshots.save(snapshot); !saved) {
+        storageFailed(saved.error());
         return false;
     }
-    auto saved = m_snapshots.save(snapshot);
-    if (saved)
-        saved = m_segments.reset();
-    if (!saved) {
-        storageFailed(saved.error());
+    auto restored = m_segments.reset();
+    if (restored)
+        restored = m_applier.restore(snapshot);
+    if (!restored) {
+        // The disk is ahead of the state in memory, so only a new start can go on.
+        storageFailed(
+            {Utils::ErrorType::IoFailure, restored.error().message, restored.error().details});
         return false;
     }
     const StateLock lock(m_mutex);
--- a/src/libs/replication/replicaleader.cpp
+++ b/src/libs/replication/replicaleader.cpp
@@ -203,9 +203,12 @@
     std::vector<Store::LogRecord> records;
     {
         const StateLock lock(m_mutex);
+        m_writingSince = m_clock.now();
+        records = unsyncedRecords(m_entries.lastRevision());
         if (m_role != Role::Leader) {
             for (const auto &proposal : batch)
                 proposal->state = ProposalState::NotCommitted;
+            m_writingSince = {};
             m_appliedChanged.notify_all();
             return;
         }
@@ -223,9 +226,14 @@
         }
         m_workChanged.notify_all();
     }
-    if (const auto written = m_segments.append(records); !written)
-        return storageFailed(written.error());
+    const auto written = m_segments.append(records);
+    if (!written)
+        storageFailed(written.error());
     const StateLock lock(m_mutex);
+    m_writingSince = {};
+    if (!written)
+        return;
+    noteWritten();
     if (!records.empty())
         m_syncedRevision = records.back().revision;
     if (m_role == Role::Leader)
--- a/src/libs/store/filesystem.cpp
+++ b/src/libs/store/filesystem.cpp
@@ -147,6 +147,29 @@
     return files;
 }
 
+auto nothingWritten(const Utils::Error &cause) -> Utils::Error
+{
+    return {Utils::ErrorType::LimitReached, cause.message, cause.details};
+}
+
+auto isNothingWritten(const Utils::Error &error) -> bool
+{
+    return error.type == Utils::ErrorType::LimitReached;
+}
+
+namespace {
+
+auto writeNewFile(FileSystem &files, const std::string &path, std::string_view bytes)
+    -> Utils::Result<void>
+{
+    BOOST_OUTCOME_TRY(file, files.open(path));
+    BOOST_OUTCOME_TRY(file->truncate(0));
+    BOOST_OUTCOME_TRY(file->append(bytes));
+    return file->sync();
+}
+
+} // namespace
+
 auto replaceFile(FileSystem &files,
                  const std::string &folder,
                  const std::string &name,
@@ -154,10 +177,8 @@
 {
     const auto path = folder + '/' + name;
     const auto temporaryPath = path + std::string(temporarySuffix);
-    BOOST_OUTCOME_TRY(file, files.open(temporaryPath));
-    BOOST_OUTCOME_TRY(file->truncate(0));
-    BOOST_OUTCOME_TRY(file->append(bytes));
-    BOOST_OUTCOME_TRY(file->sync());
+    if (const auto written = writeNewFile(files, temporaryPath, bytes); !written)
+        return nothingWritten(written.error());
     BOOST_OUTCOME_TRY(files.rename(temporaryPath, path));
     return files.syncFolder(folder);
 }
--- a/src/libs/store/filesystem.h
+++ b/src/libs/store/filesystem.h
@@ -48,7 +48,19 @@
 /*! \brief Suffix of files that are not complete yet; the store removes them when it opens. */
 inline constexpr std::string_view temporarySuffix = ".tmp";
 
-/*! \brief Replaces the file \a name in \a folder by \a bytes, all or nothing, and syncs. */
+/*!
+    \brief Returns the failure of an operation that left the files as they were, so that it may be
+    tried again: there was no room on the disk, or no file left to open.
+*/
+auto nothingWritten(const Utils::Error &cause) -> Utils::Error;
+/*! \brief Returns whether \a error is one of nothingWritten(). */
+auto isNothingWritten(const Utils::Error &error) -> bool;
+
+/*!
+    \brief Replaces the file \a name in \a folder by \a bytes, all or nothing, and syncs.
+
+    Fails with nothingWritten() as long as the old file certainly stands.
+*/
 auto replaceFile(FileSystem &files,
                  const std::string &folder,
                  const std::string &name,
--- a/src/libs/store/segmentlog.cpp
+++ b/src/libs/store/segmentlog.cpp
@@ -92,13 +92,11 @@
     if (records.empty())
         return Utils::success();
     if (m_segments.back().size >= m_options.segmentBytes) {
-        BOOST_OUTCOME_TRY(startSegment());
+        if (const auto started = startSegment(); !started)
+            return nothingWritten(started.error());
     }
     const auto batch = encodeBatch(records);
-    if (auto written = writeBatch(batch); !written) {
-        m_failed = true;
-        return written;
-    }
+    BOOST_OUTCOME_TRY(writeBatch(batch));
     auto &segment = m_segments.back();
     segment.size += batch.size();
     segment.highestRevision = std::max(segment.highestRevision, records.back().revision);
@@ -188,8 +186,14 @@
 
 auto SegmentLog::writeBatch(std::string_view batch) -> Utils::Result<void>
 {
-    BOOST_OUTCOME_TRY(m_current->append(batch));
-    return m_current->sync();
+    if (const auto written = m_current->append(batch); !written) {
+        const auto undone = m_current->truncate(m_segments.back().size);
+        m_failed = !undone;
+        return undone ? nothingWritten(written.error()) : undone.error();
+    }
+    const auto synced = m_current->sync();
+    m_failed = !synced;
+    return synced;
 }
 
 } // namespace Store
--- a/src/libs/store/segmentlog.h
+++ b/src/libs/store/segmentlog.h
@@ -30,7 +30,8 @@
 
     A batch is written and synced as a whole. A batch that starts at or below the last revision
     replaces all entries from its first revision on, so a suffix is cut by what replaces it.
-    After a failed write or sync every later call fails.
+    A write for which there is no room is undone and fails with nothingWritten(). After a failed sync,
+    and after a write that cannot be undone, every later call fails.
 */
 class SegmentLog
 {
--- a/tests/auto/replication/tst_replicafaults.cpp
+++ b/tests/auto/replication/tst_replicafaults.cpp
@@ -22,6 +22,15 @@
     return id == "v1" ? "v2" : "v1";
 }
 
+auto thirdVoter(const std::string &first, const std::string &second) -> std::string
+{
+    for (const std::string id : {"v1", "v2"}) {
+        if (id != first && id != second)
+            return id;
+    }
+    return "v3";
+}
+
 auto submitMany(Cluster &cluster, const std::string &id, int number) -> void
 {
     for (auto index = 0; index < number; ++index)
@@ -261,6 +270,73 @@
     EXPECT_EQ(cluster.log(leader).status().role, Role::Leader);
 }
 
+TEST(ReplicaFaults, ALeaderWhoseDiskIsFullLetsAnotherLeadAndTakesPartAgainWithRoom)
+{
+    Cluster cluster(3);
+    cluster.options.onStorageFailure = [](const Utils::Error &error) {
+        ADD_FAILURE() << error.message;
+    };
+    cluster.start();
+    const auto full = cluster.waitForLeader();
+    cluster.submit(full, "before");
+    cluster.disks[full].setFull(true);
+    // It cannot confirm anything itself; another one may have committed it.
+    EXPECT_FALSE(cluster.log(full).submit("without room", Utils::Milliseconds(500)));
+    const auto next = cluster.waitForLeader(full);
+    cluster.submit(next, "meanwhile");
+    // The one without room does not acknowledge: with another one down, nothing is committed.
+    cluster.stopNode(thirdVoter(full, next));
+    EXPECT_FALSE(cluster.log(next).submit("by one disk", Utils::Milliseconds(500)));
+    cluster.disks[full].setFull(false);
+    cluster.submit(next, "after");
+    EXPECT_TRUE(eventually([&] { return count(cluster.machine(full).payloads(), "after") > 0; }));
+    // What it acknowledged is on its disk, without a gap.
+    cluster.stopNode(full);
+    ASSERT_TRUE(cluster.startNode(full));
+    EXPECT_TRUE(eventually([&] {
+        const auto payloads = cluster.machine(full).payloads();
+        return payloads == cluster.machine(next).payloads() && count(payloads, "meanwhile") > 0;
+    }));
+}
+
+TEST(ReplicaFaults, AFollowerWhoseDiskIsFullGoesOnWhereItStoppedOnceThereIsRoom)
+{
+    Cluster cluster(3);
+    cluster.options.onStorageFailure = [](const Utils::Error &error) {
+        ADD_FAILURE() << error.message;
+    };
+    cluster.options.snapshotEntries = 5;
+    cluster.options.keptEntries = 5;
+    cluster.start();
+    const auto leader = cluster.waitForLeader();
+    const auto full = otherVoter(leader);
+    cluster.disks[full].setFull(true);
+    // Long enough that it needs a snapshot in the end.
+    submitMany(cluster, leader, 30);
+    const auto last = cluster.submit(leader, "last");
+    EXPECT_LT(cluster.machine(full).revision(), last);
+    cluster.disks[full].setFull(false);
+    EXPECT_TRUE(eventually([&] { return cluster.machine(full).revision() >= last; }));
+    cluster.stopNode(full);
+    ASSERT_TRUE(cluster.startNode(full));
+    EXPECT_TRUE(eventually([&] { return cluster.machine(full).revision() >= last; }));
+}
+
+TEST(ReplicaFaults, ALeaderWhoseDiskHangsLetsAnotherLead)
+{
+    Cluster cluster(3);
+    cluster.start();
+    const auto old = cluster.waitForLeader();
+    cluster.submit(old, "before");
+    cluster.disks[old].setHanging(true);
+    // Committed by the other two, although the leader's own disk does not answer.
+    EXPECT_TRUE(cluster.log(old).submit("by two disks", submitTimeout));
+    const auto next = cluster.waitForLeader(old);
+    cluster.submit(next, "after");
+    cluster.disks[old].setHanging(false);
+    EXPECT_TRUE(eventually([&] { return count(cluster.machine(old).payloads(), "after") > 0; }));
+}
+
 TEST(ReplicaFaults, MessagesOfAnotherGroupAreRefused)
 {
     Cluster cluster(1, 1);
--- a/tests/auto/store/faultyfilesystem.h
+++ b/tests/auto/store/faultyfilesystem.h
@@ -11,6 +11,7 @@
     std::uint64_t writableBytes = UINT64_MAX; //!< After these, writes fail as on a full disk.
     bool syncFails = false;
     bool renameFails = false;
+    bool truncateFails = false;
     int syncs = 0;
 
     auto createFolder(const std::string &folder) -> Utils::Result<void> override
@@ -71,6 +72,8 @@
         }
         auto truncate(std::uint64_t size) -> Utils::Result<void> override
         {
+            if (m_files.truncateFails)
+                return Utils::failure(Utils::ErrorType::IoFailure, "truncate failed");
             return m_file->truncate(size);
         }
 
