Do not take a host for idle while tasks of an earlier leader may run there

It counts runs by its own looks, and knew none; the starts that it had inherited did not count. They count now, as runs that may be there, and a step's limit is checked for them too. Ruled out: two orders at once, which are checked one after the other. Test: MaintenancePlan.AHostIsNotIdleWhileTasksOfAnEarlierLeaderMayRunThere failed before.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -107,6 +107,8 @@
     bool loadIsNew = false;            //!< Loads were reported since the share was last decided.
     RunTable runs;
 
+    /*! \brief Returns how many tasks run here, or may from an earlier leader's time. */
+    auto possibleRuns() const -> std::size_t { return runs.size() + inherited.size(); }
     auto freeResources() const -> Jobs::Resources;
     auto servesUsers() const -> bool { return runs.servesUsers(); }
     auto holdsLongRunning() const -> bool { return runs.holdsLongRunning(); }
--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -36,7 +36,7 @@
 auto runsOn(const RunLedger &ledger, const std::string &endpoint) -> std::size_t
 {
     const auto found = ledger.endpoints().find(endpoint);
-    return found != ledger.endpoints().end() ? found->second.runs.size() : 0;
+    return found != ledger.endpoints().end() ? found->second.possibleRuns() : 0;
 }
 
 auto holdsLongRunning(const RunLedger &ledger, const std::string &endpoint) -> bool
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -135,11 +135,13 @@
     const auto found = m_endpoints.find(endpoint);
     if (found == m_endpoints.end())
         return true;
-    return std::ranges::all_of(found->second.runs, [&](const auto &item) {
-        const auto *spec = specOf(item.first);
-        return spec == nullptr || spec->mayMiss == 0
-               || tasksAway(item.first, endpoint) < spec->mayMiss;
-    });
+    const auto mayMiss = [&](const Jobs::TaskId &task) {
+        const auto *spec = specOf(task);
+        return spec == nullptr || spec->mayMiss == 0 || tasksAway(task, endpoint) < spec->mayMiss;
+    };
+    return std::ranges::all_of(found->second.inherited, mayMiss)
+           && std::ranges::all_of(found->second.runs,
+                                  [&](const auto &item) { return mayMiss(item.first); });
 }
 
 // Counts the other tasks of the step that are not at work, or would not be without an endpoint.
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -34,6 +34,17 @@
         m_ledger.begin();
         m_ledger.lookAll();
     }
+    /*! \brief Has another leader take over, who finds a task that is to last on \a endpoint. */
+    auto takeOver(const std::string &endpoint) -> void
+    {
+        auto step = plainStep(1);
+        step.longRunning = true;
+        step.mayMiss = 1;
+        m_ledger.addJob("lasting", step);
+        m_ledger.recordStart(endpoint, m_ledger.task("lasting"));
+        m_ledger.begin();
+    }
+    auto lookAll() -> void { m_ledger.lookAll(); }
 
     auto next(std::int64_t elapsedMs) -> Execution::MaintenanceWork
     {
@@ -105,4 +116,15 @@
     EXPECT_EQ(fixture.next(0).begin.size(), 1U);
 }
 
+// A new leader knows of starts, but not what runs, before it has seen an endpoint.
+TEST(MaintenancePlan, AHostIsNotIdleWhileTasksOfAnEarlierLeaderMayRunThere)
+{
+    WaveFixture fixture(1, 1);
+    fixture.takeOver("a");
+    EXPECT_TRUE(fixture.next(0).begin.empty());
+    // The endpoint has answered and runs nothing.
+    fixture.lookAll();
+    EXPECT_EQ(fixture.next(100).begin.size(), 1U);
+}
+
 } // namespace
