--- a/src/libs/execution/orders.h
+++ b/src/libs/execution/orders.h
@@ -16,6 +16,7 @@
     Control::EndpointLife life;
     std::string address;
     std::int64_t fencingToken = 0; //!< The leader's term.
+    std::string zone;
 };
 
 struct StartOrder
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -176,7 +176,7 @@
 
 auto RunLedger::target(const EndpointEntry &endpoint) const -> OrderTarget
 {
-    return {endpoint.record.life, endpoint.record.address, m_term};
+    return {endpoint.record.life, endpoint.record.address, m_term, endpoint.record.zone};
 }
 
 auto RunLedger::lookOrder(const std::string &id, Utils::Instant now) -> std::optional<LookOrder>
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -13,6 +13,13 @@
 namespace {
 
 constexpr Utils::Milliseconds leadershipCheck{30};
+constexpr Utils::Milliseconds relayInterval{200};
+// Members introduce themselves every half second.
+constexpr Utils::Milliseconds relayAge{5000};
+// With fewer, the extra messages cost more than the calls that the leader is spared.
+constexpr std::size_t endpointsForRelays = 64;
+// Relays in use are kept down to this number.
+constexpr std::size_t endpointsToKeepRelays = 40;
 constexpr std::int64_t handInLinesPerSecond = 40;
 // Shorter than entries wait for the answer to a request for a newer configuration.
 constexpr Utils::Milliseconds configurationWait{4000};
@@ -75,6 +82,8 @@
     : m_parts(parts)
     , m_options(std::move(options))
     , m_committer(parts.loop, parts.log, parts.state, parts.clock)
+    , m_relay(parts.loop, parts.endpoints, parts.clock)
+    , m_endpoints(parts.loop, parts.endpoints, parts.clock)
     , m_server(parts.loop, [this](Wire::ControlRequest request) { return handle(request); })
     , m_configurationChanged(parts.loop)
     , m_handInLines("hand-ins", handInLinesPerSecond)
@@ -92,6 +101,7 @@
 auto ControlService::stop() -> void
 {
     m_stopped = true;
+    m_relay.leave();
     if (m_session)
         m_session->end();
     m_session.reset();
@@ -147,7 +157,7 @@
                 m_session = std::make_shared<Execution::LeaderSession>(
                     Execution::LeaderParts{m_parts.loop,
                                            m_parts.state,
-                                           m_parts.endpoints,
+                                           m_endpoints,
                                            m_committer,
                                            m_parts.hosts,
                                            m_parts.clock,
@@ -159,10 +169,31 @@
                 m_session->start();
             }
         }
+        useRelays();
         co_await AsyncNet::pause(leadershipCheck);
     }
 }
 
+// Has other control processes call the endpoints where there are too many for this one.
+auto ControlService::useRelays() -> void
+{
+    const auto now = m_parts.clock.now();
+    if (now - m_relaysChosenAt < relayInterval)
+        return;
+    m_relaysChosenAt = now;
+    std::vector<RelayAddress> relays;
+    const auto needed = m_endpoints.usesRelays() ? endpointsToKeepRelays : endpointsForRelays;
+    if (leads() && m_session->ledger().endpoints().size() >= needed) {
+        for (const auto &member : m_parts.members.recent(now, relayAge)) {
+            const auto address = linkAddressOf(member.identity.address);
+            if (address != m_options.linkAddress)
+                relays.push_back({address, member.identity.zone});
+        }
+    }
+    const auto term = m_session ? m_session->term() : 0;
+    m_endpoints.use(relays, m_options.linkAddress + '/' + std::to_string(term));
+}
+
 auto ControlService::commit(Control::Command command) -> AsyncNet::Task<Execution::CommitResult>
 {
     std::vector<Control::Command> commands;
@@ -207,6 +238,14 @@
 {
     if (request.call == Wire::ControlCall::HELLO)
         co_return hello(request);
+    if (request.call == Wire::ControlCall::CARRY_OUT) {
+        m_relay.carryOut(request);
+        co_return reply(Wire::ControlOutcome::DONE);
+    }
+    if (request.call == Wire::ControlCall::COLLECT_ANSWERS) {
+        auto answers = co_await m_relay.collect(std::move(request));
+        co_return answers;
+    }
     if (!leads())
         co_return notLeader();
     switch (request.call) {
@@ -221,6 +260,8 @@
     case Wire::ControlCall::AWAIT_CONFIGURATION:
         co_return co_await awaitConfiguration(request);
     case Wire::ControlCall::HELLO:
+    case Wire::ControlCall::CARRY_OUT:
+    case Wire::ControlCall::COLLECT_ANSWERS:
         break;
     }
     co_return reply(Wire::ControlOutcome::REFUSED);
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -3,7 +3,9 @@
 #include "committer.h"
 #include "leaderlink.h"
 #include "membertable.h"
+#include "orderrelay.h"
 #include "outcomes.h"
+#include "relayedendpoints.h"
 
 #include "control/callerroutes.h"
 #include "execution/leadersession.h"
@@ -76,6 +78,7 @@
     auto isWaveDone(std::int64_t number) -> AsyncNet::Task<std::optional<bool>>;
 
 private:
+    auto useRelays() -> void;
     auto watchLeadership() -> AsyncNet::Task<void>;
     auto handle(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>;
     auto hello(const Wire::ControlRequest &request) -> Wire::ControlReply;
@@ -98,6 +101,8 @@
     ControlParts m_parts;
     ControlOptions m_options;
     Committer m_committer;
+    OrderRelay m_relay; //!< For another process that leads.
+    RelayedEndpoints m_endpoints;
     AsyncNet::FrameServer m_server;
     std::shared_ptr<Execution::LeaderSession> m_session;
     std::map<Control::EndpointLife, std::int64_t> m_sequences; //!< Last announcement of each life.
@@ -109,6 +114,7 @@
     Utils::Instant m_waitingCountedAt;
     Utils::LogBudget m_handInLines;
     std::int64_t m_toldVersion = 0;
+    Utils::Instant m_relaysChosenAt;
     bool m_stopped = false;
 };
 
--- /dev/null
+++ b/src/libs/service/relayedendpoints.cpp
@@ -0,0 +1,141 @@
+#include "relayedendpoints.h"
+
+#include "orderconversion.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace Service {
+namespace {
+
+// Longer than a relay waits for an endpoint, and two messages.
+constexpr Utils::Milliseconds answerTimeout{1200};
+// After an order without an answer, the path through the relay may be the one that is broken.
+constexpr Utils::Milliseconds directTime{3000};
+
+} // namespace
+
+auto chooseRelay(std::span<const RelayView> relays,
+                 std::string_view endpoint,
+                 std::string_view zone) -> std::optional<std::size_t>
+{
+    std::vector<std::size_t> ready;
+    std::vector<std::size_t> near;
+    for (std::size_t index = 0; index < relays.size(); ++index) {
+        if (!relays[index].ready)
+            continue;
+        ready.push_back(index);
+        if (relays[index].zone == zone)
+            near.push_back(index);
+    }
+    const auto &candidates = near.empty() ? ready : near;
+    if (candidates.empty())
+        return std::nullopt;
+    return candidates[std::hash<std::string_view>()(endpoint) % candidates.size()];
+}
+
+RelayedEndpoints::RelayedEndpoints(AsyncNet::asio::io_context &loop,
+                                   Execution::EndpointLink &direct,
+                                   const Utils::Clock &clock)
+    : m_loop(loop)
+    , m_direct(direct)
+    , m_clock(clock)
+{}
+
+RelayedEndpoints::~RelayedEndpoints() = default;
+
+auto RelayedEndpoints::use(std::span<const RelayAddress> relays, const std::string &session) -> void
+{
+    const auto newSession = std::exchange(m_session, session) != session;
+    std::erase_if(m_relays, [&](const auto &link) {
+        const auto kept = !newSession && std::ranges::find(relays, link->relay()) != relays.end();
+        if (!kept)
+            link->stop();
+        return !kept;
+    });
+    for (const auto &relay : relays) {
+        const auto known =
+            std::ranges::any_of(m_relays, [&](const auto &link) { return link->relay() == relay; });
+        if (known)
+            continue;
+        m_relays.push_back(std::make_shared<RelayLink>(m_loop, relay, session));
+        m_relays.back()->start();
+    }
+    const auto now = m_clock.now();
+    std::erase_if(m_directUntil, [now](const auto &item) { return item.second < now; });
+}
+
+auto RelayedEndpoints::relayFor(const Execution::OrderTarget &target) -> std::shared_ptr<RelayLink>
+{
+    if (m_relays.empty())
+        return nullptr;
+    const auto direct = m_directUntil.find(target.life.id);
+    if (direct != m_directUntil.end() && m_clock.now() < direct->second)
+        return nullptr;
+    std::vector<RelayView> views;
+    for (const auto &link : m_relays)
+        views.push_back({link->relay().zone, link->isReady()});
+    const auto chosen = chooseRelay(views, target.life.id, target.zone);
+    return chosen ? m_relays[*chosen] : nullptr;
+}
+
+auto RelayedEndpoints::noteAnswer(const std::string &endpoint, bool answered) -> void
+{
+    if (!answered)
+        m_directUntil[endpoint] = m_clock.now() + directTime;
+}
+
+auto RelayedEndpoints::start(Execution::StartOrder order) -> AsyncNet::Task<Execution::StartReply>
+{
+    const auto relay = relayFor(order.target);
+    if (!relay) {
+        const auto reply = co_await m_direct.start(std::move(order));
+        co_return reply;
+    }
+    const auto answer = co_await relay->call(toWire(order), answerTimeout);
+    auto reply = answer ? startReply(*answer) : Execution::StartReply();
+    noteAnswer(order.target.life.id, reply.result != Execution::StartResult::Unknown);
+    co_return reply;
+}
+
+auto RelayedEndpoints::stop(Execution::StopOrder order) -> AsyncNet::Task<Execution::OrderResult>
+{
+    const auto relay = relayFor(order.target);
+    if (!relay) {
+        const auto result = co_await m_direct.stop(std::move(order));
+        co_return result;
+    }
+    const auto answer = co_await relay->call(toWire(order), answerTimeout);
+    const auto result = answer ? orderResult(*answer) : Execution::OrderResult::Unknown;
+    noteAnswer(order.target.life.id, result != Execution::OrderResult::Unknown);
+    co_return result;
+}
+
+auto RelayedEndpoints::pace(Execution::PaceOrder order) -> AsyncNet::Task<Execution::OrderResult>
+{
+    const auto relay = relayFor(order.target);
+    if (!relay) {
+        const auto result = co_await m_direct.pace(std::move(order));
+        co_return result;
+    }
+    const auto answer = co_await relay->call(toWire(order), answerTimeout);
+    const auto result = answer ? orderResult(*answer) : Execution::OrderResult::Unknown;
+    noteAnswer(order.target.life.id, result != Execution::OrderResult::Unknown);
+    co_return result;
+}
+
+auto RelayedEndpoints::look(Execution::LookOrder order) -> AsyncNet::Task<Execution::LookReply>
+{
+    const auto relay = relayFor(order.target);
+    if (!relay) {
+        const auto reply = co_await m_direct.look(std::move(order));
+        co_return reply;
+    }
+    const auto timeout = answerTimeout + Utils::Milliseconds(order.waitMs);
+    const auto answer = co_await relay->call(toWire(order), timeout);
+    auto reply = answer ? lookReply(*answer) : Execution::LookReply();
+    noteAnswer(order.target.life.id, reply.result != Execution::LookResult::Unknown);
+    co_return reply;
+}
+
+} // namespace Service
--- a/src/libs/wire/gen/control_types.cpp
+++ b/src/libs/wire/gen/control_types.cpp
@@ -19,7 +19,9 @@
   ControlCall::JOB_STATE,
   ControlCall::CANCEL_JOB,
   ControlCall::COUNT_WAITING,
-  ControlCall::AWAIT_CONFIGURATION
+  ControlCall::AWAIT_CONFIGURATION,
+  ControlCall::CARRY_OUT,
+  ControlCall::COLLECT_ANSWERS
 };
 const char* _kControlCallNames[] = {
   "HELLO",
@@ -27,9 +29,11 @@
   "JOB_STATE",
   "CANCEL_JOB",
   "COUNT_WAITING",
-  "AWAIT_CONFIGURATION"
+  "AWAIT_CONFIGURATION",
+  "CARRY_OUT",
+  "COLLECT_ANSWERS"
 };
-const std::map<int, const char*> _ControlCall_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(6, _kControlCallValues, _kControlCallNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _ControlCall_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(8, _kControlCallValues, _kControlCallNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const ControlCall::type& val) {
   std::map<int, const char*>::const_iterator it = _ControlCall_VALUES_TO_NAMES.find(val);
@@ -50,6 +54,39 @@
   }
 }
 
+int _kOrderKindValues[] = {
+  OrderKind::START,
+  OrderKind::STOP,
+  OrderKind::PACE,
+  OrderKind::LOOK
+};
+const char* _kOrderKindNames[] = {
+  "START",
+  "STOP",
+  "PACE",
+  "LOOK"
+};
+const std::map<int, const char*> _OrderKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kOrderKindValues, _kOrderKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+
+std::ostream& operator<<(std::ostream& out, const OrderKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _OrderKind_VALUES_TO_NAMES.find(val);
+  if (it != _OrderKind_VALUES_TO_NAMES.end()) {
+    out << it->second;
+  } else {
+    out << static_cast<int>(val);
+  }
+  return out;
+}
+
+std::string to_string(const OrderKind::type& val) {
+  std::map<int, const char*>::const_iterator it = _OrderKind_VALUES_TO_NAMES.find(val);
+  if (it != _OrderKind_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
 int _kControlOutcomeValues[] = {
   ControlOutcome::DONE,
   ControlOutcome::NOT_LEADER,
@@ -76,13 +113,943 @@
   return out;
 }
 
-std::string to_string(const ControlOutcome::type& val) {
-  std::map<int, const char*>::const_iterator it = _ControlOutcome_VALUES_TO_NAMES.find(val);
-  if (it != _ControlOutcome_VALUES_TO_NAMES.end()) {
-    return std::string(it->second);
-  } else {
-    return std::to_string(static_cast<int>(val));
+std::string to_string(const ControlOutcome::type& val) {
+  std::map<int, const char*>::const_iterator it = _ControlOutcome_VALUES_TO_NAMES.find(val);
+  if (it != _ControlOutcome_VALUES_TO_NAMES.end()) {
+    return std::string(it->second);
+  } else {
+    return std::to_string(static_cast<int>(val));
+  }
+}
+
+
+EndpointOrder::~EndpointOrder() noexcept {
+}
+
+
+void EndpointOrder::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void EndpointOrder::__set_kind(const OrderKind::type val) {
+  this->kind = val;
+}
+
+void EndpointOrder::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void EndpointOrder::__set_bornMs(const int64_t val) {
+  this->bornMs = val;
+}
+
+void EndpointOrder::__set_address(const std::string& val) {
+  this->address = val;
+}
+
+void EndpointOrder::__set_fencingToken(const int64_t val) {
+  this->fencingToken = val;
+}
+
+void EndpointOrder::__set_task(const std::string& val) {
+  this->task = val;
+}
+
+void EndpointOrder::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void EndpointOrder::__set_payload(const std::string& val) {
+  this->payload = val;
+}
+
+void EndpointOrder::__set_leaseEndMs(const int64_t val) {
+  this->leaseEndMs = val;
+}
+
+void EndpointOrder::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void EndpointOrder::__set_notedEnds(const int64_t val) {
+  this->notedEnds = val;
+}
+
+void EndpointOrder::__set_waitMs(const int64_t val) {
+  this->waitMs = val;
+}
+
+void EndpointOrder::__set_percent(const int64_t val) {
+  this->percent = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          int32_t ecast0;
+          xfer += iprot->readI32(ecast0);
+          this->kind = static_cast<OrderKind::type>(ecast0);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          this->__isset.endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bornMs);
+          this->__isset.bornMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->address);
+          this->__isset.address = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->fencingToken);
+          this->__isset.fencingToken = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->payload);
+          this->__isset.payload = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leaseEndMs);
+          this->__isset.leaseEndMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->notedEnds);
+          this->__isset.notedEnds = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->waitMs);
+          this->__isset.waitMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->percent);
+          this->__isset.percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointOrder");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(static_cast<int32_t>(this->kind));
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bornMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->bornMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->address);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fencingToken", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->fencingToken);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("payload", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->payload);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leaseEndMs", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->leaseEndMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 11);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("notedEnds", ::apache::thrift::protocol::T_I64, 12);
+  xfer += oprot->writeI64(this->notedEnds);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitMs", ::apache::thrift::protocol::T_I64, 13);
+  xfer += oprot->writeI64(this->waitMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I64, 14);
+  xfer += oprot->writeI64(this->percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointOrder &a, EndpointOrder &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.kind, b.kind);
+  swap(a.endpoint, b.endpoint);
+  swap(a.bornMs, b.bornMs);
+  swap(a.address, b.address);
+  swap(a.fencingToken, b.fencingToken);
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.payload, b.payload);
+  swap(a.leaseEndMs, b.leaseEndMs);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.notedEnds, b.notedEnds);
+  swap(a.waitMs, b.waitMs);
+  swap(a.percent, b.percent);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointOrder::EndpointOrder(const EndpointOrder& other1) {
+  number = other1.number;
+  kind = other1.kind;
+  endpoint = other1.endpoint;
+  bornMs = other1.bornMs;
+  address = other1.address;
+  fencingToken = other1.fencingToken;
+  task = other1.task;
+  run = other1.run;
+  payload = other1.payload;
+  leaseEndMs = other1.leaseEndMs;
+  checkpoint = other1.checkpoint;
+  notedEnds = other1.notedEnds;
+  waitMs = other1.waitMs;
+  percent = other1.percent;
+  __isset = other1.__isset;
+}
+EndpointOrder& EndpointOrder::operator=(const EndpointOrder& other2) {
+  number = other2.number;
+  kind = other2.kind;
+  endpoint = other2.endpoint;
+  bornMs = other2.bornMs;
+  address = other2.address;
+  fencingToken = other2.fencingToken;
+  task = other2.task;
+  run = other2.run;
+  payload = other2.payload;
+  leaseEndMs = other2.leaseEndMs;
+  checkpoint = other2.checkpoint;
+  notedEnds = other2.notedEnds;
+  waitMs = other2.waitMs;
+  percent = other2.percent;
+  __isset = other2.__isset;
+  return *this;
+}
+void EndpointOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointOrder(";
+  out << "number=" << to_string(number);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "bornMs=" << to_string(bornMs);
+  out << ", " << "address=" << to_string(address);
+  out << ", " << "fencingToken=" << to_string(fencingToken);
+  out << ", " << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "payload=" << to_string(payload);
+  out << ", " << "leaseEndMs=" << to_string(leaseEndMs);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "notedEnds=" << to_string(notedEnds);
+  out << ", " << "waitMs=" << to_string(waitMs);
+  out << ", " << "percent=" << to_string(percent);
+  out << ")";
+}
+
+
+RunningRow::~RunningRow() noexcept {
+}
+
+
+void RunningRow::__set_task(const std::string& val) {
+  this->task = val;
+}
+
+void RunningRow::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void RunningRow::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+
+void RunningRow::__set_percent(const int64_t val) {
+  this->percent = val;
+}
+
+void RunningRow::__set_load(const int64_t val) {
+  this->load = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunningRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunningRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->percent);
+          this->__isset.percent = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->load);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunningRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunningRow");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("percent", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->percent);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->load);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunningRow &a, RunningRow &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.percent, b.percent);
+  swap(a.load, b.load);
+  swap(a.__isset, b.__isset);
+}
+
+RunningRow::RunningRow(const RunningRow& other3) {
+  task = other3.task;
+  run = other3.run;
+  checkpoint = other3.checkpoint;
+  percent = other3.percent;
+  load = other3.load;
+  __isset = other3.__isset;
+}
+RunningRow& RunningRow::operator=(const RunningRow& other4) {
+  task = other4.task;
+  run = other4.run;
+  checkpoint = other4.checkpoint;
+  percent = other4.percent;
+  load = other4.load;
+  __isset = other4.__isset;
+  return *this;
+}
+void RunningRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunningRow(";
+  out << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "percent=" << to_string(percent);
+  out << ", " << "load=" << to_string(load);
+  out << ")";
+}
+
+
+EndedRow::~EndedRow() noexcept {
+}
+
+
+void EndedRow::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void EndedRow::__set_task(const std::string& val) {
+  this->task = val;
+}
+
+void EndedRow::__set_run(const int64_t val) {
+  this->run = val;
+}
+
+void EndedRow::__set_kind(const int32_t val) {
+  this->kind = val;
+}
+
+void EndedRow::__set_checkpoint(const std::string& val) {
+  this->checkpoint = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndedRow& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndedRow::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->run);
+          this->__isset.run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->kind);
+          this->__isset.kind = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->checkpoint);
+          this->__isset.checkpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndedRow::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndedRow");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("run", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->run);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("kind", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->kind);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 5);
+  xfer += oprot->writeString(this->checkpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndedRow &a, EndedRow &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.task, b.task);
+  swap(a.run, b.run);
+  swap(a.kind, b.kind);
+  swap(a.checkpoint, b.checkpoint);
+  swap(a.__isset, b.__isset);
+}
+
+EndedRow::EndedRow(const EndedRow& other5) {
+  number = other5.number;
+  task = other5.task;
+  run = other5.run;
+  kind = other5.kind;
+  checkpoint = other5.checkpoint;
+  __isset = other5.__isset;
+}
+EndedRow& EndedRow::operator=(const EndedRow& other6) {
+  number = other6.number;
+  task = other6.task;
+  run = other6.run;
+  kind = other6.kind;
+  checkpoint = other6.checkpoint;
+  __isset = other6.__isset;
+  return *this;
+}
+void EndedRow::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndedRow(";
+  out << "number=" << to_string(number);
+  out << ", " << "task=" << to_string(task);
+  out << ", " << "run=" << to_string(run);
+  out << ", " << "kind=" << to_string(kind);
+  out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ")";
+}
+
+
+EndpointAnswer::~EndpointAnswer() noexcept {
+}
+
+
+void EndpointAnswer::__set_number(const int64_t val) {
+  this->number = val;
+}
+
+void EndpointAnswer::__set_result(const int32_t val) {
+  this->result = val;
+}
+
+void EndpointAnswer::__set_clockMs(const int64_t val) {
+  this->clockMs = val;
+}
+
+void EndpointAnswer::__set_bornMs(const int64_t val) {
+  this->bornMs = val;
+}
+
+void EndpointAnswer::__set_running(const std::vector<RunningRow> & val) {
+  this->running = val;
+}
+
+void EndpointAnswer::__set_ended(const std::vector<EndedRow> & val) {
+  this->ended = val;
+}
+std::ostream& operator<<(std::ostream& out, const EndpointAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EndpointAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->number);
+          this->__isset.number = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->result);
+          this->__isset.result = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->clockMs);
+          this->__isset.clockMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->bornMs);
+          this->__isset.bornMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->running.clear();
+            uint32_t _size7;
+            ::apache::thrift::protocol::TType _etype10;
+            xfer += iprot->readListBegin(_etype10, _size7);
+            this->running.resize(_size7);
+            uint32_t _i11;
+            for (_i11 = 0; _i11 < _size7; ++_i11)
+            {
+              xfer += this->running[_i11].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.running = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ended.clear();
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->ended.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
+            {
+              xfer += this->ended[_i16].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ended = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t EndpointAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EndpointAnswer");
+
+  xfer += oprot->writeFieldBegin("number", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->number);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("result", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->result);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("clockMs", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->clockMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("bornMs", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->bornMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
+    std::vector<RunningRow> ::const_iterator _iter17;
+    for (_iter17 = this->running.begin(); _iter17 != this->running.end(); ++_iter17)
+    {
+      xfer += (*_iter17).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
+    std::vector<EndedRow> ::const_iterator _iter18;
+    for (_iter18 = this->ended.begin(); _iter18 != this->ended.end(); ++_iter18)
+    {
+      xfer += (*_iter18).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
   }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EndpointAnswer &a, EndpointAnswer &b) {
+  using ::std::swap;
+  swap(a.number, b.number);
+  swap(a.result, b.result);
+  swap(a.clockMs, b.clockMs);
+  swap(a.bornMs, b.bornMs);
+  swap(a.running, b.running);
+  swap(a.ended, b.ended);
+  swap(a.__isset, b.__isset);
+}
+
+EndpointAnswer::EndpointAnswer(const EndpointAnswer& other19) {
+  number = other19.number;
+  result = other19.result;
+  clockMs = other19.clockMs;
+  bornMs = other19.bornMs;
+  running = other19.running;
+  ended = other19.ended;
+  __isset = other19.__isset;
+}
+EndpointAnswer& EndpointAnswer::operator=(const EndpointAnswer& other20) {
+  number = other20.number;
+  result = other20.result;
+  clockMs = other20.clockMs;
+  bornMs = other20.bornMs;
+  running = other20.running;
+  ended = other20.ended;
+  __isset = other20.__isset;
+  return *this;
+}
+void EndpointAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EndpointAnswer(";
+  out << "number=" << to_string(number);
+  out << ", " << "result=" << to_string(result);
+  out << ", " << "clockMs=" << to_string(clockMs);
+  out << ", " << "bornMs=" << to_string(bornMs);
+  out << ", " << "running=" << to_string(running);
+  out << ", " << "ended=" << to_string(ended);
+  out << ")";
 }
 
 
@@ -125,6 +1092,14 @@
 void ControlRequest::__set_zone(const std::string& val) {
   this->zone = val;
 }
+
+void ControlRequest::__set_session(const std::string& val) {
+  this->session = val;
+}
+
+void ControlRequest::__set_orders(const std::vector<EndpointOrder> & val) {
+  this->orders = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlRequest& obj)
 {
   obj.printTo(out);
@@ -163,9 +1138,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast0;
-          xfer += iprot->readI32(ecast0);
-          this->call = static_cast<ControlCall::type>(ecast0);
+          int32_t ecast21;
+          xfer += iprot->readI32(ecast21);
+          this->call = static_cast<ControlCall::type>(ecast21);
           this->__isset.call = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -227,6 +1202,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->session);
+          this->__isset.session = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->orders.clear();
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->orders.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
+            {
+              xfer += this->orders[_i26].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.orders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -280,6 +1283,22 @@
   xfer += oprot->writeString(this->zone);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("session", ::apache::thrift::protocol::T_STRING, 10);
+  xfer += oprot->writeString(this->session);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
+    std::vector<EndpointOrder> ::const_iterator _iter27;
+    for (_iter27 = this->orders.begin(); _iter27 != this->orders.end(); ++_iter27)
+    {
+      xfer += (*_iter27).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -296,32 +1315,38 @@
   swap(a.processId, b.processId);
   swap(a.address, b.address);
   swap(a.zone, b.zone);
+  swap(a.session, b.session);
+  swap(a.orders, b.orders);
   swap(a.__isset, b.__isset);
 }
 
-ControlRequest::ControlRequest(const ControlRequest& other1) {
-  sequence = other1.sequence;
-  call = other1.call;
-  job = other1.job;
-  jobId = other1.jobId;
-  queue = other1.queue;
-  version = other1.version;
-  processId = other1.processId;
-  address = other1.address;
-  zone = other1.zone;
-  __isset = other1.__isset;
+ControlRequest::ControlRequest(const ControlRequest& other28) {
+  sequence = other28.sequence;
+  call = other28.call;
+  job = other28.job;
+  jobId = other28.jobId;
+  queue = other28.queue;
+  version = other28.version;
+  processId = other28.processId;
+  address = other28.address;
+  zone = other28.zone;
+  session = other28.session;
+  orders = other28.orders;
+  __isset = other28.__isset;
 }
-ControlRequest& ControlRequest::operator=(const ControlRequest& other2) {
-  sequence = other2.sequence;
-  call = other2.call;
-  job = other2.job;
-  jobId = other2.jobId;
-  queue = other2.queue;
-  version = other2.version;
-  processId = other2.processId;
-  address = other2.address;
-  zone = other2.zone;
-  __isset = other2.__isset;
+ControlRequest& ControlRequest::operator=(const ControlRequest& other29) {
+  sequence = other29.sequence;
+  call = other29.call;
+  job = other29.job;
+  jobId = other29.jobId;
+  queue = other29.queue;
+  version = other29.version;
+  processId = other29.processId;
+  address = other29.address;
+  zone = other29.zone;
+  session = other29.session;
+  orders = other29.orders;
+  __isset = other29.__isset;
   return *this;
 }
 void ControlRequest::printTo(std::ostream& out) const {
@@ -336,6 +1361,8 @@
   out << ", " << "processId=" << to_string(processId);
   out << ", " << "address=" << to_string(address);
   out << ", " << "zone=" << to_string(zone);
+  out << ", " << "session=" << to_string(session);
+  out << ", " << "orders=" << to_string(orders);
   out << ")";
 }
 
@@ -375,6 +1402,10 @@
 void ControlReply::__set_retryAfterMs(const int64_t val) {
   this->retryAfterMs = val;
 }
+
+void ControlReply::__set_answers(const std::vector<EndpointAnswer> & val) {
+  this->answers = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlReply& obj)
 {
   obj.printTo(out);
@@ -413,9 +1444,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast3;
-          xfer += iprot->readI32(ecast3);
-          this->outcome = static_cast<ControlOutcome::type>(ecast3);
+          int32_t ecast30;
+          xfer += iprot->readI32(ecast30);
+          this->outcome = static_cast<ControlOutcome::type>(ecast30);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -449,14 +1480,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size4;
-            ::apache::thrift::protocol::TType _etype7;
-            xfer += iprot->readListBegin(_etype7, _size4);
-            this->members.resize(_size4);
-            uint32_t _i8;
-            for (_i8 = 0; _i8 < _size4; ++_i8)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->members.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += iprot->readString(this->members[_i8]);
+              xfer += iprot->readString(this->members[_i35]);
             }
             xfer += iprot->readListEnd();
           }
@@ -481,6 +1512,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answers.clear();
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->answers.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
+            {
+              xfer += this->answers[_i40].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -521,10 +1572,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter9;
-    for (_iter9 = this->members.begin(); _iter9 != this->members.end(); ++_iter9)
+    std::vector<std::string> ::const_iterator _iter41;
+    for (_iter41 = this->members.begin(); _iter41 != this->members.end(); ++_iter41)
     {
-      xfer += oprot->writeString((*_iter9));
+      xfer += oprot->writeString((*_iter41));
     }
     xfer += oprot->writeListEnd();
   }
@@ -538,6 +1589,18 @@
   xfer += oprot->writeI64(this->retryAfterMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
+    std::vector<EndpointAnswer> ::const_iterator _iter42;
+    for (_iter42 = this->answers.begin(); _iter42 != this->answers.end(); ++_iter42)
+    {
+      xfer += (*_iter42).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -553,30 +1616,33 @@
   swap(a.members, b.members);
   swap(a.leaderAddress, b.leaderAddress);
   swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.answers, b.answers);
   swap(a.__isset, b.__isset);
 }
 
-ControlReply::ControlReply(const ControlReply& other10) {
-  sequence = other10.sequence;
-  outcome = other10.outcome;
-  jobState = other10.jobState;
-  count = other10.count;
-  configuration = other10.configuration;
-  members = other10.members;
-  leaderAddress = other10.leaderAddress;
-  retryAfterMs = other10.retryAfterMs;
-  __isset = other10.__isset;
-}
-ControlReply& ControlReply::operator=(const ControlReply& other11) {
-  sequence = other11.sequence;
-  outcome = other11.outcome;
-  jobState = other11.jobState;
-  count = other11.count;
-  configuration = other11.configuration;
-  members = other11.members;
-  leaderAddress = other11.leaderAddress;
-  retryAfterMs = other11.retryAfterMs;
-  __isset = other11.__isset;
+ControlReply::ControlReply(const ControlReply& other43) {
+  sequence = other43.sequence;
+  outcome = other43.outcome;
+  jobState = other43.jobState;
+  count = other43.count;
+  configuration = other43.configuration;
+  members = other43.members;
+  leaderAddress = other43.leaderAddress;
+  retryAfterMs = other43.retryAfterMs;
+  answers = other43.answers;
+  __isset = other43.__isset;
+}
+ControlReply& ControlReply::operator=(const ControlReply& other44) {
+  sequence = other44.sequence;
+  outcome = other44.outcome;
+  jobState = other44.jobState;
+  count = other44.count;
+  configuration = other44.configuration;
+  members = other44.members;
+  leaderAddress = other44.leaderAddress;
+  retryAfterMs = other44.retryAfterMs;
+  answers = other44.answers;
+  __isset = other44.__isset;
   return *this;
 }
 void ControlReply::printTo(std::ostream& out) const {
@@ -590,6 +1656,7 @@
   out << ", " << "members=" << to_string(members);
   out << ", " << "leaderAddress=" << to_string(leaderAddress);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ", " << "answers=" << to_string(answers);
   out << ")";
 }
 
--- a/src/libs/wire/gen/control_types.h
+++ b/src/libs/wire/gen/control_types.h
@@ -28,7 +28,9 @@
     JOB_STATE = 2,
     CANCEL_JOB = 3,
     COUNT_WAITING = 4,
-    AWAIT_CONFIGURATION = 5
+    AWAIT_CONFIGURATION = 5,
+    CARRY_OUT = 6,
+    COLLECT_ANSWERS = 7
   };
 };
 
@@ -38,6 +40,21 @@
 
 std::string to_string(const ControlCall::type& val);
 
+struct OrderKind {
+  enum type {
+    START = 0,
+    STOP = 1,
+    PACE = 2,
+    LOOK = 3
+  };
+};
+
+extern const std::map<int, const char*> _OrderKind_VALUES_TO_NAMES;
+
+std::ostream& operator<<(std::ostream& out, const OrderKind::type& val);
+
+std::string to_string(const OrderKind::type& val);
+
 struct ControlOutcome {
   enum type {
     DONE = 0,
@@ -54,12 +71,376 @@
 
 std::string to_string(const ControlOutcome::type& val);
 
+class EndpointOrder;
+
+class RunningRow;
+
+class EndedRow;
+
+class EndpointAnswer;
+
 class ControlRequest;
 
 class ControlReply;
 
+typedef struct _EndpointOrder__isset {
+  _EndpointOrder__isset() : number(false), kind(false), endpoint(false), bornMs(false), address(false), fencingToken(false), task(false), run(false), payload(false), leaseEndMs(false), checkpoint(false), notedEnds(false), waitMs(false), percent(false) {}
+  bool number :1;
+  bool kind :1;
+  bool endpoint :1;
+  bool bornMs :1;
+  bool address :1;
+  bool fencingToken :1;
+  bool task :1;
+  bool run :1;
+  bool payload :1;
+  bool leaseEndMs :1;
+  bool checkpoint :1;
+  bool notedEnds :1;
+  bool waitMs :1;
+  bool percent :1;
+} _EndpointOrder__isset;
+
+class EndpointOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointOrder(const EndpointOrder&);
+  EndpointOrder& operator=(const EndpointOrder&);
+  EndpointOrder() noexcept
+                : number(0),
+                  kind(static_cast<OrderKind::type>(0)),
+                  endpoint(),
+                  bornMs(0),
+                  address(),
+                  fencingToken(0),
+                  task(),
+                  run(0),
+                  payload(),
+                  leaseEndMs(0),
+                  checkpoint(),
+                  notedEnds(0),
+                  waitMs(0),
+                  percent(0) {
+  }
+
+  virtual ~EndpointOrder() noexcept;
+  int64_t number;
+  /**
+   * 
+   * @see OrderKind
+   */
+  OrderKind::type kind;
+  std::string endpoint;
+  int64_t bornMs;
+  std::string address;
+  int64_t fencingToken;
+  std::string task;
+  int64_t run;
+  std::string payload;
+  int64_t leaseEndMs;
+  std::string checkpoint;
+  int64_t notedEnds;
+  int64_t waitMs;
+  int64_t percent;
+
+  _EndpointOrder__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_kind(const OrderKind::type val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_bornMs(const int64_t val);
+
+  void __set_address(const std::string& val);
+
+  void __set_fencingToken(const int64_t val);
+
+  void __set_task(const std::string& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_payload(const std::string& val);
+
+  void __set_leaseEndMs(const int64_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_notedEnds(const int64_t val);
+
+  void __set_waitMs(const int64_t val);
+
+  void __set_percent(const int64_t val);
+
+  bool operator == (const EndpointOrder & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(bornMs == rhs.bornMs))
+      return false;
+    if (!(address == rhs.address))
+      return false;
+    if (!(fencingToken == rhs.fencingToken))
+      return false;
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(payload == rhs.payload))
+      return false;
+    if (!(leaseEndMs == rhs.leaseEndMs))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(notedEnds == rhs.notedEnds))
+      return false;
+    if (!(waitMs == rhs.waitMs))
+      return false;
+    if (!(percent == rhs.percent))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointOrder &a, EndpointOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointOrder& obj);
+
+typedef struct _RunningRow__isset {
+  _RunningRow__isset() : task(false), run(false), checkpoint(false), percent(false), load(false) {}
+  bool task :1;
+  bool run :1;
+  bool checkpoint :1;
+  bool percent :1;
+  bool load :1;
+} _RunningRow__isset;
+
+class RunningRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunningRow(const RunningRow&);
+  RunningRow& operator=(const RunningRow&);
+  RunningRow() noexcept
+             : task(),
+               run(0),
+               checkpoint(),
+               percent(0),
+               load(0) {
+  }
+
+  virtual ~RunningRow() noexcept;
+  std::string task;
+  int64_t run;
+  std::string checkpoint;
+  int64_t percent;
+  int64_t load;
+
+  _RunningRow__isset __isset;
+
+  void __set_task(const std::string& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  void __set_percent(const int64_t val);
+
+  void __set_load(const int64_t val);
+
+  bool operator == (const RunningRow & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    if (!(percent == rhs.percent))
+      return false;
+    if (!(load == rhs.load))
+      return false;
+    return true;
+  }
+  bool operator != (const RunningRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunningRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunningRow &a, RunningRow &b);
+
+std::ostream& operator<<(std::ostream& out, const RunningRow& obj);
+
+typedef struct _EndedRow__isset {
+  _EndedRow__isset() : number(false), task(false), run(false), kind(false), checkpoint(false) {}
+  bool number :1;
+  bool task :1;
+  bool run :1;
+  bool kind :1;
+  bool checkpoint :1;
+} _EndedRow__isset;
+
+class EndedRow : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndedRow(const EndedRow&);
+  EndedRow& operator=(const EndedRow&);
+  EndedRow() noexcept
+           : number(0),
+             task(),
+             run(0),
+             kind(0),
+             checkpoint() {
+  }
+
+  virtual ~EndedRow() noexcept;
+  int64_t number;
+  std::string task;
+  int64_t run;
+  int32_t kind;
+  std::string checkpoint;
+
+  _EndedRow__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_task(const std::string& val);
+
+  void __set_run(const int64_t val);
+
+  void __set_kind(const int32_t val);
+
+  void __set_checkpoint(const std::string& val);
+
+  bool operator == (const EndedRow & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(task == rhs.task))
+      return false;
+    if (!(run == rhs.run))
+      return false;
+    if (!(kind == rhs.kind))
+      return false;
+    if (!(checkpoint == rhs.checkpoint))
+      return false;
+    return true;
+  }
+  bool operator != (const EndedRow &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndedRow & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndedRow &a, EndedRow &b);
+
+std::ostream& operator<<(std::ostream& out, const EndedRow& obj);
+
+typedef struct _EndpointAnswer__isset {
+  _EndpointAnswer__isset() : number(false), result(false), clockMs(false), bornMs(false), running(false), ended(false) {}
+  bool number :1;
+  bool result :1;
+  bool clockMs :1;
+  bool bornMs :1;
+  bool running :1;
+  bool ended :1;
+} _EndpointAnswer__isset;
+
+class EndpointAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  EndpointAnswer(const EndpointAnswer&);
+  EndpointAnswer& operator=(const EndpointAnswer&);
+  EndpointAnswer() noexcept
+                 : number(0),
+                   result(0),
+                   clockMs(0),
+                   bornMs(0) {
+  }
+
+  virtual ~EndpointAnswer() noexcept;
+  int64_t number;
+  int32_t result;
+  int64_t clockMs;
+  int64_t bornMs;
+  std::vector<RunningRow>  running;
+  std::vector<EndedRow>  ended;
+
+  _EndpointAnswer__isset __isset;
+
+  void __set_number(const int64_t val);
+
+  void __set_result(const int32_t val);
+
+  void __set_clockMs(const int64_t val);
+
+  void __set_bornMs(const int64_t val);
+
+  void __set_running(const std::vector<RunningRow> & val);
+
+  void __set_ended(const std::vector<EndedRow> & val);
+
+  bool operator == (const EndpointAnswer & rhs) const
+  {
+    if (!(number == rhs.number))
+      return false;
+    if (!(result == rhs.result))
+      return false;
+    if (!(clockMs == rhs.clockMs))
+      return false;
+    if (!(bornMs == rhs.bornMs))
+      return false;
+    if (!(running == rhs.running))
+      return false;
+    if (!(ended == rhs.ended))
+      return false;
+    return true;
+  }
+  bool operator != (const EndpointAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EndpointAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EndpointAnswer &a, EndpointAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const EndpointAnswer& obj);
+
 typedef struct _ControlRequest__isset {
-  _ControlRequest__isset() : sequence(false), call(false), job(false), jobId(false), queue(false), version(false), processId(false), address(false), zone(false) {}
+  _ControlRequest__isset() : sequence(false), call(false), job(false), jobId(false), queue(false), version(false), processId(false), address(false), zone(false), session(false), orders(false) {}
   bool sequence :1;
   bool call :1;
   bool job :1;
@@ -69,6 +450,8 @@
   bool processId :1;
   bool address :1;
   bool zone :1;
+  bool session :1;
+  bool orders :1;
 } _ControlRequest__isset;
 
 class ControlRequest : public virtual ::apache::thrift::TBase {
@@ -85,7 +468,8 @@
                    version(0),
                    processId(),
                    address(),
-                   zone() {
+                   zone(),
+                   session() {
   }
 
   virtual ~ControlRequest() noexcept;
@@ -102,6 +486,8 @@
   std::string processId;
   std::string address;
   std::string zone;
+  std::string session;
+  std::vector<EndpointOrder>  orders;
 
   _ControlRequest__isset __isset;
 
@@ -123,6 +509,10 @@
 
   void __set_zone(const std::string& val);
 
+  void __set_session(const std::string& val);
+
+  void __set_orders(const std::vector<EndpointOrder> & val);
+
   bool operator == (const ControlRequest & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -143,6 +533,10 @@
       return false;
     if (!(zone == rhs.zone))
       return false;
+    if (!(session == rhs.session))
+      return false;
+    if (!(orders == rhs.orders))
+      return false;
     return true;
   }
   bool operator != (const ControlRequest &rhs) const {
@@ -162,7 +556,7 @@
 std::ostream& operator<<(std::ostream& out, const ControlRequest& obj);
 
 typedef struct _ControlReply__isset {
-  _ControlReply__isset() : sequence(false), outcome(false), jobState(false), count(false), configuration(false), members(false), leaderAddress(false), retryAfterMs(false) {}
+  _ControlReply__isset() : sequence(false), outcome(false), jobState(false), count(false), configuration(false), members(false), leaderAddress(false), retryAfterMs(false), answers(false) {}
   bool sequence :1;
   bool outcome :1;
   bool jobState :1;
@@ -171,6 +565,7 @@
   bool members :1;
   bool leaderAddress :1;
   bool retryAfterMs :1;
+  bool answers :1;
 } _ControlReply__isset;
 
 class ControlReply : public virtual ::apache::thrift::TBase {
@@ -201,6 +596,7 @@
   std::vector<std::string>  members;
   std::string leaderAddress;
   int64_t retryAfterMs;
+  std::vector<EndpointAnswer>  answers;
 
   _ControlReply__isset __isset;
 
@@ -220,6 +616,8 @@
 
   void __set_retryAfterMs(const int64_t val);
 
+  void __set_answers(const std::vector<EndpointAnswer> & val);
+
   bool operator == (const ControlReply & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -238,6 +636,8 @@
       return false;
     if (!(retryAfterMs == rhs.retryAfterMs))
       return false;
+    if (!(answers == rhs.answers))
+      return false;
     return true;
   }
   bool operator != (const ControlReply &rhs) const {
--- /dev/null
+++ b/tests/auto/service/tst_relayedendpoints.cpp
@@ -0,0 +1,264 @@
+#include "service/orderconversion.h"
+#include "service/orderrelay.h"
+#include "service/relayedendpoints.h"
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <functional>
+#include <set>
+
+namespace {
+
+using Execution::LookResult;
+using Execution::StartResult;
+using Utils::Milliseconds;
+
+constexpr Milliseconds longestTest{10'000};
+constexpr Milliseconds conditionCheck{5};
+
+/*! \brief Endpoints that note who called them. */
+class NotingEndpoints final : public Execution::EndpointLink
+{
+public:
+    auto start(Execution::StartOrder order) -> AsyncNet::Task<Execution::StartReply> override
+    {
+        starts.push_back(order);
+        if (hangs)
+            co_await AsyncNet::pause(longestTest);
+        if (silent)
+            co_return Execution::StartReply();
+        co_return Execution::StartReply{StartResult::Started, 77};
+    }
+    auto stop(Execution::StopOrder) -> AsyncNet::Task<Execution::OrderResult> override
+    {
+        ++stops;
+        co_return Execution::OrderResult::Accepted;
+    }
+    auto pace(Execution::PaceOrder) -> AsyncNet::Task<Execution::OrderResult> override
+    {
+        co_return Execution::OrderResult::Refused;
+    }
+    auto look(Execution::LookOrder order) -> AsyncNet::Task<Execution::LookReply> override
+    {
+        looks.push_back(order);
+        Execution::LookReply reply;
+        reply.result = LookResult::Seen;
+        reply.clockMs = 500;
+        reply.bornMs = order.target.life.bornMs;
+        co_return reply;
+    }
+
+    bool silent = false; //!< Starts get no answer.
+    bool hangs = false;  //!< Starts take until the test has ended.
+    int stops = 0;
+    std::vector<Execution::StartOrder> starts;
+    std::vector<Execution::LookOrder> looks;
+};
+
+/*! \brief A leader, and one process that carries out orders, over loopback. */
+class RelayTest : public testing::Test
+{
+protected:
+    RelayTest()
+    {
+        EXPECT_TRUE(m_server.start("127.0.0.1:0"));
+        m_relays.push_back({"127.0.0.1:" + std::to_string(m_server.port()), "zone-1"});
+    }
+    ~RelayTest() override { m_leader.use({}, {}); }
+
+    auto handle(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>
+    {
+        if (request.call == Wire::ControlCall::COLLECT_ANSWERS) {
+            auto answers = co_await m_relay.collect(std::move(request));
+            co_return answers;
+        }
+        ++m_messages;
+        m_relay.carryOut(request);
+        co_return Wire::ControlReply();
+    }
+    auto runUntil(const std::function<bool()> &condition) -> bool
+    {
+        const auto deadline = m_clock.now() + longestTest;
+        while (!condition() && m_clock.now() < deadline)
+            m_loop.run_for(conditionCheck);
+        return condition();
+    }
+    // Gives looks, which change nothing, until one goes through the relay.
+    auto connect() -> bool
+    {
+        m_leader.use(m_relays, "session");
+        return runUntil([&] {
+            AsyncNet::start(m_loop, "look", lookOnce());
+            return !m_farEndpoints.looks.empty();
+        });
+    }
+    auto lookOnce() -> AsyncNet::Task<void>
+    {
+        Execution::LookOrder order;
+        co_await m_leader.look(std::move(order));
+    }
+    auto startOrder(const std::string &endpoint) -> Execution::StartOrder
+    {
+        Execution::StartOrder order;
+        order.target.life = {endpoint, 5};
+        order.target.address = endpoint + ":1";
+        order.target.fencingToken = 6;
+        order.target.zone = "zone-1";
+        order.task = {"0123456789abcdef", 0, 1, 2};
+        order.run = 3;
+        order.payload = "payload";
+        order.leaseEndMs = 4;
+        order.checkpoint = "checkpoint";
+        return order;
+    }
+    auto giveStart(const std::string &endpoint, std::vector<Execution::StartReply> &replies) -> void
+    {
+        AsyncNet::start(m_loop, "start", give(startOrder(endpoint), replies));
+    }
+    auto give(Execution::StartOrder order, std::vector<Execution::StartReply> &replies)
+        -> AsyncNet::Task<void>
+    {
+        const auto reply = co_await m_leader.start(std::move(order));
+        replies.push_back(reply);
+    }
+
+    Utils::SystemClock m_clock;
+    AsyncNet::asio::io_context m_loop;
+    NotingEndpoints m_nearEndpoints; //!< As the leader reaches them itself.
+    NotingEndpoints m_farEndpoints;  //!< As the relay reaches them.
+    Service::OrderRelay m_relay{m_loop, m_farEndpoints, m_clock};
+    AsyncNet::FrameServer m_server{
+        m_loop, [this](Wire::ControlRequest request) { return handle(std::move(request)); }};
+    Service::RelayedEndpoints m_leader{m_loop, m_nearEndpoints, m_clock};
+    std::vector<Service::RelayAddress> m_relays;
+    int m_messages = 0;
+};
+
+// As in a scheduling pass of a peak: a hundred starts in a few messages.
+TEST_F(RelayTest, OrdersGivenTogetherShareMessagesAndGetTheirOwnAnswers)
+{
+    constexpr std::size_t orders = 100;
+    ASSERT_TRUE(connect());
+    m_messages = 0;
+    std::vector<Execution::StartReply> replies;
+    for (std::size_t number = 0; number < orders; ++number)
+        giveStart("endpoint-" + std::to_string(number), replies);
+    ASSERT_TRUE(runUntil([&] { return replies.size() == orders; }));
+    for (const auto &reply : replies)
+        EXPECT_EQ(reply.result, StartResult::Started);
+    EXPECT_LT(m_messages, 10);
+    EXPECT_TRUE(m_nearEndpoints.starts.empty());
+    ASSERT_EQ(m_farEndpoints.starts.size(), orders);
+    const auto given = startOrder("endpoint-0");
+    const auto &received = m_farEndpoints.starts.front();
+    EXPECT_EQ(received.target.life, given.target.life);
+    EXPECT_EQ(received.target.address, given.target.address);
+    EXPECT_EQ(received.target.fencingToken, given.target.fencingToken);
+    EXPECT_EQ(received.task, given.task);
+    EXPECT_EQ(received.run, given.run);
+    EXPECT_EQ(received.payload, given.payload);
+    EXPECT_EQ(received.leaseEndMs, given.leaseEndMs);
+    EXPECT_EQ(received.checkpoint, given.checkpoint);
+}
+
+TEST_F(RelayTest, AnEndpointThatDoesNotAnswerIsCalledDirectlyForAWhile)
+{
+    ASSERT_TRUE(connect());
+    m_farEndpoints.silent = true;
+    std::vector<Execution::StartReply> replies;
+    giveStart("a", replies);
+    ASSERT_TRUE(runUntil([&] { return replies.size() == 1; }));
+    EXPECT_EQ(replies[0].result, StartResult::Unknown);
+    giveStart("a", replies);
+    ASSERT_TRUE(runUntil([&] { return replies.size() == 2; }));
+    EXPECT_EQ(replies[1].result, StartResult::Started);
+    EXPECT_EQ(m_nearEndpoints.starts.size(), 1U);
+}
+
+TEST_F(RelayTest, WhatALostRelayDidNotAnswerMayHaveBeenCarriedOut)
+{
+    ASSERT_TRUE(connect());
+    m_farEndpoints.hangs = true;
+    std::vector<Execution::StartReply> replies;
+    giveStart("a", replies);
+    // It goes away before it can send the answer.
+    ASSERT_TRUE(runUntil([&] { return !m_farEndpoints.starts.empty(); }));
+    m_server.stop();
+    ASSERT_TRUE(runUntil([&] { return replies.size() == 1; }));
+    EXPECT_EQ(replies[0].result, StartResult::Unknown);
+    // Others go directly once the loss is seen.
+    giveStart("b", replies);
+    ASSERT_TRUE(runUntil([&] { return replies.size() == 2; }));
+    EXPECT_EQ(replies[1].result, StartResult::Started);
+    EXPECT_EQ(m_nearEndpoints.starts.size(), 1U);
+}
+
+TEST_F(RelayTest, ARelayThatLeavesGetsNoMoreOrders)
+{
+    ASSERT_TRUE(connect());
+    m_relay.leave();
+    std::vector<Execution::StartReply> replies;
+    ASSERT_TRUE(runUntil([&] {
+        giveStart("a", replies);
+        return !m_nearEndpoints.starts.empty();
+    }));
+    const auto relayed = m_farEndpoints.starts.size();
+    giveStart("b", replies);
+    ASSERT_TRUE(runUntil([&] { return m_nearEndpoints.starts.size() >= 2; }));
+    EXPECT_EQ(m_farEndpoints.starts.size(), relayed);
+}
+
+TEST(RelayChoice, PrefersTheZoneOfTheEndpointAndSpreadsTheOthers)
+{
+    const std::array relays{Service::RelayView{"z1", true},
+                            Service::RelayView{"z2", true},
+                            Service::RelayView{"z2", false}};
+    std::set<std::size_t> chosen;
+    for (auto number = 0; number < 50; ++number) {
+        const auto id = "endpoint-" + std::to_string(number);
+        EXPECT_EQ(Service::chooseRelay(relays, id, "z1"), 0U);
+        EXPECT_EQ(Service::chooseRelay(relays, id, "z2"), 1U);
+        chosen.insert(*Service::chooseRelay(relays, id, "z3"));
+    }
+    EXPECT_EQ(chosen, (std::set<std::size_t>{0, 1}));
+    EXPECT_FALSE(Service::chooseRelay({}, "endpoint", "z1"));
+}
+
+TEST(OrderConversion, KeepsAllThatALookTells)
+{
+    Execution::LookReply reply;
+    reply.result = LookResult::Seen;
+    reply.bornMs = 3;
+    reply.clockMs = 4;
+    auto &running = reply.running.emplace_back();
+    running.task = {"0123456789abcdef", 1, 2, 3};
+    running.run = 9;
+    running.checkpoint = "saved";
+    running.percent = 100;
+    running.load = 12;
+    auto &ended = reply.ended.emplace_back();
+    ended.number = 4;
+    ended.task = {"0123456789abcdef", 0, 0, 1};
+    ended.run = 8;
+    ended.kind = Execution::EndKind::NoPartners;
+    ended.checkpoint = "c";
+    const auto read = Service::lookReply(Service::toWire(reply));
+    EXPECT_EQ(read.result, reply.result);
+    EXPECT_EQ(read.bornMs, reply.bornMs);
+    EXPECT_EQ(read.clockMs, reply.clockMs);
+    ASSERT_EQ(read.running.size(), 1U);
+    EXPECT_EQ(read.running[0].task, reply.running[0].task);
+    EXPECT_EQ(read.running[0].run, 9);
+    EXPECT_EQ(read.running[0].checkpoint, "saved");
+    EXPECT_EQ(read.running[0].percent, 100);
+    EXPECT_EQ(read.running[0].load, 12);
+    ASSERT_EQ(read.ended.size(), 1U);
+    EXPECT_EQ(read.ended[0].number, 4);
+    EXPECT_EQ(read.ended[0].task, reply.ended[0].task);
+    EXPECT_EQ(read.ended[0].run, 8);
+    EXPECT_EQ(read.ended[0].kind, Execution::EndKind::NoPartners);
+    EXPECT_EQ(read.ended[0].checkpoint, "c");
+}
+
+} // namespace
