Let a new leader move hosts as soon as most endpoints have answered

Cause: a new leader moved no host for two seconds, whatever it knew. Now it waits until nine tenths of the hosts that are up have told what runs there, and two seconds at most. Tests: moves follow the looks of 18 of 20 hosts; silent ones are waited for two seconds. Both pools, lists and ledgers are the real ones. The first failed before.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -10,8 +10,10 @@
 constexpr double trendSmoothingMs = 700;
 // A host comes to a pool within about this time of the decision.
 constexpr double lookAheadMs = 1800;
-// A new leader hears of endpoints and jobs first.
-constexpr Utils::Milliseconds firstMoves{2000};
+// A new leader waits this long for endpoints that do not answer.
+constexpr Utils::Milliseconds longestFirstLook{2000};
+// Of the hosts that are up, one in so many may still be unknown when the first ones move.
+constexpr std::size_t unknownPart = 10;
 // After this idle time a host has cost as much as moving it away and back.
 constexpr Utils::Milliseconds parkAfter{1200};
 // A moved host announces its endpoint within this time of the order.
@@ -109,6 +111,24 @@
     return loads;
 }
 
+// Until most endpoints have told what runs there, hosts that work would be taken for idle ones.
+auto HostMovePlan::mayMove(const RunLedger &ledger, const HostList &hosts, Utils::Instant now) const
+    -> bool
+{
+    if (now - m_firstObserved >= longestFirstLook)
+        return true;
+    std::size_t up = 0;
+    std::size_t looked = 0;
+    for (const auto &host : hosts.hosts) {
+        if (host.state != HostState::Up || host.endpoint.empty())
+            continue;
+        ++up;
+        const auto endpoint = ledger.endpoints().find(host.endpoint);
+        looked += endpoint != ledger.endpoints().end() && endpoint->second.looked ? 1 : 0;
+    }
+    return up > 0 && (up - looked) * unknownPart <= up;
+}
+
 auto HostMovePlan::next(const Control::Configuration &configuration,
                         const RunLedger &ledger,
                         const HostList &hosts,
@@ -116,7 +136,7 @@
                         Utils::Instant now) -> HostMoves
 {
     HostMoves moves;
-    if (!hosts.complete || now - m_firstObserved < firstMoves)
+    if (!hosts.complete || !mayMove(ledger, hosts, now))
         return moves;
     const auto plan = Scheduling::planTransfers(loads(configuration, ledger, hosts, now));
     for (auto transfer : plan.transfers) {
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -74,6 +74,7 @@
                 const RunLedger &ledger,
                 const HostList &hosts,
                 Utils::Instant now) const -> Scheduling::PoolLoad;
+    auto mayMove(const RunLedger &ledger, const HostList &hosts, Utils::Instant now) const -> bool;
     auto isIdle(const RunLedger &ledger, const HostInfo &host) const -> bool;
     auto releaseHosts(std::span<const Scheduling::Release> releases,
                       const Control::Configuration &configuration,
--- /dev/null
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -0,0 +1,75 @@
+#include "ledgerfixture.h"
+
+#include "execution/hostmoveplan.h"
+
+#include <gtest/gtest.h>
+
+using namespace ExecutionTest;
+using Execution::HostState;
+
+namespace {
+
+constexpr std::int64_t hostsUp = 20;
+constexpr std::int64_t hostsOff = 40;
+constexpr auto sparePool = "spare";
+
+/*! \brief A leader that has just taken over, with a burst of work and hosts that are off. */
+class TakeOverFixture
+{
+public:
+    TakeOverFixture()
+    {
+        m_ledger.state.configuration.pools.push_back({sparePool, true, true});
+        for (std::int64_t number = 0; number < hostsUp; ++number) {
+            const auto id = "endpoint-" + std::to_string(number);
+            m_ledger.addEndpoint(id);
+            m_list.hosts.push_back({"host-" + id, "pool", HostState::Up, id});
+        }
+        for (std::int64_t number = 0; number < hostsOff; ++number)
+            m_list.hosts.push_back({"off-" + std::to_string(number), sparePool, HostState::Up, {}});
+        m_list.complete = true;
+        for (auto job = 0; job < 100; ++job)
+            m_ledger.addJob("job-" + std::to_string(job), plainStep(4));
+        m_ledger.begin();
+        m_ledger.schedule();
+    }
+    auto look(std::int64_t endpoints) -> void
+    {
+        for (std::int64_t number = 0; number < endpoints; ++number)
+            m_ledger.look("endpoint-" + std::to_string(number));
+    }
+    auto movesAt(std::int64_t elapsedMs) -> std::size_t
+    {
+        const auto now = Utils::Instant(Utils::Milliseconds(1'000'000 + elapsedMs));
+        m_ledger.ledger.updateDemand(1'700'000'000'000);
+        m_plan.observe(m_ledger.ledger, now);
+        return m_plan.next(m_ledger.state.configuration, m_ledger.ledger, m_list, hostsOff, now)
+            .steps.size();
+    }
+
+private:
+    LedgerFixture m_ledger;
+    Execution::HostList m_list;
+    Execution::HostMovePlan m_plan;
+};
+
+TEST(HostMovePlan, ANewLeaderMovesHostsAsSoonAsMostEndpointsHaveAnswered)
+{
+    TakeOverFixture fixture;
+    EXPECT_EQ(fixture.movesAt(0), 0U);
+    fixture.look(hostsUp / 2);
+    EXPECT_EQ(fixture.movesAt(100), 0U);
+    fixture.look(hostsUp - 2);
+    EXPECT_GT(fixture.movesAt(200), 0U);
+}
+
+TEST(HostMovePlan, ANewLeaderDoesNotWaitForSilentEndpointsForLong)
+{
+    TakeOverFixture fixture;
+    fixture.look(hostsUp / 2);
+    EXPECT_EQ(fixture.movesAt(0), 0U);
+    EXPECT_EQ(fixture.movesAt(1900), 0U);
+    EXPECT_GT(fixture.movesAt(2000), 0U);
+}
+
+} // namespace
