--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -16,7 +16,7 @@
 // To empty a host, maintain it and see it back.
 constexpr std::int64_t hostMs = 8000;
 // Kept free at the end of a wave, for changes of leader and hosts that fail.
-constexpr std::int64_t reserveMs = 5000;
+constexpr std::int64_t reserveMs = 8000;
 
 // Returns how many hosts have to be away at once for the wave to be done in time.
 auto neededAtOnce(const Control::Wave &wave, std::int64_t wallMs) -> std::int64_t
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -243,7 +243,7 @@
         co_return reply(Wire::ControlOutcome::DONE);
     }
     if (request.call == Wire::ControlCall::COLLECT_ANSWERS) {
-        auto answers = co_await m_relay.collect(std::move(request));
+        auto answers = co_await m_relay.collect(request);
         co_return answers;
     }
     if (!leads())
