--- a/src/libs/asyncnet/framelink.cpp
+++ b/src/libs/asyncnet/framelink.cpp
@@ -168,15 +168,17 @@
             const auto complete = co_await readFrame(connection->socket(), body);
             if (!complete)
                 break;
-            const auto request = decode<Wire::ControlRequest>(body);
+            auto request = decode<Wire::ControlRequest>(body);
             if (!request) {
                 Utils::Log::warning("wire",
                                     "closed a connection that sent a message that cannot be read",
                                     {{"reason", request.error().details}});
                 break;
             }
-            AsyncNet::start(
-                loop, "frame request", answer(connection, request.value()), shared_from_this());
+            AsyncNet::start(loop,
+                            "frame request",
+                            answer(connection, std::move(request.value())),
+                            shared_from_this());
         }
         connection->close();
     }
@@ -184,7 +186,7 @@
     auto answer(std::shared_ptr<FrameWriter> connection, Wire::ControlRequest request) -> Task<void>
     {
         const auto sequence = request.sequence;
-        auto reply = co_await handler(request);
+        auto reply = co_await handler(std::move(request));
         reply.sequence = sequence;
         connection->send(encode(reply));
     }
@@ -260,7 +262,7 @@
             const auto found = pending.find(reply.value().sequence);
             if (found == pending.end())
                 continue;
-            found->second->reply = reply.value();
+            found->second->reply = std::move(reply.value());
             found->second->answered.notify();
         }
         if (connection == link)
@@ -340,7 +342,7 @@
     co_await call->answered.waitFor(timeout);
     d->pending.erase(request.sequence);
     if (call->reply)
-        co_return *call->reply;
+        co_return std::move(*call->reply);
     if (!call->failed)
         co_return Utils::failure(Utils::ErrorType::OutcomeUnknown,
                                  "no answer in time from " + d->address);
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -243,22 +243,22 @@
         co_return reply(Wire::ControlOutcome::DONE);
     }
     if (request.call == Wire::ControlCall::COLLECT_ANSWERS) {
-        auto answers = co_await m_relay.collect(request);
+        auto answers = co_await m_relay.collect(std::move(request));
         co_return answers;
     }
     if (!leads())
         co_return notLeader();
     switch (request.call) {
     case Wire::ControlCall::HAND_IN:
-        co_return co_await handIn(request);
+        co_return co_await handIn(std::move(request));
     case Wire::ControlCall::JOB_STATE:
         co_return jobState(request);
     case Wire::ControlCall::CANCEL_JOB:
-        co_return co_await cancel(request);
+        co_return co_await cancel(std::move(request));
     case Wire::ControlCall::COUNT_WAITING:
         co_return countWaiting(request);
     case Wire::ControlCall::AWAIT_CONFIGURATION:
-        co_return co_await awaitConfiguration(request);
+        co_return co_await awaitConfiguration(std::move(request));
     case Wire::ControlCall::HELLO:
     case Wire::ControlCall::CARRY_OUT:
     case Wire::ControlCall::COLLECT_ANSWERS:
--- a/src/libs/service/relaylink.cpp
+++ b/src/libs/service/relaylink.cpp
@@ -120,7 +120,7 @@
     request.session = m_session;
     request.orders = std::exchange(m_unsent, {});
     m_sending = false;
-    const auto sent = co_await client->call(request, sendTimeout);
+    const auto sent = co_await client->call(std::move(request), sendTimeout);
     if (!sent)
         client->close();
 }
--- a/src/libs/wire/gen/MembershipService.h
+++ b/src/libs/wire/gen/MembershipService.h
@@ -66,7 +66,9 @@
  public:
 
   MembershipService_update_args(const MembershipService_update_args&);
+  MembershipService_update_args(MembershipService_update_args&&) noexcept;
   MembershipService_update_args& operator=(const MembershipService_update_args&);
+  MembershipService_update_args& operator=(MembershipService_update_args&&) noexcept;
   MembershipService_update_args() noexcept {
   }
 
@@ -115,7 +117,9 @@
  public:
 
   MembershipService_update_result(const MembershipService_update_result&) noexcept;
+  MembershipService_update_result(MembershipService_update_result&&) noexcept;
   MembershipService_update_result& operator=(const MembershipService_update_result&) noexcept;
+  MembershipService_update_result& operator=(MembershipService_update_result&&) noexcept;
   MembershipService_update_result() noexcept {
   }
 
--- a/src/libs/wire/gen/ReplicationService.h
+++ b/src/libs/wire/gen/ReplicationService.h
@@ -102,7 +102,9 @@
  public:
 
   ReplicationService_requestVote_args(const ReplicationService_requestVote_args&);
+  ReplicationService_requestVote_args(ReplicationService_requestVote_args&&) noexcept;
   ReplicationService_requestVote_args& operator=(const ReplicationService_requestVote_args&);
+  ReplicationService_requestVote_args& operator=(ReplicationService_requestVote_args&&) noexcept;
   ReplicationService_requestVote_args() noexcept {
   }
 
@@ -152,7 +154,9 @@
  public:
 
   ReplicationService_requestVote_result(const ReplicationService_requestVote_result&);
+  ReplicationService_requestVote_result(ReplicationService_requestVote_result&&) noexcept;
   ReplicationService_requestVote_result& operator=(const ReplicationService_requestVote_result&);
+  ReplicationService_requestVote_result& operator=(ReplicationService_requestVote_result&&) noexcept;
   ReplicationService_requestVote_result() noexcept {
   }
 
@@ -214,7 +218,9 @@
  public:
 
   ReplicationService_appendEntries_args(const ReplicationService_appendEntries_args&);
+  ReplicationService_appendEntries_args(ReplicationService_appendEntries_args&&) noexcept;
   ReplicationService_appendEntries_args& operator=(const ReplicationService_appendEntries_args&);
+  ReplicationService_appendEntries_args& operator=(ReplicationService_appendEntries_args&&) noexcept;
   ReplicationService_appendEntries_args() noexcept {
   }
 
@@ -264,7 +270,9 @@
  public:
 
   ReplicationService_appendEntries_result(const ReplicationService_appendEntries_result&);
+  ReplicationService_appendEntries_result(ReplicationService_appendEntries_result&&) noexcept;
   ReplicationService_appendEntries_result& operator=(const ReplicationService_appendEntries_result&);
+  ReplicationService_appendEntries_result& operator=(ReplicationService_appendEntries_result&&) noexcept;
   ReplicationService_appendEntries_result() noexcept {
   }
 
@@ -326,7 +334,9 @@
  public:
 
   ReplicationService_installSnapshot_args(const ReplicationService_installSnapshot_args&);
+  ReplicationService_installSnapshot_args(ReplicationService_installSnapshot_args&&) noexcept;
   ReplicationService_installSnapshot_args& operator=(const ReplicationService_installSnapshot_args&);
+  ReplicationService_installSnapshot_args& operator=(ReplicationService_installSnapshot_args&&) noexcept;
   ReplicationService_installSnapshot_args() noexcept {
   }
 
@@ -376,7 +386,9 @@
  public:
 
   ReplicationService_installSnapshot_result(const ReplicationService_installSnapshot_result&);
+  ReplicationService_installSnapshot_result(ReplicationService_installSnapshot_result&&) noexcept;
   ReplicationService_installSnapshot_result& operator=(const ReplicationService_installSnapshot_result&);
+  ReplicationService_installSnapshot_result& operator=(ReplicationService_installSnapshot_result&&) noexcept;
   ReplicationService_installSnapshot_result() noexcept {
   }
 
@@ -438,7 +450,9 @@
  public:
 
   ReplicationService_takeLeadership_args(const ReplicationService_takeLeadership_args&);
+  ReplicationService_takeLeadership_args(ReplicationService_takeLeadership_args&&) noexcept;
   ReplicationService_takeLeadership_args& operator=(const ReplicationService_takeLeadership_args&);
+  ReplicationService_takeLeadership_args& operator=(ReplicationService_takeLeadership_args&&) noexcept;
   ReplicationService_takeLeadership_args() noexcept {
   }
 
@@ -488,7 +502,9 @@
  public:
 
   ReplicationService_takeLeadership_result(const ReplicationService_takeLeadership_result&);
+  ReplicationService_takeLeadership_result(ReplicationService_takeLeadership_result&&) noexcept;
   ReplicationService_takeLeadership_result& operator=(const ReplicationService_takeLeadership_result&);
+  ReplicationService_takeLeadership_result& operator=(ReplicationService_takeLeadership_result&&) noexcept;
   ReplicationService_takeLeadership_result() noexcept {
   }
 
@@ -550,7 +566,9 @@
  public:
 
   ReplicationService_observe_args(const ReplicationService_observe_args&);
+  ReplicationService_observe_args(ReplicationService_observe_args&&) noexcept;
   ReplicationService_observe_args& operator=(const ReplicationService_observe_args&);
+  ReplicationService_observe_args& operator=(ReplicationService_observe_args&&) noexcept;
   ReplicationService_observe_args() noexcept {
   }
 
@@ -600,7 +618,9 @@
  public:
 
   ReplicationService_observe_result(const ReplicationService_observe_result&);
+  ReplicationService_observe_result(ReplicationService_observe_result&&) noexcept;
   ReplicationService_observe_result& operator=(const ReplicationService_observe_result&);
+  ReplicationService_observe_result& operator=(ReplicationService_observe_result&&) noexcept;
   ReplicationService_observe_result() noexcept {
   }
 
@@ -662,7 +682,9 @@
  public:
 
   ReplicationService_readSnapshot_args(const ReplicationService_readSnapshot_args&);
+  ReplicationService_readSnapshot_args(ReplicationService_readSnapshot_args&&) noexcept;
   ReplicationService_readSnapshot_args& operator=(const ReplicationService_readSnapshot_args&);
+  ReplicationService_readSnapshot_args& operator=(ReplicationService_readSnapshot_args&&) noexcept;
   ReplicationService_readSnapshot_args() noexcept {
   }
 
@@ -712,7 +734,9 @@
  public:
 
   ReplicationService_readSnapshot_result(const ReplicationService_readSnapshot_result&);
+  ReplicationService_readSnapshot_result(ReplicationService_readSnapshot_result&&) noexcept;
   ReplicationService_readSnapshot_result& operator=(const ReplicationService_readSnapshot_result&);
+  ReplicationService_readSnapshot_result& operator=(ReplicationService_readSnapshot_result&&) noexcept;
   ReplicationService_readSnapshot_result() noexcept {
   }
 
@@ -774,7 +798,9 @@
  public:
 
   ReplicationService_submit_args(const ReplicationService_submit_args&);
+  ReplicationService_submit_args(ReplicationService_submit_args&&) noexcept;
   ReplicationService_submit_args& operator=(const ReplicationService_submit_args&);
+  ReplicationService_submit_args& operator=(ReplicationService_submit_args&&) noexcept;
   ReplicationService_submit_args() noexcept {
   }
 
@@ -824,7 +850,9 @@
  public:
 
   ReplicationService_submit_result(const ReplicationService_submit_result&);
+  ReplicationService_submit_result(ReplicationService_submit_result&&) noexcept;
   ReplicationService_submit_result& operator=(const ReplicationService_submit_result&);
+  ReplicationService_submit_result& operator=(ReplicationService_submit_result&&) noexcept;
   ReplicationService_submit_result() noexcept {
   }
 
@@ -886,7 +914,9 @@
  public:
 
   ReplicationService_confirmRevision_args(const ReplicationService_confirmRevision_args&);
+  ReplicationService_confirmRevision_args(ReplicationService_confirmRevision_args&&) noexcept;
   ReplicationService_confirmRevision_args& operator=(const ReplicationService_confirmRevision_args&);
+  ReplicationService_confirmRevision_args& operator=(ReplicationService_confirmRevision_args&&) noexcept;
   ReplicationService_confirmRevision_args() noexcept {
   }
 
@@ -936,7 +966,9 @@
  public:
 
   ReplicationService_confirmRevision_result(const ReplicationService_confirmRevision_result&);
+  ReplicationService_confirmRevision_result(ReplicationService_confirmRevision_result&&) noexcept;
   ReplicationService_confirmRevision_result& operator=(const ReplicationService_confirmRevision_result&);
+  ReplicationService_confirmRevision_result& operator=(ReplicationService_confirmRevision_result&&) noexcept;
   ReplicationService_confirmRevision_result() noexcept {
   }
 
@@ -998,7 +1030,9 @@
  public:
 
   ReplicationService_status_args(const ReplicationService_status_args&);
+  ReplicationService_status_args(ReplicationService_status_args&&) noexcept;
   ReplicationService_status_args& operator=(const ReplicationService_status_args&);
+  ReplicationService_status_args& operator=(ReplicationService_status_args&&) noexcept;
   ReplicationService_status_args() noexcept {
   }
 
@@ -1048,7 +1082,9 @@
  public:
 
   ReplicationService_status_result(const ReplicationService_status_result&);
+  ReplicationService_status_result(ReplicationService_status_result&&) noexcept;
   ReplicationService_status_result& operator=(const ReplicationService_status_result&);
+  ReplicationService_status_result& operator=(ReplicationService_status_result&&) noexcept;
   ReplicationService_status_result() noexcept {
   }
 
@@ -1110,7 +1146,9 @@
  public:
 
   ReplicationService_replaceVoter_args(const ReplicationService_replaceVoter_args&);
+  ReplicationService_replaceVoter_args(ReplicationService_replaceVoter_args&&) noexcept;
   ReplicationService_replaceVoter_args& operator=(const ReplicationService_replaceVoter_args&);
+  ReplicationService_replaceVoter_args& operator=(ReplicationService_replaceVoter_args&&) noexcept;
   ReplicationService_replaceVoter_args() noexcept {
   }
 
@@ -1160,7 +1198,9 @@
  public:
 
   ReplicationService_replaceVoter_result(const ReplicationService_replaceVoter_result&);
+  ReplicationService_replaceVoter_result(ReplicationService_replaceVoter_result&&) noexcept;
   ReplicationService_replaceVoter_result& operator=(const ReplicationService_replaceVoter_result&);
+  ReplicationService_replaceVoter_result& operator=(ReplicationService_replaceVoter_result&&) noexcept;
   ReplicationService_replaceVoter_result() noexcept {
   }
 
--- a/src/libs/wire/gen/control_types.cpp
+++ b/src/libs/wire/gen/control_types.cpp
@@ -438,22 +438,57 @@
   percent = other1.percent;
   __isset = other1.__isset;
 }
-EndpointOrder& EndpointOrder::operator=(const EndpointOrder& other2) {
+EndpointOrder::EndpointOrder(EndpointOrder&& other2) noexcept {
   number = other2.number;
   kind = other2.kind;
-  endpoint = other2.endpoint;
+  endpoint = std::move(other2.endpoint);
   bornMs = other2.bornMs;
-  address = other2.address;
+  address = std::move(other2.address);
   fencingToken = other2.fencingToken;
-  task = other2.task;
+  task = std::move(other2.task);
   run = other2.run;
-  payload = other2.payload;
+  payload = std::move(other2.payload);
   leaseEndMs = other2.leaseEndMs;
-  checkpoint = other2.checkpoint;
+  checkpoint = std::move(other2.checkpoint);
   notedEnds = other2.notedEnds;
   waitMs = other2.waitMs;
   percent = other2.percent;
   __isset = other2.__isset;
+}
+EndpointOrder& EndpointOrder::operator=(const EndpointOrder& other3) {
+  number = other3.number;
+  kind = other3.kind;
+  endpoint = other3.endpoint;
+  bornMs = other3.bornMs;
+  address = other3.address;
+  fencingToken = other3.fencingToken;
+  task = other3.task;
+  run = other3.run;
+  payload = other3.payload;
+  leaseEndMs = other3.leaseEndMs;
+  checkpoint = other3.checkpoint;
+  notedEnds = other3.notedEnds;
+  waitMs = other3.waitMs;
+  percent = other3.percent;
+  __isset = other3.__isset;
+  return *this;
+}
+EndpointOrder& EndpointOrder::operator=(EndpointOrder&& other4) noexcept {
+  number = other4.number;
+  kind = other4.kind;
+  endpoint = std::move(other4.endpoint);
+  bornMs = other4.bornMs;
+  address = std::move(other4.address);
+  fencingToken = other4.fencingToken;
+  task = std::move(other4.task);
+  run = other4.run;
+  payload = std::move(other4.payload);
+  leaseEndMs = other4.leaseEndMs;
+  checkpoint = std::move(other4.checkpoint);
+  notedEnds = other4.notedEnds;
+  waitMs = other4.waitMs;
+  percent = other4.percent;
+  __isset = other4.__isset;
   return *this;
 }
 void EndpointOrder::printTo(std::ostream& out) const {
@@ -620,21 +655,38 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningRow::RunningRow(const RunningRow& other3) {
-  task = other3.task;
-  run = other3.run;
-  checkpoint = other3.checkpoint;
-  percent = other3.percent;
-  load = other3.load;
-  __isset = other3.__isset;
+RunningRow::RunningRow(const RunningRow& other5) {
+  task = other5.task;
+  run = other5.run;
+  checkpoint = other5.checkpoint;
+  percent = other5.percent;
+  load = other5.load;
+  __isset = other5.__isset;
 }
-RunningRow& RunningRow::operator=(const RunningRow& other4) {
-  task = other4.task;
-  run = other4.run;
-  checkpoint = other4.checkpoint;
-  percent = other4.percent;
-  load = other4.load;
-  __isset = other4.__isset;
+RunningRow::RunningRow(RunningRow&& other6) noexcept {
+  task = std::move(other6.task);
+  run = other6.run;
+  checkpoint = std::move(other6.checkpoint);
+  percent = other6.percent;
+  load = other6.load;
+  __isset = other6.__isset;
+}
+RunningRow& RunningRow::operator=(const RunningRow& other7) {
+  task = other7.task;
+  run = other7.run;
+  checkpoint = other7.checkpoint;
+  percent = other7.percent;
+  load = other7.load;
+  __isset = other7.__isset;
+  return *this;
+}
+RunningRow& RunningRow::operator=(RunningRow&& other8) noexcept {
+  task = std::move(other8.task);
+  run = other8.run;
+  checkpoint = std::move(other8.checkpoint);
+  percent = other8.percent;
+  load = other8.load;
+  __isset = other8.__isset;
   return *this;
 }
 void RunningRow::printTo(std::ostream& out) const {
@@ -792,21 +844,38 @@
   swap(a.__isset, b.__isset);
 }
 
-EndedRow::EndedRow(const EndedRow& other5) {
-  number = other5.number;
-  task = other5.task;
-  run = other5.run;
-  kind = other5.kind;
-  checkpoint = other5.checkpoint;
-  __isset = other5.__isset;
+EndedRow::EndedRow(const EndedRow& other9) {
+  number = other9.number;
+  task = other9.task;
+  run = other9.run;
+  kind = other9.kind;
+  checkpoint = other9.checkpoint;
+  __isset = other9.__isset;
+}
+EndedRow::EndedRow(EndedRow&& other10) noexcept {
+  number = other10.number;
+  task = std::move(other10.task);
+  run = other10.run;
+  kind = other10.kind;
+  checkpoint = std::move(other10.checkpoint);
+  __isset = other10.__isset;
+}
+EndedRow& EndedRow::operator=(const EndedRow& other11) {
+  number = other11.number;
+  task = other11.task;
+  run = other11.run;
+  kind = other11.kind;
+  checkpoint = other11.checkpoint;
+  __isset = other11.__isset;
+  return *this;
 }
-EndedRow& EndedRow::operator=(const EndedRow& other6) {
-  number = other6.number;
-  task = other6.task;
-  run = other6.run;
-  kind = other6.kind;
-  checkpoint = other6.checkpoint;
-  __isset = other6.__isset;
+EndedRow& EndedRow::operator=(EndedRow&& other12) noexcept {
+  number = other12.number;
+  task = std::move(other12.task);
+  run = other12.run;
+  kind = other12.kind;
+  checkpoint = std::move(other12.checkpoint);
+  __isset = other12.__isset;
   return *this;
 }
 void EndedRow::printTo(std::ostream& out) const {
@@ -912,14 +981,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size7;
-            ::apache::thrift::protocol::TType _etype10;
-            xfer += iprot->readListBegin(_etype10, _size7);
-            this->running.resize(_size7);
-            uint32_t _i11;
-            for (_i11 = 0; _i11 < _size7; ++_i11)
+            uint32_t _size13;
+            ::apache::thrift::protocol::TType _etype16;
+            xfer += iprot->readListBegin(_etype16, _size13);
+            this->running.resize(_size13);
+            uint32_t _i17;
+            for (_i17 = 0; _i17 < _size13; ++_i17)
             {
-              xfer += this->running[_i11].read(iprot);
+              xfer += this->running[_i17].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -932,14 +1001,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ended.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->ended.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->ended.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
             {
-              xfer += this->ended[_i16].read(iprot);
+              xfer += this->ended[_i22].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -984,10 +1053,10 @@
   xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-    std::vector<RunningRow> ::const_iterator _iter17;
-    for (_iter17 = this->running.begin(); _iter17 != this->running.end(); ++_iter17)
+    std::vector<RunningRow> ::const_iterator _iter23;
+    for (_iter23 = this->running.begin(); _iter23 != this->running.end(); ++_iter23)
     {
-      xfer += (*_iter17).write(oprot);
+      xfer += (*_iter23).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -996,10 +1065,10 @@
   xfer += oprot->writeFieldBegin("ended", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ended.size()));
-    std::vector<EndedRow> ::const_iterator _iter18;
-    for (_iter18 = this->ended.begin(); _iter18 != this->ended.end(); ++_iter18)
+    std::vector<EndedRow> ::const_iterator _iter24;
+    for (_iter24 = this->ended.begin(); _iter24 != this->ended.end(); ++_iter24)
     {
-      xfer += (*_iter18).write(oprot);
+      xfer += (*_iter24).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1021,23 +1090,42 @@
   swap(a.__isset, b.__isset);
 }
 
-EndpointAnswer::EndpointAnswer(const EndpointAnswer& other19) {
-  number = other19.number;
-  result = other19.result;
-  clockMs = other19.clockMs;
-  bornMs = other19.bornMs;
-  running = other19.running;
-  ended = other19.ended;
-  __isset = other19.__isset;
-}
-EndpointAnswer& EndpointAnswer::operator=(const EndpointAnswer& other20) {
-  number = other20.number;
-  result = other20.result;
-  clockMs = other20.clockMs;
-  bornMs = other20.bornMs;
-  running = other20.running;
-  ended = other20.ended;
-  __isset = other20.__isset;
+EndpointAnswer::EndpointAnswer(const EndpointAnswer& other25) {
+  number = other25.number;
+  result = other25.result;
+  clockMs = other25.clockMs;
+  bornMs = other25.bornMs;
+  running = other25.running;
+  ended = other25.ended;
+  __isset = other25.__isset;
+}
+EndpointAnswer::EndpointAnswer(EndpointAnswer&& other26) noexcept {
+  number = other26.number;
+  result = other26.result;
+  clockMs = other26.clockMs;
+  bornMs = other26.bornMs;
+  running = std::move(other26.running);
+  ended = std::move(other26.ended);
+  __isset = other26.__isset;
+}
+EndpointAnswer& EndpointAnswer::operator=(const EndpointAnswer& other27) {
+  number = other27.number;
+  result = other27.result;
+  clockMs = other27.clockMs;
+  bornMs = other27.bornMs;
+  running = other27.running;
+  ended = other27.ended;
+  __isset = other27.__isset;
+  return *this;
+}
+EndpointAnswer& EndpointAnswer::operator=(EndpointAnswer&& other28) noexcept {
+  number = other28.number;
+  result = other28.result;
+  clockMs = other28.clockMs;
+  bornMs = other28.bornMs;
+  running = std::move(other28.running);
+  ended = std::move(other28.ended);
+  __isset = other28.__isset;
   return *this;
 }
 void EndpointAnswer::printTo(std::ostream& out) const {
@@ -1138,9 +1226,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast21;
-          xfer += iprot->readI32(ecast21);
-          this->call = static_cast<ControlCall::type>(ecast21);
+          int32_t ecast29;
+          xfer += iprot->readI32(ecast29);
+          this->call = static_cast<ControlCall::type>(ecast29);
           this->__isset.call = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1214,14 +1302,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->orders.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->orders.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->orders.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->orders[_i26].read(iprot);
+              xfer += this->orders[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1290,10 +1378,10 @@
   xfer += oprot->writeFieldBegin("orders", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->orders.size()));
-    std::vector<EndpointOrder> ::const_iterator _iter27;
-    for (_iter27 = this->orders.begin(); _iter27 != this->orders.end(); ++_iter27)
+    std::vector<EndpointOrder> ::const_iterator _iter35;
+    for (_iter35 = this->orders.begin(); _iter35 != this->orders.end(); ++_iter35)
     {
-      xfer += (*_iter27).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1320,33 +1408,62 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlRequest::ControlRequest(const ControlRequest& other28) {
-  sequence = other28.sequence;
-  call = other28.call;
-  job = other28.job;
-  jobId = other28.jobId;
-  queue = other28.queue;
-  version = other28.version;
-  processId = other28.processId;
-  address = other28.address;
-  zone = other28.zone;
-  session = other28.session;
-  orders = other28.orders;
-  __isset = other28.__isset;
+ControlRequest::ControlRequest(const ControlRequest& other36) {
+  sequence = other36.sequence;
+  call = other36.call;
+  job = other36.job;
+  jobId = other36.jobId;
+  queue = other36.queue;
+  version = other36.version;
+  processId = other36.processId;
+  address = other36.address;
+  zone = other36.zone;
+  session = other36.session;
+  orders = other36.orders;
+  __isset = other36.__isset;
+}
+ControlRequest::ControlRequest(ControlRequest&& other37) noexcept {
+  sequence = other37.sequence;
+  call = other37.call;
+  job = std::move(other37.job);
+  jobId = std::move(other37.jobId);
+  queue = std::move(other37.queue);
+  version = other37.version;
+  processId = std::move(other37.processId);
+  address = std::move(other37.address);
+  zone = std::move(other37.zone);
+  session = std::move(other37.session);
+  orders = std::move(other37.orders);
+  __isset = other37.__isset;
+}
+ControlRequest& ControlRequest::operator=(const ControlRequest& other38) {
+  sequence = other38.sequence;
+  call = other38.call;
+  job = other38.job;
+  jobId = other38.jobId;
+  queue = other38.queue;
+  version = other38.version;
+  processId = other38.processId;
+  address = other38.address;
+  zone = other38.zone;
+  session = other38.session;
+  orders = other38.orders;
+  __isset = other38.__isset;
+  return *this;
 }
-ControlRequest& ControlRequest::operator=(const ControlRequest& other29) {
-  sequence = other29.sequence;
-  call = other29.call;
-  job = other29.job;
-  jobId = other29.jobId;
-  queue = other29.queue;
-  version = other29.version;
-  processId = other29.processId;
-  address = other29.address;
-  zone = other29.zone;
-  session = other29.session;
-  orders = other29.orders;
-  __isset = other29.__isset;
+ControlRequest& ControlRequest::operator=(ControlRequest&& other39) noexcept {
+  sequence = other39.sequence;
+  call = other39.call;
+  job = std::move(other39.job);
+  jobId = std::move(other39.jobId);
+  queue = std::move(other39.queue);
+  version = other39.version;
+  processId = std::move(other39.processId);
+  address = std::move(other39.address);
+  zone = std::move(other39.zone);
+  session = std::move(other39.session);
+  orders = std::move(other39.orders);
+  __isset = other39.__isset;
   return *this;
 }
 void ControlRequest::printTo(std::ostream& out) const {
@@ -1444,9 +1561,9 @@
         break;
       case 2:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast30;
-          xfer += iprot->readI32(ecast30);
-          this->outcome = static_cast<ControlOutcome::type>(ecast30);
+          int32_t ecast40;
+          xfer += iprot->readI32(ecast40);
+          this->outcome = static_cast<ControlOutcome::type>(ecast40);
           this->__isset.outcome = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1480,14 +1597,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->members.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->members.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += iprot->readString(this->members[_i35]);
+              xfer += iprot->readString(this->members[_i45]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1516,14 +1633,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->answers.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->answers.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->answers[_i40].read(iprot);
+              xfer += this->answers[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1572,10 +1689,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter41;
-    for (_iter41 = this->members.begin(); _iter41 != this->members.end(); ++_iter41)
+    std::vector<std::string> ::const_iterator _iter51;
+    for (_iter51 = this->members.begin(); _iter51 != this->members.end(); ++_iter51)
     {
-      xfer += oprot->writeString((*_iter41));
+      xfer += oprot->writeString((*_iter51));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1592,10 +1709,10 @@
   xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-    std::vector<EndpointAnswer> ::const_iterator _iter42;
-    for (_iter42 = this->answers.begin(); _iter42 != this->answers.end(); ++_iter42)
+    std::vector<EndpointAnswer> ::const_iterator _iter52;
+    for (_iter52 = this->answers.begin(); _iter52 != this->answers.end(); ++_iter52)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1620,29 +1737,54 @@
   swap(a.__isset, b.__isset);
 }
 
-ControlReply::ControlReply(const ControlReply& other43) {
-  sequence = other43.sequence;
-  outcome = other43.outcome;
-  jobState = other43.jobState;
-  count = other43.count;
-  configuration = other43.configuration;
-  members = other43.members;
-  leaderAddress = other43.leaderAddress;
-  retryAfterMs = other43.retryAfterMs;
-  answers = other43.answers;
-  __isset = other43.__isset;
-}
-ControlReply& ControlReply::operator=(const ControlReply& other44) {
-  sequence = other44.sequence;
-  outcome = other44.outcome;
-  jobState = other44.jobState;
-  count = other44.count;
-  configuration = other44.configuration;
-  members = other44.members;
-  leaderAddress = other44.leaderAddress;
-  retryAfterMs = other44.retryAfterMs;
-  answers = other44.answers;
-  __isset = other44.__isset;
+ControlReply::ControlReply(const ControlReply& other53) {
+  sequence = other53.sequence;
+  outcome = other53.outcome;
+  jobState = other53.jobState;
+  count = other53.count;
+  configuration = other53.configuration;
+  members = other53.members;
+  leaderAddress = other53.leaderAddress;
+  retryAfterMs = other53.retryAfterMs;
+  answers = other53.answers;
+  __isset = other53.__isset;
+}
+ControlReply::ControlReply(ControlReply&& other54) noexcept {
+  sequence = other54.sequence;
+  outcome = other54.outcome;
+  jobState = other54.jobState;
+  count = other54.count;
+  configuration = std::move(other54.configuration);
+  members = std::move(other54.members);
+  leaderAddress = std::move(other54.leaderAddress);
+  retryAfterMs = other54.retryAfterMs;
+  answers = std::move(other54.answers);
+  __isset = other54.__isset;
+}
+ControlReply& ControlReply::operator=(const ControlReply& other55) {
+  sequence = other55.sequence;
+  outcome = other55.outcome;
+  jobState = other55.jobState;
+  count = other55.count;
+  configuration = other55.configuration;
+  members = other55.members;
+  leaderAddress = other55.leaderAddress;
+  retryAfterMs = other55.retryAfterMs;
+  answers = other55.answers;
+  __isset = other55.__isset;
+  return *this;
+}
+ControlReply& ControlReply::operator=(ControlReply&& other56) noexcept {
+  sequence = other56.sequence;
+  outcome = other56.outcome;
+  jobState = other56.jobState;
+  count = other56.count;
+  configuration = std::move(other56.configuration);
+  members = std::move(other56.members);
+  leaderAddress = std::move(other56.leaderAddress);
+  retryAfterMs = other56.retryAfterMs;
+  answers = std::move(other56.answers);
+  __isset = other56.__isset;
   return *this;
 }
 void ControlReply::printTo(std::ostream& out) const {
--- a/src/libs/wire/gen/control_types.h
+++ b/src/libs/wire/gen/control_types.h
@@ -105,7 +105,9 @@
  public:
 
   EndpointOrder(const EndpointOrder&);
+  EndpointOrder(EndpointOrder&&) noexcept;
   EndpointOrder& operator=(const EndpointOrder&);
+  EndpointOrder& operator=(EndpointOrder&&) noexcept;
   EndpointOrder() noexcept
                 : number(0),
                   kind(static_cast<OrderKind::type>(0)),
@@ -234,7 +236,9 @@
  public:
 
   RunningRow(const RunningRow&);
+  RunningRow(RunningRow&&) noexcept;
   RunningRow& operator=(const RunningRow&);
+  RunningRow& operator=(RunningRow&&) noexcept;
   RunningRow() noexcept
              : task(),
                run(0),
@@ -305,7 +309,9 @@
  public:
 
   EndedRow(const EndedRow&);
+  EndedRow(EndedRow&&) noexcept;
   EndedRow& operator=(const EndedRow&);
+  EndedRow& operator=(EndedRow&&) noexcept;
   EndedRow() noexcept
            : number(0),
              task(),
@@ -377,7 +383,9 @@
  public:
 
   EndpointAnswer(const EndpointAnswer&);
+  EndpointAnswer(EndpointAnswer&&) noexcept;
   EndpointAnswer& operator=(const EndpointAnswer&);
+  EndpointAnswer& operator=(EndpointAnswer&&) noexcept;
   EndpointAnswer() noexcept
                  : number(0),
                    result(0),
@@ -458,7 +466,9 @@
  public:
 
   ControlRequest(const ControlRequest&);
+  ControlRequest(ControlRequest&&) noexcept;
   ControlRequest& operator=(const ControlRequest&);
+  ControlRequest& operator=(ControlRequest&&) noexcept;
   ControlRequest() noexcept
                  : sequence(0),
                    call(static_cast<ControlCall::type>(0)),
@@ -572,7 +582,9 @@
  public:
 
   ControlReply(const ControlReply&);
+  ControlReply(ControlReply&&) noexcept;
   ControlReply& operator=(const ControlReply&);
+  ControlReply& operator=(ControlReply&&) noexcept;
   ControlReply() noexcept
                : sequence(0),
                  outcome(static_cast<ControlOutcome::type>(0)),
--- a/src/libs/wire/gen/membership_types.cpp
+++ b/src/libs/wire/gen/membership_types.cpp
@@ -309,13 +309,13 @@
   leaseMs = other0.leaseMs;
   __isset = other0.__isset;
 }
-EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other1) {
-  id = other1.id;
-  serviceName = other1.serviceName;
-  address = other1.address;
-  host = other1.host;
-  rack = other1.rack;
-  zone = other1.zone;
+EndpointRecord::EndpointRecord(EndpointRecord&& other1) noexcept {
+  id = std::move(other1.id);
+  serviceName = std::move(other1.serviceName);
+  address = std::move(other1.address);
+  host = std::move(other1.host);
+  rack = std::move(other1.rack);
+  zone = std::move(other1.zone);
   slots = other1.slots;
   connections = other1.connections;
   incarnation = other1.incarnation;
@@ -324,6 +324,39 @@
   inFlight = other1.inFlight;
   leaseMs = other1.leaseMs;
   __isset = other1.__isset;
+}
+EndpointRecord& EndpointRecord::operator=(const EndpointRecord& other2) {
+  id = other2.id;
+  serviceName = other2.serviceName;
+  address = other2.address;
+  host = other2.host;
+  rack = other2.rack;
+  zone = other2.zone;
+  slots = other2.slots;
+  connections = other2.connections;
+  incarnation = other2.incarnation;
+  sequence = other2.sequence;
+  state = other2.state;
+  inFlight = other2.inFlight;
+  leaseMs = other2.leaseMs;
+  __isset = other2.__isset;
+  return *this;
+}
+EndpointRecord& EndpointRecord::operator=(EndpointRecord&& other3) noexcept {
+  id = std::move(other3.id);
+  serviceName = std::move(other3.serviceName);
+  address = std::move(other3.address);
+  host = std::move(other3.host);
+  rack = std::move(other3.rack);
+  zone = std::move(other3.zone);
+  slots = other3.slots;
+  connections = other3.connections;
+  incarnation = other3.incarnation;
+  sequence = other3.sequence;
+  state = other3.state;
+  inFlight = other3.inFlight;
+  leaseMs = other3.leaseMs;
+  __isset = other3.__isset;
   return *this;
 }
 void EndpointRecord::printTo(std::ostream& out) const {
@@ -472,19 +505,34 @@
   swap(a.__isset, b.__isset);
 }
 
-PoolSummary::PoolSummary(const PoolSummary& other2) {
-  pool = other2.pool;
-  endpoints = other2.endpoints;
-  slots = other2.slots;
-  inFlight = other2.inFlight;
-  __isset = other2.__isset;
+PoolSummary::PoolSummary(const PoolSummary& other4) {
+  pool = other4.pool;
+  endpoints = other4.endpoints;
+  slots = other4.slots;
+  inFlight = other4.inFlight;
+  __isset = other4.__isset;
 }
-PoolSummary& PoolSummary::operator=(const PoolSummary& other3) {
-  pool = other3.pool;
-  endpoints = other3.endpoints;
-  slots = other3.slots;
-  inFlight = other3.inFlight;
-  __isset = other3.__isset;
+PoolSummary::PoolSummary(PoolSummary&& other5) noexcept {
+  pool = std::move(other5.pool);
+  endpoints = other5.endpoints;
+  slots = other5.slots;
+  inFlight = other5.inFlight;
+  __isset = other5.__isset;
+}
+PoolSummary& PoolSummary::operator=(const PoolSummary& other6) {
+  pool = other6.pool;
+  endpoints = other6.endpoints;
+  slots = other6.slots;
+  inFlight = other6.inFlight;
+  __isset = other6.__isset;
+  return *this;
+}
+PoolSummary& PoolSummary::operator=(PoolSummary&& other7) noexcept {
+  pool = std::move(other7.pool);
+  endpoints = other7.endpoints;
+  slots = other7.slots;
+  inFlight = other7.inFlight;
+  __isset = other7.__isset;
   return *this;
 }
 void PoolSummary::printTo(std::ostream& out) const {
@@ -607,17 +655,30 @@
   swap(a.__isset, b.__isset);
 }
 
-DemandRecord::DemandRecord(const DemandRecord& other4) {
-  serviceName = other4.serviceName;
-  customer = other4.customer;
-  requests = other4.requests;
-  __isset = other4.__isset;
+DemandRecord::DemandRecord(const DemandRecord& other8) {
+  serviceName = other8.serviceName;
+  customer = other8.customer;
+  requests = other8.requests;
+  __isset = other8.__isset;
 }
-DemandRecord& DemandRecord::operator=(const DemandRecord& other5) {
-  serviceName = other5.serviceName;
-  customer = other5.customer;
-  requests = other5.requests;
-  __isset = other5.__isset;
+DemandRecord::DemandRecord(DemandRecord&& other9) noexcept {
+  serviceName = std::move(other9.serviceName);
+  customer = std::move(other9.customer);
+  requests = other9.requests;
+  __isset = other9.__isset;
+}
+DemandRecord& DemandRecord::operator=(const DemandRecord& other10) {
+  serviceName = other10.serviceName;
+  customer = other10.customer;
+  requests = other10.requests;
+  __isset = other10.__isset;
+  return *this;
+}
+DemandRecord& DemandRecord::operator=(DemandRecord&& other11) noexcept {
+  serviceName = std::move(other11.serviceName);
+  customer = std::move(other11.customer);
+  requests = other11.requests;
+  __isset = other11.__isset;
   return *this;
 }
 void DemandRecord::printTo(std::ostream& out) const {
@@ -753,14 +814,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changed.clear();
-            uint32_t _size6;
-            ::apache::thrift::protocol::TType _etype9;
-            xfer += iprot->readListBegin(_etype9, _size6);
-            this->changed.resize(_size6);
-            uint32_t _i10;
-            for (_i10 = 0; _i10 < _size6; ++_i10)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->changed.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += this->changed[_i10].read(iprot);
+              xfer += this->changed[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -773,14 +834,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->removed.clear();
-            uint32_t _size11;
-            ::apache::thrift::protocol::TType _etype14;
-            xfer += iprot->readListBegin(_etype14, _size11);
-            this->removed.resize(_size11);
-            uint32_t _i15;
-            for (_i15 = 0; _i15 < _size11; ++_i15)
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->removed.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
             {
-              xfer += iprot->readString(this->removed[_i15]);
+              xfer += iprot->readString(this->removed[_i21]);
             }
             xfer += iprot->readListEnd();
           }
@@ -793,17 +854,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->inFlight.clear();
-            uint32_t _size16;
-            ::apache::thrift::protocol::TType _ktype17;
-            ::apache::thrift::protocol::TType _vtype18;
-            xfer += iprot->readMapBegin(_ktype17, _vtype18, _size16);
-            uint32_t _i20;
-            for (_i20 = 0; _i20 < _size16; ++_i20)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _ktype23;
+            ::apache::thrift::protocol::TType _vtype24;
+            xfer += iprot->readMapBegin(_ktype23, _vtype24, _size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              std::string _key21;
-              xfer += iprot->readString(_key21);
-              int32_t& _val22 = this->inFlight[_key21];
-              xfer += iprot->readI32(_val22);
+              std::string _key27;
+              xfer += iprot->readString(_key27);
+              int32_t& _val28 = this->inFlight[_key27];
+              xfer += iprot->readI32(_val28);
             }
             xfer += iprot->readMapEnd();
           }
@@ -816,14 +877,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->summaries.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->summaries.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->summaries.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->summaries[_i27].read(iprot);
+              xfer += this->summaries[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -852,17 +913,17 @@
         if (ftype == ::apache::thrift::protocol::T_MAP) {
           {
             this->releasedEpochs.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _ktype29;
-            ::apache::thrift::protocol::TType _vtype30;
-            xfer += iprot->readMapBegin(_ktype29, _vtype30, _size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _ktype35;
+            ::apache::thrift::protocol::TType _vtype36;
+            xfer += iprot->readMapBegin(_ktype35, _vtype36, _size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              std::string _key33;
-              xfer += iprot->readString(_key33);
-              int64_t& _val34 = this->releasedEpochs[_key33];
-              xfer += iprot->readI64(_val34);
+              std::string _key39;
+              xfer += iprot->readString(_key39);
+              int64_t& _val40 = this->releasedEpochs[_key39];
+              xfer += iprot->readI64(_val40);
             }
             xfer += iprot->readMapEnd();
           }
@@ -891,14 +952,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->demand.clear();
-            uint32_t _size35;
-            ::apache::thrift::protocol::TType _etype38;
-            xfer += iprot->readListBegin(_etype38, _size35);
-            this->demand.resize(_size35);
-            uint32_t _i39;
-            for (_i39 = 0; _i39 < _size35; ++_i39)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->demand.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->demand[_i39].read(iprot);
+              xfer += this->demand[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -943,10 +1004,10 @@
   xfer += oprot->writeFieldBegin("changed", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changed.size()));
-    std::vector<EndpointRecord> ::const_iterator _iter40;
-    for (_iter40 = this->changed.begin(); _iter40 != this->changed.end(); ++_iter40)
+    std::vector<EndpointRecord> ::const_iterator _iter46;
+    for (_iter46 = this->changed.begin(); _iter46 != this->changed.end(); ++_iter46)
     {
-      xfer += (*_iter40).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -955,10 +1016,10 @@
   xfer += oprot->writeFieldBegin("removed", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->removed.size()));
-    std::vector<std::string> ::const_iterator _iter41;
-    for (_iter41 = this->removed.begin(); _iter41 != this->removed.end(); ++_iter41)
+    std::vector<std::string> ::const_iterator _iter47;
+    for (_iter47 = this->removed.begin(); _iter47 != this->removed.end(); ++_iter47)
     {
-      xfer += oprot->writeString((*_iter41));
+      xfer += oprot->writeString((*_iter47));
     }
     xfer += oprot->writeListEnd();
   }
@@ -967,11 +1028,11 @@
   xfer += oprot->writeFieldBegin("inFlight", ::apache::thrift::protocol::T_MAP, 7);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I32, static_cast<uint32_t>(this->inFlight.size()));
-    std::map<std::string, int32_t> ::const_iterator _iter42;
-    for (_iter42 = this->inFlight.begin(); _iter42 != this->inFlight.end(); ++_iter42)
+    std::map<std::string, int32_t> ::const_iterator _iter48;
+    for (_iter48 = this->inFlight.begin(); _iter48 != this->inFlight.end(); ++_iter48)
     {
-      xfer += oprot->writeString(_iter42->first);
-      xfer += oprot->writeI32(_iter42->second);
+      xfer += oprot->writeString(_iter48->first);
+      xfer += oprot->writeI32(_iter48->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -980,10 +1041,10 @@
   xfer += oprot->writeFieldBegin("summaries", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->summaries.size()));
-    std::vector<PoolSummary> ::const_iterator _iter43;
-    for (_iter43 = this->summaries.begin(); _iter43 != this->summaries.end(); ++_iter43)
+    std::vector<PoolSummary> ::const_iterator _iter49;
+    for (_iter49 = this->summaries.begin(); _iter49 != this->summaries.end(); ++_iter49)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1000,11 +1061,11 @@
   xfer += oprot->writeFieldBegin("releasedEpochs", ::apache::thrift::protocol::T_MAP, 11);
   {
     xfer += oprot->writeMapBegin(::apache::thrift::protocol::T_STRING, ::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->releasedEpochs.size()));
-    std::map<std::string, int64_t> ::const_iterator _iter44;
-    for (_iter44 = this->releasedEpochs.begin(); _iter44 != this->releasedEpochs.end(); ++_iter44)
+    std::map<std::string, int64_t> ::const_iterator _iter50;
+    for (_iter50 = this->releasedEpochs.begin(); _iter50 != this->releasedEpochs.end(); ++_iter50)
     {
-      xfer += oprot->writeString(_iter44->first);
-      xfer += oprot->writeI64(_iter44->second);
+      xfer += oprot->writeString(_iter50->first);
+      xfer += oprot->writeI64(_iter50->second);
     }
     xfer += oprot->writeMapEnd();
   }
@@ -1021,10 +1082,10 @@
   xfer += oprot->writeFieldBegin("demand", ::apache::thrift::protocol::T_LIST, 14);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->demand.size()));
-    std::vector<DemandRecord> ::const_iterator _iter45;
-    for (_iter45 = this->demand.begin(); _iter45 != this->demand.end(); ++_iter45)
+    std::vector<DemandRecord> ::const_iterator _iter51;
+    for (_iter51 = this->demand.begin(); _iter51 != this->demand.end(); ++_iter51)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1054,39 +1115,74 @@
   swap(a.__isset, b.__isset);
 }
 
-DirectoryUpdate::DirectoryUpdate(const DirectoryUpdate& other46) {
-  processId = other46.processId;
-  zone = other46.zone;
-  processIncarnation = other46.processIncarnation;
-  setVersion = other46.setVersion;
-  changed = other46.changed;
-  removed = other46.removed;
-  inFlight = other46.inFlight;
-  summaries = other46.summaries;
-  full = other46.full;
-  appliedRevision = other46.appliedRevision;
-  releasedEpochs = other46.releasedEpochs;
-  baseVersion = other46.baseVersion;
-  setLeaseMs = other46.setLeaseMs;
-  demand = other46.demand;
-  __isset = other46.__isset;
-}
-DirectoryUpdate& DirectoryUpdate::operator=(const DirectoryUpdate& other47) {
-  processId = other47.processId;
-  zone = other47.zone;
-  processIncarnation = other47.processIncarnation;
-  setVersion = other47.setVersion;
-  changed = other47.changed;
-  removed = other47.removed;
-  inFlight = other47.inFlight;
-  summaries = other47.summaries;
-  full = other47.full;
-  appliedRevision = other47.appliedRevision;
-  releasedEpochs = other47.releasedEpochs;
-  baseVersion = other47.baseVersion;
-  setLeaseMs = other47.setLeaseMs;
-  demand = other47.demand;
-  __isset = other47.__isset;
+DirectoryUpdate::DirectoryUpdate(const DirectoryUpdate& other52) {
+  processId = other52.processId;
+  zone = other52.zone;
+  processIncarnation = other52.processIncarnation;
+  setVersion = other52.setVersion;
+  changed = other52.changed;
+  removed = other52.removed;
+  inFlight = other52.inFlight;
+  summaries = other52.summaries;
+  full = other52.full;
+  appliedRevision = other52.appliedRevision;
+  releasedEpochs = other52.releasedEpochs;
+  baseVersion = other52.baseVersion;
+  setLeaseMs = other52.setLeaseMs;
+  demand = other52.demand;
+  __isset = other52.__isset;
+}
+DirectoryUpdate::DirectoryUpdate(DirectoryUpdate&& other53) noexcept {
+  processId = std::move(other53.processId);
+  zone = std::move(other53.zone);
+  processIncarnation = other53.processIncarnation;
+  setVersion = other53.setVersion;
+  changed = std::move(other53.changed);
+  removed = std::move(other53.removed);
+  inFlight = std::move(other53.inFlight);
+  summaries = std::move(other53.summaries);
+  full = other53.full;
+  appliedRevision = other53.appliedRevision;
+  releasedEpochs = std::move(other53.releasedEpochs);
+  baseVersion = other53.baseVersion;
+  setLeaseMs = other53.setLeaseMs;
+  demand = std::move(other53.demand);
+  __isset = other53.__isset;
+}
+DirectoryUpdate& DirectoryUpdate::operator=(const DirectoryUpdate& other54) {
+  processId = other54.processId;
+  zone = other54.zone;
+  processIncarnation = other54.processIncarnation;
+  setVersion = other54.setVersion;
+  changed = other54.changed;
+  removed = other54.removed;
+  inFlight = other54.inFlight;
+  summaries = other54.summaries;
+  full = other54.full;
+  appliedRevision = other54.appliedRevision;
+  releasedEpochs = other54.releasedEpochs;
+  baseVersion = other54.baseVersion;
+  setLeaseMs = other54.setLeaseMs;
+  demand = other54.demand;
+  __isset = other54.__isset;
+  return *this;
+}
+DirectoryUpdate& DirectoryUpdate::operator=(DirectoryUpdate&& other55) noexcept {
+  processId = std::move(other55.processId);
+  zone = std::move(other55.zone);
+  processIncarnation = other55.processIncarnation;
+  setVersion = other55.setVersion;
+  changed = std::move(other55.changed);
+  removed = std::move(other55.removed);
+  inFlight = std::move(other55.inFlight);
+  summaries = std::move(other55.summaries);
+  full = other55.full;
+  appliedRevision = other55.appliedRevision;
+  releasedEpochs = std::move(other55.releasedEpochs);
+  baseVersion = other55.baseVersion;
+  setLeaseMs = other55.setLeaseMs;
+  demand = std::move(other55.demand);
+  __isset = other55.__isset;
   return *this;
 }
 void DirectoryUpdate::printTo(std::ostream& out) const {
@@ -1202,15 +1298,26 @@
   swap(a.__isset, b.__isset);
 }
 
-DirectoryReply::DirectoryReply(const DirectoryReply& other48) noexcept {
-  setVersion = other48.setVersion;
-  sendFull = other48.sendFull;
-  __isset = other48.__isset;
+DirectoryReply::DirectoryReply(const DirectoryReply& other56) noexcept {
+  setVersion = other56.setVersion;
+  sendFull = other56.sendFull;
+  __isset = other56.__isset;
+}
+DirectoryReply::DirectoryReply(DirectoryReply&& other57) noexcept {
+  setVersion = other57.setVersion;
+  sendFull = other57.sendFull;
+  __isset = other57.__isset;
+}
+DirectoryReply& DirectoryReply::operator=(const DirectoryReply& other58) noexcept {
+  setVersion = other58.setVersion;
+  sendFull = other58.sendFull;
+  __isset = other58.__isset;
+  return *this;
 }
-DirectoryReply& DirectoryReply::operator=(const DirectoryReply& other49) noexcept {
-  setVersion = other49.setVersion;
-  sendFull = other49.sendFull;
-  __isset = other49.__isset;
+DirectoryReply& DirectoryReply::operator=(DirectoryReply&& other59) noexcept {
+  setVersion = other59.setVersion;
+  sendFull = other59.sendFull;
+  __isset = other59.__isset;
   return *this;
 }
 void DirectoryReply::printTo(std::ostream& out) const {
--- a/src/libs/wire/gen/membership_types.h
+++ b/src/libs/wire/gen/membership_types.h
@@ -52,7 +52,9 @@
  public:
 
   EndpointRecord(const EndpointRecord&);
+  EndpointRecord(EndpointRecord&&) noexcept;
   EndpointRecord& operator=(const EndpointRecord&);
+  EndpointRecord& operator=(EndpointRecord&&) noexcept;
   EndpointRecord() noexcept
                  : id(),
                    serviceName(),
@@ -170,7 +172,9 @@
  public:
 
   PoolSummary(const PoolSummary&);
+  PoolSummary(PoolSummary&&) noexcept;
   PoolSummary& operator=(const PoolSummary&);
+  PoolSummary& operator=(PoolSummary&&) noexcept;
   PoolSummary() noexcept
               : pool(),
                 endpoints(0),
@@ -233,7 +237,9 @@
  public:
 
   DemandRecord(const DemandRecord&);
+  DemandRecord(DemandRecord&&) noexcept;
   DemandRecord& operator=(const DemandRecord&);
+  DemandRecord& operator=(DemandRecord&&) noexcept;
   DemandRecord() noexcept
                : serviceName(),
                  customer(),
@@ -301,7 +307,9 @@
  public:
 
   DirectoryUpdate(const DirectoryUpdate&);
+  DirectoryUpdate(DirectoryUpdate&&) noexcept;
   DirectoryUpdate& operator=(const DirectoryUpdate&);
+  DirectoryUpdate& operator=(DirectoryUpdate&&) noexcept;
   DirectoryUpdate() noexcept
                   : processId(),
                     zone(),
@@ -417,7 +425,9 @@
  public:
 
   DirectoryReply(const DirectoryReply&) noexcept;
+  DirectoryReply(DirectoryReply&&) noexcept;
   DirectoryReply& operator=(const DirectoryReply&) noexcept;
+  DirectoryReply& operator=(DirectoryReply&&) noexcept;
   DirectoryReply() noexcept
                  : setVersion(0),
                    sendFull(0) {
--- a/src/libs/wire/gen/replication_types.cpp
+++ b/src/libs/wire/gen/replication_types.cpp
@@ -126,9 +126,18 @@
   groupId = other0.groupId;
   __isset = other0.__isset;
 }
-WrongGroup& WrongGroup::operator=(const WrongGroup& other1) {
-  groupId = other1.groupId;
+WrongGroup::WrongGroup(WrongGroup&& other1) noexcept : TException() {
+  groupId = std::move(other1.groupId);
   __isset = other1.__isset;
+}
+WrongGroup& WrongGroup::operator=(const WrongGroup& other2) {
+  groupId = other2.groupId;
+  __isset = other2.__isset;
+  return *this;
+}
+WrongGroup& WrongGroup::operator=(WrongGroup&& other3) noexcept {
+  groupId = std::move(other3.groupId);
+  __isset = other3.__isset;
   return *this;
 }
 void WrongGroup::printTo(std::ostream& out) const {
@@ -276,19 +285,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplicaEntry::ReplicaEntry(const ReplicaEntry& other2) {
-  revision = other2.revision;
-  term = other2.term;
-  payload = other2.payload;
-  kind = other2.kind;
-  __isset = other2.__isset;
+ReplicaEntry::ReplicaEntry(const ReplicaEntry& other4) {
+  revision = other4.revision;
+  term = other4.term;
+  payload = other4.payload;
+  kind = other4.kind;
+  __isset = other4.__isset;
 }
-ReplicaEntry& ReplicaEntry::operator=(const ReplicaEntry& other3) {
-  revision = other3.revision;
-  term = other3.term;
-  payload = other3.payload;
-  kind = other3.kind;
-  __isset = other3.__isset;
+ReplicaEntry::ReplicaEntry(ReplicaEntry&& other5) noexcept {
+  revision = other5.revision;
+  term = other5.term;
+  payload = std::move(other5.payload);
+  kind = other5.kind;
+  __isset = other5.__isset;
+}
+ReplicaEntry& ReplicaEntry::operator=(const ReplicaEntry& other6) {
+  revision = other6.revision;
+  term = other6.term;
+  payload = other6.payload;
+  kind = other6.kind;
+  __isset = other6.__isset;
+  return *this;
+}
+ReplicaEntry& ReplicaEntry::operator=(ReplicaEntry&& other7) noexcept {
+  revision = other7.revision;
+  term = other7.term;
+  payload = std::move(other7.payload);
+  kind = other7.kind;
+  __isset = other7.__isset;
   return *this;
 }
 void ReplicaEntry::printTo(std::ostream& out) const {
@@ -496,27 +520,50 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteRequest::VoteRequest(const VoteRequest& other4) {
-  groupId = other4.groupId;
-  candidateId = other4.candidateId;
-  term = other4.term;
-  lastRevision = other4.lastRevision;
-  lastTerm = other4.lastTerm;
-  preVote = other4.preVote;
-  leadershipTransfer = other4.leadershipTransfer;
-  targetId = other4.targetId;
-  __isset = other4.__isset;
+VoteRequest::VoteRequest(const VoteRequest& other8) {
+  groupId = other8.groupId;
+  candidateId = other8.candidateId;
+  term = other8.term;
+  lastRevision = other8.lastRevision;
+  lastTerm = other8.lastTerm;
+  preVote = other8.preVote;
+  leadershipTransfer = other8.leadershipTransfer;
+  targetId = other8.targetId;
+  __isset = other8.__isset;
 }
-VoteRequest& VoteRequest::operator=(const VoteRequest& other5) {
-  groupId = other5.groupId;
-  candidateId = other5.candidateId;
-  term = other5.term;
-  lastRevision = other5.lastRevision;
-  lastTerm = other5.lastTerm;
-  preVote = other5.preVote;
-  leadershipTransfer = other5.leadershipTransfer;
-  targetId = other5.targetId;
-  __isset = other5.__isset;
+VoteRequest::VoteRequest(VoteRequest&& other9) noexcept {
+  groupId = std::move(other9.groupId);
+  candidateId = std::move(other9.candidateId);
+  term = other9.term;
+  lastRevision = other9.lastRevision;
+  lastTerm = other9.lastTerm;
+  preVote = other9.preVote;
+  leadershipTransfer = other9.leadershipTransfer;
+  targetId = std::move(other9.targetId);
+  __isset = other9.__isset;
+}
+VoteRequest& VoteRequest::operator=(const VoteRequest& other10) {
+  groupId = other10.groupId;
+  candidateId = other10.candidateId;
+  term = other10.term;
+  lastRevision = other10.lastRevision;
+  lastTerm = other10.lastTerm;
+  preVote = other10.preVote;
+  leadershipTransfer = other10.leadershipTransfer;
+  targetId = other10.targetId;
+  __isset = other10.__isset;
+  return *this;
+}
+VoteRequest& VoteRequest::operator=(VoteRequest&& other11) noexcept {
+  groupId = std::move(other11.groupId);
+  candidateId = std::move(other11.candidateId);
+  term = other11.term;
+  lastRevision = other11.lastRevision;
+  lastTerm = other11.lastTerm;
+  preVote = other11.preVote;
+  leadershipTransfer = other11.leadershipTransfer;
+  targetId = std::move(other11.targetId);
+  __isset = other11.__isset;
   return *this;
 }
 void VoteRequest::printTo(std::ostream& out) const {
@@ -626,15 +673,26 @@
   swap(a.__isset, b.__isset);
 }
 
-VoteReply::VoteReply(const VoteReply& other6) noexcept {
-  term = other6.term;
-  granted = other6.granted;
-  __isset = other6.__isset;
+VoteReply::VoteReply(const VoteReply& other12) noexcept {
+  term = other12.term;
+  granted = other12.granted;
+  __isset = other12.__isset;
 }
-VoteReply& VoteReply::operator=(const VoteReply& other7) noexcept {
-  term = other7.term;
-  granted = other7.granted;
-  __isset = other7.__isset;
+VoteReply::VoteReply(VoteReply&& other13) noexcept {
+  term = other13.term;
+  granted = other13.granted;
+  __isset = other13.__isset;
+}
+VoteReply& VoteReply::operator=(const VoteReply& other14) noexcept {
+  term = other14.term;
+  granted = other14.granted;
+  __isset = other14.__isset;
+  return *this;
+}
+VoteReply& VoteReply::operator=(VoteReply&& other15) noexcept {
+  term = other15.term;
+  granted = other15.granted;
+  __isset = other15.__isset;
   return *this;
 }
 void VoteReply::printTo(std::ostream& out) const {
@@ -755,17 +813,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ProcessApplied::ProcessApplied(const ProcessApplied& other8) {
-  processId = other8.processId;
-  appliedRevision = other8.appliedRevision;
-  ageMs = other8.ageMs;
-  __isset = other8.__isset;
+ProcessApplied::ProcessApplied(const ProcessApplied& other16) {
+  processId = other16.processId;
+  appliedRevision = other16.appliedRevision;
+  ageMs = other16.ageMs;
+  __isset = other16.__isset;
 }
-ProcessApplied& ProcessApplied::operator=(const ProcessApplied& other9) {
-  processId = other9.processId;
-  appliedRevision = other9.appliedRevision;
-  ageMs = other9.ageMs;
-  __isset = other9.__isset;
+ProcessApplied::ProcessApplied(ProcessApplied&& other17) noexcept {
+  processId = std::move(other17.processId);
+  appliedRevision = other17.appliedRevision;
+  ageMs = other17.ageMs;
+  __isset = other17.__isset;
+}
+ProcessApplied& ProcessApplied::operator=(const ProcessApplied& other18) {
+  processId = other18.processId;
+  appliedRevision = other18.appliedRevision;
+  ageMs = other18.ageMs;
+  __isset = other18.__isset;
+  return *this;
+}
+ProcessApplied& ProcessApplied::operator=(ProcessApplied&& other19) noexcept {
+  processId = std::move(other19.processId);
+  appliedRevision = other19.appliedRevision;
+  ageMs = other19.ageMs;
+  __isset = other19.__isset;
   return *this;
 }
 void ProcessApplied::printTo(std::ostream& out) const {
@@ -897,14 +968,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->entries.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->entries.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->entries[_i14].read(iprot);
+              xfer += this->entries[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -973,10 +1044,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<ReplicaEntry> ::const_iterator _iter15;
-    for (_iter15 = this->entries.begin(); _iter15 != this->entries.end(); ++_iter15)
+    std::vector<ReplicaEntry> ::const_iterator _iter25;
+    for (_iter25 = this->entries.begin(); _iter25 != this->entries.end(); ++_iter25)
     {
-      xfer += (*_iter15).write(oprot);
+      xfer += (*_iter25).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1009,29 +1080,54 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendRequest::AppendRequest(const AppendRequest& other16) {
-  groupId = other16.groupId;
-  leaderId = other16.leaderId;
-  term = other16.term;
-  previousRevision = other16.previousRevision;
-  previousTerm = other16.previousTerm;
-  commitRevision = other16.commitRevision;
-  entries = other16.entries;
-  quorumAgeMs = other16.quorumAgeMs;
-  targetId = other16.targetId;
-  __isset = other16.__isset;
+AppendRequest::AppendRequest(const AppendRequest& other26) {
+  groupId = other26.groupId;
+  leaderId = other26.leaderId;
+  term = other26.term;
+  previousRevision = other26.previousRevision;
+  previousTerm = other26.previousTerm;
+  commitRevision = other26.commitRevision;
+  entries = other26.entries;
+  quorumAgeMs = other26.quorumAgeMs;
+  targetId = other26.targetId;
+  __isset = other26.__isset;
 }
-AppendRequest& AppendRequest::operator=(const AppendRequest& other17) {
-  groupId = other17.groupId;
-  leaderId = other17.leaderId;
-  term = other17.term;
-  previousRevision = other17.previousRevision;
-  previousTerm = other17.previousTerm;
-  commitRevision = other17.commitRevision;
-  entries = other17.entries;
-  quorumAgeMs = other17.quorumAgeMs;
-  targetId = other17.targetId;
-  __isset = other17.__isset;
+AppendRequest::AppendRequest(AppendRequest&& other27) noexcept {
+  groupId = std::move(other27.groupId);
+  leaderId = std::move(other27.leaderId);
+  term = other27.term;
+  previousRevision = other27.previousRevision;
+  previousTerm = other27.previousTerm;
+  commitRevision = other27.commitRevision;
+  entries = std::move(other27.entries);
+  quorumAgeMs = other27.quorumAgeMs;
+  targetId = std::move(other27.targetId);
+  __isset = other27.__isset;
+}
+AppendRequest& AppendRequest::operator=(const AppendRequest& other28) {
+  groupId = other28.groupId;
+  leaderId = other28.leaderId;
+  term = other28.term;
+  previousRevision = other28.previousRevision;
+  previousTerm = other28.previousTerm;
+  commitRevision = other28.commitRevision;
+  entries = other28.entries;
+  quorumAgeMs = other28.quorumAgeMs;
+  targetId = other28.targetId;
+  __isset = other28.__isset;
+  return *this;
+}
+AppendRequest& AppendRequest::operator=(AppendRequest&& other29) noexcept {
+  groupId = std::move(other29.groupId);
+  leaderId = std::move(other29.leaderId);
+  term = other29.term;
+  previousRevision = other29.previousRevision;
+  previousTerm = other29.previousTerm;
+  commitRevision = other29.commitRevision;
+  entries = std::move(other29.entries);
+  quorumAgeMs = other29.quorumAgeMs;
+  targetId = std::move(other29.targetId);
+  __isset = other29.__isset;
   return *this;
 }
 void AppendRequest::printTo(std::ostream& out) const {
@@ -1137,14 +1233,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->observers.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->observers.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->observers.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->observers[_i22].read(iprot);
+              xfer += this->observers[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1189,10 +1285,10 @@
   xfer += oprot->writeFieldBegin("observers", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->observers.size()));
-    std::vector<ProcessApplied> ::const_iterator _iter23;
-    for (_iter23 = this->observers.begin(); _iter23 != this->observers.end(); ++_iter23)
+    std::vector<ProcessApplied> ::const_iterator _iter35;
+    for (_iter35 = this->observers.begin(); _iter35 != this->observers.end(); ++_iter35)
     {
-      xfer += (*_iter23).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1213,21 +1309,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AppendReply::AppendReply(const AppendReply& other24) {
-  term = other24.term;
-  accepted = other24.accepted;
-  lastRevision = other24.lastRevision;
-  appliedRevision = other24.appliedRevision;
-  observers = other24.observers;
-  __isset = other24.__isset;
-}
-AppendReply& AppendReply::operator=(const AppendReply& other25) {
-  term = other25.term;
-  accepted = other25.accepted;
-  lastRevision = other25.lastRevision;
-  appliedRevision = other25.appliedRevision;
-  observers = other25.observers;
-  __isset = other25.__isset;
+AppendReply::AppendReply(const AppendReply& other36) {
+  term = other36.term;
+  accepted = other36.accepted;
+  lastRevision = other36.lastRevision;
+  appliedRevision = other36.appliedRevision;
+  observers = other36.observers;
+  __isset = other36.__isset;
+}
+AppendReply::AppendReply(AppendReply&& other37) noexcept {
+  term = other37.term;
+  accepted = other37.accepted;
+  lastRevision = other37.lastRevision;
+  appliedRevision = other37.appliedRevision;
+  observers = std::move(other37.observers);
+  __isset = other37.__isset;
+}
+AppendReply& AppendReply::operator=(const AppendReply& other38) {
+  term = other38.term;
+  accepted = other38.accepted;
+  lastRevision = other38.lastRevision;
+  appliedRevision = other38.appliedRevision;
+  observers = other38.observers;
+  __isset = other38.__isset;
+  return *this;
+}
+AppendReply& AppendReply::operator=(AppendReply&& other39) noexcept {
+  term = other39.term;
+  accepted = other39.accepted;
+  lastRevision = other39.lastRevision;
+  appliedRevision = other39.appliedRevision;
+  observers = std::move(other39.observers);
+  __isset = other39.__isset;
   return *this;
 }
 void AppendReply::printTo(std::ostream& out) const {
@@ -1470,31 +1583,58 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotRequest::SnapshotRequest(const SnapshotRequest& other26) {
-  groupId = other26.groupId;
-  leaderId = other26.leaderId;
-  term = other26.term;
-  revision = other26.revision;
-  revisionTerm = other26.revisionTerm;
-  offset = other26.offset;
-  data = other26.data;
-  last = other26.last;
-  voters = other26.voters;
-  targetId = other26.targetId;
-  __isset = other26.__isset;
+SnapshotRequest::SnapshotRequest(const SnapshotRequest& other40) {
+  groupId = other40.groupId;
+  leaderId = other40.leaderId;
+  term = other40.term;
+  revision = other40.revision;
+  revisionTerm = other40.revisionTerm;
+  offset = other40.offset;
+  data = other40.data;
+  last = other40.last;
+  voters = other40.voters;
+  targetId = other40.targetId;
+  __isset = other40.__isset;
 }
-SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other27) {
-  groupId = other27.groupId;
-  leaderId = other27.leaderId;
-  term = other27.term;
-  revision = other27.revision;
-  revisionTerm = other27.revisionTerm;
-  offset = other27.offset;
-  data = other27.data;
-  last = other27.last;
-  voters = other27.voters;
-  targetId = other27.targetId;
-  __isset = other27.__isset;
+SnapshotRequest::SnapshotRequest(SnapshotRequest&& other41) noexcept {
+  groupId = std::move(other41.groupId);
+  leaderId = std::move(other41.leaderId);
+  term = other41.term;
+  revision = other41.revision;
+  revisionTerm = other41.revisionTerm;
+  offset = other41.offset;
+  data = std::move(other41.data);
+  last = other41.last;
+  voters = std::move(other41.voters);
+  targetId = std::move(other41.targetId);
+  __isset = other41.__isset;
+}
+SnapshotRequest& SnapshotRequest::operator=(const SnapshotRequest& other42) {
+  groupId = other42.groupId;
+  leaderId = other42.leaderId;
+  term = other42.term;
+  revision = other42.revision;
+  revisionTerm = other42.revisionTerm;
+  offset = other42.offset;
+  data = other42.data;
+  last = other42.last;
+  voters = other42.voters;
+  targetId = other42.targetId;
+  __isset = other42.__isset;
+  return *this;
+}
+SnapshotRequest& SnapshotRequest::operator=(SnapshotRequest&& other43) noexcept {
+  groupId = std::move(other43.groupId);
+  leaderId = std::move(other43.leaderId);
+  term = other43.term;
+  revision = other43.revision;
+  revisionTerm = other43.revisionTerm;
+  offset = other43.offset;
+  data = std::move(other43.data);
+  last = other43.last;
+  voters = std::move(other43.voters);
+  targetId = std::move(other43.targetId);
+  __isset = other43.__isset;
   return *this;
 }
 void SnapshotRequest::printTo(std::ostream& out) const {
@@ -1606,15 +1746,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotReply::SnapshotReply(const SnapshotReply& other28) noexcept {
-  term = other28.term;
-  accepted = other28.accepted;
-  __isset = other28.__isset;
+SnapshotReply::SnapshotReply(const SnapshotReply& other44) noexcept {
+  term = other44.term;
+  accepted = other44.accepted;
+  __isset = other44.__isset;
 }
-SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other29) noexcept {
-  term = other29.term;
-  accepted = other29.accepted;
-  __isset = other29.__isset;
+SnapshotReply::SnapshotReply(SnapshotReply&& other45) noexcept {
+  term = other45.term;
+  accepted = other45.accepted;
+  __isset = other45.__isset;
+}
+SnapshotReply& SnapshotReply::operator=(const SnapshotReply& other46) noexcept {
+  term = other46.term;
+  accepted = other46.accepted;
+  __isset = other46.__isset;
+  return *this;
+}
+SnapshotReply& SnapshotReply::operator=(SnapshotReply&& other47) noexcept {
+  term = other47.term;
+  accepted = other47.accepted;
+  __isset = other47.__isset;
   return *this;
 }
 void SnapshotReply::printTo(std::ostream& out) const {
@@ -1752,19 +1903,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ObserveRequest::ObserveRequest(const ObserveRequest& other30) {
-  groupId = other30.groupId;
-  observerId = other30.observerId;
-  appliedRevision = other30.appliedRevision;
-  waitMs = other30.waitMs;
-  __isset = other30.__isset;
+ObserveRequest::ObserveRequest(const ObserveRequest& other48) {
+  groupId = other48.groupId;
+  observerId = other48.observerId;
+  appliedRevision = other48.appliedRevision;
+  waitMs = other48.waitMs;
+  __isset = other48.__isset;
+}
+ObserveRequest::ObserveRequest(ObserveRequest&& other49) noexcept {
+  groupId = std::move(other49.groupId);
+  observerId = std::move(other49.observerId);
+  appliedRevision = other49.appliedRevision;
+  waitMs = other49.waitMs;
+  __isset = other49.__isset;
+}
+ObserveRequest& ObserveRequest::operator=(const ObserveRequest& other50) {
+  groupId = other50.groupId;
+  observerId = other50.observerId;
+  appliedRevision = other50.appliedRevision;
+  waitMs = other50.waitMs;
+  __isset = other50.__isset;
+  return *this;
 }
-ObserveRequest& ObserveRequest::operator=(const ObserveRequest& other31) {
-  groupId = other31.groupId;
-  observerId = other31.observerId;
-  appliedRevision = other31.appliedRevision;
-  waitMs = other31.waitMs;
-  __isset = other31.__isset;
+ObserveRequest& ObserveRequest::operator=(ObserveRequest&& other51) noexcept {
+  groupId = std::move(other51.groupId);
+  observerId = std::move(other51.observerId);
+  appliedRevision = other51.appliedRevision;
+  waitMs = other51.waitMs;
+  __isset = other51.__isset;
   return *this;
 }
 void ObserveRequest::printTo(std::ostream& out) const {
@@ -1837,14 +2003,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->entries.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->entries.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size52;
+            ::apache::thrift::protocol::TType _etype55;
+            xfer += iprot->readListBegin(_etype55, _size52);
+            this->entries.resize(_size52);
+            uint32_t _i56;
+            for (_i56 = 0; _i56 < _size52; ++_i56)
             {
-              xfer += this->entries[_i36].read(iprot);
+              xfer += this->entries[_i56].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1913,10 +2079,10 @@
   xfer += oprot->writeFieldBegin("entries", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->entries.size()));
-    std::vector<ReplicaEntry> ::const_iterator _iter37;
-    for (_iter37 = this->entries.begin(); _iter37 != this->entries.end(); ++_iter37)
+    std::vector<ReplicaEntry> ::const_iterator _iter57;
+    for (_iter57 = this->entries.begin(); _iter57 != this->entries.end(); ++_iter57)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter57).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1958,23 +2124,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ObserveReply::ObserveReply(const ObserveReply& other38) {
-  entries = other38.entries;
-  commitRevision = other38.commitRevision;
-  snapshotNeeded = other38.snapshotNeeded;
-  term = other38.term;
-  leaderId = other38.leaderId;
-  quorumAgeMs = other38.quorumAgeMs;
-  __isset = other38.__isset;
+ObserveReply::ObserveReply(const ObserveReply& other58) {
+  entries = other58.entries;
+  commitRevision = other58.commitRevision;
+  snapshotNeeded = other58.snapshotNeeded;
+  term = other58.term;
+  leaderId = other58.leaderId;
+  quorumAgeMs = other58.quorumAgeMs;
+  __isset = other58.__isset;
+}
+ObserveReply::ObserveReply(ObserveReply&& other59) noexcept {
+  entries = std::move(other59.entries);
+  commitRevision = other59.commitRevision;
+  snapshotNeeded = other59.snapshotNeeded;
+  term = other59.term;
+  leaderId = std::move(other59.leaderId);
+  quorumAgeMs = other59.quorumAgeMs;
+  __isset = other59.__isset;
+}
+ObserveReply& ObserveReply::operator=(const ObserveReply& other60) {
+  entries = other60.entries;
+  commitRevision = other60.commitRevision;
+  snapshotNeeded = other60.snapshotNeeded;
+  term = other60.term;
+  leaderId = other60.leaderId;
+  quorumAgeMs = other60.quorumAgeMs;
+  __isset = other60.__isset;
+  return *this;
 }
-ObserveReply& ObserveReply::operator=(const ObserveReply& other39) {
-  entries = other39.entries;
-  commitRevision = other39.commitRevision;
-  snapshotNeeded = other39.snapshotNeeded;
-  term = other39.term;
-  leaderId = other39.leaderId;
-  quorumAgeMs = other39.quorumAgeMs;
-  __isset = other39.__isset;
+ObserveReply& ObserveReply::operator=(ObserveReply&& other61) noexcept {
+  entries = std::move(other61.entries);
+  commitRevision = other61.commitRevision;
+  snapshotNeeded = other61.snapshotNeeded;
+  term = other61.term;
+  leaderId = std::move(other61.leaderId);
+  quorumAgeMs = other61.quorumAgeMs;
+  __isset = other61.__isset;
   return *this;
 }
 void ObserveReply::printTo(std::ostream& out) const {
@@ -2099,17 +2284,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunkRequest::SnapshotChunkRequest(const SnapshotChunkRequest& other40) {
-  groupId = other40.groupId;
-  revision = other40.revision;
-  offset = other40.offset;
-  __isset = other40.__isset;
+SnapshotChunkRequest::SnapshotChunkRequest(const SnapshotChunkRequest& other62) {
+  groupId = other62.groupId;
+  revision = other62.revision;
+  offset = other62.offset;
+  __isset = other62.__isset;
 }
-SnapshotChunkRequest& SnapshotChunkRequest::operator=(const SnapshotChunkRequest& other41) {
-  groupId = other41.groupId;
-  revision = other41.revision;
-  offset = other41.offset;
-  __isset = other41.__isset;
+SnapshotChunkRequest::SnapshotChunkRequest(SnapshotChunkRequest&& other63) noexcept {
+  groupId = std::move(other63.groupId);
+  revision = other63.revision;
+  offset = other63.offset;
+  __isset = other63.__isset;
+}
+SnapshotChunkRequest& SnapshotChunkRequest::operator=(const SnapshotChunkRequest& other64) {
+  groupId = other64.groupId;
+  revision = other64.revision;
+  offset = other64.offset;
+  __isset = other64.__isset;
+  return *this;
+}
+SnapshotChunkRequest& SnapshotChunkRequest::operator=(SnapshotChunkRequest&& other65) noexcept {
+  groupId = std::move(other65.groupId);
+  revision = other65.revision;
+  offset = other65.offset;
+  __isset = other65.__isset;
   return *this;
 }
 void SnapshotChunkRequest::printTo(std::ostream& out) const {
@@ -2265,21 +2463,38 @@
   swap(a.__isset, b.__isset);
 }
 
-SnapshotChunk::SnapshotChunk(const SnapshotChunk& other42) {
-  revision = other42.revision;
-  term = other42.term;
-  voters = other42.voters;
-  data = other42.data;
-  last = other42.last;
-  __isset = other42.__isset;
+SnapshotChunk::SnapshotChunk(const SnapshotChunk& other66) {
+  revision = other66.revision;
+  term = other66.term;
+  voters = other66.voters;
+  data = other66.data;
+  last = other66.last;
+  __isset = other66.__isset;
 }
-SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other43) {
-  revision = other43.revision;
-  term = other43.term;
-  voters = other43.voters;
-  data = other43.data;
-  last = other43.last;
-  __isset = other43.__isset;
+SnapshotChunk::SnapshotChunk(SnapshotChunk&& other67) noexcept {
+  revision = other67.revision;
+  term = other67.term;
+  voters = std::move(other67.voters);
+  data = std::move(other67.data);
+  last = other67.last;
+  __isset = other67.__isset;
+}
+SnapshotChunk& SnapshotChunk::operator=(const SnapshotChunk& other68) {
+  revision = other68.revision;
+  term = other68.term;
+  voters = other68.voters;
+  data = other68.data;
+  last = other68.last;
+  __isset = other68.__isset;
+  return *this;
+}
+SnapshotChunk& SnapshotChunk::operator=(SnapshotChunk&& other69) noexcept {
+  revision = other69.revision;
+  term = other69.term;
+  voters = std::move(other69.voters);
+  data = std::move(other69.data);
+  last = other69.last;
+  __isset = other69.__isset;
   return *this;
 }
 void SnapshotChunk::printTo(std::ostream& out) const {
@@ -2349,14 +2564,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->payloads.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->payloads.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->payloads.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += iprot->readBinary(this->payloads[_i48]);
+              xfer += iprot->readBinary(this->payloads[_i74]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2397,10 +2612,10 @@
   xfer += oprot->writeFieldBegin("payloads", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->payloads.size()));
-    std::vector<std::string> ::const_iterator _iter49;
-    for (_iter49 = this->payloads.begin(); _iter49 != this->payloads.end(); ++_iter49)
+    std::vector<std::string> ::const_iterator _iter75;
+    for (_iter75 = this->payloads.begin(); _iter75 != this->payloads.end(); ++_iter75)
     {
-      xfer += oprot->writeBinary((*_iter49));
+      xfer += oprot->writeBinary((*_iter75));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2423,17 +2638,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitRequest::SubmitRequest(const SubmitRequest& other50) {
-  groupId = other50.groupId;
-  payloads = other50.payloads;
-  timeoutMs = other50.timeoutMs;
-  __isset = other50.__isset;
+SubmitRequest::SubmitRequest(const SubmitRequest& other76) {
+  groupId = other76.groupId;
+  payloads = other76.payloads;
+  timeoutMs = other76.timeoutMs;
+  __isset = other76.__isset;
 }
-SubmitRequest& SubmitRequest::operator=(const SubmitRequest& other51) {
-  groupId = other51.groupId;
-  payloads = other51.payloads;
-  timeoutMs = other51.timeoutMs;
-  __isset = other51.__isset;
+SubmitRequest::SubmitRequest(SubmitRequest&& other77) noexcept {
+  groupId = std::move(other77.groupId);
+  payloads = std::move(other77.payloads);
+  timeoutMs = other77.timeoutMs;
+  __isset = other77.__isset;
+}
+SubmitRequest& SubmitRequest::operator=(const SubmitRequest& other78) {
+  groupId = other78.groupId;
+  payloads = other78.payloads;
+  timeoutMs = other78.timeoutMs;
+  __isset = other78.__isset;
+  return *this;
+}
+SubmitRequest& SubmitRequest::operator=(SubmitRequest&& other79) noexcept {
+  groupId = std::move(other79.groupId);
+  payloads = std::move(other79.payloads);
+  timeoutMs = other79.timeoutMs;
+  __isset = other79.__isset;
   return *this;
 }
 void SubmitRequest::printTo(std::ostream& out) const {
@@ -2491,9 +2719,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast52;
-          xfer += iprot->readI32(ecast52);
-          this->status = static_cast<SubmitStatus::type>(ecast52);
+          int32_t ecast80;
+          xfer += iprot->readI32(ecast80);
+          this->status = static_cast<SubmitStatus::type>(ecast80);
           this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -2557,17 +2785,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitResult::SubmitResult(const SubmitResult& other53) {
-  status = other53.status;
-  revision = other53.revision;
-  reply = other53.reply;
-  __isset = other53.__isset;
+SubmitResult::SubmitResult(const SubmitResult& other81) {
+  status = other81.status;
+  revision = other81.revision;
+  reply = other81.reply;
+  __isset = other81.__isset;
 }
-SubmitResult& SubmitResult::operator=(const SubmitResult& other54) {
-  status = other54.status;
-  revision = other54.revision;
-  reply = other54.reply;
-  __isset = other54.__isset;
+SubmitResult::SubmitResult(SubmitResult&& other82) noexcept {
+  status = other82.status;
+  revision = other82.revision;
+  reply = std::move(other82.reply);
+  __isset = other82.__isset;
+}
+SubmitResult& SubmitResult::operator=(const SubmitResult& other83) {
+  status = other83.status;
+  revision = other83.revision;
+  reply = other83.reply;
+  __isset = other83.__isset;
+  return *this;
+}
+SubmitResult& SubmitResult::operator=(SubmitResult&& other84) noexcept {
+  status = other84.status;
+  revision = other84.revision;
+  reply = std::move(other84.reply);
+  __isset = other84.__isset;
   return *this;
 }
 void SubmitResult::printTo(std::ostream& out) const {
@@ -2623,14 +2864,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->results.clear();
-            uint32_t _size55;
-            ::apache::thrift::protocol::TType _etype58;
-            xfer += iprot->readListBegin(_etype58, _size55);
-            this->results.resize(_size55);
-            uint32_t _i59;
-            for (_i59 = 0; _i59 < _size55; ++_i59)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->results.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->results[_i59].read(iprot);
+              xfer += this->results[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2667,10 +2908,10 @@
   xfer += oprot->writeFieldBegin("results", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->results.size()));
-    std::vector<SubmitResult> ::const_iterator _iter60;
-    for (_iter60 = this->results.begin(); _iter60 != this->results.end(); ++_iter60)
+    std::vector<SubmitResult> ::const_iterator _iter90;
+    for (_iter90 = this->results.begin(); _iter90 != this->results.end(); ++_iter90)
     {
-      xfer += (*_iter60).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2692,15 +2933,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitReply::SubmitReply(const SubmitReply& other61) {
-  results = other61.results;
-  leaderId = other61.leaderId;
-  __isset = other61.__isset;
+SubmitReply::SubmitReply(const SubmitReply& other91) {
+  results = other91.results;
+  leaderId = other91.leaderId;
+  __isset = other91.__isset;
 }
-SubmitReply& SubmitReply::operator=(const SubmitReply& other62) {
-  results = other62.results;
-  leaderId = other62.leaderId;
-  __isset = other62.__isset;
+SubmitReply::SubmitReply(SubmitReply&& other92) noexcept {
+  results = std::move(other92.results);
+  leaderId = std::move(other92.leaderId);
+  __isset = other92.__isset;
+}
+SubmitReply& SubmitReply::operator=(const SubmitReply& other93) {
+  results = other93.results;
+  leaderId = other93.leaderId;
+  __isset = other93.__isset;
+  return *this;
+}
+SubmitReply& SubmitReply::operator=(SubmitReply&& other94) noexcept {
+  results = std::move(other94.results);
+  leaderId = std::move(other94.leaderId);
+  __isset = other94.__isset;
   return *this;
 }
 void SubmitReply::printTo(std::ostream& out) const {
@@ -2821,17 +3073,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmRequest::ConfirmRequest(const ConfirmRequest& other63) {
-  groupId = other63.groupId;
-  processId = other63.processId;
-  timeoutMs = other63.timeoutMs;
-  __isset = other63.__isset;
+ConfirmRequest::ConfirmRequest(const ConfirmRequest& other95) {
+  groupId = other95.groupId;
+  processId = other95.processId;
+  timeoutMs = other95.timeoutMs;
+  __isset = other95.__isset;
 }
-ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other64) {
-  groupId = other64.groupId;
-  processId = other64.processId;
-  timeoutMs = other64.timeoutMs;
-  __isset = other64.__isset;
+ConfirmRequest::ConfirmRequest(ConfirmRequest&& other96) noexcept {
+  groupId = std::move(other96.groupId);
+  processId = std::move(other96.processId);
+  timeoutMs = other96.timeoutMs;
+  __isset = other96.__isset;
+}
+ConfirmRequest& ConfirmRequest::operator=(const ConfirmRequest& other97) {
+  groupId = other97.groupId;
+  processId = other97.processId;
+  timeoutMs = other97.timeoutMs;
+  __isset = other97.__isset;
+  return *this;
+}
+ConfirmRequest& ConfirmRequest::operator=(ConfirmRequest&& other98) noexcept {
+  groupId = std::move(other98.groupId);
+  processId = std::move(other98.processId);
+  timeoutMs = other98.timeoutMs;
+  __isset = other98.__isset;
   return *this;
 }
 void ConfirmRequest::printTo(std::ostream& out) const {
@@ -2953,17 +3218,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ConfirmReply::ConfirmReply(const ConfirmReply& other65) {
-  confirmed = other65.confirmed;
-  revision = other65.revision;
-  leaderId = other65.leaderId;
-  __isset = other65.__isset;
+ConfirmReply::ConfirmReply(const ConfirmReply& other99) {
+  confirmed = other99.confirmed;
+  revision = other99.revision;
+  leaderId = other99.leaderId;
+  __isset = other99.__isset;
 }
-ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other66) {
-  confirmed = other66.confirmed;
-  revision = other66.revision;
-  leaderId = other66.leaderId;
-  __isset = other66.__isset;
+ConfirmReply::ConfirmReply(ConfirmReply&& other100) noexcept {
+  confirmed = other100.confirmed;
+  revision = other100.revision;
+  leaderId = std::move(other100.leaderId);
+  __isset = other100.__isset;
+}
+ConfirmReply& ConfirmReply::operator=(const ConfirmReply& other101) {
+  confirmed = other101.confirmed;
+  revision = other101.revision;
+  leaderId = other101.leaderId;
+  __isset = other101.__isset;
+  return *this;
+}
+ConfirmReply& ConfirmReply::operator=(ConfirmReply&& other102) noexcept {
+  confirmed = other102.confirmed;
+  revision = other102.revision;
+  leaderId = std::move(other102.leaderId);
+  __isset = other102.__isset;
   return *this;
 }
 void ConfirmReply::printTo(std::ostream& out) const {
@@ -3051,13 +3329,22 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusRequest::StatusRequest(const StatusRequest& other67) {
-  groupId = other67.groupId;
-  __isset = other67.__isset;
+StatusRequest::StatusRequest(const StatusRequest& other103) {
+  groupId = other103.groupId;
+  __isset = other103.__isset;
 }
-StatusRequest& StatusRequest::operator=(const StatusRequest& other68) {
-  groupId = other68.groupId;
-  __isset = other68.__isset;
+StatusRequest::StatusRequest(StatusRequest&& other104) noexcept {
+  groupId = std::move(other104.groupId);
+  __isset = other104.__isset;
+}
+StatusRequest& StatusRequest::operator=(const StatusRequest& other105) {
+  groupId = other105.groupId;
+  __isset = other105.__isset;
+  return *this;
+}
+StatusRequest& StatusRequest::operator=(StatusRequest&& other106) noexcept {
+  groupId = std::move(other106.groupId);
+  __isset = other106.__isset;
   return *this;
 }
 void StatusRequest::printTo(std::ostream& out) const {
@@ -3179,14 +3466,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->progress.clear();
-            uint32_t _size69;
-            ::apache::thrift::protocol::TType _etype72;
-            xfer += iprot->readListBegin(_etype72, _size69);
-            this->progress.resize(_size69);
-            uint32_t _i73;
-            for (_i73 = 0; _i73 < _size69; ++_i73)
+            uint32_t _size107;
+            ::apache::thrift::protocol::TType _etype110;
+            xfer += iprot->readListBegin(_etype110, _size107);
+            this->progress.resize(_size107);
+            uint32_t _i111;
+            for (_i111 = 0; _i111 < _size107; ++_i111)
             {
-              xfer += this->progress[_i73].read(iprot);
+              xfer += this->progress[_i111].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3239,10 +3526,10 @@
   xfer += oprot->writeFieldBegin("progress", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->progress.size()));
-    std::vector<ProcessApplied> ::const_iterator _iter74;
-    for (_iter74 = this->progress.begin(); _iter74 != this->progress.end(); ++_iter74)
+    std::vector<ProcessApplied> ::const_iterator _iter112;
+    for (_iter112 = this->progress.begin(); _iter112 != this->progress.end(); ++_iter112)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter112).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3265,25 +3552,46 @@
   swap(a.__isset, b.__isset);
 }
 
-StatusReply::StatusReply(const StatusReply& other75) {
-  leads = other75.leads;
-  leaderId = other75.leaderId;
-  term = other75.term;
-  commitRevision = other75.commitRevision;
-  appliedRevision = other75.appliedRevision;
-  hasQuorum = other75.hasQuorum;
-  progress = other75.progress;
-  __isset = other75.__isset;
-}
-StatusReply& StatusReply::operator=(const StatusReply& other76) {
-  leads = other76.leads;
-  leaderId = other76.leaderId;
-  term = other76.term;
-  commitRevision = other76.commitRevision;
-  appliedRevision = other76.appliedRevision;
-  hasQuorum = other76.hasQuorum;
-  progress = other76.progress;
-  __isset = other76.__isset;
+StatusReply::StatusReply(const StatusReply& other113) {
+  leads = other113.leads;
+  leaderId = other113.leaderId;
+  term = other113.term;
+  commitRevision = other113.commitRevision;
+  appliedRevision = other113.appliedRevision;
+  hasQuorum = other113.hasQuorum;
+  progress = other113.progress;
+  __isset = other113.__isset;
+}
+StatusReply::StatusReply(StatusReply&& other114) noexcept {
+  leads = other114.leads;
+  leaderId = std::move(other114.leaderId);
+  term = other114.term;
+  commitRevision = other114.commitRevision;
+  appliedRevision = other114.appliedRevision;
+  hasQuorum = other114.hasQuorum;
+  progress = std::move(other114.progress);
+  __isset = other114.__isset;
+}
+StatusReply& StatusReply::operator=(const StatusReply& other115) {
+  leads = other115.leads;
+  leaderId = other115.leaderId;
+  term = other115.term;
+  commitRevision = other115.commitRevision;
+  appliedRevision = other115.appliedRevision;
+  hasQuorum = other115.hasQuorum;
+  progress = other115.progress;
+  __isset = other115.__isset;
+  return *this;
+}
+StatusReply& StatusReply::operator=(StatusReply&& other116) noexcept {
+  leads = other116.leads;
+  leaderId = std::move(other116.leaderId);
+  term = other116.term;
+  commitRevision = other116.commitRevision;
+  appliedRevision = other116.appliedRevision;
+  hasQuorum = other116.hasQuorum;
+  progress = std::move(other116.progress);
+  __isset = other116.__isset;
   return *this;
 }
 void StatusReply::printTo(std::ostream& out) const {
@@ -3426,19 +3734,34 @@
   swap(a.__isset, b.__isset);
 }
 
-TransferRequest::TransferRequest(const TransferRequest& other77) {
-  groupId = other77.groupId;
-  leaderId = other77.leaderId;
-  term = other77.term;
-  targetId = other77.targetId;
-  __isset = other77.__isset;
+TransferRequest::TransferRequest(const TransferRequest& other117) {
+  groupId = other117.groupId;
+  leaderId = other117.leaderId;
+  term = other117.term;
+  targetId = other117.targetId;
+  __isset = other117.__isset;
+}
+TransferRequest::TransferRequest(TransferRequest&& other118) noexcept {
+  groupId = std::move(other118.groupId);
+  leaderId = std::move(other118.leaderId);
+  term = other118.term;
+  targetId = std::move(other118.targetId);
+  __isset = other118.__isset;
+}
+TransferRequest& TransferRequest::operator=(const TransferRequest& other119) {
+  groupId = other119.groupId;
+  leaderId = other119.leaderId;
+  term = other119.term;
+  targetId = other119.targetId;
+  __isset = other119.__isset;
+  return *this;
 }
-TransferRequest& TransferRequest::operator=(const TransferRequest& other78) {
-  groupId = other78.groupId;
-  leaderId = other78.leaderId;
-  term = other78.term;
-  targetId = other78.targetId;
-  __isset = other78.__isset;
+TransferRequest& TransferRequest::operator=(TransferRequest&& other120) noexcept {
+  groupId = std::move(other120.groupId);
+  leaderId = std::move(other120.leaderId);
+  term = other120.term;
+  targetId = std::move(other120.targetId);
+  __isset = other120.__isset;
   return *this;
 }
 void TransferRequest::printTo(std::ostream& out) const {
@@ -3527,13 +3850,22 @@
   swap(a.__isset, b.__isset);
 }
 
-TransferReply::TransferReply(const TransferReply& other79) noexcept {
-  accepted = other79.accepted;
-  __isset = other79.__isset;
+TransferReply::TransferReply(const TransferReply& other121) noexcept {
+  accepted = other121.accepted;
+  __isset = other121.__isset;
+}
+TransferReply::TransferReply(TransferReply&& other122) noexcept {
+  accepted = other122.accepted;
+  __isset = other122.__isset;
+}
+TransferReply& TransferReply::operator=(const TransferReply& other123) noexcept {
+  accepted = other123.accepted;
+  __isset = other123.__isset;
+  return *this;
 }
-TransferReply& TransferReply::operator=(const TransferReply& other80) noexcept {
-  accepted = other80.accepted;
-  __isset = other80.__isset;
+TransferReply& TransferReply::operator=(TransferReply&& other124) noexcept {
+  accepted = other124.accepted;
+  __isset = other124.__isset;
   return *this;
 }
 void TransferReply::printTo(std::ostream& out) const {
@@ -3704,23 +4036,42 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplaceVoterRequest::ReplaceVoterRequest(const ReplaceVoterRequest& other81) {
-  groupId = other81.groupId;
-  removedId = other81.removedId;
-  addedId = other81.addedId;
-  addedZone = other81.addedZone;
-  addedAddress = other81.addedAddress;
-  timeoutMs = other81.timeoutMs;
-  __isset = other81.__isset;
+ReplaceVoterRequest::ReplaceVoterRequest(const ReplaceVoterRequest& other125) {
+  groupId = other125.groupId;
+  removedId = other125.removedId;
+  addedId = other125.addedId;
+  addedZone = other125.addedZone;
+  addedAddress = other125.addedAddress;
+  timeoutMs = other125.timeoutMs;
+  __isset = other125.__isset;
+}
+ReplaceVoterRequest::ReplaceVoterRequest(ReplaceVoterRequest&& other126) noexcept {
+  groupId = std::move(other126.groupId);
+  removedId = std::move(other126.removedId);
+  addedId = std::move(other126.addedId);
+  addedZone = std::move(other126.addedZone);
+  addedAddress = std::move(other126.addedAddress);
+  timeoutMs = other126.timeoutMs;
+  __isset = other126.__isset;
+}
+ReplaceVoterRequest& ReplaceVoterRequest::operator=(const ReplaceVoterRequest& other127) {
+  groupId = other127.groupId;
+  removedId = other127.removedId;
+  addedId = other127.addedId;
+  addedZone = other127.addedZone;
+  addedAddress = other127.addedAddress;
+  timeoutMs = other127.timeoutMs;
+  __isset = other127.__isset;
+  return *this;
 }
-ReplaceVoterRequest& ReplaceVoterRequest::operator=(const ReplaceVoterRequest& other82) {
-  groupId = other82.groupId;
-  removedId = other82.removedId;
-  addedId = other82.addedId;
-  addedZone = other82.addedZone;
-  addedAddress = other82.addedAddress;
-  timeoutMs = other82.timeoutMs;
-  __isset = other82.__isset;
+ReplaceVoterRequest& ReplaceVoterRequest::operator=(ReplaceVoterRequest&& other128) noexcept {
+  groupId = std::move(other128.groupId);
+  removedId = std::move(other128.removedId);
+  addedId = std::move(other128.addedId);
+  addedZone = std::move(other128.addedZone);
+  addedAddress = std::move(other128.addedAddress);
+  timeoutMs = other128.timeoutMs;
+  __isset = other128.__isset;
   return *this;
 }
 void ReplaceVoterRequest::printTo(std::ostream& out) const {
@@ -3781,9 +4132,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast83;
-          xfer += iprot->readI32(ecast83);
-          this->status = static_cast<SubmitStatus::type>(ecast83);
+          int32_t ecast129;
+          xfer += iprot->readI32(ecast129);
+          this->status = static_cast<SubmitStatus::type>(ecast129);
           this->__isset.status = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -3847,17 +4198,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ReplaceVoterReply::ReplaceVoterReply(const ReplaceVoterReply& other84) {
-  status = other84.status;
-  leaderId = other84.leaderId;
-  reason = other84.reason;
-  __isset = other84.__isset;
+ReplaceVoterReply::ReplaceVoterReply(const ReplaceVoterReply& other130) {
+  status = other130.status;
+  leaderId = other130.leaderId;
+  reason = other130.reason;
+  __isset = other130.__isset;
+}
+ReplaceVoterReply::ReplaceVoterReply(ReplaceVoterReply&& other131) noexcept {
+  status = other131.status;
+  leaderId = std::move(other131.leaderId);
+  reason = std::move(other131.reason);
+  __isset = other131.__isset;
+}
+ReplaceVoterReply& ReplaceVoterReply::operator=(const ReplaceVoterReply& other132) {
+  status = other132.status;
+  leaderId = other132.leaderId;
+  reason = other132.reason;
+  __isset = other132.__isset;
+  return *this;
 }
-ReplaceVoterReply& ReplaceVoterReply::operator=(const ReplaceVoterReply& other85) {
-  status = other85.status;
-  leaderId = other85.leaderId;
-  reason = other85.reason;
-  __isset = other85.__isset;
+ReplaceVoterReply& ReplaceVoterReply::operator=(ReplaceVoterReply&& other133) noexcept {
+  status = other133.status;
+  leaderId = std::move(other133.leaderId);
+  reason = std::move(other133.reason);
+  __isset = other133.__isset;
   return *this;
 }
 void ReplaceVoterReply::printTo(std::ostream& out) const {
--- a/src/libs/wire/gen/replication_types.h
+++ b/src/libs/wire/gen/replication_types.h
@@ -93,7 +93,9 @@
  public:
 
   WrongGroup(const WrongGroup&);
+  WrongGroup(WrongGroup&&) noexcept;
   WrongGroup& operator=(const WrongGroup&);
+  WrongGroup& operator=(WrongGroup&&) noexcept;
   WrongGroup() noexcept
              : groupId() {
   }
@@ -141,7 +143,9 @@
  public:
 
   ReplicaEntry(const ReplicaEntry&);
+  ReplicaEntry(ReplicaEntry&&) noexcept;
   ReplicaEntry& operator=(const ReplicaEntry&);
+  ReplicaEntry& operator=(ReplicaEntry&&) noexcept;
   ReplicaEntry() noexcept
                : revision(0),
                  term(0),
@@ -209,7 +213,9 @@
  public:
 
   VoteRequest(const VoteRequest&);
+  VoteRequest(VoteRequest&&) noexcept;
   VoteRequest& operator=(const VoteRequest&);
+  VoteRequest& operator=(VoteRequest&&) noexcept;
   VoteRequest() noexcept
               : groupId(),
                 candidateId(),
@@ -295,7 +301,9 @@
  public:
 
   VoteReply(const VoteReply&) noexcept;
+  VoteReply(VoteReply&&) noexcept;
   VoteReply& operator=(const VoteReply&) noexcept;
+  VoteReply& operator=(VoteReply&&) noexcept;
   VoteReply() noexcept
             : term(0),
               granted(0) {
@@ -346,7 +354,9 @@
  public:
 
   ProcessApplied(const ProcessApplied&);
+  ProcessApplied(ProcessApplied&&) noexcept;
   ProcessApplied& operator=(const ProcessApplied&);
+  ProcessApplied& operator=(ProcessApplied&&) noexcept;
   ProcessApplied() noexcept
                  : processId(),
                    appliedRevision(0),
@@ -409,7 +419,9 @@
  public:
 
   AppendRequest(const AppendRequest&);
+  AppendRequest(AppendRequest&&) noexcept;
   AppendRequest& operator=(const AppendRequest&);
+  AppendRequest& operator=(AppendRequest&&) noexcept;
   AppendRequest() noexcept
                 : groupId(),
                   leaderId(),
@@ -503,7 +515,9 @@
  public:
 
   AppendReply(const AppendReply&);
+  AppendReply(AppendReply&&) noexcept;
   AppendReply& operator=(const AppendReply&);
+  AppendReply& operator=(AppendReply&&) noexcept;
   AppendReply() noexcept
               : term(0),
                 accepted(0),
@@ -578,7 +592,9 @@
  public:
 
   SnapshotRequest(const SnapshotRequest&);
+  SnapshotRequest(SnapshotRequest&&) noexcept;
   SnapshotRequest& operator=(const SnapshotRequest&);
+  SnapshotRequest& operator=(SnapshotRequest&&) noexcept;
   SnapshotRequest() noexcept
                   : groupId(),
                     leaderId(),
@@ -676,7 +692,9 @@
  public:
 
   SnapshotReply(const SnapshotReply&) noexcept;
+  SnapshotReply(SnapshotReply&&) noexcept;
   SnapshotReply& operator=(const SnapshotReply&) noexcept;
+  SnapshotReply& operator=(SnapshotReply&&) noexcept;
   SnapshotReply() noexcept
                 : term(0),
                   accepted(0) {
@@ -728,7 +746,9 @@
  public:
 
   ObserveRequest(const ObserveRequest&);
+  ObserveRequest(ObserveRequest&&) noexcept;
   ObserveRequest& operator=(const ObserveRequest&);
+  ObserveRequest& operator=(ObserveRequest&&) noexcept;
   ObserveRequest() noexcept
                  : groupId(),
                    observerId(),
@@ -794,7 +814,9 @@
  public:
 
   ObserveReply(const ObserveReply&);
+  ObserveReply(ObserveReply&&) noexcept;
   ObserveReply& operator=(const ObserveReply&);
+  ObserveReply& operator=(ObserveReply&&) noexcept;
   ObserveReply() noexcept
                : commitRevision(0),
                  snapshotNeeded(0),
@@ -868,7 +890,9 @@
  public:
 
   SnapshotChunkRequest(const SnapshotChunkRequest&);
+  SnapshotChunkRequest(SnapshotChunkRequest&&) noexcept;
   SnapshotChunkRequest& operator=(const SnapshotChunkRequest&);
+  SnapshotChunkRequest& operator=(SnapshotChunkRequest&&) noexcept;
   SnapshotChunkRequest() noexcept
                        : groupId(),
                          revision(0),
@@ -927,7 +951,9 @@
  public:
 
   SnapshotChunk(const SnapshotChunk&);
+  SnapshotChunk(SnapshotChunk&&) noexcept;
   SnapshotChunk& operator=(const SnapshotChunk&);
+  SnapshotChunk& operator=(SnapshotChunk&&) noexcept;
   SnapshotChunk() noexcept
                 : revision(0),
                   term(0),
@@ -996,7 +1022,9 @@
  public:
 
   SubmitRequest(const SubmitRequest&);
+  SubmitRequest(SubmitRequest&&) noexcept;
   SubmitRequest& operator=(const SubmitRequest&);
+  SubmitRequest& operator=(SubmitRequest&&) noexcept;
   SubmitRequest() noexcept
                 : groupId(),
                   timeoutMs(0) {
@@ -1052,7 +1080,9 @@
  public:
 
   SubmitResult(const SubmitResult&);
+  SubmitResult(SubmitResult&&) noexcept;
   SubmitResult& operator=(const SubmitResult&);
+  SubmitResult& operator=(SubmitResult&&) noexcept;
   SubmitResult() noexcept
                : status(static_cast<SubmitStatus::type>(0)),
                  revision(0),
@@ -1112,7 +1142,9 @@
  public:
 
   SubmitReply(const SubmitReply&);
+  SubmitReply(SubmitReply&&) noexcept;
   SubmitReply& operator=(const SubmitReply&);
+  SubmitReply& operator=(SubmitReply&&) noexcept;
   SubmitReply() noexcept
               : leaderId() {
   }
@@ -1162,7 +1194,9 @@
  public:
 
   ConfirmRequest(const ConfirmRequest&);
+  ConfirmRequest(ConfirmRequest&&) noexcept;
   ConfirmRequest& operator=(const ConfirmRequest&);
+  ConfirmRequest& operator=(ConfirmRequest&&) noexcept;
   ConfirmRequest() noexcept
                  : groupId(),
                    processId(),
@@ -1219,7 +1253,9 @@
  public:
 
   ConfirmReply(const ConfirmReply&);
+  ConfirmReply(ConfirmReply&&) noexcept;
   ConfirmReply& operator=(const ConfirmReply&);
+  ConfirmReply& operator=(ConfirmReply&&) noexcept;
   ConfirmReply() noexcept
                : confirmed(0),
                  revision(0),
@@ -1274,7 +1310,9 @@
  public:
 
   StatusRequest(const StatusRequest&);
+  StatusRequest(StatusRequest&&) noexcept;
   StatusRequest& operator=(const StatusRequest&);
+  StatusRequest& operator=(StatusRequest&&) noexcept;
   StatusRequest() noexcept
                 : groupId() {
   }
@@ -1323,7 +1361,9 @@
  public:
 
   StatusReply(const StatusReply&);
+  StatusReply(StatusReply&&) noexcept;
   StatusReply& operator=(const StatusReply&);
+  StatusReply& operator=(StatusReply&&) noexcept;
   StatusReply() noexcept
               : leads(0),
                 leaderId(),
@@ -1404,7 +1444,9 @@
  public:
 
   TransferRequest(const TransferRequest&);
+  TransferRequest(TransferRequest&&) noexcept;
   TransferRequest& operator=(const TransferRequest&);
+  TransferRequest& operator=(TransferRequest&&) noexcept;
   TransferRequest() noexcept
                   : groupId(),
                     leaderId(),
@@ -1465,7 +1507,9 @@
  public:
 
   TransferReply(const TransferReply&) noexcept;
+  TransferReply(TransferReply&&) noexcept;
   TransferReply& operator=(const TransferReply&) noexcept;
+  TransferReply& operator=(TransferReply&&) noexcept;
   TransferReply() noexcept
                 : accepted(0) {
   }
@@ -1513,7 +1557,9 @@
  public:
 
   ReplaceVoterRequest(const ReplaceVoterRequest&);
+  ReplaceVoterRequest(ReplaceVoterRequest&&) noexcept;
   ReplaceVoterRequest& operator=(const ReplaceVoterRequest&);
+  ReplaceVoterRequest& operator=(ReplaceVoterRequest&&) noexcept;
   ReplaceVoterRequest() noexcept
                       : groupId(),
                         removedId(),
@@ -1588,7 +1634,9 @@
  public:
 
   ReplaceVoterReply(const ReplaceVoterReply&);
+  ReplaceVoterReply(ReplaceVoterReply&&) noexcept;
   ReplaceVoterReply& operator=(const ReplaceVoterReply&);
+  ReplaceVoterReply& operator=(ReplaceVoterReply&&) noexcept;
   ReplaceVoterReply() noexcept
                     : status(static_cast<SubmitStatus::type>(0)),
                       leaderId(),
--- a/tests/auto/service/tst_relayedendpoints.cpp
+++ b/tests/auto/service/tst_relayedendpoints.cpp
@@ -70,7 +70,7 @@
     auto handle(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>
     {
         if (request.call == Wire::ControlCall::COLLECT_ANSWERS) {
-            auto answers = co_await m_relay.collect(request);
+            auto answers = co_await m_relay.collect(std::move(request));
             co_return answers;
         }
         ++m_messages;
@@ -129,7 +129,7 @@
     NotingEndpoints m_farEndpoints;  //!< As the relay reaches them.
     Service::OrderRelay m_relay{m_loop, m_farEndpoints, m_clock};
     AsyncNet::FrameServer m_server{
-        m_loop, [this](Wire::ControlRequest request) { return handle(request); }};
+        m_loop, [this](Wire::ControlRequest request) { return handle(std::move(request)); }};
     Service::RelayedEndpoints m_leader{m_loop, m_nearEndpoints, m_clock};
     std::vector<Service::RelayAddress> m_relays;
     int m_messages = 0;
