--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -7,9 +7,6 @@
 
 namespace Execution {
 
-// Endpoints' clocks may be this much slower than ours.
-constexpr std::int64_t slowestClockPercent = 98;
-
 auto makeRun(const Jobs::StepSpec &step, const Jobs::TaskId &task, std::int64_t number) -> Run
 {
     Run run;
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -11,6 +11,9 @@
 
 namespace Execution {
 
+/*! \brief Endpoints' clocks run at least this fast, in percent of ours. */
+inline constexpr std::int64_t slowestClockPercent = 98;
+
 enum class RunState {
     Ordered,   //!< The start was sent and not answered yet.
     Running,   //!< The endpoint confirmed the start or listed the run.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -8,8 +8,6 @@
 namespace Execution {
 namespace {
 
-// Endpoints' clocks run at least this fast, in percent of ours.
-constexpr std::int64_t slowestClockPercent = 98;
 // Covers rounding and the time from the decision on an order to its sending.
 constexpr Utils::Milliseconds leaseMargin{100};
 // Looks return sooner by this factor where their figures are waited for.
