Log each order to stop a task, with its reason and what else of its step is away

Nothing told why a run was stopped, so the hypotheses of the incident could not be told apart from logs. A run now keeps the reason of its stop in place of a flag; the line has it with the others of the step that were away and the number that may be. No decision changes.

--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -19,6 +19,12 @@
     return run;
 }
 
+auto Run::wantStop(StopReason reason) -> void
+{
+    if (!stopReason)
+        stopReason = reason;
+}
+
 auto RunTable::find(const Jobs::TaskId &task) -> Run *
 {
     const auto found = m_runs.find(task);
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "orders.h"
+
 #include "control/controlcommands.h"
 #include "jobs/jobtypes.h"
 #include "utils/clock.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -39,9 +42,12 @@
     Utils::Instant orderedAt;       //!< When the start was decided.
     std::int64_t pacePercent = 100; //!< Share of its speed that a filling task is allowed.
     bool paceInFlight = false;      //!< A change of that share is not answered yet.
-    bool stopWanted = false;
-    Utils::Instant stopSentAt;     //!< Of the last stop order; zero: none.
-    Utils::Instant stopAnsweredAt; //!< Of the first accepted stop; zero: none.
+    std::optional<StopReason> stopReason; //!< Set if it is to be stopped.
+    Utils::Instant stopSentAt;            //!< Of the last stop order; zero: none.
+    Utils::Instant stopAnsweredAt;        //!< Of the first accepted stop; zero: none.
+
+    /*! \brief Notes that the run is to be stopped; the first reason stays. */
+    auto wantStop(StopReason reason) -> void;
 };
 
 /*! \brief Returns a run of a task of \a step, which occupies what the step asks for. */
--- a/src/libs/execution/leaderlog.cpp
+++ b/src/libs/execution/leaderlog.cpp
@@ -35,6 +35,40 @@
     return "unknown";
 }
 
+auto nameOf(StopReason reason) -> std::string_view
+{
+    switch (reason) {
+    case StopReason::NotWanted:
+        return "it is not wanted any more";
+    case StopReason::Draining:
+        return "its endpoint drains";
+    case StopReason::Maintenance:
+        return "its host is due for maintenance";
+    case StopReason::SecondRun:
+        return "the task runs elsewhere too";
+    case StopReason::StartUnanswered:
+        return "its start was not answered";
+    }
+    return "unknown";
+}
+
+auto nameOf(OrderResult result) -> std::string_view
+{
+    switch (result) {
+    case OrderResult::Accepted:
+        return "accepted";
+    case OrderResult::Fenced:
+        return "a later leader gives orders there";
+    case OrderResult::OtherLife:
+        return "another life answers at the address";
+    case OrderResult::Refused:
+        return "refused";
+    case OrderResult::Unknown:
+        return "no answer";
+    }
+    return "unknown";
+}
+
 auto nameOf(EndKind kind) -> std::string_view
 {
     switch (kind) {
@@ -121,6 +155,26 @@
                       {"result", result}});
 }
 
+auto LeaderSession::noteStop(const StopOrder &order, OrderResult result) -> void
+{
+    m_parts.metrics.count("trefoilshelf_stops_total",
+                          {{"reason", std::string(nameOf(order.reason))}});
+    // Cancelled jobs come in bursts; the other reasons cost callers work.
+    const auto expected = order.reason == StopReason::NotWanted;
+    if (!(expected ? m_endLines : m_stopLines).allow(m_parts.clock.now()))
+        return;
+    Utils::Log::info("execution",
+                     "ordered a task to stop",
+                     {{"job", order.task.job},
+                      {"task", Jobs::toText(order.task)},
+                      {"run", order.run},
+                      {"endpoint", order.target.life.id},
+                      {"reason", nameOf(order.reason)},
+                      {"others_away", order.othersAway},
+                      {"may_miss", order.mayMiss},
+                      {"result", nameOf(result)}});
+}
+
 auto LeaderSession::noteFirstStart(const StartOrder &order) -> void
 {
     const auto waitedMs = m_parts.state.read([&](const Control::State &state) {
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -30,6 +30,7 @@
     , m_term(term)
     , m_startLines("starts of tasks", linesPerSecond)
     , m_endLines("ends of tasks", linesPerSecond)
+    , m_stopLines("stops of tasks", linesPerSecond)
     , m_endedJobLines("ends of jobs", linesPerSecond)
     , m_firstStartLines("first starts of jobs", linesPerSecond)
     , m_failureLines("failures of tasks", linesPerSecond)
@@ -260,6 +261,7 @@
 auto LeaderSession::sendStop(StopOrder order) -> Task
 {
     const auto result = co_await m_parts.endpoints.stop(order);
+    noteStop(order, result);
     if (m_active)
         m_ledger.stopAnswered(order, result, m_parts.clock.now());
 }
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -83,6 +83,7 @@
     auto logEndedJobs(const Control::RecordEnds &record) -> void;
     auto noteStart(const StartOrder &order, const StartReply &reply) -> void;
     auto noteFirstStart(const StartOrder &order) -> void;
+    auto noteStop(const StopOrder &order, OrderResult result) -> void;
 
     LeaderParts m_parts;
     RunLedger m_ledger;
@@ -99,6 +100,7 @@
     Utils::Instant m_lastReport;
     Utils::LogBudget m_startLines;
     Utils::LogBudget m_endLines;
+    Utils::LogBudget m_stopLines;
     Utils::LogBudget m_endedJobLines;
     // Apart from the others, since callers ask about slow and failed jobs.
     Utils::LogBudget m_firstStartLines;
--- a/src/libs/execution/orders.h
+++ b/src/libs/execution/orders.h
@@ -47,11 +47,23 @@
     std::int64_t clockMs = 0; //!< The endpoint's clock; 0 if it did not tell.
 };
 
+/*! \brief Why a run is stopped. */
+enum class StopReason {
+    NotWanted,       //!< Its job has ended or is not known, or the task is done.
+    Draining,        //!< Its endpoint is about to leave.
+    Maintenance,     //!< Its host is due for maintenance.
+    SecondRun,       //!< The task runs elsewhere too.
+    StartUnanswered, //!< Whether it runs is not known.
+};
+
 struct StopOrder
 {
     OrderTarget target;
     Jobs::TaskId task;
     std::int64_t run = 0;
+    StopReason reason = StopReason::NotWanted;
+    std::int64_t othersAway = 0; //!< Tasks of a long-running step that were away; else 0.
+    std::int64_t mayMiss = 0;    //!< Tasks that this step may miss; 0: no limit.
 };
 
 /*! \brief Prolongs the lease of all runs, and asks what runs and what has ended. */
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -85,8 +85,10 @@
     if (found == m_endpoints.end())
         return;
     found->second.draining = true;
-    for (auto &[task, run] : found->second.runs)
-        run.stopWanted = run.stopWanted || run.longRunning;
+    for (auto &[task, run] : found->second.runs) {
+        if (run.longRunning)
+            run.wantStop(StopReason::Draining);
+    }
     m_stopsDue = true;
 }
 
@@ -114,9 +116,10 @@
         return;
     for (auto &[task, run] : found->second.runs) {
         const auto *spec = specOf(task);
-        if (!run.longRunning || run.stopWanted || spec == nullptr)
+        if (!run.longRunning || run.stopReason || spec == nullptr)
             continue;
-        run.stopWanted = spec->mayMiss == 0 || tasksAway(task, {}) < spec->mayMiss;
+        if (spec->mayMiss == 0 || tasksAway(task, {}) < spec->mayMiss)
+            run.wantStop(StopReason::Maintenance);
     }
     m_stopsDue = true;
 }
@@ -155,7 +158,7 @@
             const auto sameStep = other.job == task.job && other.occurrence == task.occurrence
                                   && other.step == task.step && other.index != task.index;
             const auto atWork =
-                run.state == RunState::Running && !run.stopWanted && run.percent >= fullPercent;
+                run.state == RunState::Running && !run.stopReason && run.percent >= fullPercent;
             if (sameStep && atWork)
                 --away;
         }
@@ -301,8 +304,11 @@
         adopted.confirmedAt = now;
         adopted.adopted = true;
         endpoint.inherited.erase(row.task);
-        adopted.stopWanted = !wanted || isBooked(row.task);
-        m_stopsDue = m_stopsDue || adopted.stopWanted;
+        if (!wanted)
+            adopted.wantStop(StopReason::NotWanted);
+        else if (isBooked(row.task))
+            adopted.wantStop(StopReason::SecondRun);
+        m_stopsDue = m_stopsDue || adopted.stopReason;
         run = &endpoint.runs.add(adopted);
         m_startedJobs.insert(row.task.job);
         if (wanted)
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -152,6 +152,7 @@
     auto inheritStarts(const Control::State &state) -> void;
     auto addJob(const Jobs::Job &job) -> void;
     auto stopUnwanted(Utils::Instant now, Orders &orders) -> void;
+    auto stopOrder(const EndpointEntry &endpoint, const Run &run) const -> StopOrder;
     auto paceFilling(Orders &orders) -> void;
     auto startTasks(Utils::Instant now, std::int64_t wallMs, Orders &orders) -> void;
     auto rankOf(JobProgress &job, std::int64_t wallMs) const -> Scheduling::JobRank;
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -146,19 +146,31 @@
         for (auto &[task, run] : endpoint.runs) {
             const auto job = m_jobs.find(task.job);
             if (job == m_jobs.end() || job->second.state(task) == TaskState::Done)
-                run.stopWanted = true;
+                run.wantStop(StopReason::NotWanted);
             const auto unsettled =
                 run.state == RunState::Uncertain && now - run.orderedAt > uncertainGrace;
-            if (run.state == RunState::Ordered || !(run.stopWanted || unsettled))
+            if (run.state == RunState::Ordered || !(run.stopReason || unsettled))
                 continue;
             if (run.stopSentAt != Utils::Instant() && now - run.stopSentAt < stopRetry)
                 continue;
             run.stopSentAt = now;
-            orders.stops.push_back({target(endpoint), task, run.number});
+            orders.stops.push_back(stopOrder(endpoint, run));
         }
     }
 }
 
+auto RunLedger::stopOrder(const EndpointEntry &endpoint, const Run &run) const -> StopOrder
+{
+    StopOrder order{target(endpoint), run.task, run.number};
+    order.reason = run.stopReason.value_or(StopReason::StartUnanswered);
+    const auto *spec = specOf(run.task);
+    if (run.longRunning && spec != nullptr) {
+        order.othersAway = tasksAway(run.task, {});
+        order.mayMiss = spec->mayMiss;
+    }
+    return order;
+}
+
 auto RunLedger::paceFilling(Orders &orders) -> void
 {
     for (auto &[id, endpoint] : m_endpoints) {
@@ -380,7 +392,7 @@
     const auto *run = findRun(order.target, order.task, order.run);
     if (run == nullptr || run->state != RunState::Ordered)
         return false;
-    if (!run->stopWanted && specOf(order.task) != nullptr)
+    if (!run->stopReason && specOf(order.task) != nullptr)
         return true;
     m_endpoints.at(order.target.life.id).runs.erase(order.task);
     reopen(order.task);
