Check a step's limit with every order to stop a long-running task, also a repeated one

Callers saw: more tasks of a lasting service away at once than its step allows (AVAIL). Cause: the limit was checked once, when a task's host was to be emptied. The stop was then sent, and sent again every 700 ms while the run was listed, whatever had gone away since; and the stop that settles a start without an answer was never checked. Both may end a task that is at work. Ruled out: looks that are overdue. They hide at most 2.7 s, and a task counts as away for other causes than orders only after notice_ms, 4.5 s or more. Why it works: the rule stands in one place (mayMiss), and each order for a reason that can wait asks it. A run whose stop was sent goes on counting as away. Runs of ended jobs, on draining endpoints, and second runs are stopped as before. Tests: the three added failed before.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -35,13 +35,13 @@
     bool adopted = false; //!< Found by a look; when it began is not known.
     bool resumed = false; //!< Began from a checkpoint.
     std::int64_t latencyTargetMs = 0;
-    std::int64_t leaseEndMs = 0;    //!< Of the start order, on the endpoint's clock.
-    Utils::Instant confirmedAt;     //!< When the start's answer arrived.
-    std::int64_t percent = 0;       //!< 100 when at work, as last reported.
-    std::int64_t load = 0;          //!< As last reported.
-    Utils::Instant orderedAt;       //!< When the start was decided.
-    std::int64_t pacePercent = 100; //!< Share of its speed that a filling task is allowed.
-    bool paceInFlight = false;      //!< A change of that share is not answered yet.
+    std::int64_t leaseEndMs = 0;          //!< Of the start order, on the endpoint's clock.
+    Utils::Instant confirmedAt;           //!< When the start's answer arrived.
+    std::int64_t percent = 0;             //!< 100 when at work, as last reported.
+    std::int64_t load = 0;                //!< As last reported.
+    Utils::Instant orderedAt;             //!< When the start was decided.
+    std::int64_t pacePercent = 100;       //!< Share of its speed that a filling task is allowed.
+    bool paceInFlight = false;            //!< A change of that share is not answered yet.
     std::optional<StopReason> stopReason; //!< Set if it is to be stopped.
     Utils::Instant stopSentAt;            //!< Of the last stop order; zero: none.
     Utils::Instant stopAnsweredAt;        //!< Of the first accepted stop; zero: none.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -115,10 +115,7 @@
     if (found == m_endpoints.end())
         return;
     for (auto &[task, run] : found->second.runs) {
-        const auto *spec = specOf(task);
-        if (!run.longRunning || run.stopReason || spec == nullptr)
-            continue;
-        if (spec->mayMiss == 0 || tasksAway(task, {}) < spec->mayMiss)
+        if (run.longRunning && !run.stopReason && mayMiss(task, {}))
             run.wantStop(StopReason::Maintenance);
     }
     m_stopsDue = true;
@@ -136,13 +133,26 @@
     const auto found = m_endpoints.find(endpoint);
     if (found == m_endpoints.end())
         return true;
-    const auto mayMiss = [&](const Jobs::TaskId &task) {
-        const auto *spec = specOf(task);
-        return spec == nullptr || spec->mayMiss == 0 || tasksAway(task, endpoint) < spec->mayMiss;
-    };
-    return std::ranges::all_of(found->second.inherited, mayMiss)
+    const auto missable = [&](const Jobs::TaskId &task) { return mayMiss(task, endpoint); };
+    return std::ranges::all_of(found->second.inherited, missable)
            && std::ranges::all_of(found->second.runs,
-                                  [&](const auto &item) { return mayMiss(item.first); });
+                                  [&](const auto &item) { return missable(item.first); });
+}
+
+// Returns true if the step may miss the task now, when an endpoint is lost with it.
+auto RunLedger::mayMiss(const Jobs::TaskId &task, std::string_view withoutEndpoint) const -> bool
+{
+    const auto *spec = specOf(task);
+    return spec == nullptr || spec->mayMiss == 0
+           || tasksAway(task, withoutEndpoint) < spec->mayMiss;
+}
+
+// A stop may end a task that is at work, so each order needs the step's leave, also a repeated one.
+auto RunLedger::mayStopNow(const Run &run) const -> bool
+{
+    const auto reason = run.stopReason.value_or(StopReason::StartUnanswered);
+    const auto canWait = reason == StopReason::Maintenance || reason == StopReason::StartUnanswered;
+    return !canWait || mayMiss(run.task, {});
 }
 
 // Counts the other tasks of the step that are not at work, or would not be without an endpoint.
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -172,6 +172,8 @@
     auto findRun(const OrderTarget &target, const Jobs::TaskId &task, std::int64_t number) -> Run *;
     auto tasksAway(const Jobs::TaskId &task, std::string_view withoutEndpoint) const
         -> std::int64_t;
+    auto mayMiss(const Jobs::TaskId &task, std::string_view withoutEndpoint) const -> bool;
+    auto mayStopNow(const Run &run) const -> bool;
     auto nextNumber() -> std::int64_t;
 
     const LedgerTiming m_timing;
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -153,6 +153,8 @@
                 continue;
             if (run.stopSentAt != Utils::Instant() && now - run.stopSentAt < stopRetry)
                 continue;
+            if (!mayStopNow(run))
+                continue;
             run.stopSentAt = now;
             orders.stops.push_back(stopOrder(endpoint, run));
         }
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -131,4 +131,12 @@
     return step;
 }
 
+auto lastingStep(std::int64_t count, std::int64_t mayMiss) -> Jobs::StepSpec
+{
+    auto step = plainStep(count);
+    step.longRunning = true;
+    step.mayMiss = mayMiss;
+    return step;
+}
+
 } // namespace ExecutionTest
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -47,4 +47,7 @@
 /*! \brief Returns a step of \a count tasks of one core. */
 auto plainStep(std::int64_t count) -> Jobs::StepSpec;
 
+/*! \brief Returns a step of \a count tasks that last, of which \a mayMiss may be away. */
+auto lastingStep(std::int64_t count, std::int64_t mayMiss) -> Jobs::StepSpec;
+
 } // namespace ExecutionTest
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -37,10 +37,7 @@
     /*! \brief Has another leader take over, who finds a task that is to last on \a endpoint. */
     auto takeOver(const std::string &endpoint) -> void
     {
-        auto step = plainStep(1);
-        step.longRunning = true;
-        step.mayMiss = 1;
-        m_ledger.addJob("lasting", step);
+        m_ledger.addJob("lasting", lastingStep(1, 1));
         m_ledger.recordStart(endpoint, m_ledger.task("lasting"));
         m_ledger.begin();
     }
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Utils::Milliseconds longerThanAnyLease{6300};
+constexpr Utils::Milliseconds longerThanAStopRetry{750};
 
 // A start is recorded before it is ordered, so what is not recorded runs nowhere.
 TEST(RunLedger, StartsWhatNoEarlierLeaderStartedAtOnce)
@@ -372,10 +373,7 @@
     LedgerFixture fixture;
     fixture.addEndpoint("a");
     fixture.addEndpoint("b");
-    auto step = plainStep(4);
-    step.longRunning = true;
-    step.mayMiss = 2;
-    fixture.addJob("job", step);
+    fixture.addJob("job", lastingStep(4, 2));
     fixture.begin();
     fixture.look(
         "a", {{fixture.task("job", 0), 1, "", 100, 0}, {fixture.task("job", 1), 1, "", 100, 0}});
@@ -393,10 +391,7 @@
     LedgerFixture fixture;
     fixture.addEndpoint("a");
     fixture.addEndpoint("b");
-    auto step = plainStep(2);
-    step.longRunning = true;
-    step.mayMiss = 1;
-    fixture.addJob("job", step);
+    fixture.addJob("job", lastingStep(2, 1));
     fixture.begin();
     fixture.look("a", {{fixture.task("job", 0), 1, "", 100, 0}});
     fixture.look("b", {{fixture.task("job", 1), 1, "", 100, 0}});
@@ -405,6 +400,65 @@
     EXPECT_FALSE(fixture.ledger.canLose("a"));
 }
 
+// The endpoint may carry out the repeated stop although it never got the first one.
+TEST(RunLedger, AStopIsNotRepeatedWhileTooManyOthersOfTheStepAreAway)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", lastingStep(2, 1));
+    fixture.begin();
+    const std::vector<Execution::RunningTask> onA{{fixture.task("job", 0), 1, "", 100, 0}};
+    const std::vector<Execution::RunningTask> onB{{fixture.task("job", 1), 1, "", 100, 0}};
+    fixture.look("a", onA);
+    fixture.look("b", onB);
+    fixture.ledger.evacuate("a");
+    EXPECT_EQ(fixture.schedule().stops.size(), 1U);
+    fixture.failLook("b");
+    fixture.advance(longerThanAStopRetry);
+    fixture.look("a", onA);
+    EXPECT_TRUE(fixture.schedule().stops.empty());
+    fixture.look("b", onB);
+    fixture.advance(longerThanAStopRetry);
+    EXPECT_EQ(fixture.schedule().stops.size(), 1U);
+}
+
+TEST(RunLedger, AStopThatWasDecidedIsNotOrderedAfterAnotherTaskOfTheStepWentAway)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", lastingStep(2, 1));
+    fixture.begin();
+    fixture.look("a", {{fixture.task("job", 0), 1, "", 100, 0}});
+    fixture.look("b", {{fixture.task("job", 1), 1, "", 100, 0}});
+    fixture.ledger.evacuate("a");
+    fixture.failLook("b");
+    EXPECT_TRUE(fixture.schedule().stops.empty());
+}
+
+TEST(RunLedger, AStartWithoutAnswerOfALongRunningTaskIsNotStoppedWhileTooManyOthersAreAway)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", lastingStep(2, 1));
+    fixture.begin();
+    fixture.look("a");
+    const auto orders = fixture.schedule();
+    ASSERT_EQ(orders.starts.size(), 2U);
+    const auto &unanswered = orders.starts[0];
+    const auto &other = orders.starts[1];
+    fixture.ledger.startAnswered(unanswered, {}, Utils::Instant());
+    fixture.confirm(other);
+    fixture.advance(longerThanAStopRetry);
+    // The other one is on its way to work.
+    fixture.look("a", {{other.task, other.run, "", 50, 0}});
+    EXPECT_TRUE(fixture.schedule().stops.empty());
+    fixture.advance(longerThanAStopRetry);
+    fixture.look("a", {{other.task, other.run, "", 100, 0}});
+    EXPECT_EQ(fixture.schedule().stops.size(), 1U);
+}
+
 TEST(RunLedger, RestartsALongRunningTaskHoweverItEnds)
 {
     LedgerFixture fixture;
