Do not take a host for empty while its endpoint may be one that the list does not name yet

The list is a second old, and older when the provider is slow. An endpoint that has restarted under another id, or has just come up, may have got tasks meanwhile; its host was looked up under an id that the ledger does not know, or none, counted as empty, and was even taken first, and the check of the steps there passed for want of an endpoint. Change: HostOccupancy is the one place that says whether a host is empty, for both plans. Tasks run on known endpoints only, so a host whose endpoint is not known is empty unless tasks of its pool are on an endpoint that no listed host names. Hosts that are off are taken as before. Class: a decision by two views of different age, as in (the leader's own looks and what it inherited). Tests: two of the three added failed before; the third keeps hosts without an endpoint in use.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -47,21 +47,23 @@
                   [&](const auto &item) { return !ledger.endpoints().contains(item.first); });
 }
 
-auto HostMovePlan::isIdle(const RunLedger &ledger, const HostInfo &host) const -> bool
+auto HostMovePlan::isIdle(const RunLedger &ledger,
+                          const HostOccupancy &occupancy,
+                          const HostInfo &host) const -> bool
 {
-    if (host.state != HostState::Up || m_moving.contains(host.name))
+    if (host.state != HostState::Up || m_moving.contains(host.name) || !occupancy.isEmpty(host))
         return false;
     if (host.endpoint.empty())
         return true;
     const auto endpoint = ledger.endpoints().find(host.endpoint);
     return endpoint != ledger.endpoints().end() && m_idleSince.contains(host.endpoint)
-           && endpoint->second.runs.empty() && endpoint->second.answers
-           && !endpoint->second.draining && !endpoint->second.leaving
+           && endpoint->second.answers && !endpoint->second.draining && !endpoint->second.leaving
            && (!endpoint->second.closed || m_releasing.contains(host.endpoint));
 }
 
 auto HostMovePlan::loadOf(const Control::Pool &pool,
                           const RunLedger &ledger,
+                          const HostOccupancy &occupancy,
                           const HostList &hosts,
                           Utils::Instant now) const -> Scheduling::PoolLoad
 {
@@ -91,7 +93,7 @@
             endpoint != ledger.endpoints().end()
             && (endpoint->second.draining || endpoint->second.leaving || endpoint->second.closed);
         load.hosts += leaves ? 0 : 1;
-        if (!isIdle(ledger, host))
+        if (!isIdle(ledger, occupancy, host))
             continue;
         ++load.idleHosts;
         const auto since = m_idleSince.find(host.endpoint);
@@ -105,9 +107,10 @@
                          const HostList &hosts,
                          Utils::Instant now) const -> std::vector<Scheduling::PoolLoad>
 {
+    const HostOccupancy occupancy(ledger, hosts);
     std::vector<Scheduling::PoolLoad> loads;
     for (const auto &pool : configuration.pools)
-        loads.push_back(loadOf(pool, ledger, hosts, now));
+        loads.push_back(loadOf(pool, ledger, occupancy, hosts, now));
     return loads;
 }
 
@@ -138,10 +141,11 @@
     HostMoves moves;
     if (!hosts.complete || !mayMove(ledger, hosts, now))
         return moves;
+    const HostOccupancy occupancy(ledger, hosts);
     const auto plan = Scheduling::planTransfers(loads(configuration, ledger, hosts, now));
     for (auto transfer : plan.transfers) {
         transfer.count = std::min(transfer.count, mostMoves - std::int64_t(moves.steps.size()));
-        for (auto &step : chooseHosts(transfer, ledger, hosts, now))
+        for (auto &step : chooseHosts(transfer, ledger, occupancy, hosts, now))
             moves.steps.push_back(std::move(step));
     }
     releaseHosts(plan.releases, configuration, ledger, moves);
@@ -184,12 +188,13 @@
 
 auto HostMovePlan::chooseHosts(const Scheduling::Transfer &transfer,
                                const RunLedger &ledger,
+                               const HostOccupancy &occupancy,
                                const HostList &hosts,
                                Utils::Instant now) -> std::vector<MoveStep>
 {
     std::vector<const HostInfo *> idle;
     for (const auto &host : hosts.hosts) {
-        if (host.pool == transfer.from && isIdle(ledger, host))
+        if (host.pool == transfer.from && isIdle(ledger, occupancy, host))
             idle.push_back(&host);
     }
     // The longest idle ones first.
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hostoccupancy.h"
 #include "ports.h"
 #include "runledger.h"
 
@@ -72,16 +73,19 @@
 
     auto loadOf(const Control::Pool &pool,
                 const RunLedger &ledger,
+                const HostOccupancy &occupancy,
                 const HostList &hosts,
                 Utils::Instant now) const -> Scheduling::PoolLoad;
     auto mayMove(const RunLedger &ledger, const HostList &hosts, Utils::Instant now) const -> bool;
-    auto isIdle(const RunLedger &ledger, const HostInfo &host) const -> bool;
+    auto isIdle(const RunLedger &ledger, const HostOccupancy &occupancy, const HostInfo &host) const
+        -> bool;
     auto releaseHosts(std::span<const Scheduling::Release> releases,
                       const Control::Configuration &configuration,
                       const RunLedger &ledger,
                       HostMoves &moves) -> void;
     auto chooseHosts(const Scheduling::Transfer &transfer,
                      const RunLedger &ledger,
+                     const HostOccupancy &occupancy,
                      const HostList &hosts,
                      Utils::Instant now) -> std::vector<MoveStep>;
 
--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -1,6 +1,7 @@
 #include "maintenanceplan.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace Execution {
 namespace {
@@ -66,15 +67,17 @@
     std::map<std::string_view, const HostInfo *> byName;
     for (const auto &host : hosts.hosts)
         byName[host.name] = &host;
+    const HostOccupancy occupancy(ledger, hosts);
     for (const auto &[number, wave] : state.waves) {
         if (!wave.isDone())
-            planWave(wave, ledger, byName, listedAt, now, wallMs, work);
+            planWave(wave, ledger, occupancy, byName, listedAt, now, wallMs, work);
     }
     return work;
 }
 
 auto MaintenancePlan::planWave(const Control::Wave &wave,
                                const RunLedger &ledger,
+                               const HostOccupancy &occupancy,
                                const std::map<std::string_view, const HostInfo *> &hosts,
                                Utils::Instant listedAt,
                                Utils::Instant now,
@@ -102,8 +105,11 @@
         const auto waits = settling && now - order->second.at < orderRetry;
         if (finished || host.state != HostState::Up || waits)
             continue;
-        candidates.push_back(
-            {&host, runsOn(ledger, host.endpoint), m_preparing.contains(name), countsAsAway});
+        candidates.push_back({&host,
+                              occupancy.isEmpty(host),
+                              runsOn(ledger, host.endpoint),
+                              m_preparing.contains(name),
+                              countsAsAway});
     }
     prepare(wave, ledger, now, wallMs, std::move(candidates), away, work);
 }
@@ -117,12 +123,12 @@
                               MaintenanceWork &work) -> void
 {
     std::ranges::stable_sort(candidates, {}, [](const Candidate &candidate) {
-        return std::pair(!candidate.preparing, candidate.runs);
+        return std::tuple(!candidate.preparing, !candidate.empty, candidate.runs);
     });
     const auto needed = neededAtOnce(wave, wallMs);
     for (const auto &candidate : candidates) {
         const auto &host = *candidate.host;
-        const auto busy = candidate.runs > 0 && !candidate.preparing;
+        const auto busy = !candidate.empty && !candidate.preparing;
         if (busy && away >= needed)
             return;
         if (away >= wave.maximumAtOnce && !candidate.countsAsAway)
@@ -131,10 +137,11 @@
         const auto [since, fresh] = m_preparing.try_emplace(host.name, now);
         if (fresh && !host.endpoint.empty())
             work.close.push_back(host.endpoint);
-        const auto due = now - since->second > longestEmptying;
+        const auto due =
+            now - since->second > longestEmptying && ledger.endpoints().contains(host.endpoint);
         if (holdsLongRunning(ledger, host.endpoint))
             work.evacuate.push_back(host.endpoint);
-        if (candidate.runs == 0 || (due && ledger.canLose(host.endpoint))) {
+        if (candidate.empty || (due && ledger.canLose(host.endpoint))) {
             const auto repeated = m_orders.contains(host.name);
             m_orders[host.name] = {now, true};
             work.begin.push_back({wave.number, host.name, lifeOf(ledger, host.endpoint), repeated});
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hostoccupancy.h"
 #include "ports.h"
 #include "runledger.h"
 
@@ -64,6 +65,7 @@
     struct Candidate
     {
         const HostInfo *host = nullptr;
+        bool empty = false; //!< Nothing runs there.
         std::size_t runs = 0;
         bool preparing = false;
         bool countsAsAway = false; //!< Already counted.
@@ -78,6 +80,7 @@
                  MaintenanceWork &work) -> void;
     auto planWave(const Control::Wave &wave,
                   const RunLedger &ledger,
+                  const HostOccupancy &occupancy,
                   const std::map<std::string_view, const HostInfo *> &hosts,
                   Utils::Instant listedAt,
                   Utils::Instant now,
--- a/tests/auto/execution/tst_hostmoveplan.cpp
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -12,6 +12,7 @@
 constexpr std::int64_t hostsUp = 20;
 constexpr std::int64_t hostsOff = 40;
 constexpr auto sparePool = "spare";
+constexpr std::int64_t longAfterParkingMs = 5000;
 
 /*! \brief A leader that has just taken over, with a burst of work and hosts that are off. */
 class TakeOverFixture
@@ -72,4 +73,31 @@
     EXPECT_GT(fixture.movesAt(2000), 0U);
 }
 
+// An endpoint that has just come up is not listed yet.
+TEST(HostMovePlan, AHostWhoseEndpointIsNotListedYetIsNotMoved)
+{
+    LedgerFixture ledger;
+    ledger.state.configuration.pools.push_back({sparePool, true, true});
+    Execution::HostList list;
+    for (const auto *id : {"a", "b", "c", "d"}) {
+        ledger.addEndpoint(id);
+        list.hosts.push_back({id, "pool", HostState::Up, id});
+    }
+    list.complete = true;
+    ledger.addJob("job", lastingStep(1, 1));
+    ledger.begin();
+    for (const auto *id : {"a", "b", "c"})
+        ledger.look(id);
+    ledger.look("d", {{ledger.task("job"), 1, "", 100, 0}});
+    list.hosts[3].endpoint.clear();
+    Execution::HostMovePlan plan;
+    for (std::int64_t elapsedMs = 0; elapsedMs <= longAfterParkingMs; elapsedMs += 500) {
+        const auto now = Utils::Instant(Utils::Milliseconds(1'000'000 + elapsedMs));
+        plan.observe(ledger.ledger, now);
+        for (const auto &step :
+             plan.next(ledger.state.configuration, ledger.ledger, list, hostsOff, now).steps)
+            EXPECT_NE(step.host, "d");
+    }
+}
+
 } // namespace
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::int64_t startedMs = 1'700'000'000'000;
+constexpr std::int64_t longAfterEmptyingMs = 5000;
 
 /*! \brief Hosts "a", "b", ... of one wave, each with an endpoint of the same name. */
 class WaveFixture
@@ -124,4 +125,26 @@
     EXPECT_EQ(fixture.next(100).begin.size(), 1U);
 }
 
+// An endpoint that has restarted under another id is not listed yet.
+TEST(MaintenancePlan, AHostWhoseEndpointIsNotListedYetIsNotTakenForIdle)
+{
+    WaveFixture fixture(1, 1);
+    fixture.runTaskOn("a");
+    for (const auto *outdated : {"before", ""}) {
+        fixture.list.hosts[0].endpoint = outdated;
+        EXPECT_TRUE(fixture.next(0).begin.empty());
+        EXPECT_TRUE(fixture.next(longAfterEmptyingMs).begin.empty());
+    }
+}
+
+TEST(MaintenancePlan, AHostWithoutAnEndpointIsMaintainedWhenAllTasksAreOnListedHosts)
+{
+    WaveFixture fixture(2, 1);
+    fixture.runTaskOn("a");
+    fixture.list.hosts[1].endpoint = "";
+    const auto work = fixture.next(0);
+    ASSERT_EQ(work.begin.size(), 1U);
+    EXPECT_EQ(work.begin[0].host, "b");
+}
+
 } // namespace
