Let a new leader move long-running tasks off endpoints that drain

Callers saw: after a change of leader, tasks of a lasting service stayed on an endpoint that was about to leave, ended with it, and were away until its lease had run out. Cause: a run is marked to be stopped when the endpoint's draining is learned. A new leader knows of it from the log before it sees the runs, and did not mark them. Found by reading, while looking for other places where a decision about a long-running task is made once only; no play shows it. Test: ANewLeaderMovesLongRunningTasksOffAnEndpointThatDrains failed before.

--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -318,6 +318,8 @@
             adopted.wantStop(StopReason::NotWanted);
         else if (isBooked(row.task))
             adopted.wantStop(StopReason::SecondRun);
+        else if (endpoint.draining && adopted.longRunning)
+            adopted.wantStop(StopReason::Draining);
         m_stopsDue = m_stopsDue || adopted.stopReason;
         run = &endpoint.runs.add(adopted);
         m_startedJobs.insert(row.task.job);
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -400,6 +400,22 @@
     EXPECT_FALSE(fixture.ledger.canLose("a"));
 }
 
+TEST(RunLedger, ANewLeaderMovesLongRunningTasksOffAnEndpointThatDrains)
+{
+    LedgerFixture fixture;
+    auto record = fixture.addEndpoint("a");
+    record.draining = true;
+    Control::Command command;
+    command.addEndpoint = record;
+    fixture.state.apply(command, 1);
+    fixture.addJob("job", lastingStep(1, 1));
+    fixture.begin();
+    fixture.look("a", {{fixture.task("job"), 1, "", 100, 0}});
+    const auto stops = fixture.schedule().stops;
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops.front().reason, Execution::StopReason::Draining);
+}
+
 // The endpoint may carry out the repeated stop although it never got the first one.
 TEST(RunLedger, AStopIsNotRepeatedWhileTooManyOthersOfTheStepAreAway)
 {
