Do not let a stop wait for its step once the endpoint drains

A stop for maintenance that waits because others of its step are away kept its reason when the endpoint began to drain, and waited on although the endpoint leaves anyway. A reason that cannot wait now replaces one that can. Test: AStopThatWaitsIsOrderedWhenItsEndpointDrains failed before.

--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -21,7 +21,7 @@
 
 auto Run::wantStop(StopReason reason) -> void
 {
-    if (!stopReason)
+    if (!stopReason || (canWait(*stopReason) && !canWait(reason)))
         stopReason = reason;
 }
 
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -46,7 +46,7 @@
     Utils::Instant stopSentAt;            //!< Of the last stop order; zero: none.
     Utils::Instant stopAnsweredAt;        //!< Of the first accepted stop; zero: none.
 
-    /*! \brief Notes that the run is to be stopped; the first reason stays. */
+    /*! \brief Notes that it is to be stopped. A reason that cannot wait replaces one that can. */
     auto wantStop(StopReason reason) -> void;
 };
 
--- a/src/libs/execution/orders.h
+++ b/src/libs/execution/orders.h
@@ -56,6 +56,12 @@
     StartUnanswered, //!< Whether it runs is not known.
 };
 
+/*! \brief Returns true if such a stop waits until the step of a long-running task can miss it. */
+constexpr auto canWait(StopReason reason) -> bool
+{
+    return reason == StopReason::Maintenance || reason == StopReason::StartUnanswered;
+}
+
 struct StopOrder
 {
     OrderTarget target;
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -147,12 +147,11 @@
            || tasksAway(task, withoutEndpoint) < spec->mayMiss;
 }
 
-// A stop may end a task that is at work, so each order needs the step's leave, also a repeated one.
+// A stop may end a task that is at work, so each order is checked, also a repeated one.
 auto RunLedger::mayStopNow(const Run &run) const -> bool
 {
     const auto reason = run.stopReason.value_or(StopReason::StartUnanswered);
-    const auto canWait = reason == StopReason::Maintenance || reason == StopReason::StartUnanswered;
-    return !canWait || mayMiss(run.task, {});
+    return !canWait(reason) || mayMiss(run.task, {});
 }
 
 // Counts the other tasks of the step that are not at work, or would not be without an endpoint.
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -11,6 +11,23 @@
 constexpr Utils::Milliseconds longerThanAnyLease{6300};
 constexpr Utils::Milliseconds longerThanAStopRetry{750};
 
+auto taskAtWork(const LedgerFixture &fixture, std::int64_t index)
+    -> std::vector<Execution::RunningTask>
+{
+    return {{fixture.task("job", index), 1, "", 100, 0}};
+}
+
+/*! \brief Has "a" and "b" run one task each of a step that may miss one. */
+auto runOneTaskOnEach(LedgerFixture &fixture) -> void
+{
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", lastingStep(2, 1));
+    fixture.begin();
+    fixture.look("a", taskAtWork(fixture, 0));
+    fixture.look("b", taskAtWork(fixture, 1));
+}
+
 // A start is recorded before it is ordered, so what is not recorded runs nowhere.
 TEST(RunLedger, StartsWhatNoEarlierLeaderStartedAtOnce)
 {
@@ -389,12 +406,7 @@
 TEST(RunLedger, TasksOnAnEndpointThatDoesNotAnswerCountAsAway)
 {
     LedgerFixture fixture;
-    fixture.addEndpoint("a");
-    fixture.addEndpoint("b");
-    fixture.addJob("job", lastingStep(2, 1));
-    fixture.begin();
-    fixture.look("a", {{fixture.task("job", 0), 1, "", 100, 0}});
-    fixture.look("b", {{fixture.task("job", 1), 1, "", 100, 0}});
+    runOneTaskOnEach(fixture);
     EXPECT_TRUE(fixture.ledger.canLose("a"));
     fixture.failLook("b");
     EXPECT_FALSE(fixture.ledger.canLose("a"));
@@ -420,21 +432,14 @@
 TEST(RunLedger, AStopIsNotRepeatedWhileTooManyOthersOfTheStepAreAway)
 {
     LedgerFixture fixture;
-    fixture.addEndpoint("a");
-    fixture.addEndpoint("b");
-    fixture.addJob("job", lastingStep(2, 1));
-    fixture.begin();
-    const std::vector<Execution::RunningTask> onA{{fixture.task("job", 0), 1, "", 100, 0}};
-    const std::vector<Execution::RunningTask> onB{{fixture.task("job", 1), 1, "", 100, 0}};
-    fixture.look("a", onA);
-    fixture.look("b", onB);
+    runOneTaskOnEach(fixture);
     fixture.ledger.evacuate("a");
     EXPECT_EQ(fixture.schedule().stops.size(), 1U);
     fixture.failLook("b");
     fixture.advance(longerThanAStopRetry);
-    fixture.look("a", onA);
+    fixture.look("a", taskAtWork(fixture, 0));
     EXPECT_TRUE(fixture.schedule().stops.empty());
-    fixture.look("b", onB);
+    fixture.look("b", taskAtWork(fixture, 1));
     fixture.advance(longerThanAStopRetry);
     EXPECT_EQ(fixture.schedule().stops.size(), 1U);
 }
@@ -442,17 +447,23 @@
 TEST(RunLedger, AStopThatWasDecidedIsNotOrderedAfterAnotherTaskOfTheStepWentAway)
 {
     LedgerFixture fixture;
-    fixture.addEndpoint("a");
-    fixture.addEndpoint("b");
-    fixture.addJob("job", lastingStep(2, 1));
-    fixture.begin();
-    fixture.look("a", {{fixture.task("job", 0), 1, "", 100, 0}});
-    fixture.look("b", {{fixture.task("job", 1), 1, "", 100, 0}});
+    runOneTaskOnEach(fixture);
     fixture.ledger.evacuate("a");
     fixture.failLook("b");
     EXPECT_TRUE(fixture.schedule().stops.empty());
 }
 
+TEST(RunLedger, AStopThatWaitsIsOrderedWhenItsEndpointDrains)
+{
+    LedgerFixture fixture;
+    runOneTaskOnEach(fixture);
+    fixture.ledger.evacuate("a");
+    fixture.failLook("b");
+    EXPECT_TRUE(fixture.schedule().stops.empty());
+    fixture.ledger.drain("a");
+    EXPECT_EQ(fixture.schedule().stops.size(), 1U);
+}
+
 TEST(RunLedger, AStartWithoutAnswerOfALongRunningTaskIsNotStoppedWhileTooManyOthersAreAway)
 {
     LedgerFixture fixture;
