Shrink a group of voters that an unfinished change left too large

Cause: a voter is exchanged by adding one and then removing one. When the second half was not committed, the group stayed one too large, and the keeper answered that by an exchange, which leaves it as large as before: one every 300 ms for as long as the leader led, each with two entries and a new voter to bring up to date. Ruled out: silent voters. Why it works: a group that is too large loses its most silent voter, and gains none. Test: ShrinksAGroupThatAnUnfinishedChangeLeftTooLarge failed before.

--- a/src/libs/service/voterkeeper.cpp
+++ b/src/libs/service/voterkeeper.cpp
@@ -36,12 +36,15 @@
             return VoterChange{former->voter.id, member.identity};
         candidate = &member;
     }
+    const auto [heard, silent] = std::ranges::minmax_element(voters, {}, &VoterContact::silence);
+    // A change of which only the first half was committed leaves one too many.
+    if (voters.size() > wanted && heard != silent)
+        return VoterChange{silent->voter.id, heard->voter};
     if (candidate == nullptr)
         return std::nullopt;
     if (voters.size() < wanted)
         return VoterChange{{}, candidate->identity};
-    const auto silent = std::ranges::max_element(voters, {}, &VoterContact::silence);
-    if (silent != voters.end() && (silent->silence > longestSilence || voters.size() > wanted))
+    if (silent != voters.end() && silent->silence > longestSilence)
         return VoterChange{silent->voter.id, candidate->identity};
     return std::nullopt;
 }
--- a/src/libs/service/voterkeeper.h
+++ b/src/libs/service/voterkeeper.h
@@ -15,8 +15,8 @@
 /*! \brief A voter that joins, and the one that it replaces. */
 struct VoterChange
 {
-    std::string removedId; //!< Empty: none is removed.
-    Replication::Voter added;
+    std::string removedId;    //!< Empty: none is removed.
+    Replication::Voter added; //!< May be a voter already: then one is only removed.
 };
 
 /*! \brief A voter and when it was last heard of. */
@@ -31,7 +31,7 @@
 
     A process that came back without its disk has a new id at the address of its former self, which
     is replaced at once. A silent voter is replaced while another process can take its place, so that
-    the group bears the next loss. The group grows to \a wanted voters.
+    the group bears the next loss. The group grows or shrinks to \a wanted voters.
 */
 auto nextVoterChange(std::span<const VoterContact> voters,
                      std::span<const Member> members,
--- a/tests/auto/service/tst_voterkeeper.cpp
+++ b/tests/auto/service/tst_voterkeeper.cpp
@@ -58,4 +58,17 @@
     EXPECT_EQ(change->added.id, "d");
 }
 
+TEST(VoterKeeper, ShrinksAGroupThatAnUnfinishedChangeLeftTooLarge)
+{
+    const std::array voters{
+        voter("a", "1", 0), voter("b", "2", 100), voter("c", "3", 400), voter("c#9", "3", 100)};
+    const std::array members{member("b", "2"), member("c#9", "3"), member("d", "4")};
+    const auto change = Service::nextVoterChange(voters, members, 3);
+    ASSERT_TRUE(change);
+    EXPECT_EQ(change->removedId, "c");
+    // Who is a voter already is not added once more.
+    EXPECT_EQ(change->added.id, "a");
+    EXPECT_TRUE(Service::nextVoterChange(voters, {}, 3));
+}
+
 } // namespace
