Order a stop that waits once a look does not list the run

A run that a look does not list is not at work, so its stop takes nothing away and is not held back. Tests: AStopIsRepeatedOnceALookDoesNotListTheRunThoughOthersAreAway failed before; the test of unanswered starts now demands that a stop follows the look, where it allowed it to wait for the others.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -42,6 +42,7 @@
     Utils::Instant orderedAt;             //!< When the start was decided.
     std::int64_t pacePercent = 100;       //!< Share of its speed that a filling task is allowed.
     bool paceInFlight = false;            //!< A change of that share is not answered yet.
+    bool unlisted = false;                //!< A look that was sent after its start did not list it.
     std::optional<StopReason> stopReason; //!< Set if it is to be stopped.
     Utils::Instant stopSentAt;            //!< Of the last stop order; zero: none.
     Utils::Instant stopAnsweredAt;        //!< Of the first accepted stop; zero: none.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -151,7 +151,8 @@
 auto RunLedger::mayStopNow(const Run &run) const -> bool
 {
     const auto reason = run.stopReason.value_or(StopReason::StartUnanswered);
-    return !canWait(reason) || mayMiss(run.task, {});
+    // What is not at work is not missed, and only an answered stop settles it soon.
+    return !canWait(reason) || run.unlisted || mayMiss(run.task, {});
 }
 
 // Counts the other tasks of the step that are not at work, or would not be without an endpoint.
@@ -340,11 +341,11 @@
     -> void
 {
     std::vector<Jobs::TaskId> gone;
-    for (const auto &item : endpoint.runs) {
-        const auto &run = item.second;
+    for (auto &[task, run] : endpoint.runs) {
         const auto listed = std::ranges::any_of(reply.running, [&run](const RunningTask &row) {
             return row.task == run.task && row.run == run.number;
         });
+        run.unlisted = !listed && std::max(run.orderedAt, run.confirmedAt) < sentAt;
         if (listed)
             continue;
         // Times are whole milliseconds, and an endpoint may be a part of one away: what was answered
