--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -341,7 +341,8 @@
     -> void
 {
     std::vector<Jobs::TaskId> gone;
-    for (auto &[task, run] : endpoint.runs) {
+    for (auto &item : endpoint.runs) {
+        auto &run = item.second;
         const auto listed = std::ranges::any_of(reply.running, [&run](const RunningTask &row) {
             return row.task == run.task && row.run == run.number;
         });
