Report what a leader's processor time goes into, and how long it delays

Each leader now logs a line every 2 s with the processor time of its process and event loop, time and number of its scheduling passes, poll replies and host plans, the tasks that waited for room, and the longest delay of the loop, of a commit and of a start order.

Ruled out: a line for each slow decision, which costs most when there is least processor time.

--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -66,8 +66,7 @@
 auto LeaderSession::manageHosts() -> Task
 {
     while (m_active) {
-        m_ledger.updateDemand(m_parts.clock.wallTime());
-        m_moves.observe(m_ledger, m_parts.clock.now());
+        updateDemand();
         if (hasOpenWave())
             co_await runWaves();
         if (!m_active)
@@ -78,8 +77,16 @@
     }
 }
 
+auto LeaderSession::updateDemand() -> void
+{
+    const LeaderLoad::Timer timer(m_load, LeaderWork::Hosts);
+    m_ledger.updateDemand(m_parts.clock.wallTime());
+    m_moves.observe(m_ledger, m_parts.clock.now());
+}
+
 auto LeaderSession::orderMoves() -> void
 {
+    const LeaderLoad::Timer timer(m_load, LeaderWork::Hosts);
     const auto now = m_parts.clock.now();
     const auto moves = m_parts.state.read([&](const Control::State &state) {
         return m_moves.next(
@@ -96,9 +103,10 @@
     }
 }
 
-auto LeaderSession::runWaves() -> Task
+auto LeaderSession::planMaintenance() -> MaintenanceWork
 {
-    const auto work = m_parts.state.read([&](const Control::State &state) {
+    const LeaderLoad::Timer timer(m_load, LeaderWork::Hosts);
+    return m_parts.state.read([&](const Control::State &state) {
         return m_maintenance.next(state,
                                   m_ledger,
                                   m_hosts,
@@ -106,6 +114,11 @@
                                   m_parts.clock.now(),
                                   m_parts.clock.wallTime());
     });
+}
+
+auto LeaderSession::runWaves() -> Task
+{
+    const auto work = planMaintenance();
     for (const auto &endpoint : work.close)
         m_ledger.setClosed(endpoint, true);
     for (const auto &endpoint : work.evacuate)
@@ -129,7 +142,7 @@
     if (commands.empty() || !m_active)
         co_return;
     // If the commit fails, the next pass finds the same hosts missing.
-    co_await m_parts.log.commit(std::move(commands));
+    co_await commit(std::move(commands));
 }
 
 auto LeaderSession::maintainHost(MaintenanceStep step) -> Task
--- /dev/null
+++ b/src/libs/execution/leaderload.cpp
@@ -0,0 +1,54 @@
+#include "leaderload.h"
+
+#include <ctime>
+
+#include <algorithm>
+#include <utility>
+
+namespace Execution {
+namespace {
+
+auto processorTime(clockid_t clock) -> std::chrono::microseconds
+{
+    timespec time{};
+    if (::clock_gettime(clock, &time) != 0)
+        return std::chrono::microseconds(0);
+    return std::chrono::duration_cast<std::chrono::microseconds>(
+        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+}
+
+} // namespace
+
+LeaderLoad::Timer::Timer(LeaderLoad &load, LeaderWork work)
+    : m_load(load)
+    , m_work(work)
+    , m_startedAt(std::chrono::steady_clock::now())
+{}
+
+LeaderLoad::Timer::~Timer()
+{
+    const auto took = std::chrono::steady_clock::now() - m_startedAt;
+    auto &report = m_load.m_report;
+    report.worked[std::size_t(m_work)] +=
+        std::chrono::duration_cast<std::chrono::microseconds>(took);
+    ++report.times[std::size_t(m_work)];
+}
+
+auto LeaderLoad::record(LeaderDelay delay, Utils::Milliseconds duration) -> void
+{
+    auto &longest = m_report.longest[std::size_t(delay)];
+    longest = std::max(longest, duration);
+}
+
+auto LeaderLoad::take(Utils::Instant now) -> LeaderLoadReport
+{
+    auto report = std::exchange(m_report, {});
+    report.period = now - std::exchange(m_startedAt, now);
+    const auto processTime = processorTime(CLOCK_PROCESS_CPUTIME_ID);
+    const auto loopTime = processorTime(CLOCK_THREAD_CPUTIME_ID);
+    report.processTime = processTime - std::exchange(m_processTime, processTime);
+    report.loopTime = loopTime - std::exchange(m_loopTime, loopTime);
+    return report;
+}
+
+} // namespace Execution
--- a/src/libs/execution/leaderlog.cpp
+++ b/src/libs/execution/leaderlog.cpp
@@ -4,11 +4,18 @@
 #include "utils/log.h"
 
 #include <set>
+#include <utility>
 
 namespace Execution {
 namespace {
 
 constexpr double millisecondsPerSecond = 1000;
+constexpr Utils::Milliseconds loadReportInterval{2000};
+
+auto inMilliseconds(std::chrono::microseconds duration) -> std::int64_t
+{
+    return std::chrono::duration_cast<Utils::Milliseconds>(duration).count();
+}
 
 auto nameOf(StartResult result) -> std::string_view
 {
@@ -90,6 +97,33 @@
 
 } // namespace
 
+// Logs what the leader's processor time went into, and the longest delays since the last report.
+auto LeaderSession::reportLoad() -> void
+{
+    const auto now = m_parts.clock.now();
+    if (now - m_loadReportedAt < loadReportInterval)
+        return;
+    // The first period has no beginning.
+    const auto first = std::exchange(m_loadReportedAt, now) == Utils::Instant();
+    const auto load = m_load.take(now);
+    if (first)
+        return;
+    Utils::Log::info("execution",
+                     "load of the leader",
+                     {{"period_ms", load.period.count()},
+                      {"process_ms", inMilliseconds(load.processTime)},
+                      {"loop_ms", inMilliseconds(load.loopTime)},
+                      {"scheduling_ms", inMilliseconds(load.workedOn(LeaderWork::Scheduling))},
+                      {"passes", load.timesOf(LeaderWork::Scheduling)},
+                      {"polls_ms", inMilliseconds(load.workedOn(LeaderWork::PollReplies))},
+                      {"polls", load.timesOf(LeaderWork::PollReplies)},
+                      {"hosts_ms", inMilliseconds(load.workedOn(LeaderWork::Hosts))},
+                      {"waiting_tasks", m_ledger.waitingTasks()},
+                      {"late_ms", load.longestOf(LeaderDelay::Loop).count()},
+                      {"commit_ms", load.longestOf(LeaderDelay::Commit).count()},
+                      {"start_reply_ms", load.longestOf(LeaderDelay::StartReply).count()}});
+}
+
 auto LeaderSession::logEnds(const PollOrder &order, const PollReply &reply) -> void
 {
     for (const auto &end : reply.ended) {
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -131,8 +131,11 @@
                                 const PollReply &reply,
                                 Utils::Instant sentAt) -> Task
 {
-    logEnds(order, reply);
-    const auto effects = m_ledger.pollAnswered(order, reply, sentAt, m_parts.clock.now());
+    const auto effects = [&] {
+        const LeaderLoad::Timer timer(m_load, LeaderWork::PollReplies);
+        logEnds(order, reply);
+        return m_ledger.pollAnswered(order, reply, sentAt, m_parts.clock.now());
+    }();
     if (effects.fenced) {
         Utils::Log::warning(
             "execution",
@@ -173,7 +176,7 @@
     std::vector<Control::Command> commands;
     commands.push_back(std::move(command));
     // If the commit fails, the next leader detects the end by its own polls.
-    const auto result = co_await m_parts.log.commit(std::move(commands));
+    const auto result = co_await commit(std::move(commands));
     if (result != CommitResult::Committed)
         Utils::Log::warning("execution",
                             "could not record the removal of an endpoint",
@@ -191,6 +194,7 @@
         co_return;
     m_lastPass = m_parts.clock.now();
     const auto began = std::chrono::steady_clock::now();
+    const LeaderLoad::Timer timer(m_load, LeaderWork::Scheduling);
     auto orders = m_parts.state.read([&](const Control::State &state) {
         return m_ledger.schedule(state, m_lastPass, m_parts.clock.wallTime());
     });
@@ -218,15 +222,24 @@
         const auto pausedAt = m_parts.clock.now();
         co_await AsyncNet::pause(tickInterval);
         recordLag(m_parts.clock.now() - pausedAt - tickInterval);
+        reportLoad();
     }
 }
 
+auto LeaderSession::commit(std::vector<Control::Command> commands) -> AsyncNet::Task<CommitResult>
+{
+    const auto since = m_parts.clock.now();
+    const auto result = co_await m_parts.log.commit(std::move(commands));
+    m_load.record(LeaderDelay::Commit, m_parts.clock.now() - since);
+    co_return result;
+}
+
 // Commits \a commands with retries; returns false if this process has stopped leading.
 auto LeaderSession::commitUntilDone(std::vector<Control::Command> commands) -> AsyncNet::Task<bool>
 {
     while (m_active && !commands.empty()) {
         auto copy = commands;
-        const auto result = co_await m_parts.log.commit(std::move(copy));
+        const auto result = co_await commit(std::move(copy));
         if (result == CommitResult::Committed)
             break;
         co_await AsyncNet::pause(commitRetry);
@@ -255,9 +268,11 @@
 
 auto LeaderSession::sendStart(StartOrder order) -> Task
 {
+    const auto since = m_parts.clock.now();
     const auto reply = co_await m_parts.endpoints.start(order);
     if (!m_active)
         co_return;
+    m_load.record(LeaderDelay::StartReply, m_parts.clock.now() - since);
     reportStart(order, reply);
     m_ledger.startAnswered(order, reply, m_parts.clock.now());
     if (reply.result == StartResult::Started)
@@ -271,6 +286,7 @@
 {
     m_parts.metrics.observe(
         "trefoilshelf_loop_lag_seconds", {}, std::chrono::duration<double>(lag).count());
+    m_load.record(LeaderDelay::Loop, lag);
     if (lag > longestLag)
         Utils::Log::warning("execution", "the event loop is late", {{"late_ms", lag.count()}});
 }
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hostmoveplan.h"
+#include "leaderload.h"
 #include "maintenanceplan.h"
 #include "orderbudget.h"
 #include "ports.h"
@@ -67,6 +68,7 @@
     auto tick() -> Task;
     auto recordAndSend(std::vector<StartOrder> orders) -> Task;
     auto commitUntilDone(std::vector<Control::Command> commands) -> AsyncNet::Task<bool>;
+    auto commit(std::vector<Control::Command> commands) -> AsyncNet::Task<CommitResult>;
     auto recordLag(Utils::Milliseconds lag) -> void;
     auto sendStart(StartOrder order) -> Task;
     auto sendStop(StopOrder order) -> Task;
@@ -74,6 +76,8 @@
     auto endIncarnation(Control::EndpointIncarnation incarnation, std::string_view reason) -> Task;
     auto listHosts() -> Task;
     auto manageHosts() -> Task;
+    auto updateDemand() -> void;
+    auto planMaintenance() -> MaintenanceWork;
     auto runWaves() -> Task;
     auto orderMoves() -> void;
     auto maintainHost(MaintenanceStep step) -> Task;
@@ -82,6 +86,7 @@
                         std::vector<Control::Command> commands) -> Task;
     auto hasOpenWave() const -> bool;
     auto reportPools() -> void;
+    auto reportLoad() -> void;
     auto logEnds(const PollOrder &order, const PollReply &reply) -> void;
     auto logEndedJobs(const Control::RecordEnds &record) -> void;
     auto reportStart(const StartOrder &order, const StartReply &reply) -> void;
@@ -101,6 +106,8 @@
     Utils::Instant m_lastPass;
     Utils::Milliseconds m_passInterval{0}; //!< Minimum time between the starts of two passes.
     Utils::Instant m_lastReport;
+    LeaderLoad m_load;
+    Utils::Instant m_loadReportedAt;
     Utils::LogBudget m_startLines;
     Utils::LogBudget m_endLines;
     Utils::LogBudget m_stopLines;
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -129,6 +129,8 @@
 
     /*! \brief Returns true if a task of the job is known to have been started. */
     auto hasStarted(const std::string &job) const -> bool;
+    /*! \brief Returns the tasks that could have started in the last pass, but had no room. */
+    auto waitingTasks() const -> std::size_t { return m_waitingTasks; }
     /*! \brief Returns the demand of each pool at the last call of updateDemand(). */
     auto demand() const -> const std::map<std::string, PoolDemand> & { return m_demand; }
     /*! \brief Computes the demand of each pool. */
@@ -203,6 +205,7 @@
     std::map<Jobs::TaskId, std::string> m_checkpoints;
     std::set<std::string> m_startedJobs;
     std::map<std::string, PoolDemand> m_demand;
+    std::size_t m_waitingTasks = 0;
 };
 
 } // namespace Execution
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -252,6 +252,7 @@
     }
     std::ranges::sort(candidates, std::less<>(), &Candidate::rank);
     std::map<std::string, PoolPlacement> pools;
+    m_waitingTasks = 0;
     for (const auto &candidate : candidates) {
         const auto &pool = candidate.job->spec().pool;
         auto found = pools.find(pool);
@@ -277,6 +278,7 @@
                 startGang(job, first, pool, orders);
             else
                 startStep(job, first, pool, orders);
+            m_waitingTasks += occurrence[index].open;
         }
     }
 }
