Let a scheduling pass touch only the jobs and endpoints that it may change

Cause: each pass ranked and sorted every job whose later steps wait for earlier ones, walked all endpoints once for each pool and once more for backfill tasks, walked all runs after the end of any job, and looked up each active job in a set. Reopening a task, adopting one and checking the limit of a long-running step searched all endpoints, which costs a new leader and a wave the square of their size. The two look-ups of each request for a job's state compared strings in trees of thousands.

Ruled out: fewer passes, since their interval is itself part of the delay.

A job takes part in a pass only if a task of it can start. Endpoints are grouped by pool when they change. Each job knows the endpoints that its tasks have been booked on; whether a task is booked, and what a step misses, is read from those alone. Started jobs and checkpoints of ended jobs are forgotten; they grew through a term.

--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -60,13 +60,18 @@
     return runs;
 }
 
-auto RunTable::countOfStep(const Jobs::TaskId &task) const -> std::int64_t
+auto RunTable::ofStep(const Jobs::TaskId &task) const -> std::ranges::subrange<Runs::const_iterator>
 {
     auto first = task;
     first.index = 0;
     auto last = task;
     last.index = INT64_MAX;
-    return std::distance(m_runs.lower_bound(first), m_runs.upper_bound(last));
+    return {m_runs.lower_bound(first), m_runs.upper_bound(last)};
+}
+
+auto RunTable::countOfStep(const Jobs::TaskId &task) const -> std::int64_t
+{
+    return std::ranges::distance(ofStep(task));
 }
 
 auto RunTable::count(const Run &run, int by) -> void
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <ranges>
 #include <set>
 #include <string>
 #include <vector>
@@ -79,6 +80,8 @@
     auto servesUsers() const -> bool { return m_withTarget > 0; }
     auto holdsLongRunning() const -> bool { return m_longRunning > 0; }
     auto holdsBackfill() const -> bool { return m_backfill > 0; }
+    /*! \brief Returns the runs that belong to the same step and occurrence as \a task. */
+    auto ofStep(const Jobs::TaskId &task) const -> std::ranges::subrange<Runs::const_iterator>;
     /*! \brief Returns the number of runs that belong to the same step and occurrence as \a task. */
     auto countOfStep(const Jobs::TaskId &task) const -> std::int64_t;
 
--- a/src/libs/execution/jobprogress.cpp
+++ b/src/libs/execution/jobprogress.cpp
@@ -27,10 +27,8 @@
 {
     for (const auto &[number, progress] : job.occurrences) {
         auto &steps = m_occurrences[number];
-        for (const auto &step : progress.steps) {
+        for (const auto &step : progress.steps)
             steps.push_back(copyStep(step));
-            m_openTasks += steps.back().open;
-        }
     }
 }
 
@@ -41,8 +39,8 @@
         for (const auto &spec : m_spec.steps) {
             const auto count = std::size_t(spec.count);
             found->second.push_back({std::vector(count, TaskState::Open), count, 0});
-            m_openTasks += count;
         }
+        m_hasReadyTask.reset();
     }
     return found->second;
 }
@@ -57,7 +55,7 @@
 
 auto JobProgress::mayStart(std::int64_t wallMs) -> bool
 {
-    if (m_openTasks > 0)
+    if (hasReadyTask())
         return true;
     const auto begun = std::int64_t(m_occurrences.size());
     if (m_spec.repetition.count == 0)
@@ -65,6 +63,33 @@
     return begun < m_spec.occurrences() && m_spec.dueMs(begun) <= wallMs;
 }
 
+// Open tasks of steps that wait for earlier steps do not count, so that most jobs in progress take no
+// part in a scheduling pass.
+auto JobProgress::hasReadyTask() -> bool
+{
+    if (m_hasReadyTask)
+        return *m_hasReadyTask;
+    const auto ready = std::ranges::any_of(m_occurrences, [this](const auto &item) {
+        const auto &steps = item.second;
+        for (std::size_t index = 0; index < steps.size(); ++index) {
+            if (steps[index].open > 0 && isReady(steps, index))
+                return true;
+        }
+        return false;
+    });
+    m_hasReadyTask = ready;
+    return ready;
+}
+
+auto JobProgress::hasBookedTask() const -> bool
+{
+    return std::ranges::any_of(m_occurrences, [](const auto &item) {
+        return std::ranges::any_of(item.second, [](const Step &step) {
+            return step.open + step.done < step.tasks.size();
+        });
+    });
+}
+
 auto JobProgress::find(const Jobs::TaskId &task) const -> const Step *
 {
     const auto found = m_occurrences.find(task.occurrence);
@@ -94,7 +119,7 @@
     const auto opened = std::size_t(state == TaskState::Open ? 1 : 0);
     const auto closed = std::size_t(current == TaskState::Open ? 1 : 0);
     step.open += opened - closed;
-    m_openTasks += opened - closed;
+    m_hasReadyTask.reset();
     if (state == TaskState::Done) {
         ++step.done;
         m_remainingMs.erase(task.occurrence);
--- a/src/libs/execution/jobprogress.h
+++ b/src/libs/execution/jobprogress.h
@@ -3,7 +3,10 @@
 #include "jobs/jobtable.h"
 
 #include <map>
+#include <optional>
+#include <set>
 #include <span>
+#include <string>
 #include <vector>
 
 namespace Execution {
@@ -47,8 +50,10 @@
     auto occurrence(std::int64_t number) -> Occurrence &;
     /*! \brief Returns the number of the first occurrence that is not done, or of the last one. */
     auto currentOccurrence() -> std::int64_t;
-    /*! \brief Returns true if an occurrence that is due at \a wallMs may have an open task. */
+    /*! \brief Returns true if a task that can start may belong to an occurrence due at \a wallMs. */
     auto mayStart(std::int64_t wallMs) -> bool;
+    /*! \brief Returns true if a task is booked. */
+    auto hasBookedTask() const -> bool;
     /*! \brief Returns the expected time of the longest chain of unfinished steps. */
     auto remainingMs(std::int64_t number) -> std::int64_t;
     /*! \brief Returns true if all steps that step \a index depends on are done. */
@@ -58,15 +63,23 @@
     /*! \brief Returns the step that \a task belongs to, or nullptr if the job has no such task. */
     auto specOf(const Jobs::TaskId &task) const -> const Jobs::StepSpec *;
 
+    /*! \brief Adds an endpoint to endpoints(). */
+    auto addEndpoint(const std::string &id) -> void { m_endpoints.insert(id); }
+    /*! \brief Returns all endpoints on which a task of the job has been booked, also in the past. */
+    auto endpoints() const -> const std::set<std::string> & { return m_endpoints; }
+
 private:
     auto find(const Jobs::TaskId &task) const -> const Step *;
+    auto hasReadyTask() -> bool;
 
     Jobs::JobSpec m_spec;
     std::vector<std::int64_t> m_durationsMs;
     bool m_longRunning;
     std::int64_t m_chainMs;
     std::map<std::int64_t, Occurrence> m_occurrences;
-    std::size_t m_openTasks = 0;     //!< Number of open tasks in m_occurrences.
+    std::set<std::string> m_endpoints;
+    //! Cached hasReadyTask(); reset when the state of a task changes.
+    std::optional<bool> m_hasReadyTask;
     std::int64_t m_firstNotDone = 0; //!< All occurrences before this one are done.
     //! Cached remainingMs() by occurrence; reset when a task is done.
     std::map<std::int64_t, std::int64_t> m_remainingMs;
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -31,6 +31,7 @@
     m_term = term;
     m_starts = 0;
     m_endpoints.clear();
+    m_endpointsByPool.clear();
     m_jobs.clear();
     m_checkpoints.clear();
     m_startedJobs.clear();
@@ -64,6 +65,7 @@
                 || job->second.state(task) == TaskState::Done)
                 continue;
             endpoint->second.inherited.insert(task);
+            job->second.addEndpoint(incarnation.id);
             job->second.setState(task, TaskState::Booked);
         }
     }
@@ -72,6 +74,7 @@
 auto RunLedger::addEndpoint(const Control::EndpointRecord &record, Utils::Instant now) -> void
 {
     auto &endpoint = m_endpoints[record.incarnation.id];
+    m_endpointsByPool.clear();
     if (endpoint.record.incarnation != record.incarnation) {
         releaseRuns(endpoint);
         endpoint = {};
@@ -163,19 +166,20 @@
 auto RunLedger::unavailableTasks(const Jobs::TaskId &task, std::string_view withoutEndpoint) const
     -> std::int64_t
 {
-    const auto *spec = specOf(task);
-    auto unavailable = spec->count - 1;
-    for (const auto &[id, endpoint] : m_endpoints) {
+    const auto &job = m_jobs.at(task.job);
+    auto unavailable = job.specOf(task)->count - 1;
+    for (const auto &id : job.endpoints()) {
+        const auto found = m_endpoints.find(id);
+        if (found == m_endpoints.end())
+            continue;
+        const auto &endpoint = found->second;
         if (id == withoutEndpoint || !endpoint.answers || endpoint.endOrdered)
             continue;
-        for (const auto &[other, run] : endpoint.runs) {
-            const auto sameStep = other.job == task.job && other.occurrence == task.occurrence
-                                  && other.step == task.step && other.index != task.index;
-            const auto ready =
-                run.state == RunState::Running && !run.stopReason && run.percent >= fullPercent;
-            if (sameStep && ready)
-                --unavailable;
-        }
+        unavailable -= std::ranges::count_if(endpoint.runs.ofStep(task), [&](const auto &item) {
+            const auto &run = item.second;
+            return run.task.index != task.index && run.state == RunState::Running && !run.stopReason
+                   && run.percent >= fullPercent;
+        });
     }
     return unavailable;
 }
@@ -186,6 +190,7 @@
     if (found == m_endpoints.end() || found->second.record.incarnation != incarnation)
         return;
     releaseRuns(found->second);
+    m_endpointsByPool.clear();
     m_endpoints.erase(found);
 }
 
@@ -298,6 +303,7 @@
     } else if (counts && !longRunning) {
         // The task is not started again before the number of its failures is durable.
         job->second.setState(end.task, TaskState::Booked);
+        job->second.addEndpoint(endpoint.record.incarnation.id);
         endpoint.reopenWhenRecorded.push_back(end.task);
     } else if (known) {
         reopen(end.task);
@@ -331,8 +337,10 @@
         m_stopsDue = m_stopsDue || adopted.stopReason;
         run = &endpoint.runs.add(adopted);
         m_startedJobs.insert(row.task.job);
-        if (wanted)
+        if (wanted) {
+            job->second.addEndpoint(endpoint.record.incarnation.id);
             job->second.setState(row.task, TaskState::Booked);
+        }
     }
     if (run->state != RunState::Running) {
         run->state = RunState::Running;
@@ -398,8 +406,14 @@
 
 auto RunLedger::isBooked(const Jobs::TaskId &task) const -> bool
 {
-    return std::ranges::any_of(m_endpoints, [&](const auto &item) {
-        const auto &endpoint = item.second;
+    const auto job = m_jobs.find(task.job);
+    if (job == m_jobs.end())
+        return false;
+    return std::ranges::any_of(job->second.endpoints(), [&](const std::string &id) {
+        const auto found = m_endpoints.find(id);
+        if (found == m_endpoints.end())
+            return false;
+        const auto &endpoint = found->second;
         return endpoint.runs.contains(task) || endpoint.inherited.contains(task)
                || std::ranges::find(endpoint.reopenWhenRecorded, task)
                       != endpoint.reopenWhenRecorded.end();
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 namespace Execution {
@@ -165,10 +166,14 @@
     auto specOf(const Jobs::TaskId &task) const -> const Jobs::StepSpec *;
     auto syncJobs(const Control::State &state) -> void;
     auto inheritStarts(const Control::State &state) -> void;
-    auto addJob(const Jobs::Job &job) -> void;
+    using JobsById = std::map<std::string, JobProgress>;
+
+    auto addJob(JobsById::iterator position, const Jobs::Job &job) -> void;
+    auto removeJob(JobsById::iterator job) -> JobsById::iterator;
+    auto endpointsOfPool(const std::string &pool) -> const std::vector<EndpointEntry *> &;
     auto stopUnwanted(Utils::Instant now, Orders &orders) -> void;
     auto stopOrder(const EndpointEntry &endpoint, const Run &run) const -> StopOrder;
-    auto paceBackfill(Orders &orders) -> void;
+    auto paceBackfill(Utils::Instant now, Orders &orders) -> void;
     auto startTasks(Utils::Instant now, std::int64_t wallMs, Orders &orders) -> void;
     auto rankOf(JobProgress &job, std::int64_t wallMs) const -> Scheduling::JobRank;
     auto startJob(JobProgress &job, PoolPlacement &pool, std::int64_t wallMs, Orders &orders)
@@ -195,7 +200,9 @@
     std::int64_t m_term = 0;
     std::int64_t m_starts = 0;
     EndpointTable m_endpoints;
-    std::map<std::string, JobProgress> m_jobs;
+    //! Endpoints by pool; empty until it is computed again after a change of m_endpoints.
+    std::map<std::string, std::vector<EndpointEntry *>> m_endpointsByPool;
+    JobsById m_jobs;
     std::uint64_t m_jobsVersion = 0; //!< Version of the job table that m_jobs reflects.
     std::map<std::string, Scheduling::QueueTerms> m_terms; //!< Scheduling terms by queue.
     std::int64_t m_termsVersion = -1; //!< Version of the configuration that m_terms reflects.
@@ -203,7 +210,8 @@
     bool m_stopsDue = true; //!< Runs may have to be stopped.
     Utils::Instant m_stopsCheckedAt;
     std::map<Jobs::TaskId, std::string> m_checkpoints;
-    std::set<std::string> m_startedJobs;
+    Utils::Instant m_pacesCheckedAt;
+    std::unordered_set<std::string> m_startedJobs; //!< Jobs of m_jobs that have been started.
     std::map<std::string, PoolDemand> m_demand;
     std::size_t m_waitingTasks = 0;
 };
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -16,6 +16,8 @@
 constexpr Utils::Milliseconds stopRetry{700};
 // Interval at which runs are checked for stops that become due by the passage of time alone.
 constexpr Utils::Milliseconds stopCheckInterval{100};
+// Interval at which the speed of backfill tasks is adapted to the load figures that polls report.
+constexpr Utils::Milliseconds paceCheckInterval{50};
 // Occurrences that are due within this time count as demand, so that hosts moved now arrive in
 // time.
 constexpr std::int64_t soonDueMs = 2000;
@@ -63,7 +65,7 @@
     syncJobs(state);
     if (m_stopsDue || now - m_stopsCheckedAt >= stopCheckInterval)
         stopUnwanted(now, orders);
-    paceBackfill(orders);
+    paceBackfill(now, orders);
     startTasks(now, wallMs, orders);
     return orders;
 }
@@ -78,22 +80,39 @@
     }
     if (std::exchange(m_jobsVersion, state.jobs.version()) == state.jobs.version())
         return;
-    const auto &active = state.jobs.activeIds();
-    m_stopsDue =
-        std::erase_if(m_jobs, [&](const auto &item) { return !active.contains(item.first); }) > 0
-        || m_stopsDue;
-    for (const auto &id : active) {
-        if (!m_jobs.contains(id))
-            addJob(*state.jobs.find(id));
+    // Both are sorted by id.
+    auto known = m_jobs.begin();
+    for (const auto &id : state.jobs.activeIds()) {
+        while (known != m_jobs.end() && known->first < id)
+            known = removeJob(known);
+        if (known != m_jobs.end() && known->first == id)
+            ++known;
+        else
+            addJob(known, *state.jobs.find(id));
     }
+    while (known != m_jobs.end())
+        known = removeJob(known);
 }
 
-auto RunLedger::addJob(const Jobs::Job &job) -> void
+auto RunLedger::removeJob(JobsById::iterator job) -> JobsById::iterator
+{
+    m_stopsDue = m_stopsDue || job->second.hasBookedTask();
+    m_startedJobs.erase(job->first);
+    const auto firstCheckpoint = m_checkpoints.lower_bound({job->first, 0, 0, 0});
+    auto lastCheckpoint = firstCheckpoint;
+    while (lastCheckpoint != m_checkpoints.end() && lastCheckpoint->first.job == job->first)
+        ++lastCheckpoint;
+    m_checkpoints.erase(firstCheckpoint, lastCheckpoint);
+    return m_jobs.erase(job);
+}
+
+// Adds the job in front of \a position.
+auto RunLedger::addJob(JobsById::iterator position, const Jobs::Job &job) -> void
 {
     std::vector<std::int64_t> durationsMs;
     for (const auto &step : job.spec.steps)
         durationsMs.push_back(m_durations.expect(job.spec.queue, step.estimateMs));
-    m_jobs.try_emplace(job.spec.id, job, durationsMs);
+    m_jobs.try_emplace(position, job.spec.id, job, durationsMs);
 }
 
 auto RunLedger::updateDemand(std::int64_t wallMs) -> void
@@ -176,8 +195,11 @@
     return order;
 }
 
-auto RunLedger::paceBackfill(Orders &orders) -> void
+auto RunLedger::paceBackfill(Utils::Instant now, Orders &orders) -> void
 {
+    if (now - m_pacesCheckedAt < paceCheckInterval)
+        return;
+    m_pacesCheckedAt = now;
     for (auto &[id, endpoint] : m_endpoints) {
         if (!endpoint.runs.holdsBackfill())
             continue;
@@ -202,15 +224,20 @@
     }
 }
 
+auto RunLedger::endpointsOfPool(const std::string &pool) -> const std::vector<EndpointEntry *> &
+{
+    if (m_endpointsByPool.empty()) {
+        for (auto &[id, endpoint] : m_endpoints)
+            m_endpointsByPool[endpoint.record.pool].push_back(&endpoint);
+    }
+    return m_endpointsByPool[pool];
+}
+
 auto RunLedger::placementFor(const std::string &pool, Utils::Instant now) -> PoolPlacement
 {
     PoolPlacement placement;
     placement.now = now;
-    for (auto &[id, endpoint] : m_endpoints) {
-        if (endpoint.record.pool != pool)
-            continue;
-        placement.endpoints.push_back(&endpoint);
-    }
+    placement.endpoints = endpointsOfPool(pool);
     updateAvoided(placement);
     for (auto *endpoint : placement.endpoints) {
         auto &view = placement.views.emplace_back();
@@ -372,6 +399,7 @@
     const auto checkpoint = m_checkpoints.find(task);
     run.resumed = checkpoint != m_checkpoints.end();
     endpoint.runs.add(run);
+    job.addEndpoint(endpoint.record.incarnation.id);
     job.setState(task, TaskState::Booked);
     StartOrder order;
     order.target = target(endpoint);
--- a/src/libs/jobs/jobtable.h
+++ b/src/libs/jobs/jobtable.h
@@ -2,10 +2,14 @@
 
 #include "jobtypes.h"
 
+#include "utils/stringhash.h"
+
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace Jobs {
@@ -53,6 +57,8 @@
 class JobTable
 {
 public:
+    using JobsById = std::unordered_map<std::string, Job, Utils::StringHash, std::equal_to<>>;
+
     /*! \brief Adds \a spec; returns false if a job with this id already exists. */
     auto add(JobSpec spec) -> bool;
     /*! \brief Cancels the job if it is active; returns false if the job does not exist. */
@@ -71,7 +77,7 @@
     auto forgetEndedBefore(std::int64_t beforeMs) -> void;
 
     auto find(std::string_view id) const -> const Job *;
-    auto jobs() const -> const std::map<std::string, Job, std::less<>> & { return m_jobs; }
+    auto jobs() const -> const JobsById & { return m_jobs; }
     /*! \brief Returns the ids of the jobs that have not ended. */
     auto activeIds() const -> const std::set<std::string> & { return m_activeIds; }
     /*! \brief Returns a number that increases when the set of active jobs changes; at least 1. */
@@ -82,7 +88,7 @@
     auto finishIfDone(Job &job, std::int64_t nowMs) -> void;
     auto end(Job &job, JobState state, std::int64_t nowMs) -> void;
 
-    std::map<std::string, Job, std::less<>> m_jobs;
+    JobsById m_jobs;
     std::set<std::string> m_activeIds;
     //! Ids of ended jobs by the time of their end.
     std::multimap<std::int64_t, std::string> m_ended;
