Report the unused capacity of pools, and processor time by getrusage

The logs could not tell why tasks wait for room in a pool that has its hosts: whether these are full, not open yet, or booked for start orders without an answer. And `process_ms` of the line 'load of the leader' showed the period on the users' platform, since the clocks of processor time give simulated time there.

'load of a pool' tells open endpoints, their free capacity and the runs without an answer.

Test: RunLedger.ReportsTheUnusedCapacityOfOpenEndpointsAlone.

--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -34,6 +34,7 @@
         return m_moves.loads(state.configuration, m_ledger, m_hosts, now);
     });
     for (const auto &load : loads) {
+        const auto use = m_ledger.useOf(load.name, now);
         Utils::Log::info("execution",
                          "load of a pool",
                          {{"pool", load.name},
@@ -42,7 +43,10 @@
                           {"idle", load.idleHosts},
                           {"at_least", load.minimumHosts},
                           {"lasting_millicores", load.longRunningMillicores},
-                          {"batch_millicores", std::int64_t(load.batchMillicores)}});
+                          {"batch_millicores", std::int64_t(load.batchMillicores)},
+                          {"open", use.openEndpoints},
+                          {"free_millicores", use.freeMillicores},
+                          {"unconfirmed_runs", use.unconfirmedRuns}});
     }
 }
 
--- a/src/libs/execution/leaderload.cpp
+++ b/src/libs/execution/leaderload.cpp
@@ -1,6 +1,6 @@
 #include "leaderload.h"
 
-#include <ctime>
+#include <sys/resource.h>
 
 #include <algorithm>
 #include <utility>
@@ -8,13 +8,18 @@
 namespace Execution {
 namespace {
 
-auto processorTime(clockid_t clock) -> std::chrono::microseconds
+auto toDuration(const timeval &time) -> std::chrono::microseconds
 {
-    timespec time{};
-    if (::clock_gettime(clock, &time) != 0)
+    return std::chrono::seconds(time.tv_sec) + std::chrono::microseconds(time.tv_usec);
+}
+
+// Returns the user and system time of the process (RUSAGE_SELF) or of this thread (RUSAGE_THREAD).
+auto processorTime(int who) -> std::chrono::microseconds
+{
+    rusage usage{};
+    if (::getrusage(who, &usage) != 0)
         return std::chrono::microseconds(0);
-    return std::chrono::duration_cast<std::chrono::microseconds>(
-        std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+    return toDuration(usage.ru_utime) + toDuration(usage.ru_stime);
 }
 
 } // namespace
@@ -44,8 +49,8 @@
 {
     auto report = std::exchange(m_report, {});
     report.period = now - std::exchange(m_startedAt, now);
-    const auto processTime = processorTime(CLOCK_PROCESS_CPUTIME_ID);
-    const auto loopTime = processorTime(CLOCK_THREAD_CPUTIME_ID);
+    const auto processTime = processorTime(RUSAGE_SELF);
+    const auto loopTime = processorTime(RUSAGE_THREAD);
     report.processTime = processTime - std::exchange(m_processTime, processTime);
     report.loopTime = loopTime - std::exchange(m_loopTime, loopTime);
     return report;
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -63,6 +63,14 @@
     std::int64_t minimumHosts = 0;
 };
 
+/*! \brief How much of the capacity of one pool is in use. */
+struct PoolUse
+{
+    std::int64_t openEndpoints = 0;   //!< Endpoints that accept new tasks.
+    std::int64_t freeMillicores = 0;  //!< Capacity of open endpoints that no task occupies.
+    std::int64_t unconfirmedRuns = 0; //!< Runs whose start order has not been answered.
+};
+
 /*!
     \brief The leader's knowledge of the runs on endpoints. It sends nothing and reads no clock.
 
@@ -134,6 +142,8 @@
     auto waitingTasks() const -> std::size_t { return m_waitingTasks; }
     /*! \brief Returns the demand of each pool at the last call of updateDemand(). */
     auto demand() const -> const std::map<std::string, PoolDemand> & { return m_demand; }
+    /*! \brief Returns how much of the capacity of \a pool is in use at \a now. */
+    auto useOf(std::string_view pool, Utils::Instant now) const -> PoolUse;
     /*! \brief Computes the demand of each pool. */
     auto updateDemand(std::int64_t wallMs) -> void;
 
@@ -153,6 +163,7 @@
     };
 
     auto placementFor(const std::string &pool, Utils::Instant now) -> PoolPlacement;
+    auto acceptsTasks(const EndpointEntry &endpoint, Utils::Instant now) const -> bool;
     auto adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> void;
     auto processEnd(EndpointEntry &endpoint,
                     const EndedTask &end,
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -247,13 +247,33 @@
         view.servesUsers = endpoint->servesUsers();
         view.holdsLongRunning = endpoint->holdsLongRunning();
         view.recentFailures = endpoint->failureStreak;
-        view.open = endpoint->polled && !endpoint->draining && !endpoint->closed
-                    && !endpoint->leaving && now - endpoint->lastReplyAt < m_timing.maximumPollAge
-                    && now >= endpoint->avoidUntil;
+        view.open = acceptsTasks(*endpoint, now);
     }
     return placement;
 }
 
+auto RunLedger::acceptsTasks(const EndpointEntry &endpoint, Utils::Instant now) const -> bool
+{
+    return endpoint.polled && !endpoint.draining && !endpoint.closed && !endpoint.leaving
+           && now - endpoint.lastReplyAt < m_timing.maximumPollAge && now >= endpoint.avoidUntil;
+}
+
+auto RunLedger::useOf(std::string_view pool, Utils::Instant now) const -> PoolUse
+{
+    PoolUse use;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.record.pool != pool)
+            continue;
+        for (const auto &[task, run] : endpoint.runs)
+            use.unconfirmedRuns += run.state != RunState::Running ? 1 : 0;
+        if (!acceptsTasks(endpoint, now))
+            continue;
+        ++use.openEndpoints;
+        use.freeMillicores += endpoint.freeResources().cpuMillicores;
+    }
+    return use;
+}
+
 // Pauses endpoints with several consecutive failures, so that they do not attract more tasks.
 auto RunLedger::updateAvoided(PoolPlacement &pool) -> void
 {
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -98,6 +98,11 @@
     return ledger.schedule(state, m_now, m_wallMs);
 }
 
+auto LedgerFixture::use() const -> Execution::PoolUse
+{
+    return ledger.useOf(poolName, m_now);
+}
+
 auto LedgerFixture::confirm(const Execution::StartOrder &order) -> void
 {
     Execution::StartReply reply;
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -30,6 +30,8 @@
     auto failPoll(const std::string &id) -> void;
     auto pollAll() -> void;
     auto schedule() -> Execution::Orders;
+    /*! \brief Returns how much of the capacity of the pool is in use. */
+    auto use() const -> Execution::PoolUse;
     auto confirm(const Execution::StartOrder &order) -> void;
     auto acceptStop(const Execution::StopOrder &order) -> void;
     /*! \brief Applies the task ends to the durable state and reports this to the ledger. */
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -503,6 +503,28 @@
     EXPECT_EQ(fixture.schedule().stops.size(), 1U);
 }
 
+TEST(RunLedger, ReportsTheUnusedCapacityOfOpenEndpointsAlone)
+{
+    LedgerFixture fixture;
+    for (const auto *id : {"a", "closed", "silent"})
+        fixture.addEndpoint(id);
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.poll("a");
+    fixture.poll("closed");
+    fixture.ledger.setClosed("closed", true);
+    const auto before = fixture.use();
+    EXPECT_EQ(before.openEndpoints, 1);
+    EXPECT_EQ(before.unconfirmedRuns, 0);
+    const auto starts = fixture.schedule().starts;
+    ASSERT_EQ(starts.size(), 1U);
+    const auto booked = fixture.use();
+    EXPECT_EQ(booked.freeMillicores, before.freeMillicores - plainStep(1).demand.cpuMillicores);
+    EXPECT_EQ(booked.unconfirmedRuns, 1);
+    fixture.confirm(starts.front());
+    EXPECT_EQ(fixture.use().unconfirmedRuns, 0);
+}
+
 TEST(RunLedger, RestartsLongRunningTaskAfterAnyEnd)
 {
     LedgerFixture fixture;
