Give moves and maintenance of hosts one limit of orders

Callers saw: in a burst, hosts that their pool waits for come late when a wave of maintenance begins at the same time.

Cause: moves asked the budget for the provider's rate, maintenance only took from it. Maintenance was also ordered for hosts whose move was in progress, and repeated every 100 ms after a refusal.

Now the plan of maintenance gets the number of orders that may be sent: all that are available, or a quarter while moves wait. Idle hosts beyond it stay open for tasks and moves. Hosts that are being moved are left alone, and a refused host waits for a newer list. The plan's inputs became one aggregate (planWave had eight parameters).

Ruled out: moves before maintenance without a share, since a long burst would then hold up a wave.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -250,4 +250,12 @@
     return unmoved;
 }
 
+auto HostMovePlan::movingHosts() const -> std::set<std::string>
+{
+    std::set<std::string> hosts;
+    for (const auto &[host, moving] : m_moving)
+        hosts.insert(host);
+    return hosts;
+}
+
 } // namespace Execution
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -66,6 +66,8 @@
         Returns the endpoints of overdue hosts that are still in their old pool in \a hosts.
     */
     auto takeUnmoved(const HostList &hosts, Utils::Instant listedAt) -> std::vector<std::string>;
+    /*! \brief Returns the names of the hosts whose move is in progress. */
+    auto movingHosts() const -> std::set<std::string>;
 
 private:
     /*! \brief Change of a pool's batch work over time. */
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -92,10 +92,11 @@
 {
     const LeaderLoad::Timer timer(m_load, LeaderWork::Hosts);
     const auto now = m_parts.clock.now();
+    const auto available = m_hostOrders.available(now);
     const auto moves = m_parts.state.read([&](const Control::State &state) {
-        return m_moves.next(
-            state.configuration, m_ledger, m_hosts, m_hostOrders.available(now), now);
+        return m_moves.next(state.configuration, m_ledger, m_hosts, available, now);
     });
+    m_movesWait = std::int64_t(moves.steps.size()) >= available;
     for (const auto &endpoint : moves.close)
         m_ledger.setClosed(endpoint, true);
     for (const auto &endpoint : moves.open)
@@ -110,14 +111,17 @@
 auto LeaderSession::planMaintenance() -> MaintenanceWork
 {
     const LeaderLoad::Timer timer(m_load, LeaderWork::Hosts);
-    return m_parts.state.read([&](const Control::State &state) {
-        return m_maintenance.next(state,
-                                  m_ledger,
-                                  m_hosts,
-                                  m_hostsListedAt,
-                                  m_parts.clock.now(),
-                                  m_parts.clock.wallTime());
-    });
+    const auto now = m_parts.clock.now();
+    const auto available = m_hostOrders.available(now);
+    const MaintenanceView view{m_ledger,
+                               m_hosts,
+                               m_hostsListedAt,
+                               now,
+                               m_parts.clock.wallTime(),
+                               m_movesWait ? maintenanceShare(available) : available,
+                               m_moves.movingHosts()};
+    return m_parts.state.read(
+        [&](const Control::State &state) { return m_maintenance.next(state, view); });
 }
 
 auto LeaderSession::runWaves() -> Task
@@ -130,7 +134,7 @@
     for (const auto &step : work.begin) {
         // The plan does not know of the other orders of this pass, so the limit is checked again.
         if (!m_ledger.canLose(step.incarnation.id)) {
-            m_maintenance.ordered(step, HostOrderResult::Busy, m_parts.clock.now());
+            m_maintenance.withdraw(step);
             continue;
         }
         m_ledger.setEndOrdered(step.incarnation.id, true);
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -98,6 +98,7 @@
     MaintenancePlan m_maintenance;
     HostMovePlan m_moves;
     OrderBudget m_hostOrders;
+    bool m_movesWait = false; //!< The last plan of moves may have left out some for want of orders.
     HostList m_hosts;
     Utils::Instant m_hostsListedAt; //!< Time at which the list was requested.
     std::int64_t m_term;
--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -57,34 +57,35 @@
 
 } // namespace
 
-auto MaintenancePlan::next(const Control::State &state,
-                           const RunLedger &ledger,
-                           const HostList &hosts,
-                           Utils::Instant listedAt,
-                           Utils::Instant now,
-                           std::int64_t wallMs) -> MaintenanceWork
+auto MaintenancePlan::next(const Control::State &state, const MaintenanceView &view)
+    -> MaintenanceWork
 {
     MaintenanceWork work;
-    if (!hosts.complete)
+    if (!view.hosts.complete)
         return work;
-    std::map<std::string_view, const HostInfo *> byName;
-    for (const auto &host : hosts.hosts)
+    HostsByName byName;
+    for (const auto &host : view.hosts.hosts)
         byName[host.name] = &host;
-    const HostOccupancy occupancy(ledger, hosts);
+    const HostOccupancy occupancy(view.ledger, view.hosts);
     for (const auto &[number, wave] : state.waves) {
         if (!wave.isDone())
-            planWave(wave, ledger, occupancy, byName, listedAt, now, wallMs, work);
+            planWave(wave, view, occupancy, byName, work);
     }
     return work;
 }
 
+// Returns true if the host was refused after the list was requested. The list does not show why.
+auto MaintenancePlan::waitsForNewerList(const std::string &host, const MaintenanceView &view) const
+    -> bool
+{
+    const auto refused = m_refused.find(host);
+    return refused != m_refused.end() && view.listedAt <= refused->second;
+}
+
 auto MaintenancePlan::planWave(const Control::Wave &wave,
-                               const RunLedger &ledger,
+                               const MaintenanceView &view,
                                const HostOccupancy &occupancy,
-                               const std::map<std::string_view, const HostInfo *> &hosts,
-                               Utils::Instant listedAt,
-                               Utils::Instant now,
-                               std::int64_t wallMs,
+                               const HostsByName &hosts,
                                MaintenanceWork &work) -> void
 {
     std::int64_t unavailable = 0;
@@ -100,28 +101,27 @@
         const auto &host = *found->second;
         const auto order = m_orders.find(name);
         const auto ordered = order != m_orders.end();
-        const auto settling = ordered && listedAt < order->second.at + listLag;
+        const auto settling = ordered && view.listedAt < order->second.at + listLag;
         const auto uncertain =
-            ordered && order->second.uncertain && now - order->second.at < longestUncertain;
+            ordered && order->second.uncertain && view.now - order->second.at < longestUncertain;
         const auto countsAsUnavailable =
             host.state == HostState::Maintenance || settling || uncertain;
         unavailable += countsAsUnavailable ? 1 : 0;
-        const auto waits = settling && now - order->second.at < orderRetry;
-        if (finished || host.state != HostState::Up || waits)
+        const auto waits = settling && view.now - order->second.at < orderRetry;
+        if (finished || host.state != HostState::Up || waits || view.moving.contains(name)
+            || waitsForNewerList(name, view))
             continue;
         candidates.push_back({&host,
                               occupancy.isEmpty(host),
-                              runsOn(ledger, host.endpoint),
+                              runsOn(view.ledger, host.endpoint),
                               m_preparing.contains(name),
                               countsAsUnavailable});
     }
-    prepare(wave, ledger, now, wallMs, std::move(candidates), unavailable, work);
+    prepare(wave, view, std::move(candidates), unavailable, work);
 }
 
 auto MaintenancePlan::prepare(const Control::Wave &wave,
-                              const RunLedger &ledger,
-                              Utils::Instant now,
-                              std::int64_t wallMs,
+                              const MaintenanceView &view,
                               std::vector<Candidate> candidates,
                               std::int64_t unavailable,
                               MaintenanceWork &work) -> void
@@ -129,7 +129,7 @@
     std::ranges::stable_sort(candidates, {}, [](const Candidate &candidate) {
         return std::tuple(!candidate.preparing, !candidate.empty, candidate.runs);
     });
-    const auto needed = neededAtOnce(wave, wallMs);
+    const auto needed = neededAtOnce(wave, view.wallMs);
     for (const auto &candidate : candidates) {
         const auto &host = *candidate.host;
         const auto busy = !candidate.empty && !candidate.preparing;
@@ -137,33 +137,45 @@
             return;
         if (unavailable >= wave.maximumAtOnce && !candidate.countsAsUnavailable)
             return;
+        const auto mayOrder = std::int64_t(work.begin.size()) < view.maximumOrders;
+        // An empty host that waits for its order stays open for tasks and moves.
+        if (candidate.empty && !candidate.preparing && !mayOrder)
+            continue;
         unavailable += candidate.countsAsUnavailable ? 0 : 1;
-        const auto [since, fresh] = m_preparing.try_emplace(host.name, now);
+        const auto [since, fresh] = m_preparing.try_emplace(host.name, view.now);
         if (fresh && !host.endpoint.empty())
             work.close.push_back(host.endpoint);
-        const auto due =
-            now - since->second > maximumDrainTime && ledger.endpoints().contains(host.endpoint);
-        if (holdsLongRunning(ledger, host.endpoint))
+        const auto due = view.now - since->second > maximumDrainTime
+                         && view.ledger.endpoints().contains(host.endpoint);
+        if (holdsLongRunning(view.ledger, host.endpoint))
             work.evacuate.push_back(host.endpoint);
-        if (candidate.empty || (due && ledger.canLose(host.endpoint))) {
+        if (mayOrder && (candidate.empty || (due && view.ledger.canLose(host.endpoint)))) {
             const auto repeated = m_orders.contains(host.name);
-            m_orders[host.name] = {now, true};
+            m_orders[host.name] = {view.now, true};
             work.begin.push_back(
-                {wave.number, host.name, incarnationOf(ledger, host.endpoint), repeated});
+                {wave.number, host.name, incarnationOf(view.ledger, host.endpoint), repeated});
         }
     }
 }
 
+auto MaintenancePlan::withdraw(const MaintenanceStep &step) -> void
+{
+    m_orders.erase(step.host);
+}
+
 auto MaintenancePlan::ordered(const MaintenanceStep &step,
                               HostOrderResult result,
                               Utils::Instant now) -> void
 {
     if (result == HostOrderResult::Accepted)
         m_preparing.erase(step.host);
-    if (result == HostOrderResult::Accepted || result == HostOrderResult::Unknown)
+    if (result == HostOrderResult::Accepted || result == HostOrderResult::Unknown) {
         m_orders[step.host] = {now, result == HostOrderResult::Unknown};
-    else
-        m_orders.erase(step.host);
+        m_refused.erase(step.host);
+        return;
+    }
+    m_orders.erase(step.host);
+    m_refused[step.host] = now;
 }
 
 } // namespace Execution
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -5,12 +5,27 @@
 #include "runledger.h"
 
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace Execution {
 
+/*! \brief The inputs of a maintenance plan beside the waves. */
+struct MaintenanceView
+{
+    const RunLedger &ledger;
+    const HostList &hosts;
+    Utils::Instant listedAt; //!< Time at which \c hosts was requested.
+    Utils::Instant now;
+    std::int64_t wallMs = 0;        //!< Time in milliseconds since 1970.
+    std::int64_t maximumOrders = 0; //!< Orders that the provider of hosts accepts now.
+    //! Hosts with a move order that \c hosts may not reflect yet; the provider refuses to maintain
+    //! them.
+    std::set<std::string> moving;
+};
+
 /*! \brief Maintenance of a host that is to be ordered now. */
 struct MaintenanceStep
 {
@@ -36,8 +51,8 @@
 /*!
     \brief Chooses which hosts of the waves are drained and maintained next.
 
-    The plan makes at most as many hosts of a wave unavailable at once as the wave allows. Hosts
-    that run no tasks go first. Only as many busy hosts are drained at once as the remaining time
+    The plan makes at most as many hosts of a wave unavailable at once as the wave allows, and orders
+    no more than the provider of hosts accepts. Hosts that run no tasks go first. Only as many busy hosts are drained at once as the remaining time
     requires. They are closed for new tasks, and maintained once no task runs there, or once the
     time for draining is over and the steps of their tasks allow it. The class sends nothing and
     reads no clock.
@@ -45,22 +60,16 @@
 class MaintenancePlan
 {
 public:
-    /*!
-        \brief Returns the next actions, from a list of hosts that was requested at \a listedAt.
-
-        \a wallMs is the time in milliseconds since 1970. Hosts in \c begin count as unavailable
-        from then on.
-    */
-    auto next(const Control::State &state,
-              const RunLedger &ledger,
-              const HostList &hosts,
-              Utils::Instant listedAt,
-              Utils::Instant now,
-              std::int64_t wallMs) -> MaintenanceWork;
+    /*! \brief Returns the next actions. Hosts in \c begin count as unavailable from then on. */
+    auto next(const Control::State &state, const MaintenanceView &view) -> MaintenanceWork;
+    /*! \brief Handles that the order was not sent. */
+    auto withdraw(const MaintenanceStep &step) -> void;
     /*! \brief Handles the result of a maintenance order. */
     auto ordered(const MaintenanceStep &step, HostOrderResult result, Utils::Instant now) -> void;
 
 private:
+    using HostsByName = std::map<std::string_view, const HostInfo *>;
+
     /*! \brief A maintenance order that the list of hosts may not reflect yet. */
     struct Order
     {
@@ -77,24 +86,21 @@
         bool countsAsUnavailable = false; //!< The host is already counted as unavailable.
     };
 
+    auto planWave(const Control::Wave &wave,
+                  const MaintenanceView &view,
+                  const HostOccupancy &occupancy,
+                  const HostsByName &hosts,
+                  MaintenanceWork &work) -> void;
     auto prepare(const Control::Wave &wave,
-                 const RunLedger &ledger,
-                 Utils::Instant now,
-                 std::int64_t wallMs,
+                 const MaintenanceView &view,
                  std::vector<Candidate> candidates,
                  std::int64_t unavailable,
                  MaintenanceWork &work) -> void;
-    auto planWave(const Control::Wave &wave,
-                  const RunLedger &ledger,
-                  const HostOccupancy &occupancy,
-                  const std::map<std::string_view, const HostInfo *> &hosts,
-                  Utils::Instant listedAt,
-                  Utils::Instant now,
-                  std::int64_t wallMs,
-                  MaintenanceWork &work) -> void;
+    auto waitsForNewerList(const std::string &host, const MaintenanceView &view) const -> bool;
 
     std::map<std::string, Utils::Instant> m_preparing; //!< Start of draining by host.
     std::map<std::string, Order> m_orders;             //!< Last order by host.
+    std::map<std::string, Utils::Instant> m_refused;   //!< Time of the last refusal by host.
 };
 
 } // namespace Execution
--- a/src/libs/execution/orderbudget.cpp
+++ b/src/libs/execution/orderbudget.cpp
@@ -11,6 +11,14 @@
 // one-second window.
 constexpr double maximumAccumulationMs = 150;
 
+// Maintenance gets 1/4 of the orders (rounded up) while moves wait.
+constexpr std::int64_t maintenanceDivisor = 4;
+
+auto maintenanceShare(std::int64_t available) -> std::int64_t
+{
+    return (available + maintenanceDivisor - 1) / maintenanceDivisor;
+}
+
 OrderBudget::OrderBudget(double perSecond)
     : m_perMs(perSecond * usedShare / 1000)
 {}
--- a/src/libs/execution/orderbudget.h
+++ b/src/libs/execution/orderbudget.h
@@ -2,8 +2,18 @@
 
 #include "utils/clock.h"
 
+#include <cstdint>
+
 namespace Execution {
 
+/*!
+    \brief Returns how many of \a available orders may maintain hosts, beside moves that wait.
+
+    Callers wait for moves in a burst of demand, and a wave has time until its end. So moves get most
+    of the orders, and the rest keeps them from holding up a wave.
+*/
+auto maintenanceShare(std::int64_t available) -> std::int64_t;
+
 /*!
     \brief Limits the rate of orders, so that the provider of hosts does not refuse any of them.
 
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -1,9 +1,12 @@
 #include "ledgerfixture.h"
 
 #include "execution/maintenanceplan.h"
+#include "execution/orderbudget.h"
 
 #include <gtest/gtest.h>
 
+#include <numeric>
+
 using namespace ExecutionTest;
 using Execution::HostOrderResult;
 using Execution::HostState;
@@ -12,6 +15,12 @@
 
 constexpr std::int64_t startedMs = 1'700'000'000'000;
 constexpr std::int64_t longAfterDrainingMs = 5000;
+constexpr std::size_t letters = 26;
+
+auto hostName(std::size_t index) -> std::string
+{
+    return std::string(index / letters, 'z') + char('a' + index % letters);
+}
 
 /*! \brief Hosts "a", "b", ... of one wave, each with an endpoint of the same name. */
 class WaveFixture
@@ -25,7 +34,7 @@
         wave.maximumAtOnce = atOnce;
         wave.startedMs = startedMs;
         for (std::size_t index = 0; index < hosts; ++index) {
-            const std::string name(1, char('a' + index));
+            const auto name = hostName(index);
             wave.hosts.push_back(name);
             m_ledger.addEndpoint(name);
             list.hosts.push_back({name, "pool", HostState::Up, name});
@@ -47,7 +56,16 @@
     auto next(std::int64_t elapsedMs) -> Execution::MaintenanceWork
     {
         const auto now = at(elapsedMs);
-        return plan.next(m_ledger.state, m_ledger.ledger, list, now, now, startedMs + elapsedMs);
+        return plan.next(
+            m_ledger.state,
+            {m_ledger.ledger, list, now, now, startedMs + elapsedMs, maximumOrders, moving});
+    }
+    /*! \brief Records that the maintenance of \a host is finished. */
+    auto finish(const std::string &host) -> void
+    {
+        Control::Command command;
+        command.finishWaveHost = Control::FinishWaveHost{1, host};
+        m_ledger.state.apply(command, startedMs);
     }
     auto at(std::int64_t elapsedMs) const -> Utils::Instant
     {
@@ -62,6 +80,8 @@
 
     Execution::HostList list;
     Execution::MaintenancePlan plan;
+    std::int64_t maximumOrders = 100;
+    std::set<std::string> moving;
 
 private:
     LedgerFixture m_ledger;
@@ -150,4 +170,79 @@
     EXPECT_EQ(work.begin[0].host, "b");
 }
 
+TEST(MaintenancePlan, LeavesIdleHostsOpenForWhichTheProviderAcceptsNoOrderYet)
+{
+    WaveFixture fixture(6, 6);
+    fixture.maximumOrders = 2;
+    const auto first = fixture.next(0);
+    EXPECT_EQ(first.begin.size(), 2U);
+    EXPECT_EQ(first.close.size(), 2U);
+    EXPECT_EQ(fixture.next(100).begin.size(), 2U);
+}
+
+TEST(MaintenancePlan, OrdersNoMaintenanceOfHostThatIsBeingMoved)
+{
+    WaveFixture fixture(2, 2);
+    fixture.moving = {"a"};
+    const auto work = fixture.next(0);
+    ASSERT_EQ(work.begin.size(), 1U);
+    EXPECT_EQ(work.begin[0].host, "b");
+    EXPECT_EQ(work.close, std::vector<std::string>{"b"});
+    fixture.moving.clear();
+    EXPECT_EQ(fixture.next(100).begin.size(), 1U);
+}
+
+TEST(MaintenancePlan, RepeatsRefusedOrderOnlyOnceANewerListOfHostsIsThere)
+{
+    WaveFixture fixture(1, 1);
+    const auto first = fixture.next(0);
+    ASSERT_EQ(first.begin.size(), 1U);
+    fixture.plan.ordered(first.begin[0], HostOrderResult::Busy, fixture.at(100));
+    EXPECT_TRUE(fixture.next(100).begin.empty());
+    EXPECT_EQ(fixture.next(101).begin.size(), 1U);
+}
+
+// A wave of 120 idle hosts begins while a burst needs 150 other hosts. The provider accepts 100
+// orders a second. Without a common limit, the first orders of the wave alone exceed it, and the
+// provider refuses moves for which callers wait.
+TEST(MaintenancePlan, WaveThatBeginsInABurstHardlyDelaysMovesAndExceedsNoRate)
+{
+    constexpr std::int64_t ordersPerS = 100;
+    constexpr std::int64_t tickMs = 100;
+    constexpr std::size_t ticksPerS = 10;
+    WaveFixture fixture(120, 60);
+    Execution::OrderBudget budget(ordersPerS);
+    std::int64_t movesLeft = 150;
+    std::int64_t movesDoneMs = 0;
+    auto movesWait = false;
+    std::vector<std::int64_t> ordersByTick;
+    std::size_t maintained = 0;
+    for (std::int64_t nowMs = 0; nowMs < 10'000; nowMs += tickMs) {
+        const auto available = budget.available(fixture.at(nowMs));
+        fixture.maximumOrders = movesWait ? Execution::maintenanceShare(available) : available;
+        const auto begun = fixture.next(nowMs).begin;
+        for (const auto &step : begun) {
+            fixture.plan.ordered(step, HostOrderResult::Accepted, fixture.at(nowMs));
+            fixture.finish(step.host);
+        }
+        budget.take(std::int64_t(begun.size()));
+        const auto forMoves = budget.available(fixture.at(nowMs));
+        const auto moves = std::min(movesLeft, forMoves);
+        budget.take(moves);
+        movesWait = moves >= forMoves;
+        movesLeft -= moves;
+        movesDoneMs = movesLeft > 0 ? nowMs : movesDoneMs;
+        maintained += begun.size();
+        ordersByTick.push_back(std::int64_t(begun.size()) + moves);
+    }
+    EXPECT_EQ(maintained, 120U);
+    EXPECT_EQ(movesLeft, 0);
+    // At the full rate, the moves alone take 1.5 s, and both together 2.7 s.
+    EXPECT_LE(movesDoneMs, 2500);
+    for (std::size_t first = 0; first + ticksPerS <= ordersByTick.size(); ++first) {
+        const auto begin = ordersByTick.begin() + std::ptrdiff_t(first);
+        EXPECT_LE(std::accumulate(begin, begin + ticksPerS, std::int64_t(0)), ordersPerS);
+    }
+}
+
 } // namespace
