Do not take an endpoint for ended when an earlier leader had its host maintained

Cause: the provider of hosts accepts an order that it has already carried out. A leader told such orders apart only if it had given them itself. Where an earlier leader had a host maintained, but fell before that was recorded, the next one ordered it again, removed the endpoint that had started since, and started its tasks elsewhere.

All orders for a wave that began in an earlier term now count as possibly repeated. Whether such an order, or an earlier one, was carried out is decided by the next list of hosts: a host in maintenance, or with another endpoint, shows that the old one has ended; the same endpoint shows that it started afterwards. Until then it stays closed and counts as unavailable.

Ruled out: comparing the endpoint's birth with the start of the wave, since clocks may jump; waiting for polls alone, since an endpoint that has ended would be polled until its lease runs out, and never removed.

Tests: two of MaintenancePlan and LeaderSession.KeepsEndpointThatStartedAfterAnEarlierLeaderHadItsHostMaintained, which failed before. The fixture's wave begins within the term now unless a test lets it begin before.

--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -71,7 +71,7 @@
 {
     while (m_active) {
         updateDemand();
-        if (hasOpenWave())
+        if (hasOpenWave() || m_maintenance.hasUnconfirmedOrders())
             co_await runWaves();
         if (!m_active)
             co_return;
@@ -131,6 +131,18 @@
         m_ledger.setClosed(endpoint, true);
     for (const auto &endpoint : work.evacuate)
         m_ledger.evacuate(endpoint);
+    for (const auto &endpoint : work.open) {
+        Utils::Log::info("execution",
+                         "an earlier order had maintained the host before its endpoint started",
+                         {{"endpoint", endpoint}});
+        m_ledger.setEndOrdered(endpoint, false);
+        m_ledger.setClosed(endpoint, false);
+    }
+    for (const auto &incarnation : work.ended)
+        AsyncNet::start(m_parts.loop,
+                        "maintained endpoint",
+                        endIncarnation(incarnation, "its host has been maintained"),
+                        shared_from_this());
     for (const auto &step : work.begin) {
         // The plan does not know of the other orders of this pass, so the limit is checked again.
         if (!m_ledger.canLose(step.incarnation.id)) {
@@ -178,9 +190,7 @@
         co_return;
     }
     // The provider also accepts an order that it has already carried out, so this incarnation may
-    // have started after the maintenance. Polls show whether it is still running.
-    m_ledger.setEndOrdered(step.incarnation.id, false);
-    m_ledger.setClosed(step.incarnation.id, false);
+    // have started after the maintenance. The next list of hosts shows it.
     const auto committed = co_await commitUntilDone(std::move(commands));
     if (committed)
         wake();
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -41,8 +41,10 @@
 
 auto LeaderSession::start() -> void
 {
-    m_parts.state.read(
-        [&](const Control::State &state) { m_ledger.begin(m_term, state, m_parts.clock.now()); });
+    m_parts.state.read([&](const Control::State &state) {
+        m_ledger.begin(m_term, state, m_parts.clock.now());
+        m_maintenance.begin(state);
+    });
     Utils::Log::info("execution",
                      "starts to lead",
                      {{"term", m_term}, {"endpoints", m_ledger.endpoints().size()}});
--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -57,6 +57,13 @@
 
 } // namespace
 
+auto MaintenancePlan::begin(const Control::State &state) -> void
+{
+    m_inheritedWaves.clear();
+    for (const auto &[number, wave] : state.waves)
+        m_inheritedWaves.insert(number);
+}
+
 auto MaintenancePlan::next(const Control::State &state, const MaintenanceView &view)
     -> MaintenanceWork
 {
@@ -66,6 +73,7 @@
     HostsByName byName;
     for (const auto &host : view.hosts.hosts)
         byName[host.name] = &host;
+    confirmOrders(view, byName, work);
     const HostOccupancy occupancy(view.ledger, view.hosts);
     for (const auto &[number, wave] : state.waves) {
         if (!wave.isDone())
@@ -74,6 +82,32 @@
     return work;
 }
 
+// Decides whether an accepted order was carried out now or before, by a list requested afterwards.
+auto MaintenancePlan::confirmOrders(const MaintenanceView &view,
+                                    const HostsByName &hosts,
+                                    MaintenanceWork &work) -> void
+{
+    std::erase_if(m_unconfirmed, [&](const auto &item) {
+        const auto &[name, order] = item;
+        const auto found = hosts.find(name);
+        if (view.listedAt <= order.at || found == hosts.end())
+            return false;
+        const auto &host = *found->second;
+        if (host.state == HostState::Maintenance || host.state == HostState::Moving) {
+            work.ended.push_back(order.incarnation);
+            return true;
+        }
+        // The list does not show yet what runs there.
+        if (host.state == HostState::Down || host.endpoint.empty())
+            return false;
+        if (host.endpoint == order.incarnation.id)
+            work.open.push_back(order.incarnation.id);
+        else
+            work.ended.push_back(order.incarnation);
+        return true;
+    });
+}
+
 // Returns true if the host was refused after the list was requested. The list does not show why.
 auto MaintenancePlan::waitsForNewerList(const std::string &host, const MaintenanceView &view) const
     -> bool
@@ -150,7 +184,8 @@
         if (holdsLongRunning(view.ledger, host.endpoint))
             work.evacuate.push_back(host.endpoint);
         if (mayOrder && (candidate.empty || (due && view.ledger.canLose(host.endpoint)))) {
-            const auto repeated = m_orders.contains(host.name);
+            const auto repeated =
+                m_orders.contains(host.name) || m_inheritedWaves.contains(wave.number);
             m_orders[host.name] = {view.now, true};
             work.begin.push_back(
                 {wave.number, host.name, incarnationOf(view.ledger, host.endpoint), repeated});
@@ -172,6 +207,8 @@
     if (result == HostOrderResult::Accepted || result == HostOrderResult::Unknown) {
         m_orders[step.host] = {now, result == HostOrderResult::Unknown};
         m_refused.erase(step.host);
+        if (result == HostOrderResult::Accepted && step.repeated && !step.incarnation.id.empty())
+            m_unconfirmed[step.host] = {step.incarnation, now};
         return;
     }
     m_orders.erase(step.host);
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -33,8 +33,8 @@
     std::string host;
     //! Incarnation of the host's endpoint; its id is empty if there is none.
     Control::EndpointIncarnation incarnation;
-    //! An earlier order for the host was accepted or got no reply. If it was carried out,
-    //! \c incarnation may be the incarnation that started after the maintenance.
+    //! This leader or an earlier one may have ordered the maintenance before. If that order was
+    //! carried out, \c incarnation may be the incarnation that started after the maintenance.
     bool repeated = false;
 };
 
@@ -46,6 +46,10 @@
     std::vector<std::string> close;                //!< Endpoints to close for new tasks.
     //! Closed endpoints whose long-running tasks are to move elsewhere.
     std::vector<std::string> evacuate;
+    //! Incarnations that were ended by an order that was possibly given before.
+    std::vector<Control::EndpointIncarnation> ended;
+    //! Endpoints that started after their host was maintained, to be opened for new tasks again.
+    std::vector<std::string> open;
 };
 
 /*!
@@ -60,8 +64,12 @@
 class MaintenancePlan
 {
 public:
+    /*! \brief Starts a term: earlier leaders may have ordered maintenance for the waves in \a state. */
+    auto begin(const Control::State &state) -> void;
     /*! \brief Returns the next actions. Hosts in \c begin count as unavailable from then on. */
     auto next(const Control::State &state, const MaintenanceView &view) -> MaintenanceWork;
+    /*! \brief Returns true if next() has to be called although all waves are done. */
+    auto hasUnconfirmedOrders() const -> bool { return !m_unconfirmed.empty(); }
     /*! \brief Handles that the order was not sent. */
     auto withdraw(const MaintenanceStep &step) -> void;
     /*! \brief Handles the result of a maintenance order. */
@@ -76,6 +84,12 @@
         Utils::Instant at;
         bool uncertain = false; //!< The order got no reply and may be carried out much later.
     };
+    /*! \brief An accepted order that may already have been carried out before. */
+    struct Unconfirmed
+    {
+        Control::EndpointIncarnation incarnation;
+        Utils::Instant at;
+    };
     /*! \brief A host that one pass may choose for maintenance. */
     struct Candidate
     {
@@ -96,10 +110,14 @@
                  std::vector<Candidate> candidates,
                  std::int64_t unavailable,
                  MaintenanceWork &work) -> void;
+    auto confirmOrders(const MaintenanceView &view, const HostsByName &hosts, MaintenanceWork &work)
+        -> void;
     auto waitsForNewerList(const std::string &host, const MaintenanceView &view) const -> bool;
 
+    std::set<std::int64_t> m_inheritedWaves;           //!< Waves that began in an earlier term.
     std::map<std::string, Utils::Instant> m_preparing; //!< Start of draining by host.
     std::map<std::string, Order> m_orders;             //!< Last order by host.
+    std::map<std::string, Unconfirmed> m_unconfirmed;  //!< Accepted orders by host.
     std::map<std::string, Utils::Instant> m_refused;   //!< Time of the last refusal by host.
 };
 
--- a/tests/auto/execution/fakefleet.cpp
+++ b/tests/auto/execution/fakefleet.cpp
@@ -55,6 +55,7 @@
 
 auto FakeHosts::list() -> AsyncNet::Task<Execution::HostList>
 {
+    ++lists;
     co_return hosts;
 }
 
@@ -62,6 +63,7 @@
     -> AsyncNet::Task<Execution::HostOrderResult>
 {
     ++maintenanceOrders;
+    listsAtLastOrder = lists;
     if (maintenanceResults.empty())
         co_return Execution::HostOrderResult::Accepted;
     const auto result = maintenanceResults.front();
--- a/tests/auto/execution/fakefleet.h
+++ b/tests/auto/execution/fakefleet.h
@@ -51,6 +51,8 @@
     Execution::HostList hosts;
     std::deque<Execution::HostOrderResult> maintenanceResults; //!< Results of the next orders.
     int maintenanceOrders = 0;
+    int lists = 0; //!< Number of lists that were requested.
+    int listsAtLastOrder = 0;
 };
 
 } // namespace ExecutionTest
--- a/tests/auto/execution/tst_leadersession.cpp
+++ b/tests/auto/execution/tst_leadersession.cpp
@@ -30,20 +30,27 @@
         endpoint.addEndpoint->pool = "pool";
         endpoint.addEndpoint->address = "endpoint-1:1";
         endpoint.addEndpoint->capacity = {4000, 8000, 0};
+        apply({configuration, endpoint});
+        hosts.hosts.complete = true;
+        hosts.hosts.hosts.push_back({"host-1", "pool", Execution::HostState::Up, "endpoint-1"});
+    }
+
+    /*! \brief Begins the wave; before a call of leadUntil(), the session inherits it. */
+    auto beginWave() -> void
+    {
         Control::Command wave;
         wave.startWave.emplace();
         wave.startWave->number = 1;
         wave.startWave->hosts = {"host-1"};
         wave.startWave->durationMs = longestTest.count();
         wave.startWave->startedMs = m_clock.wallTime();
-        apply({configuration, endpoint, wave});
-        hosts.hosts.complete = true;
-        hosts.hosts.hosts.push_back({"host-1", "pool", Execution::HostState::Up, "endpoint-1"});
+        apply({wave});
     }
-
     auto isWaveDone() const -> bool
     {
-        return m_state.read([](const Control::State &state) { return state.waves.at(1).isDone(); });
+        return m_state.read([](const Control::State &state) {
+            return state.waves.contains(1) && state.waves.at(1).isDone();
+        });
     }
     auto knowsEndpoint() const -> bool
     {
@@ -59,6 +66,8 @@
             Execution::LedgerTiming(),
             term);
         session->start();
+        if (!m_state.read([](const Control::State &state) { return state.waves.contains(1); }))
+            beginWave();
         const auto deadline = m_clock.now() + longestTest;
         while (!condition() && m_clock.now() < deadline)
             m_loop.run_for(conditionCheck);
@@ -105,4 +114,16 @@
     EXPECT_EQ(fixture.hosts.maintenanceOrders, 1);
 }
 
+TEST(LeaderSession, KeepsEndpointThatStartedAfterAnEarlierLeaderHadItsHostMaintained)
+{
+    SessionFixture fixture;
+    fixture.beginWave();
+    const auto listedAgain = [&] {
+        return fixture.isWaveDone() && fixture.hosts.lists > fixture.hosts.listsAtLastOrder + 2;
+    };
+    EXPECT_TRUE(fixture.leadUntil(listedAgain));
+    EXPECT_EQ(fixture.hosts.maintenanceOrders, 1);
+    EXPECT_TRUE(fixture.knowsEndpoint());
+}
+
 } // namespace
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -60,6 +60,8 @@
             m_ledger.state,
             {m_ledger.ledger, list, now, now, startedMs + elapsedMs, maximumOrders, moving});
     }
+    /*! \brief Starts a term in which the wave has already begun. */
+    auto inheritWave() -> void { plan.begin(m_ledger.state); }
     /*! \brief Records that the maintenance of \a host is finished. */
     auto finish(const std::string &host) -> void
     {
@@ -245,4 +247,43 @@
     }
 }
 
+// An earlier leader may have had the host maintained, and the provider accepts the order again. The
+// endpoint that started afterwards must not be taken for ended, or its tasks would run twice.
+TEST(MaintenancePlan, HostMaintainedByEarlierLeaderKeepsTheEndpointThatStartedAfterwards)
+{
+    WaveFixture fixture(1, 1);
+    fixture.inheritWave();
+    const auto first = fixture.next(0);
+    ASSERT_EQ(first.begin.size(), 1U);
+    EXPECT_TRUE(first.begin[0].repeated);
+    fixture.plan.ordered(first.begin[0], HostOrderResult::Accepted, fixture.at(100));
+    fixture.finish("a");
+    EXPECT_TRUE(fixture.plan.hasUnconfirmedOrders());
+    // This list was requested before the order was accepted.
+    EXPECT_TRUE(fixture.next(100).open.empty());
+    const auto confirmed = fixture.next(200);
+    EXPECT_EQ(confirmed.open, std::vector<std::string>{"a"});
+    EXPECT_TRUE(confirmed.ended.empty());
+    EXPECT_FALSE(fixture.plan.hasUnconfirmedOrders());
+}
+
+TEST(MaintenancePlan, OrderOfInheritedWaveEndsTheEndpointOnceAListShowsTheMaintenance)
+{
+    for (const auto restarted : {false, true}) {
+        WaveFixture fixture(1, 1);
+        fixture.inheritWave();
+        const auto first = fixture.next(0);
+        ASSERT_EQ(first.begin.size(), 1U);
+        fixture.plan.ordered(first.begin[0], HostOrderResult::Accepted, fixture.at(100));
+        fixture.finish("a");
+        auto &host = fixture.list.hosts[0];
+        host.state = restarted ? HostState::Up : HostState::Maintenance;
+        host.endpoint = restarted ? "newer" : "";
+        const auto confirmed = fixture.next(200);
+        ASSERT_EQ(confirmed.ended.size(), 1U);
+        EXPECT_EQ(confirmed.ended[0].id, "a");
+        EXPECT_TRUE(confirmed.open.empty());
+    }
+}
+
 } // namespace
