Do not order a move of a host that was just ordered into maintenance

Cause: the list of hosts is up to a second old, so that a host whose maintenance was just ordered still looks up and idle.

Tests: HostMovePlan.RepeatsRefusedMoveOnlyOnceANewerListOfHostsIsThere, LeaderSession.DoesNotMoveHostThatItHasJustOrderedIntoMaintenance; both failed before.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -53,7 +53,8 @@
                           const HostOccupancy &occupancy,
                           const HostInfo &host) const -> bool
 {
-    if (host.state != HostState::Up || m_moving.contains(host.name) || !occupancy.isEmpty(host))
+    if (host.state != HostState::Up || m_moving.contains(host.name) || m_refused.contains(host.name)
+        || !occupancy.isEmpty(host))
         return false;
     if (host.endpoint.empty())
         return true;
@@ -228,12 +229,14 @@
         return false;
     }
     m_moving.erase(step.host);
+    m_refused[step.host] = now;
     return !step.incarnation.id.empty();
 }
 
 auto HostMovePlan::takeUnmoved(const HostList &hosts, Utils::Instant listedAt)
     -> std::vector<std::string>
 {
+    std::erase_if(m_refused, [listedAt](const auto &item) { return item.second < listedAt; });
     std::vector<std::string> unmoved;
     for (auto moving = m_moving.begin(); moving != m_moving.end();) {
         const auto &[name, order] = *moving;
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -61,7 +61,7 @@
     */
     auto ordered(const MoveStep &step, HostOrderResult result, Utils::Instant now) -> bool;
     /*!
-        \brief Removes the moves that are complete or overdue.
+        \brief Removes the moves that are complete or overdue, and outdated refusals.
 
         Returns the endpoints of overdue hosts that are still in their old pool in \a hosts.
     */
@@ -103,6 +103,8 @@
     std::map<std::string, Trend> m_trends;             //!< Trends by pool.
     std::map<std::string, Utils::Instant> m_idleSince; //!< Start of the idle time by endpoint.
     std::map<std::string, Moving> m_moving;            //!< Moves in progress by host.
+    //! Time of the last refusal by host. The host is not chosen again before a newer list is there.
+    std::map<std::string, Utils::Instant> m_refused;
     std::set<std::string> m_releasing; //!< Endpoints closed so that their hosts can move.
     Utils::Instant m_observedAt;
     Utils::Instant m_firstObserved;
--- a/tests/auto/execution/fakefleet.cpp
+++ b/tests/auto/execution/fakefleet.cpp
@@ -59,9 +59,10 @@
     co_return hosts;
 }
 
-auto FakeHosts::maintain(std::string, std::int64_t, std::int64_t)
+auto FakeHosts::maintain(std::string host, std::int64_t, std::int64_t)
     -> AsyncNet::Task<Execution::HostOrderResult>
 {
+    maintained.insert(host);
     ++maintenanceOrders;
     listsAtLastOrder = lists;
     if (maintenanceResults.empty())
@@ -71,9 +72,11 @@
     co_return result;
 }
 
-auto FakeHosts::move(std::string, std::string, std::int64_t)
+auto FakeHosts::move(std::string host, std::string, std::int64_t)
     -> AsyncNet::Task<Execution::HostOrderResult>
 {
+    ++moveOrders;
+    movesOfMaintained += maintained.contains(host) ? 1 : 0;
     co_return Execution::HostOrderResult::Refused;
 }
 
--- a/tests/auto/execution/fakefleet.h
+++ b/tests/auto/execution/fakefleet.h
@@ -3,6 +3,7 @@
 #include "execution/leadersession.h"
 
 #include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,6 +52,9 @@
     Execution::HostList hosts;
     std::deque<Execution::HostOrderResult> maintenanceResults; //!< Results of the next orders.
     int maintenanceOrders = 0;
+    std::set<std::string> maintained; //!< Hosts for which maintenance was ordered.
+    int moveOrders = 0;               //!< All of them are refused.
+    int movesOfMaintained = 0;        //!< Move orders for hosts in maintained.
     int lists = 0; //!< Number of lists that were requested.
     int listsAtLastOrder = 0;
 };
--- a/tests/auto/execution/tst_hostmoveplan.cpp
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -39,16 +39,28 @@
         for (std::int64_t number = 0; number < endpoints; ++number)
             m_ledger.poll("endpoint-" + std::to_string(number));
     }
-    auto movesAt(std::int64_t elapsedMs) -> std::size_t
+    auto movesAt(std::int64_t elapsedMs) -> std::size_t { return stepsAt(elapsedMs).size(); }
+    auto stepsAt(std::int64_t elapsedMs) -> std::vector<Execution::MoveStep>
     {
-        const auto now = Utils::Instant(Utils::Milliseconds(1'000'000 + elapsedMs));
+        const auto now = at(elapsedMs);
         m_ledger.ledger.updateDemand(1'700'000'000'000);
         m_plan.observe(m_ledger.ledger, now);
         return m_plan.next(m_ledger.state.configuration, m_ledger.ledger, m_list, hostsOff, now)
-            .steps.size();
+            .steps;
+    }
+    auto refuse(const Execution::MoveStep &step, std::int64_t elapsedMs) -> void
+    {
+        m_plan.ordered(step, Execution::HostOrderResult::Busy, at(elapsedMs));
     }
+    /*! \brief Hands the plan a list of hosts that was requested at \a elapsedMs. */
+    auto listAgain(std::int64_t elapsedMs) -> void { m_plan.takeUnmoved(m_list, at(elapsedMs)); }
 
 private:
+    static auto at(std::int64_t elapsedMs) -> Utils::Instant
+    {
+        return Utils::Instant(Utils::Milliseconds(1'000'000 + elapsedMs));
+    }
+
     LedgerFixture m_ledger;
     Execution::HostList m_list;
     Execution::HostMovePlan m_plan;
@@ -73,6 +85,24 @@
     EXPECT_GT(fixture.movesAt(2000), 0U);
 }
 
+// Repeated orders that the provider refuses use up its rate, so that it refuses other moves, too.
+TEST(HostMovePlan, RepeatsRefusedMoveOnlyOnceANewerListOfHostsIsThere)
+{
+    TakeOverFixture fixture;
+    fixture.poll(hostsUp);
+    const auto steps = fixture.stepsAt(0);
+    ASSERT_FALSE(steps.empty());
+    for (const auto &step : steps)
+        fixture.refuse(step, 50);
+    std::set<std::string> refused;
+    for (const auto &step : steps)
+        refused.insert(step.host);
+    for (const auto &step : fixture.stepsAt(100))
+        EXPECT_FALSE(refused.contains(step.host));
+    fixture.listAgain(60);
+    EXPECT_GT(fixture.movesAt(200), 0U);
+}
+
 // The list of hosts does not show an endpoint that has just started. Its host must not be moved
 // while tasks run there.
 TEST(HostMovePlan, DoesNotMoveHostWhoseEndpointIsNotListedYet)
--- a/tests/auto/execution/tst_leadersession.cpp
+++ b/tests/auto/execution/tst_leadersession.cpp
@@ -13,6 +13,7 @@
 constexpr Utils::Milliseconds conditionCheck{20};
 constexpr std::int64_t term = 3;
 constexpr double hostOrdersPerS = 50;
+constexpr auto sparePool = "spare";
 
 /*! \brief A leader with one endpoint whose host is due for maintenance. */
 class SessionFixture
@@ -24,6 +25,7 @@
         configuration.configuration.emplace();
         configuration.configuration->version = 1;
         configuration.configuration->pools.push_back({"pool", true, false});
+        configuration.configuration->pools.push_back({sparePool, true, true});
         Control::Command endpoint;
         endpoint.addEndpoint.emplace();
         endpoint.addEndpoint->incarnation = {"endpoint-1", 1000};
@@ -35,6 +37,13 @@
         hosts.hosts.hosts.push_back({"host-1", "pool", Execution::HostState::Up, "endpoint-1"});
     }
 
+    /*! \brief Puts the endpoint on host-0, and adds hosts of a spare pool without endpoints. */
+    auto addIdleHosts(const std::vector<std::string> &names) -> void
+    {
+        hosts.hosts.hosts = {{"host-0", "pool", Execution::HostState::Up, "endpoint-1"}};
+        for (const auto &name : names)
+            hosts.hosts.hosts.push_back({name, sparePool, Execution::HostState::Up, {}});
+    }
     /*! \brief Begins the wave; before a call of leadUntil(), the session inherits it. */
     auto beginWave() -> void
     {
@@ -126,4 +135,15 @@
     EXPECT_TRUE(fixture.knowsEndpoint());
 }
 
+// The list of hosts is up to a second old. A host that was ordered into maintenance since then must
+// not be chosen for a move, which the provider would refuse in place of others.
+TEST(LeaderSession, DoesNotMoveHostThatItHasJustOrderedIntoMaintenance)
+{
+    SessionFixture fixture;
+    fixture.addIdleHosts({"host-1", "host-2", "host-3"});
+    EXPECT_TRUE(
+        fixture.leadUntil([&] { return fixture.isWaveDone() && fixture.hosts.moveOrders > 0; }));
+    EXPECT_EQ(fixture.hosts.movesOfMaintained, 0);
+}
+
 } // namespace
