Return the runs of a step as a class that the linter can read

The linter reports errors in runledger.cpp since: its compiler does not accept the subrange that RunTable::ofStep returns in an algorithm of std::ranges.

--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -60,7 +60,7 @@
     return runs;
 }
 
-auto RunTable::ofStep(const Jobs::TaskId &task) const -> std::ranges::subrange<Runs::const_iterator>
+auto RunTable::ofStep(const Jobs::TaskId &task) const -> Part
 {
     auto first = task;
     first.index = 0;
@@ -71,7 +71,8 @@
 
 auto RunTable::countOfStep(const Jobs::TaskId &task) const -> std::int64_t
 {
-    return std::ranges::distance(ofStep(task));
+    const auto runs = ofStep(task);
+    return std::distance(runs.begin(), runs.end());
 }
 
 auto RunTable::count(const Run &run, int by) -> void
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -8,7 +8,6 @@
 
 #include <map>
 #include <optional>
-#include <ranges>
 #include <set>
 #include <string>
 #include <vector>
@@ -60,6 +59,21 @@
 {
 public:
     using Runs = std::map<Jobs::TaskId, Run>;
+    /*! \brief Consecutive runs of the table. */
+    class Part
+    {
+    public:
+        Part(Runs::const_iterator begin, Runs::const_iterator end)
+            : m_begin(begin)
+            , m_end(end)
+        {}
+        auto begin() const { return m_begin; }
+        auto end() const { return m_end; }
+
+    private:
+        Runs::const_iterator m_begin;
+        Runs::const_iterator m_end;
+    };
 
     auto begin() const { return m_runs.begin(); }
     auto end() const { return m_runs.end(); }
@@ -81,7 +95,7 @@
     auto holdsLongRunning() const -> bool { return m_longRunning > 0; }
     auto holdsBackfill() const -> bool { return m_backfill > 0; }
     /*! \brief Returns the runs that belong to the same step and occurrence as \a task. */
-    auto ofStep(const Jobs::TaskId &task) const -> std::ranges::subrange<Runs::const_iterator>;
+    auto ofStep(const Jobs::TaskId &task) const -> Part;
     /*! \brief Returns the number of runs that belong to the same step and occurrence as \a task. */
     auto countOfStep(const Jobs::TaskId &task) const -> std::int64_t;
 
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -175,7 +175,8 @@
         const auto &endpoint = found->second;
         if (id == withoutEndpoint || !endpoint.answers || endpoint.endOrdered)
             continue;
-        unavailable -= std::ranges::count_if(endpoint.runs.ofStep(task), [&](const auto &item) {
+        const auto runs = endpoint.runs.ofStep(task);
+        unavailable -= std::count_if(runs.begin(), runs.end(), [&](const auto &item) {
             const auto &run = item.second;
             return run.task.index != task.index && run.state == RunState::Running && !run.stopReason
                    && run.percent >= fullPercent;
