Do not rank and search for each waiting job while its pool is full

Callers saw: at a burst all jobs of a queue are late, long after the load has fallen.

Cause: a scheduling pass costs more the more jobs wait, just when the leader's core is used up. Each waiting job was ranked and sorted. For each waiting step with a limit of tasks per host, the tasks of the step were counted on all endpoints of its pool, and its failure did not tell that the next one needs no search.

A job whose ready tasks need more than the roomiest endpoint of the pool has free takes no part in the pass. Tasks of a step are counted on the endpoints of its job only, and a step for which no open endpoint has room ends the search for all that need as much. The line 'load of the leader' tells how many searches the last pass made.

Tests: RunLedger.FullPoolIsNotSearchedForEachWaitingJob, EqualStepsWithoutRoomAreSearchedForOnce, JobProgress.ReadyWorkLeavesOutStepsThatWaitForEarlierOnes.

--- a/src/libs/execution/jobprogress.cpp
+++ b/src/libs/execution/jobprogress.cpp
@@ -1,6 +1,7 @@
 #include "jobprogress.h"
 
 #include "scheduling/joborder.h"
+#include "scheduling/placement.h"
 
 #include <algorithm>
 
@@ -40,7 +41,7 @@
             const auto count = std::size_t(spec.count);
             found->second.push_back({std::vector(count, TaskState::Open), count, 0});
         }
-        m_hasReadyTask.reset();
+        m_readyWork.reset();
     }
     return found->second;
 }
@@ -55,7 +56,7 @@
 
 auto JobProgress::mayStart(std::int64_t wallMs) -> bool
 {
-    if (hasReadyTask())
+    if (cachedReadyWork().tasks > 0)
         return true;
     const auto begun = std::int64_t(m_occurrences.size());
     if (m_spec.repetition.count == 0)
@@ -63,22 +64,35 @@
     return begun < m_spec.occurrences() && m_spec.dueMs(begun) <= wallMs;
 }
 
+auto JobProgress::readyWork() -> std::optional<ReadyWork>
+{
+    if (m_spec.repetition.count > 0 || m_occurrences.empty())
+        return std::nullopt;
+    return cachedReadyWork();
+}
+
+auto JobProgress::cachedReadyWork() -> const ReadyWork &
+{
+    if (!m_readyWork)
+        m_readyWork = computeReadyWork();
+    return *m_readyWork;
+}
+
 // Open tasks of steps that wait for earlier steps do not count, so that most jobs in progress take no
 // part in a scheduling pass.
-auto JobProgress::hasReadyTask() -> bool
+auto JobProgress::computeReadyWork() const -> ReadyWork
 {
-    if (m_hasReadyTask)
-        return *m_hasReadyTask;
-    const auto ready = std::ranges::any_of(m_occurrences, [this](const auto &item) {
-        const auto &steps = item.second;
+    ReadyWork work;
+    for (const auto &[number, steps] : m_occurrences) {
         for (std::size_t index = 0; index < steps.size(); ++index) {
-            if (steps[index].open > 0 && isReady(steps, index))
-                return true;
+            if (steps[index].open == 0 || !isReady(steps, index))
+                continue;
+            const auto demand = Scheduling::occupiedBy(m_spec.steps[index]);
+            work.leastDemand = work.tasks == 0 ? demand : leastOf(work.leastDemand, demand);
+            work.tasks += steps[index].open;
         }
-        return false;
-    });
-    m_hasReadyTask = ready;
-    return ready;
+    }
+    return work;
 }
 
 auto JobProgress::hasBookedTask() const -> bool
@@ -119,7 +133,7 @@
     const auto opened = std::size_t(state == TaskState::Open ? 1 : 0);
     const auto closed = std::size_t(current == TaskState::Open ? 1 : 0);
     step.open += opened - closed;
-    m_hasReadyTask.reset();
+    m_readyWork.reset();
     if (state == TaskState::Done) {
         ++step.done;
         m_remainingMs.erase(task.occurrence);
--- a/src/libs/execution/jobprogress.h
+++ b/src/libs/execution/jobprogress.h
@@ -17,6 +17,14 @@
     Done,
 };
 
+/*! \brief The tasks of a job that can start, because they are open and their step is ready. */
+struct ReadyWork
+{
+    std::size_t tasks = 0;
+    //! Lower bound of the resources of each of these tasks.
+    Jobs::Resources leastDemand;
+};
+
 /*!
     \brief The leader's view of a job's tasks.
 
@@ -52,6 +60,8 @@
     auto currentOccurrence() -> std::int64_t;
     /*! \brief Returns true if a task that can start may belong to an occurrence due at \a wallMs. */
     auto mayStart(std::int64_t wallMs) -> bool;
+    /*! \brief Returns what the tasks that can start need; nothing if an occurrence may have to begin. */
+    auto readyWork() -> std::optional<ReadyWork>;
     /*! \brief Returns true if a task is booked. */
     auto hasBookedTask() const -> bool;
     /*! \brief Returns the expected time of the longest chain of unfinished steps. */
@@ -70,7 +80,8 @@
 
 private:
     auto find(const Jobs::TaskId &task) const -> const Step *;
-    auto hasReadyTask() -> bool;
+    auto computeReadyWork() const -> ReadyWork;
+    auto cachedReadyWork() -> const ReadyWork &;
 
     Jobs::JobSpec m_spec;
     std::vector<std::int64_t> m_durationsMs;
@@ -78,8 +89,8 @@
     std::int64_t m_chainMs;
     std::map<std::int64_t, Occurrence> m_occurrences;
     std::set<std::string> m_endpoints;
-    //! Cached hasReadyTask(); reset when the state of a task changes.
-    std::optional<bool> m_hasReadyTask;
+    //! Cached computeReadyWork(); reset when the state of a task changes.
+    std::optional<ReadyWork> m_readyWork;
     std::int64_t m_firstNotDone = 0; //!< All occurrences before this one are done.
     //! Cached remainingMs() by occurrence; reset when a task is done.
     std::map<std::int64_t, std::int64_t> m_remainingMs;
--- a/src/libs/execution/leaderlog.cpp
+++ b/src/libs/execution/leaderlog.cpp
@@ -115,6 +115,7 @@
                       {"loop_ms", inMilliseconds(load.loopTime)},
                       {"scheduling_ms", inMilliseconds(load.workedOn(LeaderWork::Scheduling))},
                       {"passes", load.timesOf(LeaderWork::Scheduling)},
+                      {"searches", m_ledger.searches()},
                       {"polls_ms", inMilliseconds(load.workedOn(LeaderWork::PollReplies))},
                       {"polls", load.timesOf(LeaderWork::PollReplies)},
                       {"hosts_ms", inMilliseconds(load.workedOn(LeaderWork::Hosts))},
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -142,6 +142,8 @@
     auto waitingTasks() const -> std::size_t { return m_waitingTasks; }
     /*! \brief Returns the demand of each pool at the last call of updateDemand(). */
     auto demand() const -> const std::map<std::string, PoolDemand> & { return m_demand; }
+    /*! \brief Returns for how many steps the last pass looked for room in their pool. */
+    auto searches() const -> std::size_t { return m_searches; }
     /*! \brief Returns how much of the capacity of \a pool is in use at \a now. */
     auto useOf(std::string_view pool, Utils::Instant now) const -> PoolUse;
     /*! \brief Computes the demand of each pool. */
@@ -154,12 +156,14 @@
         std::vector<EndpointEntry *> endpoints;
         std::vector<Scheduling::EndpointView> views;
         Utils::Instant now;
+        Jobs::Resources mostFree; //!< Upper bound of the free resources of each open endpoint.
         std::vector<Jobs::Resources> tooLarge; //!< Demands that no open endpoint has room for.
     };
     struct Candidate
     {
         Scheduling::JobRank rank;
         JobProgress *job;
+        PoolPlacement *pool;
     };
 
     auto placementFor(const std::string &pool, Utils::Instant now) -> PoolPlacement;
@@ -189,6 +193,12 @@
     auto rankOf(JobProgress &job, std::int64_t wallMs) const -> Scheduling::JobRank;
     auto startJob(JobProgress &job, PoolPlacement &pool, std::int64_t wallMs, Orders &orders)
         -> void;
+    static auto countTasksOfStep(const JobProgress &job,
+                                 const Jobs::TaskId &first,
+                                 const PoolPlacement &pool) -> std::vector<std::int64_t>;
+    auto placementOf(std::map<std::string, PoolPlacement> &pools,
+                     const std::string &pool,
+                     Utils::Instant now) -> PoolPlacement &;
     auto startStep(JobProgress &job, const Jobs::TaskId &first, PoolPlacement &pool, Orders &orders)
         -> void;
     auto startGang(JobProgress &job, const Jobs::TaskId &first, PoolPlacement &pool, Orders &orders)
@@ -225,6 +235,7 @@
     std::unordered_set<std::string> m_startedJobs; //!< Jobs of m_jobs that have been started.
     std::map<std::string, PoolDemand> m_demand;
     std::size_t m_waitingTasks = 0;
+    std::size_t m_searches = 0;
 };
 
 } // namespace Execution
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -248,6 +248,8 @@
         view.holdsLongRunning = endpoint->holdsLongRunning();
         view.recentFailures = endpoint->failureStreak;
         view.open = acceptsTasks(*endpoint, now);
+        if (view.open)
+            placement.mostFree = mostOf(placement.mostFree, view.free);
     }
     return placement;
 }
@@ -293,20 +295,33 @@
 auto RunLedger::startTasks(Utils::Instant now, std::int64_t wallMs, Orders &orders) -> void
 {
     std::vector<Candidate> candidates;
-    for (auto &[id, job] : m_jobs) {
-        if (job.mayStart(wallMs))
-            candidates.push_back({rankOf(job, wallMs), &job});
-    }
-    std::ranges::sort(candidates, std::less<>(), &Candidate::rank);
     std::map<std::string, PoolPlacement> pools;
     m_waitingTasks = 0;
-    for (const auto &candidate : candidates) {
-        const auto &pool = candidate.job->spec().pool;
-        auto found = pools.find(pool);
-        if (found == pools.end())
-            found = pools.emplace(pool, placementFor(pool, now)).first;
-        startJob(*candidate.job, found->second, wallMs, orders);
+    m_searches = 0;
+    for (auto &[id, job] : m_jobs) {
+        if (!job.mayStart(wallMs))
+            continue;
+        auto &pool = placementOf(pools, job.spec().pool, now);
+        const auto work = job.readyWork();
+        // In a full pool most jobs wait, so they are neither ranked nor sorted.
+        if (work && !work->leastDemand.fitsInto(pool.mostFree)) {
+            m_waitingTasks += work->tasks;
+            continue;
+        }
+        candidates.push_back({rankOf(job, wallMs), &job, &pool});
     }
+    std::ranges::sort(candidates, std::less<>(), &Candidate::rank);
+    for (const auto &candidate : candidates)
+        startJob(*candidate.job, *candidate.pool, wallMs, orders);
+}
+
+auto RunLedger::placementOf(std::map<std::string, PoolPlacement> &pools,
+                            const std::string &pool,
+                            Utils::Instant now) -> PoolPlacement &
+{
+    const auto found = pools.find(pool);
+    return found != pools.end() ? found->second
+                                : pools.emplace(pool, placementFor(pool, now)).first->second;
 }
 
 auto RunLedger::startJob(JobProgress &job, PoolPlacement &pool, std::int64_t wallMs, Orders &orders)
@@ -330,6 +345,23 @@
     }
 }
 
+// Returns the number of tasks of the step on each endpoint of the pool.
+auto RunLedger::countTasksOfStep(const JobProgress &job,
+                                 const Jobs::TaskId &first,
+                                 const PoolPlacement &pool) -> std::vector<std::int64_t>
+{
+    std::vector<std::int64_t> counts(pool.endpoints.size(), 0);
+    // The endpoints of a pool are sorted by id. Only those of the job are looked at, since a large
+    // pool has hundreds of others.
+    const auto idOf = [](const auto *endpoint) { return endpoint->record.incarnation.id; };
+    for (const auto &id : job.endpoints()) {
+        const auto found = std::ranges::lower_bound(pool.endpoints, id, {}, idOf);
+        if (found != pool.endpoints.end() && idOf(*found) == id)
+            counts[std::size_t(found - pool.endpoints.begin())] = (*found)->runs.countOfStep(first);
+    }
+    return counts;
+}
+
 auto RunLedger::startStep(JobProgress &job,
                           const Jobs::TaskId &first,
                           PoolPlacement &pool,
@@ -340,23 +372,22 @@
     const auto refused = [&demand](const auto &tooLarge) { return tooLarge.fitsInto(demand); };
     if (std::ranges::any_of(pool.tooLarge, refused))
         return;
-    std::vector<std::int64_t> tasksOfStep;
-    if (spec.maximumPerHost > 0 || spec.longRunning) {
-        for (const auto *endpoint : pool.endpoints)
-            tasksOfStep.push_back(endpoint->runs.countOfStep(first));
+    ++m_searches;
+    if (!Scheduling::hasRoom(pool.views, demand)) {
+        pool.tooLarge.push_back(demand);
+        return;
     }
+    std::vector<std::int64_t> tasksOfStep;
+    if (spec.maximumPerHost > 0 || spec.longRunning)
+        tasksOfStep = countTasksOfStep(job, first, pool);
     auto task = first;
     for (task.index = 0; task.index < spec.count; ++task.index) {
         if (job.state(task) != TaskState::Open)
             continue;
         const auto chosen = Scheduling::chooseEndpoint(pool.views, {&spec, tasksOfStep});
-        if (!chosen) {
-            // A label or a limit per host may be the cause, in which case other steps may still
-            // have room.
-            if (spec.maximumPerHost == 0 && spec.requiredLabel.empty())
-                pool.tooLarge.push_back(demand);
+        // A label or a limit per host may be the cause, so other steps may still have room.
+        if (!chosen)
             return;
-        }
         auto &view = pool.views[*chosen];
         view.free -= demand;
         view.servesUsers = view.servesUsers || spec.latencyTargetMs > 0;
--- a/src/libs/fleetmodel/demand.cpp
+++ b/src/libs/fleetmodel/demand.cpp
@@ -12,8 +12,10 @@
 // Upper limits of the drawn values, relative to the mean.
 constexpr double longestTaskFactor = 2.5;
 constexpr double widestStepFactor = 4;
+constexpr double largestTaskFactor = 3;
 constexpr double widthSpread = 0.6;
 constexpr std::int64_t jobIdDigits = 16;
+constexpr std::int64_t spreadOutTasksPerHost = 2;
 
 // Draws from the log-normal distribution with this mean; spread is the deviation of the logarithm.
 auto drawLogNormal(std::mt19937_64 &engine, double mean, double spread) -> double
@@ -35,6 +37,20 @@
     return std::max<std::int64_t>(1, std::int64_t(whole) + (roundsUp(engine) ? 1 : 0));
 }
 
+// Draws nothing for a share of 0, so that scenarios without the property keep their jobs.
+auto drawBool(std::mt19937_64 &engine, double share) -> bool
+{
+    return share > 0 && std::bernoulli_distribution(share)(engine);
+}
+
+auto drawMillicores(std::mt19937_64 &engine, const QueueDemand &queue) -> std::int64_t
+{
+    if (queue.millicoresSpread == 0)
+        return std::int64_t(queue.millicores);
+    const auto drawn = drawLogNormal(engine, queue.millicores, queue.millicoresSpread);
+    return std::int64_t(std::min(drawn, queue.millicores * largestTaskFactor));
+}
+
 auto planBatchJob(const QueueDemand &queue, std::mt19937_64 &engine, std::uint64_t number)
     -> PlannedJob
 {
@@ -44,6 +60,7 @@
     job.spec.pool = queue.pool;
     const auto steps = drawStepCount(engine, queue.steps);
     const auto savesProgress = std::bernoulli_distribution(queue.checkpointShare)(engine);
+    const auto spreadOut = drawBool(engine, queue.spreadOutShare);
     for (std::int64_t index = 0; index < steps; ++index) {
         const auto taskMs = std::min(drawLogNormal(engine, queue.taskMs, queue.taskSpread),
                                      queue.taskMs * longestTaskFactor);
@@ -52,7 +69,8 @@
             std::int64_t(std::lround(drawLogNormal(engine, queue.width, widthSpread))),
             1,
             std::int64_t(queue.width * widestStepFactor));
-        step.demand = {std::int64_t(queue.millicores), taskMemoryMb, 0};
+        step.demand = {drawMillicores(engine, queue), taskMemoryMb, 0};
+        step.maximumPerHost = spreadOut ? spreadOutTasksPerHost : 0;
         step.estimateMs = std::int64_t(drawLogNormal(engine, taskMs, queue.estimateSpread));
         step.checkpoints = savesProgress;
         if (index > 0)
--- a/src/libs/fleetmodel/demand.h
+++ b/src/libs/fleetmodel/demand.h
@@ -22,6 +22,8 @@
     double taskMs = 1000;    //!< Mean duration of a task.
     double taskSpread = 0.5; //!< Standard deviation of the logarithm of the task duration.
     double millicores = 1000;
+    double millicoresSpread = 0; //!< Standard deviation of the logarithm of the millicores.
+    double spreadOutShare = 0;   //!< Share of jobs of which a host runs at most two tasks.
     double estimateSpread = 0.5; //!< Standard deviation of log(estimate / true duration).
     double checkpointShare = 0;  //!< Share of jobs whose tasks save checkpoints.
     double stretch = 1.6;
@@ -66,6 +68,8 @@
     archive.optional("task_ms", queue.taskMs);
     archive.optional("task_spread", queue.taskSpread);
     archive.optional("millicores", queue.millicores);
+    archive.optional("millicores_spread", queue.millicoresSpread);
+    archive.optional("spread_out_share", queue.spreadOutShare);
     archive.optional("estimate_spread", queue.estimateSpread);
     archive.optional("checkpoint_share", queue.checkpointShare);
     archive.optional("stretch", queue.stretch);
--- a/src/libs/jobs/jobtypes.h
+++ b/src/libs/jobs/jobtypes.h
@@ -2,6 +2,7 @@
 
 #include "utils/fields.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -42,6 +43,22 @@
     }
 };
 
+/*! \brief Returns the smaller amount of each resource. */
+inline auto leastOf(const Resources &first, const Resources &second) -> Resources
+{
+    return {std::min(first.cpuMillicores, second.cpuMillicores),
+            std::min(first.memoryMb, second.memoryMb),
+            std::min(first.gpus, second.gpus)};
+}
+
+/*! \brief Returns the larger amount of each resource. */
+inline auto mostOf(const Resources &first, const Resources &second) -> Resources
+{
+    return {std::max(first.cpuMillicores, second.cpuMillicores),
+            std::max(first.memoryMb, second.memoryMb),
+            std::max(first.gpus, second.gpus)};
+}
+
 /*! \brief One step of a job, which consists of \c count equal tasks. */
 struct StepSpec
 {
--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -59,4 +59,11 @@
     return best;
 }
 
+auto hasRoom(std::span<const EndpointView> endpoints, const Jobs::Resources &demand) -> bool
+{
+    return std::ranges::any_of(endpoints, [&demand](const EndpointView &endpoint) {
+        return endpoint.open && demand.fitsInto(endpoint.free);
+    });
+}
+
 } // namespace Scheduling
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -44,4 +44,7 @@
 auto chooseEndpoint(std::span<const EndpointView> endpoints, const PlacementRequest &request)
     -> std::optional<std::size_t>;
 
+/*! \brief Returns true if an open endpoint has room for \a demand, regardless of other limits. */
+auto hasRoom(std::span<const EndpointView> endpoints, const Jobs::Resources &demand) -> bool;
+
 } // namespace Scheduling
--- a/tests/auto/execution/fakefleet.h
+++ b/tests/auto/execution/fakefleet.h
@@ -55,7 +55,7 @@
     std::set<std::string> maintained; //!< Hosts for which maintenance was ordered.
     int moveOrders = 0;               //!< All of them are refused.
     int movesOfMaintained = 0;        //!< Move orders for hosts in maintained.
-    int lists = 0; //!< Number of lists that were requested.
+    int lists = 0;                    //!< Number of lists that were requested.
     int listsAtLastOrder = 0;
 };
 
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -28,7 +28,7 @@
     record.incarnation = {id, 1000};
     record.pool = poolName;
     record.address = id + ":1";
-    record.capacity = {4000, 8000, 0};
+    record.capacity = capacity;
     Control::Command command;
     command.addEndpoint = record;
     state.apply(command, m_wallMs);
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -12,6 +12,7 @@
 {
 public:
     static constexpr std::int64_t term = 7;
+    static constexpr Jobs::Resources capacity{4000, 8000, 0}; //!< Capacity of each endpoint.
 
     LedgerFixture();
 
--- a/tests/auto/execution/tst_jobprogress.cpp
+++ b/tests/auto/execution/tst_jobprogress.cpp
@@ -17,6 +17,7 @@
     job.spec.id = "job";
     job.spec.steps = {plainStep(2), plainStep(2)};
     job.spec.steps[1].after = {0};
+    job.spec.steps[1].demand.cpuMillicores *= 2;
     const std::vector<std::int64_t> durationsMs{100, 100};
     return JobProgress(job, durationsMs);
 }
@@ -47,4 +48,17 @@
     EXPECT_FALSE(job.hasBookedTask());
 }
 
+TEST(JobProgress, ReadyWorkLeavesOutStepsThatWaitForEarlierOnes)
+{
+    auto job = twoSteps();
+    EXPECT_FALSE(job.readyWork()); // The occurrence has not begun.
+    job.occurrence(0);
+    EXPECT_EQ(job.readyWork()->tasks, 2U);
+    EXPECT_EQ(job.readyWork()->leastDemand, job.spec().steps[0].demand);
+    job.setState({"job", 0, 0, 0}, TaskState::Done);
+    EXPECT_EQ(job.readyWork()->tasks, 1U);
+    job.setState({"job", 0, 0, 1}, TaskState::Done);
+    EXPECT_EQ(job.readyWork()->leastDemand, job.spec().steps[1].demand);
+}
+
 } // namespace
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -10,6 +10,7 @@
 
 constexpr Utils::Milliseconds longerThanAnyLease{6300};
 constexpr Utils::Milliseconds longerThanAStopRetry{750};
+constexpr std::size_t waitingJobs = 50;
 
 auto readyTask(const LedgerFixture &fixture, std::int64_t index)
     -> std::vector<Execution::RunningTask>
@@ -17,6 +18,24 @@
     return {{fixture.task("job", index), 1, "", 100, 0}};
 }
 
+/*! \brief Returns a step of one task that takes up a whole endpoint. */
+auto wholeEndpointStep() -> Jobs::StepSpec
+{
+    auto step = plainStep(1);
+    step.demand = LedgerFixture::capacity;
+    return step;
+}
+
+/*! \brief Adds jobs of one task each that must not share a host with another of its step. */
+auto addWaitingJobs(LedgerFixture &fixture) -> void
+{
+    auto step = plainStep(1);
+    step.demand = {1000, 100, 0};
+    step.maximumPerHost = 1;
+    for (std::size_t job = 0; job < waitingJobs; ++job)
+        fixture.addJob("waiting-" + std::to_string(job), step);
+}
+
 /*! \brief Starts one task each on "a" and "b", of a step that may have one unavailable task. */
 auto runOneTaskOnEach(LedgerFixture &fixture) -> void
 {
@@ -525,6 +544,49 @@
     EXPECT_EQ(fixture.use().unconfirmedRuns, 0);
 }
 
+// With a long backlog, a search for each waiting step takes up the leader's core, so that all work of
+// a burst is late.
+TEST(RunLedger, FullPoolIsNotSearchedForEachWaitingJob)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("first", wholeEndpointStep());
+    fixture.begin();
+    fixture.poll("a");
+    ASSERT_EQ(fixture.schedule().starts.size(), 1U);
+    addWaitingJobs(fixture);
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    EXPECT_EQ(fixture.ledger.searches(), 1U);
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    EXPECT_EQ(fixture.ledger.searches(), 0U);
+    EXPECT_EQ(fixture.ledger.waitingTasks(), waitingJobs);
+}
+
+// Also steps with a limit of tasks per host must not be searched for one by one.
+TEST(RunLedger, EqualStepsWithoutRoomAreSearchedForOnce)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    auto allCores = wholeEndpointStep();
+    allCores.demand.memoryMb = 0;
+    auto allMemory = wholeEndpointStep();
+    allMemory.demand.cpuMillicores = 0;
+    fixture.addJob("cores", allCores);
+    fixture.begin();
+    fixture.poll("a");
+    ASSERT_EQ(fixture.schedule().starts.size(), 1U);
+    fixture.ledger.setClosed("a", true);
+    fixture.poll("b");
+    fixture.addJob("memory", allMemory);
+    ASSERT_EQ(fixture.schedule().starts.size(), 1U);
+    fixture.ledger.setClosed("a", false);
+    addWaitingJobs(fixture);
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    EXPECT_EQ(fixture.ledger.searches(), 1U);
+    EXPECT_EQ(fixture.ledger.waitingTasks(), waitingJobs);
+}
+
 TEST(RunLedger, RestartsLongRunningTaskAfterAnyEnd)
 {
     LedgerFixture fixture;
