Leave a host whose maintenance was refused out of the plans until the next list

Found by reading: a refusal put the host back into the state 'up' in the leader's list, although a newer list may have shown by then that it moves or is down. It would have been chosen for a move, and refused once more. It now keeps the mark until the next list, which comes within about a second.

--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -150,7 +150,7 @@
             continue;
         }
         m_ledger.setEndOrdered(step.incarnation.id, true);
-        setHostState(step.host, HostState::Maintenance);
+        markMaintained(step.host);
         m_hostOrders.take(1);
         AsyncNet::start(m_parts.loop, "maintenance", maintainHost(step), shared_from_this());
     }
@@ -166,13 +166,13 @@
     co_await commit(std::move(commands));
 }
 
-// Notes an order in the list of hosts, which is replaced only once a second, so that the host is not
-// chosen for another order meanwhile.
-auto LeaderSession::setHostState(std::string_view name, HostState state) -> void
+// Marks the host in the list, which is replaced about once a second, so that the host is not chosen
+// for another order before the next list shows what became of it.
+auto LeaderSession::markMaintained(std::string_view name) -> void
 {
     const auto host = std::ranges::find(m_hosts.hosts, name, &HostInfo::name);
     if (host != m_hosts.hosts.end())
-        host->state = state;
+        host->state = HostState::Maintenance;
 }
 
 auto LeaderSession::maintainHost(MaintenanceStep step) -> Task
@@ -180,10 +180,8 @@
     const auto result = co_await m_parts.hosts.maintain(step.host, step.wave, m_term);
     if (!m_active)
         co_return;
-    if (result != HostOrderResult::Accepted && result != HostOrderResult::Unknown) {
+    if (result != HostOrderResult::Accepted && result != HostOrderResult::Unknown)
         m_ledger.setEndOrdered(step.incarnation.id, false);
-        setHostState(step.host, HostState::Up);
-    }
     m_maintenance.ordered(step, result, m_parts.clock.now());
     Utils::Log::info("execution",
                      "ordered maintenance of a host",
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -80,7 +80,7 @@
     auto planMaintenance() -> MaintenanceWork;
     auto runWaves() -> Task;
     auto orderMoves() -> void;
-    auto setHostState(std::string_view name, HostState state) -> void;
+    auto markMaintained(std::string_view host) -> void;
     auto maintainHost(MaintenanceStep step) -> Task;
     auto moveHost(MoveStep step) -> Task;
     auto forgetEndpoint(Control::EndpointIncarnation incarnation,
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -56,10 +56,10 @@
     \brief Chooses which hosts of the waves are drained and maintained next.
 
     The plan makes at most as many hosts of a wave unavailable at once as the wave allows, and orders
-    no more than the provider of hosts accepts. Hosts that run no tasks go first. Only as many busy hosts are drained at once as the remaining time
-    requires. They are closed for new tasks, and maintained once no task runs there, or once the
-    time for draining is over and the steps of their tasks allow it. The class sends nothing and
-    reads no clock.
+    no more than the provider of hosts accepts. Hosts that run no tasks go first. Only as many busy
+    hosts are drained at once as the remaining time requires. They are closed for new tasks, and
+    maintained once no task runs there, or once the time for draining is over and the steps of their
+    tasks allow it. The class sends nothing and reads no clock.
 */
 class MaintenancePlan
 {
