Look up a run that a poll lists only once

Callers saw: at a burst the leader's core is used up, and all jobs of the burst are late.

Cause: each reply lists all runs of its endpoint. For each of them the job was looked up twice and the task's state once, although a known run needs neither, and each run was then compared with all rows of the reply.

A known run is found once and marked as listed. Its job is looked up only for a checkpoint, or if the run is new.

Ruled out: replies without the runs that have not changed, since a reply is also what settles a run that is gone.

Tests: those of RunLedger that play replies with unknown, gone, repeated and older runs; no decision changes.

--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -251,7 +251,7 @@
     for (const auto &end : reply.ended)
         processEnd(endpoint, end, now, effects);
     for (const auto &row : reply.running)
-        adopt(endpoint, row, now);
+        updateRun(endpoint, row, now);
     reconcile(endpoint, reply, sentAt);
     // Inherited tasks that the reply lists neither as running nor as ended were never started here
     // or have ended for good, so they can be started again.
@@ -311,48 +311,54 @@
     }
 }
 
-// Updates the run that a poll reply lists. Adds the run if this leader does not know the run or
-// knows only an earlier run of the task.
-auto RunLedger::adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> void
+// Updates the run that a poll reply lists. Polls list mostly known runs, so the job is not looked up
+// for these.
+auto RunLedger::updateRun(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now)
+    -> void
 {
     auto *run = endpoint.runs.find(row.task);
     if (run != nullptr && run->number > row.run)
         return;
-    const auto *spec = specOf(row.task);
-    const auto job = m_jobs.find(row.task.job);
-    const auto wanted =
-        spec != nullptr && job != m_jobs.end() && job->second.state(row.task) != TaskState::Done;
-    if (run == nullptr || run->number < row.run) {
-        // The spec does not matter if the job is unknown, since the run is then only stopped.
-        auto adopted = makeRun(spec != nullptr ? *spec : Jobs::StepSpec(), row.task, row.run);
-        adopted.state = RunState::Running;
-        adopted.confirmedAt = now;
-        adopted.adopted = true;
-        endpoint.inherited.erase(row.task);
-        if (!wanted)
-            adopted.requestStop(StopReason::NotWanted);
-        else if (isBooked(row.task))
-            adopted.requestStop(StopReason::SecondRun);
-        else if (endpoint.draining && adopted.longRunning)
-            adopted.requestStop(StopReason::Draining);
-        m_stopsDue = m_stopsDue || adopted.stopReason;
-        run = &endpoint.runs.add(adopted);
-        m_startedJobs.insert(row.task.job);
-        if (wanted) {
-            job->second.addEndpoint(endpoint.record.incarnation.id);
-            job->second.setState(row.task, TaskState::Booked);
-        }
-    }
+    if (run == nullptr || run->number < row.run)
+        run = &adopt(endpoint, row, now);
     if (run->state != RunState::Running) {
         run->state = RunState::Running;
         run->confirmedAt = now;
     }
+    run->listed = true;
     run->percent = row.percent;
     run->load = row.load;
-    if (!row.checkpoint.empty() && wanted)
+    if (!row.checkpoint.empty() && findUnfinished(row.task) != nullptr)
         m_checkpoints[row.task] = row.checkpoint;
 }
 
+// Adds a run that a poll reply lists and that this leader does not know, or of which it knows only an
+// earlier run.
+auto RunLedger::adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> Run &
+{
+    auto *job = findUnfinished(row.task);
+    const auto *spec = specOf(row.task);
+    // The spec does not matter if the job is unknown, since the run is then only stopped.
+    auto adopted = makeRun(spec != nullptr ? *spec : Jobs::StepSpec(), row.task, row.run);
+    adopted.state = RunState::Running;
+    adopted.confirmedAt = now;
+    adopted.adopted = true;
+    endpoint.inherited.erase(row.task);
+    if (job == nullptr)
+        adopted.requestStop(StopReason::NotWanted);
+    else if (isBooked(row.task))
+        adopted.requestStop(StopReason::SecondRun);
+    else if (endpoint.draining && adopted.longRunning)
+        adopted.requestStop(StopReason::Draining);
+    m_stopsDue = m_stopsDue || adopted.stopReason;
+    m_startedJobs.insert(row.task.job);
+    if (job != nullptr) {
+        job->addEndpoint(endpoint.record.incarnation.id);
+        job->setState(row.task, TaskState::Booked);
+    }
+    return endpoint.runs.add(adopted);
+}
+
 // Removes the runs that are gone according to a poll reply: listed neither as running nor as ended.
 auto RunLedger::reconcile(EndpointEntry &endpoint, const PollReply &reply, Utils::Instant sentAt)
     -> void
@@ -360,9 +366,7 @@
     std::vector<Jobs::TaskId> gone;
     for (auto &item : endpoint.runs) {
         auto &run = item.second;
-        const auto listed = std::ranges::any_of(reply.running, [&run](const RunningTask &row) {
-            return row.task == run.task && row.run == run.number;
-        });
+        const auto listed = std::exchange(run.listed, false);
         run.unlisted = !listed && std::max(run.orderedAt, run.confirmedAt) < sentAt;
         if (listed)
             continue;
@@ -405,6 +409,15 @@
     return job != m_jobs.end() ? job->second.specOf(task) : nullptr;
 }
 
+// Returns the job of \a task if the task still has to be done, or nullptr.
+auto RunLedger::findUnfinished(const Jobs::TaskId &task) -> JobProgress *
+{
+    const auto job = m_jobs.find(task.job);
+    const auto unfinished = job != m_jobs.end() && job->second.specOf(task) != nullptr
+                            && job->second.state(task) != TaskState::Done;
+    return unfinished ? &job->second : nullptr;
+}
+
 auto RunLedger::isBooked(const Jobs::TaskId &task) const -> bool
 {
     const auto job = m_jobs.find(task.job);
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -168,7 +168,9 @@
 
     auto placementFor(const std::string &pool, Utils::Instant now) -> PoolPlacement;
     auto acceptsTasks(const EndpointEntry &endpoint, Utils::Instant now) const -> bool;
-    auto adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> void;
+    auto updateRun(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> void;
+    auto adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> Run &;
+    auto findUnfinished(const Jobs::TaskId &task) -> JobProgress *;
     auto processEnd(EndpointEntry &endpoint,
                     const EndedTask &end,
                     Utils::Instant now,
