Walk the list of hosts once for the loads of all pools

Cause: ten times a second, the loads were computed by walking all hosts and all endpoints once for each pool, with a look-up of the pending move of each host; the occupancy of hosts was computed twice; and each endpoint was looked up twice in the table of idle times.

The list is walked once, and the table of idle times is merged with the endpoints, since both are sorted.

Tests: those of HostMovePlan; no decision changes.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -38,15 +38,24 @@
         if (!first && elapsed > 0)
             trend.millicoresPerMs += weight * (change / elapsed - trend.millicoresPerMs);
     }
+    updateIdleSince(ledger, now);
+}
+
+auto HostMovePlan::updateIdleSince(const RunLedger &ledger, Utils::Instant now) -> void
+{
+    // Both are sorted by id.
+    auto known = m_idleSince.begin();
     for (const auto &[id, endpoint] : ledger.endpoints()) {
+        while (known != m_idleSince.end() && known->first < id)
+            known = m_idleSince.erase(known);
+        const auto wasIdle = known != m_idleSince.end() && known->first == id;
         const auto idle = endpoint.polled && endpoint.runs.empty();
-        if (!idle)
-            m_idleSince.erase(id);
-        else
-            m_idleSince.try_emplace(id, now);
+        if (wasIdle)
+            known = idle ? std::next(known) : m_idleSince.erase(known);
+        else if (idle)
+            m_idleSince.emplace_hint(known, id, now);
     }
-    std::erase_if(m_idleSince,
-                  [&](const auto &item) { return !ledger.endpoints().contains(item.first); });
+    m_idleSince.erase(known, m_idleSince.end());
 }
 
 auto HostMovePlan::isIdle(const RunLedger &ledger,
@@ -64,11 +73,9 @@
            && (!endpoint->second.closed || m_releasing.contains(host.endpoint));
 }
 
-auto HostMovePlan::loadOf(const Control::Pool &pool,
-                          const RunLedger &ledger,
-                          const HostOccupancy &occupancy,
-                          const HostList &hosts,
-                          Utils::Instant now) const -> Scheduling::PoolLoad
+// Returns the load of the pool without its hosts.
+auto HostMovePlan::demandOf(const Control::Pool &pool, const RunLedger &ledger) const
+    -> Scheduling::PoolLoad
 {
     Scheduling::PoolLoad load;
     load.name = pool.name;
@@ -81,39 +88,63 @@
     // Demand in a burst keeps rising while a host is being moved.
     if (const auto trend = m_trends.find(pool.name); trend != m_trends.end())
         load.batchMillicores += std::max(0.0, trend->second.millicoresPerMs) * lookAheadMs;
-    for (const auto &[id, endpoint] : ledger.endpoints())
-        load.hostMillicores = std::max(load.hostMillicores, endpoint.record.capacity.cpuMillicores);
-    for (const auto &host : hosts.hosts) {
-        const auto moving = m_moving.find(host.name);
-        if (moving != m_moving.end()) {
-            load.hosts += moving->second.step.to == pool.name ? 1 : 0;
-            continue;
-        }
-        if (host.pool != pool.name || host.state == HostState::Down)
-            continue;
-        const auto endpoint = ledger.endpoints().find(host.endpoint);
-        const auto leaves =
-            endpoint != ledger.endpoints().end()
-            && (endpoint->second.draining || endpoint->second.leaving || endpoint->second.closed);
-        load.hosts += leaves ? 0 : 1;
-        if (!isIdle(ledger, occupancy, host))
-            continue;
-        ++load.idleHosts;
-        const auto since = m_idleSince.find(host.endpoint);
-        load.parkableHosts += since != m_idleSince.end() && now - since->second > parkAfter ? 1 : 0;
-    }
     return load;
 }
 
+// Adds a host to the load of the pool that it is in or moves to.
+auto HostMovePlan::addHost(const HostInfo &host,
+                           const RunLedger &ledger,
+                           const HostOccupancy &occupancy,
+                           Utils::Instant now,
+                           std::span<Scheduling::PoolLoad> loads) const -> void
+{
+    const auto moving = m_moving.find(host.name);
+    const auto &pool = moving != m_moving.end() ? moving->second.step.to : host.pool;
+    const auto load = std::ranges::find(loads, pool, &Scheduling::PoolLoad::name);
+    if (load == loads.end())
+        return;
+    if (moving != m_moving.end()) {
+        ++load->hosts;
+        return;
+    }
+    if (host.state == HostState::Down)
+        return;
+    const auto endpoint = ledger.endpoints().find(host.endpoint);
+    const auto leaves =
+        endpoint != ledger.endpoints().end()
+        && (endpoint->second.draining || endpoint->second.leaving || endpoint->second.closed);
+    load->hosts += leaves ? 0 : 1;
+    if (!isIdle(ledger, occupancy, host))
+        return;
+    ++load->idleHosts;
+    const auto since = m_idleSince.find(host.endpoint);
+    load->parkableHosts += since != m_idleSince.end() && now - since->second > parkAfter ? 1 : 0;
+}
+
 auto HostMovePlan::loads(const Control::Configuration &configuration,
                          const RunLedger &ledger,
                          const HostList &hosts,
                          Utils::Instant now) const -> std::vector<Scheduling::PoolLoad>
 {
-    const HostOccupancy occupancy(ledger, hosts);
+    return loads(configuration, ledger, HostOccupancy(ledger, hosts), hosts, now);
+}
+
+auto HostMovePlan::loads(const Control::Configuration &configuration,
+                         const RunLedger &ledger,
+                         const HostOccupancy &occupancy,
+                         const HostList &hosts,
+                         Utils::Instant now) const -> std::vector<Scheduling::PoolLoad>
+{
+    std::int64_t hostMillicores = 0;
+    for (const auto &[id, endpoint] : ledger.endpoints())
+        hostMillicores = std::max(hostMillicores, endpoint.record.capacity.cpuMillicores);
     std::vector<Scheduling::PoolLoad> loads;
-    for (const auto &pool : configuration.pools)
-        loads.push_back(loadOf(pool, ledger, occupancy, hosts, now));
+    for (const auto &pool : configuration.pools) {
+        loads.push_back(demandOf(pool, ledger));
+        loads.back().hostMillicores = hostMillicores;
+    }
+    for (const auto &host : hosts.hosts)
+        addHost(host, ledger, occupancy, now, loads);
     return loads;
 }
 
@@ -146,7 +177,8 @@
     if (!hosts.complete || !mayMove(ledger, hosts, now))
         return moves;
     const HostOccupancy occupancy(ledger, hosts);
-    const auto plan = Scheduling::planTransfers(loads(configuration, ledger, hosts, now));
+    const auto plan =
+        Scheduling::planTransfers(loads(configuration, ledger, occupancy, hosts, now));
     for (auto transfer : plan.transfers) {
         transfer.count = std::min(transfer.count, maximumMoves - std::int64_t(moves.steps.size()));
         for (auto &step : chooseHosts(transfer, ledger, occupancy, hosts, now))
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -82,11 +82,18 @@
         Utils::Instant at;
     };
 
-    auto loadOf(const Control::Pool &pool,
-                const RunLedger &ledger,
-                const HostOccupancy &occupancy,
-                const HostList &hosts,
-                Utils::Instant now) const -> Scheduling::PoolLoad;
+    auto updateIdleSince(const RunLedger &ledger, Utils::Instant now) -> void;
+    auto demandOf(const Control::Pool &pool, const RunLedger &ledger) const -> Scheduling::PoolLoad;
+    auto addHost(const HostInfo &host,
+                 const RunLedger &ledger,
+                 const HostOccupancy &occupancy,
+                 Utils::Instant now,
+                 std::span<Scheduling::PoolLoad> loads) const -> void;
+    auto loads(const Control::Configuration &configuration,
+               const RunLedger &ledger,
+               const HostOccupancy &occupancy,
+               const HostList &hosts,
+               Utils::Instant now) const -> std::vector<Scheduling::PoolLoad>;
     auto mayMove(const RunLedger &ledger, const HostList &hosts, Utils::Instant now) const -> bool;
     auto isIdle(const RunLedger &ledger, const HostOccupancy &occupancy, const HostInfo &host) const
         -> bool;
