Name the executor of coroutines, sockets and timers as a type

Callers saw: at a burst the leader's core is used up, and all jobs of the burst are late.

Cause: coroutines used Boost.Asio's default, a polymorphic executor. Each resumption of a coroutine went through virtual calls and an allocated handler. In a profile of the leader, about 10 % of its time was spent in Boost.Asio itself.

All coroutines, sockets and timers of the event loop now have the executor of io_context as their type.

Ruled out: callbacks instead of coroutines on the busiest paths, against the house style.

Tests: those of asyncnet; the soak's relay builds its pair of sockets in place, since g++ warns of the move of one that was never opened.

--- a/src/app/platformprocess.cpp
+++ b/src/app/platformprocess.cpp
@@ -56,7 +56,7 @@
 {
     boost::system::error_code error;
     const auto signal = co_await m_stopSignals.async_wait(
-        AsyncNet::asio::redirect_error(AsyncNet::asio::use_awaitable, error));
+        AsyncNet::asio::redirect_error(AsyncNet::useAwaitable, error));
     Utils::Log::info("app", "stopping", {{"signal", signal}});
     co_await stop();
     Utils::Log::info("app", "stopped");
@@ -68,7 +68,7 @@
     for (;;) {
         boost::system::error_code error;
         co_await m_reloadSignals.async_wait(
-            AsyncNet::asio::redirect_error(AsyncNet::asio::use_awaitable, error));
+            AsyncNet::asio::redirect_error(AsyncNet::useAwaitable, error));
         if (error)
             co_return;
         reload();
--- a/src/libs/asyncnet/connectionpool.cpp
+++ b/src/libs/asyncnet/connectionpool.cpp
@@ -8,7 +8,7 @@
 // half-closed.
 constexpr std::chrono::seconds maximumIdleTime{30};
 
-auto Internal::ConnectionCloser::operator()(boost::beast::tcp_stream *stream) const -> void
+auto Internal::ConnectionCloser::operator()(TcpStream *stream) const -> void
 {
     delete stream;
     --count->open;
@@ -50,7 +50,7 @@
             + Utils::Milliseconds(1));
     }
     ++m_count->open;
-    co_return Connection(new boost::beast::tcp_stream(m_loop), {m_count});
+    co_return Connection(new TcpStream(m_loop), {m_count});
 }
 
 auto ConnectionPool::putBack(const std::string &server, Connection connection) -> void
--- a/src/libs/asyncnet/connectionpool.h
+++ b/src/libs/asyncnet/connectionpool.h
@@ -1,8 +1,7 @@
 #pragma once
 
 #include "task.h"
-
-#include <boost/beast/core/tcp_stream.hpp>
+#include "tcpstream.h"
 
 #include <chrono>
 #include <cstddef>
@@ -32,7 +31,7 @@
 {
     std::shared_ptr<ConnectionCount> count;
 
-    auto operator()(boost::beast::tcp_stream *stream) const -> void;
+    auto operator()(TcpStream *stream) const -> void;
 };
 
 } // namespace Internal
@@ -46,7 +45,7 @@
 class ConnectionPool
 {
 public:
-    using Connection = std::unique_ptr<boost::beast::tcp_stream, Internal::ConnectionCloser>;
+    using Connection = std::unique_ptr<TcpStream, Internal::ConnectionCloser>;
     using Deadline = std::chrono::steady_clock::time_point;
 
     /*! \brief Creates a pool of at most \a limit open connections, idle ones included. */
--- a/src/libs/asyncnet/framelink.cpp
+++ b/src/libs/asyncnet/framelink.cpp
@@ -1,13 +1,13 @@
 #include "framelink.h"
 
 #include "tcpaddress.h"
+#include "tcpstream.h"
 
 #include "utils/log.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
@@ -62,7 +62,7 @@
 class FrameReader
 {
 public:
-    explicit FrameReader(Tcp::socket &socket)
+    explicit FrameReader(TcpSocket &socket)
         : m_socket(socket)
     {}
 
@@ -82,7 +82,7 @@
             boost::system::error_code error;
             const auto bytes = co_await m_socket.async_read_some(
                 m_received.prepare(std::max(missing, minimumReadBytes)),
-                asio::redirect_error(asio::use_awaitable, error));
+                asio::redirect_error(useAwaitable, error));
             if (error)
                 co_return false;
             m_received.commit(bytes);
@@ -107,7 +107,7 @@
         return lengthBytes + body;
     }
 
-    Tcp::socket &m_socket;
+    TcpSocket &m_socket;
     boost::beast::flat_buffer m_received;
     std::size_t m_frameBytes = 0; //!< Size of the frame that next() has read.
 };
@@ -116,12 +116,12 @@
 class FrameWriter : public std::enable_shared_from_this<FrameWriter>
 {
 public:
-    FrameWriter(asio::io_context &loop, Tcp::socket socket)
+    FrameWriter(asio::io_context &loop, TcpSocket socket)
         : m_loop(loop)
         , m_socket(std::move(socket))
     {}
 
-    auto socket() -> Tcp::socket & { return m_socket; }
+    auto socket() -> TcpSocket & { return m_socket; }
 
     auto send(std::string_view frame) -> void
     {
@@ -143,7 +143,7 @@
             const auto bytes = std::exchange(m_unsent, {});
             boost::system::error_code error;
             co_await asio::async_write(
-                m_socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+                m_socket, asio::buffer(bytes), asio::redirect_error(useAwaitable, error));
             if (error) {
                 close();
                 break;
@@ -153,7 +153,7 @@
     }
 
     asio::io_context &m_loop;
-    Tcp::socket m_socket;
+    TcpSocket m_socket;
     std::string m_unsent; //!< Frames that were queued since the last write began.
     bool m_writing = false;
 };
@@ -173,8 +173,7 @@
     {
         while (!stopped) {
             boost::system::error_code error;
-            auto socket =
-                co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            auto socket = co_await acceptor.async_accept(asio::redirect_error(useAwaitable, error));
             if (stopped || error == asio::error::operation_aborted)
                 co_return;
             if (error) {
@@ -224,7 +223,7 @@
 
     asio::io_context &loop;
     FrameHandler handler;
-    Tcp::acceptor acceptor;
+    TcpAcceptor acceptor;
     std::vector<std::weak_ptr<FrameWriter>> connections;
     bool stopped = false;
 };
@@ -344,10 +343,10 @@
     if (!server)
         co_return server.error();
     boost::system::error_code error;
-    // tcp_stream supports a timeout for connecting, which a plain socket does not.
-    boost::beast::tcp_stream stream(d->loop);
+    // TcpStream supports a timeout for connecting, which a plain socket does not.
+    TcpStream stream(d->loop);
     stream.expires_after(timeout);
-    co_await stream.async_connect(server.value(), asio::redirect_error(asio::use_awaitable, error));
+    co_await stream.async_connect(server.value(), asio::redirect_error(useAwaitable, error));
     if (error)
         co_return Utils::failure(
             Utils::ErrorType::Unavailable, "cannot connect to " + d->address, error.message());
--- a/src/libs/asyncnet/httpclient.cpp
+++ b/src/libs/asyncnet/httpclient.cpp
@@ -1,6 +1,7 @@
 #include "httpclient.h"
 
 #include "tcpaddress.h"
+#include "tcpstream.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -57,7 +58,7 @@
     return response;
 }
 
-auto connect(beast::tcp_stream &stream, const std::string &address, SteadyTime deadline)
+auto connect(TcpStream &stream, const std::string &address, SteadyTime deadline)
     -> Task<Utils::Result<void>>
 {
     const auto server = parseTcpAddress(address);
@@ -65,7 +66,7 @@
         co_return server.error();
     boost::system::error_code error;
     stream.expires_at(deadline);
-    co_await stream.async_connect(server.value(), asio::redirect_error(asio::use_awaitable, error));
+    co_await stream.async_connect(server.value(), asio::redirect_error(useAwaitable, error));
     if (error == asio::error::connection_refused)
         co_return Utils::failure(
             Utils::ErrorType::Unavailable, "the server refused the connection", address);
@@ -76,14 +77,14 @@
 }
 
 // Returns whether the connection may be used again, or an error after which it must be closed.
-auto exchange(beast::tcp_stream &stream,
+auto exchange(TcpStream &stream,
               const http::request<http::string_body> &message,
               SteadyTime deadline,
               HttpResponse &response) -> Task<Utils::Result<bool>>
 {
     boost::system::error_code error;
     stream.expires_at(deadline);
-    co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_write(stream, message, asio::redirect_error(useAwaitable, error));
     if (error)
         co_return Utils::failure(Utils::ErrorType::OutcomeUnknown,
                                  "the connection failed while the request was sent",
@@ -91,8 +92,7 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(maximumResponseBytes);
-    co_await http::async_read(
-        stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    co_await http::async_read(stream, buffer, parser, asio::redirect_error(useAwaitable, error));
     if (error)
         co_return Utils::failure(
             Utils::ErrorType::OutcomeUnknown, "no response to the request", error.message());
--- a/src/libs/asyncnet/httplistener.cpp
+++ b/src/libs/asyncnet/httplistener.cpp
@@ -1,6 +1,7 @@
 #include "httplistener.h"
 
 #include "tcpaddress.h"
+#include "tcpstream.h"
 
 #include "utils/log.h"
 
@@ -65,10 +66,10 @@
 public:
     struct Connection
     {
-        explicit Connection(Tcp::socket socket)
+        explicit Connection(TcpSocket socket)
             : stream(std::move(socket))
         {}
-        beast::tcp_stream stream;
+        TcpStream stream;
         std::list<std::shared_ptr<Connection>>::iterator position; //!< Position in idle or busy.
         bool closing = false; //!< Set if it is closed to make room for a new one.
     };
@@ -90,7 +91,7 @@
     asio::io_context &loop;
     std::string name;
     HttpHandler handler;
-    Tcp::acceptor acceptor;
+    TcpAcceptor acceptor;
     HttpListenerLimits limits;
     Connections idle; //!< Connections that wait for a request, the longest idle first.
     Connections busy;
@@ -103,8 +104,7 @@
 {
     while (!stopped) {
         boost::system::error_code error;
-        auto socket =
-            co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+        auto socket = co_await acceptor.async_accept(asio::redirect_error(useAwaitable, error));
         if (stopped || error == asio::error::operation_aborted)
             co_return;
         if (error) {
@@ -150,7 +150,7 @@
     busy.erase(connection->position);
     boost::system::error_code error;
     // A half-close lets the peer read the last response even if it has sent more data.
-    connection->stream.socket().shutdown(Tcp::socket::shutdown_send, error);
+    connection->stream.socket().shutdown(TcpSocket::shutdown_send, error);
 }
 
 auto HttpListener::Private::serveRequests(Connection &connection) -> Task<void>
@@ -164,20 +164,16 @@
         idle.splice(idle.end(), busy, connection.position);
         connection.stream.expires_after(limits.idleTimeout);
         if (buffer.size() == 0) {
-            co_await http::async_read_some(connection.stream,
-                                           buffer,
-                                           parser,
-                                           asio::redirect_error(asio::use_awaitable, error));
+            co_await http::async_read_some(
+                connection.stream, buffer, parser, asio::redirect_error(useAwaitable, error));
         }
         if (connection.closing)
             co_return;
         busy.splice(busy.end(), idle, connection.position);
         if (!error && !parser.is_done()) {
             connection.stream.expires_after(limits.requestTimeout);
-            co_await http::async_read(connection.stream,
-                                      buffer,
-                                      parser,
-                                      asio::redirect_error(asio::use_awaitable, error));
+            co_await http::async_read(
+                connection.stream, buffer, parser, asio::redirect_error(useAwaitable, error));
         }
         if (error == http::error::header_limit || error == http::error::body_limit) {
             co_await sendResponse(
@@ -209,7 +205,7 @@
     boost::system::error_code error;
     connection.stream.expires_after(limits.requestTimeout);
     co_await http::async_write(
-        connection.stream, message, asio::redirect_error(asio::use_awaitable, error));
+        connection.stream, message, asio::redirect_error(useAwaitable, error));
     co_return !error;
 }
 
--- a/src/libs/asyncnet/task.cpp
+++ b/src/libs/asyncnet/task.cpp
@@ -9,10 +9,10 @@
 
 auto pause(Utils::Milliseconds duration) -> Task<void>
 {
-    asio::steady_timer timer(co_await asio::this_coro::executor);
+    Timer timer(co_await asio::this_coro::executor);
     timer.expires_after(duration);
     boost::system::error_code error;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    co_await timer.async_wait(asio::redirect_error(useAwaitable, error));
 }
 
 auto start(asio::io_context &loop,
@@ -41,11 +41,11 @@
 
 auto Signal::waitFor(Utils::Milliseconds duration) -> Task<void>
 {
-    asio::steady_timer timer(m_loop);
+    Timer timer(m_loop);
     timer.expires_after(duration);
     m_waiting.push_back(&timer);
     boost::system::error_code error;
-    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    co_await timer.async_wait(asio::redirect_error(useAwaitable, error));
     std::erase(m_waiting, &timer);
 }
 
--- a/src/libs/asyncnet/task.h
+++ b/src/libs/asyncnet/task.h
@@ -4,15 +4,16 @@
 #include <utility>
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/basic_waitable_timer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "utils/clock.h"
 
+#include <chrono>
 #include <memory>
 #include <string_view>
 #include <vector>
@@ -22,9 +23,24 @@
 
 namespace asio = boost::asio;
 
+/*!
+    \brief The executor of all coroutines, sockets and timers.
+
+    It is named as a type, since the polymorphic executor that is Boost.Asio's default allocates
+    memory for each handler.
+*/
+using Executor = asio::io_context::executor_type;
+
 /*! \brief A coroutine that runs on the event loop. */
 template <typename T>
-using Task = asio::awaitable<T>;
+using Task = asio::awaitable<T, Executor>;
+
+/*! \brief Makes an asynchronous operation of Boost.Asio return a task. */
+inline constexpr asio::use_awaitable_t<Executor> useAwaitable;
+
+using Timer = asio::basic_waitable_timer<std::chrono::steady_clock,
+                                         asio::wait_traits<std::chrono::steady_clock>,
+                                         Executor>;
 
 /*! \brief Waits for \a duration. */
 auto pause(Utils::Milliseconds duration) -> Task<void>;
@@ -51,7 +67,7 @@
 
 private:
     asio::io_context &m_loop;
-    std::vector<asio::steady_timer *> m_waiting;
+    std::vector<Timer *> m_waiting;
 };
 
 } // namespace AsyncNet
--- a/src/libs/asyncnet/tcpaddress.cpp
+++ b/src/libs/asyncnet/tcpaddress.cpp
@@ -4,29 +4,29 @@
 
 namespace AsyncNet {
 
-using Tcp = boost::asio::ip::tcp;
+using Tcp = asio::ip::tcp;
 
 auto parseTcpAddress(const std::string &address) -> Utils::Result<Tcp::endpoint>
 {
     BOOST_OUTCOME_TRY(parsed, Utils::parseAddress(address));
     boost::system::error_code error;
-    const auto ip = boost::asio::ip::make_address(parsed.host, error);
+    const auto ip = asio::ip::make_address(parsed.host, error);
     if (error)
         return Utils::failure(Utils::ErrorType::InvalidInput, "not an IP address", address);
     return Tcp::endpoint(ip, static_cast<unsigned short>(parsed.port));
 }
 
-auto listenOn(Tcp::acceptor &acceptor, const std::string &address) -> Utils::Result<void>
+auto listenOn(TcpAcceptor &acceptor, const std::string &address) -> Utils::Result<void>
 {
     BOOST_OUTCOME_TRY(endpoint, parseTcpAddress(address));
     boost::system::error_code error;
     acceptor.open(endpoint.protocol(), error);
     if (!error)
-        acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
+        acceptor.set_option(TcpAcceptor::reuse_address(true), error);
     if (!error)
         acceptor.bind(endpoint, error);
     if (!error)
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
     if (error)
         return Utils::failure(
             Utils::ErrorType::IoFailure, "cannot listen on " + address, error.message());
--- a/tests/auto/asyncnet/tst_framelink.cpp
+++ b/tests/auto/asyncnet/tst_framelink.cpp
@@ -1,9 +1,8 @@
 #include "asyncnet/framelink.h"
+#include "asyncnet/tcpsocket.h"
 
 #include <gtest/gtest.h>
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -54,29 +53,28 @@
         m_loop.run_for(testTimeout);
         EXPECT_TRUE(m_finished);
     }
-    auto connect(asio::ip::tcp::socket &socket) -> Task<void>
+    auto connect(TcpSocket &socket) -> Task<void>
     {
         const auto port = static_cast<unsigned short>(m_server.port());
         const asio::ip::tcp::endpoint server(asio::ip::make_address("127.0.0.1"), port);
         boost::system::error_code error;
-        co_await socket.async_connect(server, asio::redirect_error(asio::use_awaitable, error));
+        co_await socket.async_connect(server, asio::redirect_error(useAwaitable, error));
         socket.set_option(asio::ip::tcp::no_delay(true), error);
         EXPECT_FALSE(error);
     }
-    auto send(asio::ip::tcp::socket &socket, std::string bytes) -> Task<void>
+    auto send(TcpSocket &socket, std::string bytes) -> Task<void>
     {
         boost::system::error_code error;
         co_await asio::async_write(
-            socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+            socket, asio::buffer(bytes), asio::redirect_error(useAwaitable, error));
     }
     // Reads until the server closes the connection.
-    auto readUntilClosed(asio::ip::tcp::socket &socket) -> Task<void>
+    auto readUntilClosed(TcpSocket &socket) -> Task<void>
     {
         std::string received;
         boost::system::error_code error;
-        co_await asio::async_read(socket,
-                                  asio::dynamic_buffer(received),
-                                  asio::redirect_error(asio::use_awaitable, error));
+        co_await asio::async_read(
+            socket, asio::dynamic_buffer(received), asio::redirect_error(useAwaitable, error));
         EXPECT_EQ(received, "");
     }
     // Waits until the server has received a number of requests.
@@ -136,7 +134,7 @@
 TEST_F(FrameLinkTest, RequestsThatArriveTogetherAreAllHandled)
 {
     const auto exchange = [&]() -> Task<void> {
-        asio::ip::tcp::socket socket(m_loop);
+        TcpSocket socket(m_loop);
         co_await connect(socket);
         co_await send(socket,
                       frameOf(request("a", 1)) + frameOf(request(std::string(5000, 'b'), 2))
@@ -150,7 +148,7 @@
 TEST_F(FrameLinkTest, RequestThatArrivesByteByByteIsHandled)
 {
     const auto exchange = [&]() -> Task<void> {
-        asio::ip::tcp::socket socket(m_loop);
+        TcpSocket socket(m_loop);
         co_await connect(socket);
         for (const auto byte : frameOf(request("a", 1)) + frameOf(request("b", 2)))
             co_await send(socket, std::string(1, byte));
@@ -163,7 +161,7 @@
 TEST_F(FrameLinkTest, ConnectionWithAFrameAboveTheLimitIsClosed)
 {
     const auto exchange = [&]() -> Task<void> {
-        asio::ip::tcp::socket socket(m_loop);
+        TcpSocket socket(m_loop);
         co_await connect(socket);
         co_await send(socket, std::string("\x7f\xff\xff\xff", 4));
         co_await readUntilClosed(socket);
@@ -174,7 +172,7 @@
 TEST_F(FrameLinkTest, ConnectionWithAnEmptyFrameIsClosed)
 {
     const auto exchange = [&]() -> Task<void> {
-        asio::ip::tcp::socket socket(m_loop);
+        TcpSocket socket(m_loop);
         co_await connect(socket);
         co_await send(socket, std::string(4, '\0'));
         co_await readUntilClosed(socket);
--- a/tests/auto/asyncnet/tst_http.cpp
+++ b/tests/auto/asyncnet/tst_http.cpp
@@ -1,5 +1,6 @@
 #include "asyncnet/httpclient.h"
 #include "asyncnet/httplistener.h"
+#include "asyncnet/tcpsocket.h"
 
 #include <gtest/gtest.h>
 
@@ -44,17 +45,16 @@
     auto exchangeRaw(const std::string &address, std::string bytes, std::string &received)
         -> Task<void>
     {
-        asio::ip::tcp::socket socket(m_loop);
+        TcpSocket socket(m_loop);
         const auto port =
             static_cast<unsigned short>(std::stoi(address.substr(address.find(':') + 1)));
         boost::system::error_code error;
         const asio::ip::tcp::endpoint server(asio::ip::make_address("127.0.0.1"), port);
-        co_await socket.async_connect(server, asio::redirect_error(asio::use_awaitable, error));
+        co_await socket.async_connect(server, asio::redirect_error(useAwaitable, error));
         co_await asio::async_write(
-            socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-        co_await asio::async_read(socket,
-                                  asio::dynamic_buffer(received),
-                                  asio::redirect_error(asio::use_awaitable, error));
+            socket, asio::buffer(bytes), asio::redirect_error(useAwaitable, error));
+        co_await asio::async_read(
+            socket, asio::dynamic_buffer(received), asio::redirect_error(useAwaitable, error));
     }
 
     asio::io_context m_loop;
--- a/tests/process/soak/faultrelay.cpp
+++ b/tests/process/soak/faultrelay.cpp
@@ -17,7 +17,7 @@
 
 auto ignoringErrors(boost::system::error_code &error)
 {
-    return asio::redirect_error(asio::use_awaitable, error);
+    return asio::redirect_error(AsyncNet::useAwaitable, error);
 }
 
 } // namespace
@@ -69,7 +69,7 @@
         auto socket = co_await m_acceptor.async_accept(ignoringErrors(error));
         if (error)
             co_return;
-        auto pair = std::make_shared<Pair>(Pair{std::move(socket), Socket(m_loop)});
+        auto pair = std::make_shared<Pair>(std::move(socket), m_loop);
         std::erase_if(m_pairs, [](const auto &known) { return known.expired(); });
         m_pairs.push_back(pair);
         AsyncNet::start(m_loop, "relay connection", serve(pair), shared_from_this());
--- a/tests/process/soak/faultrelay.h
+++ b/tests/process/soak/faultrelay.h
@@ -1,11 +1,10 @@
 #pragma once
 
-#include "asyncnet/task.h"
-
-#include <boost/asio/ip/tcp.hpp>
+#include "asyncnet/tcpsocket.h"
 
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace Soak {
@@ -35,9 +34,13 @@
     auto resetConnections() -> void;
 
 private:
-    using Socket = AsyncNet::asio::ip::tcp::socket;
+    using Socket = AsyncNet::TcpSocket;
     struct Pair
     {
+        Pair(Socket acceptedSocket, AsyncNet::asio::io_context &loop)
+            : caller(std::move(acceptedSocket))
+            , target(loop)
+        {}
         Socket caller;
         Socket target;
     };
@@ -50,7 +53,7 @@
     AsyncNet::asio::io_context &m_loop;
     std::string m_address;
     std::string m_target;
-    AsyncNet::asio::ip::tcp::acceptor m_acceptor;
+    AsyncNet::TcpAcceptor m_acceptor;
     RelayMode m_mode = RelayMode::Pass;
     std::vector<std::weak_ptr<Pair>> m_pairs;
 };
