--- a/tests/auto/platform/tst_codecs.cpp
+++ b/tests/auto/platform/tst_codecs.cpp
@@ -141,6 +141,20 @@
     EXPECT_EQ(reply.ended[0].kind, Execution::EndKind::Done);
 }
 
+TEST(OrderCodec, SkipsRowsWithNumbersThatNoEndpointCounts)
+{
+    const auto reply = Platform::decodePollReply(response(200, R"({"clock_ms":1,"running_count":[
+        ["5c0e7a21d94b36f8.0.1.1",1e300,"",100,0],["5c0e7a21d94b36f8.0.1.2",2,"",1e300,0],
+        ["5c0e7a21d94b36f8.0.1.3",3,"",100,-1e300],["5c0e7a21d94b36f8.0.1.4",4,"",100]],"ended":[
+        [1e300,"5c0e7a21d94b36f8.0.1.5",1,"done",""],[6,"5c0e7a21d94b36f8.0.1.6",1e300,"done",""],
+        [9223372036854775807,"5c0e7a21d94b36f8.0.1.7",1,"done",""],
+        [8,"5c0e7a21d94b36f8.0.1.8",1,"done",""]]})"));
+    ASSERT_EQ(reply.running.size(), 1U);
+    EXPECT_EQ(reply.running[0].run, 4);
+    ASSERT_EQ(reply.ended.size(), 1U);
+    EXPECT_EQ(reply.ended[0].number, 8);
+}
+
 TEST(OrderCodec, MapsResponsesToStartResults)
 {
     using Execution::StartResult;
