Send all kinds of orders through a relay in one function

Left by earlier work: start, stop, pace and poll were four copies of one function that differ in three points. These are now a description of the kind of order. The choice of a relay, made for each order, counts instead of building two lists.

No behaviour changes. Tests: RelayTest and RelayChoice.

--- a/src/libs/service/relayedendpoints.cpp
+++ b/src/libs/service/relayedendpoints.cpp
@@ -14,25 +14,41 @@
 // broken.
 constexpr Utils::Milliseconds directDuration{3000};
 
+auto isAnswered(const Execution::StartReply &reply) -> bool
+{
+    return reply.result != Execution::StartResult::Unknown;
+}
+
+auto isAnswered(const Execution::PollReply &reply) -> bool
+{
+    return reply.result != Execution::PollResult::Unknown;
+}
+
+auto isAnswered(Execution::OrderResult result) -> bool
+{
+    return result != Execution::OrderResult::Unknown;
+}
+
 } // namespace
 
 auto chooseRelay(std::span<const RelayView> relays,
                  std::string_view endpoint,
                  std::string_view zone) -> std::optional<std::size_t>
 {
-    std::vector<std::size_t> ready;
-    std::vector<std::size_t> sameZone;
+    const auto isNear = [zone](const RelayView &relay) {
+        return relay.ready && relay.zone == zone;
+    };
+    const auto near = std::size_t(std::ranges::count_if(relays, isNear));
+    const auto ready = std::size_t(std::ranges::count_if(relays, &RelayView::ready));
+    if (ready == 0)
+        return std::nullopt;
+    auto skipped = std::hash<std::string_view>()(endpoint) % (near > 0 ? near : ready);
     for (std::size_t index = 0; index < relays.size(); ++index) {
-        if (!relays[index].ready)
-            continue;
-        ready.push_back(index);
-        if (relays[index].zone == zone)
-            sameZone.push_back(index);
+        const auto fits = near > 0 ? isNear(relays[index]) : relays[index].ready;
+        if (fits && skipped-- == 0)
+            return index;
     }
-    const auto &candidates = sameZone.empty() ? ready : sameZone;
-    if (candidates.empty())
-        return std::nullopt;
-    return candidates[std::hash<std::string_view>()(endpoint) % candidates.size()];
+    return std::nullopt;
 }
 
 RelayedEndpoints::RelayedEndpoints(AsyncNet::asio::io_context &loop,
@@ -86,57 +102,48 @@
         m_directUntil[endpoint] = m_clock.now() + directDuration;
 }
 
-auto RelayedEndpoints::start(Execution::StartOrder order) -> AsyncNet::Task<Execution::StartReply>
+template <typename Order, typename Reply>
+auto RelayedEndpoints::send(Order order, OrderKind<Order, Reply> kind, Utils::Milliseconds timeout)
+    -> AsyncNet::Task<Reply>
 {
     const auto relay = relayFor(order.target);
     if (!relay) {
-        const auto reply = co_await m_direct.start(std::move(order));
+        auto reply = co_await (m_direct.*kind.callDirectly)(std::move(order));
         co_return reply;
     }
-    const auto answer = co_await relay->call(toWire(order), replyTimeout);
-    auto reply = answer ? startReply(*answer) : Execution::StartReply();
-    recordOutcome(order.target.incarnation.id, reply.result != Execution::StartResult::Unknown);
+    const auto answer = co_await relay->call(toWire(order), timeout);
+    auto reply = answer ? kind.decode(*answer) : kind.unanswered;
+    recordOutcome(order.target.incarnation.id, isAnswered(reply));
     co_return reply;
 }
 
+auto RelayedEndpoints::start(Execution::StartOrder order) -> AsyncNet::Task<Execution::StartReply>
+{
+    return send<Execution::StartOrder, Execution::StartReply>(
+        std::move(order), {&EndpointLink::start, startReply, {}}, replyTimeout);
+}
+
 auto RelayedEndpoints::stop(Execution::StopOrder order) -> AsyncNet::Task<Execution::OrderResult>
 {
-    const auto relay = relayFor(order.target);
-    if (!relay) {
-        const auto result = co_await m_direct.stop(std::move(order));
-        co_return result;
-    }
-    const auto answer = co_await relay->call(toWire(order), replyTimeout);
-    const auto result = answer ? orderResult(*answer) : Execution::OrderResult::Unknown;
-    recordOutcome(order.target.incarnation.id, result != Execution::OrderResult::Unknown);
-    co_return result;
+    return send<Execution::StopOrder, Execution::OrderResult>(
+        std::move(order),
+        {&EndpointLink::stop, orderResult, Execution::OrderResult::Unknown},
+        replyTimeout);
 }
 
 auto RelayedEndpoints::pace(Execution::PaceOrder order) -> AsyncNet::Task<Execution::OrderResult>
 {
-    const auto relay = relayFor(order.target);
-    if (!relay) {
-        const auto result = co_await m_direct.pace(std::move(order));
-        co_return result;
-    }
-    const auto answer = co_await relay->call(toWire(order), replyTimeout);
-    const auto result = answer ? orderResult(*answer) : Execution::OrderResult::Unknown;
-    recordOutcome(order.target.incarnation.id, result != Execution::OrderResult::Unknown);
-    co_return result;
+    return send<Execution::PaceOrder, Execution::OrderResult>(
+        std::move(order),
+        {&EndpointLink::pace, orderResult, Execution::OrderResult::Unknown},
+        replyTimeout);
 }
 
 auto RelayedEndpoints::poll(Execution::PollOrder order) -> AsyncNet::Task<Execution::PollReply>
 {
-    const auto relay = relayFor(order.target);
-    if (!relay) {
-        const auto reply = co_await m_direct.poll(std::move(order));
-        co_return reply;
-    }
     const auto timeout = replyTimeout + Utils::Milliseconds(order.waitMs);
-    const auto answer = co_await relay->call(toWire(order), timeout);
-    auto reply = answer ? pollReply(*answer) : Execution::PollReply();
-    recordOutcome(order.target.incarnation.id, reply.result != Execution::PollResult::Unknown);
-    co_return reply;
+    return send<Execution::PollOrder, Execution::PollReply>(
+        std::move(order), {&EndpointLink::poll, pollReply, {}}, timeout);
 }
 
 } // namespace Service
--- a/src/libs/service/relayedendpoints.h
+++ b/src/libs/service/relayedendpoints.h
@@ -54,6 +54,18 @@
     auto poll(Execution::PollOrder order) -> AsyncNet::Task<Execution::PollReply> override;
 
 private:
+    /*! \brief How one kind of order is sent, and what its answer means. */
+    template <typename Order, typename Reply>
+    struct OrderKind
+    {
+        AsyncNet::Task<Reply> (Execution::EndpointLink::*callDirectly)(Order);
+        Reply (*decode)(const Wire::EndpointAnswer &);
+        Reply unanswered;
+    };
+
+    template <typename Order, typename Reply>
+    auto send(Order order, OrderKind<Order, Reply> kind, Utils::Milliseconds timeout)
+        -> AsyncNet::Task<Reply>;
     auto relayFor(const Execution::OrderTarget &target) -> std::shared_ptr<RelayLink>;
     auto recordOutcome(const std::string &endpoint, bool answered) -> void;
 
