Pause the failing endpoint of a pool of two

In a pool of two endpoints of which one fails all that it starts, tasks that found no room on the other one were started on the failing one, again and again, until their jobs had failed as often as the queue allows.

Cause: at most a third of a pool is paused, and a third of two, rounded down, is none.

One endpoint of a pool of two may be paused. The only endpoint of a pool is never paused.

Tests: RunLedger.PausesTheFailingEndpointOfAPoolOfTwo failed before; DoesNotPauseTheOnlyEndpointOfAPool.

--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -26,7 +26,7 @@
 // After this many consecutive failed task ends, an endpoint gets no new tasks for avoidTime.
 constexpr std::int64_t failuresToAvoid = 3;
 constexpr Utils::Milliseconds avoidTime{2500};
-// No further endpoint of a pool is avoided once 1/3 of its endpoints (rounded down) are avoided.
+// At most 1/3 of the endpoints of a pool (rounded down) are avoided, or one in a pool of two.
 constexpr std::size_t avoidedDivisor = 3;
 // An endpoint that refuses a start gets no new tasks for these times.
 constexpr Utils::Milliseconds noRoomPause{250};
@@ -56,6 +56,14 @@
     return highest;
 }
 
+// Returns how many endpoints of a pool may be avoided at the same time.
+auto maximumAvoided(std::size_t endpoints) -> std::size_t
+{
+    if (endpoints < 2)
+        return 0;
+    return std::max<std::size_t>(1, endpoints / avoidedDivisor);
+}
+
 } // namespace
 
 auto RunLedger::schedule(const Control::State &state, Utils::Instant now, std::int64_t wallMs)
@@ -283,7 +291,7 @@
         pool.endpoints, [&](const auto *endpoint) { return pool.now < endpoint->avoidUntil; }));
     for (auto *endpoint : pool.endpoints) {
         if (endpoint->failureStreak < failuresToAvoid || pool.now < endpoint->avoidUntil
-            || avoided >= pool.endpoints.size() / avoidedDivisor)
+            || avoided >= maximumAvoided(pool.endpoints.size()))
             continue;
         endpoint->avoidUntil = pool.now + avoidTime;
         // One more failure after the pause is enough to avoid the endpoint again.
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -47,6 +47,16 @@
     fixture.poll("b", readyTask(fixture, 1));
 }
 
+// Lets the endpoint report that the first tasks of the jobs j1, j2 and j3 failed there.
+auto failThreeTasks(LedgerFixture &fixture, const std::string &endpoint) -> void
+{
+    fixture.poll(endpoint,
+                 {},
+                 {{1, fixture.task("j1"), 1, EndKind::Failed, ""},
+                  {2, fixture.task("j2"), 1, EndKind::Failed, ""},
+                  {3, fixture.task("j3"), 1, EndKind::Failed, ""}});
+}
+
 // A start is recorded before it is ordered, so a task without a recorded start runs nowhere and
 // need not wait for endpoints that do not reply.
 TEST(RunLedger, StartsTasksWithoutRecordedStartAtOnce)
@@ -398,15 +408,41 @@
         fixture.addJob(id, plainStep(1));
     fixture.begin();
     fixture.pollAll();
-    fixture.poll("a",
-                 {},
-                 {{1, fixture.task("j1"), 1, EndKind::Failed, ""},
-                  {2, fixture.task("j2"), 1, EndKind::Failed, ""},
-                  {3, fixture.task("j3"), 1, EndKind::Failed, ""}});
+    failThreeTasks(fixture, "a");
     for (const auto &order : fixture.schedule().starts)
         EXPECT_NE(order.target.incarnation.id, "a");
 }
 
+// A failed task may be started only a few times, so it waits for room on the other endpoint.
+TEST(RunLedger, PausesTheFailingEndpointOfAPoolOfTwo)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    for (const auto *id : {"j1", "j2", "j3"})
+        fixture.addJob(id, plainStep(1));
+    fixture.addJob("large", plainStep(5));
+    fixture.begin();
+    fixture.pollAll();
+    failThreeTasks(fixture, "a");
+    const auto starts = fixture.schedule().starts;
+    EXPECT_EQ(starts.size(), 4U);
+    for (const auto &order : starts)
+        EXPECT_EQ(order.target.incarnation.id, "b");
+}
+
+TEST(RunLedger, DoesNotPauseTheOnlyEndpointOfAPool)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    for (const auto *id : {"j1", "j2", "j3", "j4"})
+        fixture.addJob(id, plainStep(1));
+    fixture.begin();
+    fixture.pollAll();
+    failThreeTasks(fixture, "a");
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
 // An endpoint that ends makes all its tasks of a step unavailable at once. Without this check, an
 // order that ends it could exceed the limit of the step.
 TEST(RunLedger, CannotLoseEndpointWithMoreTasksOfStepThanMayBeUnavailable)
