Refuse requests of peers until the log and the vote are loaded

Cause: the peers' listener opens before the log is loaded, so that peers can call a voter that knows neither its entries nor its vote. The kernel's report of the crash names SegmentLog::append, called by Replica::appendToLog, with no segment. A vote request in that time was granted as if the disk were empty, and replaced the stored vote. Class of fault: an interface that is open before the state behind it is there.

All requests of peers now fail until the log is loaded; the caller tries again after a heartbeat.

Ruled out: to open the listener after loading only. The class is documented to be served before start(), which two programs and the tests rely on, and the order could be changed again without notice. Looked for elsewhere: the listeners of the control service, endpoints, operators and callers open after the log is loaded; observers hold nothing that a request could overwrite.

Tests: ReplicaStartTest.DoesNotVoteTwiceInATermBeforeItsVoteIsLoaded failed before (v3 got a second vote of term 7), and AppendsNoEntriesBeforeItsLogIsLoaded ended with signal 11.

--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <stdexcept>
 
 namespace Replication::Internal {
 namespace {
@@ -77,9 +78,19 @@
     m_commitRevision = m_snapshotRevision;
     m_appliedRevision = m_snapshotRevision;
     m_syncedRevision = m_entries.lastRevision();
+    m_loaded = true;
     return Utils::success();
 }
 
+// Throws if a peer's request must not be processed. The listener is open before the log is loaded:
+// without its log and its vote, this voter could vote twice in a term or lose entries it confirmed.
+auto Replica::requireServing(const std::string &groupId) const -> void
+{
+    requireGroup(groupId, m_options.groupId);
+    if (!m_loaded)
+        throw std::runtime_error("the log is not loaded yet");
+}
+
 auto Replica::loadEntries(std::vector<Store::LogRecord> records) -> void
 {
     const auto base = m_entries.baseRevision();
@@ -379,7 +390,7 @@
 
 auto Replica::status(Wire::StatusReply &reply, const Wire::StatusRequest &request) -> void
 {
-    requireGroup(request.groupId, m_options.groupId);
+    requireServing(request.groupId);
     reply = toWire(currentStatus());
 }
 
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -10,6 +10,7 @@
 #include "store/snapshotstore.h"
 #include "store/votefile.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -123,6 +124,7 @@
 
     // replica.cpp: start and stop, voters, storage failures, status
     auto load() -> Utils::Result<void>;
+    auto requireServing(const std::string &groupId) const -> void;
     auto loadEntries(std::vector<Store::LogRecord> records) -> void;
     auto startTasks() -> void;
     auto transferLeadership(StateLock &lock) -> void;
@@ -210,6 +212,8 @@
     Store::SnapshotStore m_snapshots;
     Store::VoteFile m_voteFile;
 
+    std::atomic_bool m_loaded = false; //!< Peers' requests are refused before.
+
     mutable std::mutex m_mutex;
     std::condition_variable m_workChanged;    //!< Wakes the peers' tasks and the election task.
     std::condition_variable m_peersConfirmed; //!< Wakes confirmLocally() when a peer replied.
--- a/src/libs/replication/replicaelection.cpp
+++ b/src/libs/replication/replicaelection.cpp
@@ -197,7 +197,7 @@
 
 auto Replica::requestVote(Wire::VoteReply &reply, const Wire::VoteRequest &request) -> void
 {
-    requireGroup(request.groupId, m_options.groupId);
+    requireServing(request.groupId);
     requireTarget(request.targetId, m_options.processId);
     const auto term = std::uint64_t(request.term);
     const std::scoped_lock disk(m_diskMutex);
@@ -236,7 +236,7 @@
 auto Replica::takeLeadership(Wire::TransferReply &reply, const Wire::TransferRequest &request)
     -> void
 {
-    requireGroup(request.groupId, m_options.groupId);
+    requireServing(request.groupId);
     requireTarget(request.targetId, m_options.processId);
     const StateLock lock(m_mutex);
     reply.accepted = !m_stopping && std::uint64_t(request.term) == m_vote.term
--- a/src/libs/replication/replicafollower.cpp
+++ b/src/libs/replication/replicafollower.cpp
@@ -125,7 +125,7 @@
 
 auto Replica::appendEntries(Wire::AppendReply &reply, const Wire::AppendRequest &request) -> void
 {
-    requireGroup(request.groupId, m_options.groupId);
+    requireServing(request.groupId);
     requireTarget(request.targetId, m_options.processId);
     const std::scoped_lock disk(m_diskMutex);
     const auto accepted = acceptLeader(request.leaderId, std::uint64_t(request.term));
@@ -197,7 +197,7 @@
 auto Replica::installSnapshot(Wire::SnapshotReply &reply, const Wire::SnapshotRequest &request)
     -> void
 {
-    requireGroup(request.groupId, m_options.groupId);
+    requireServing(request.groupId);
     requireTarget(request.targetId, m_options.processId);
     const std::scoped_lock applying(m_applier.mutex());
     const std::scoped_lock disk(m_diskMutex);
@@ -264,7 +264,7 @@
 
 auto Replica::observe(Wire::ObserveReply &reply, const Wire::ObserveRequest &request) -> void
 {
-    requireGroup(request.groupId, m_options.groupId);
+    requireServing(request.groupId);
     const auto applied = Revision(request.appliedRevision);
     const auto wait =
         std::min(Utils::Milliseconds(request.waitMs), m_options.timing.electionTimeout);
@@ -285,7 +285,7 @@
 auto Replica::readSnapshot(Wire::SnapshotChunk &reply, const Wire::SnapshotChunkRequest &request)
     -> void
 {
-    requireGroup(request.groupId, m_options.groupId);
+    requireServing(request.groupId);
     const auto part =
         m_applier.snapshotPart(Revision(request.revision), std::uint64_t(request.offset));
     fillSnapshotChunk(reply, part);
--- a/src/libs/replication/replicaleader.cpp
+++ b/src/libs/replication/replicaleader.cpp
@@ -336,7 +336,7 @@
 
 auto Replica::submit(Wire::SubmitReply &reply, const Wire::SubmitRequest &request) -> void
 {
-    requireGroup(request.groupId, m_options.groupId);
+    requireServing(request.groupId);
     const auto deadline = m_clock.now() + Utils::Milliseconds(request.timeoutMs);
     StateLock lock(m_mutex);
     std::vector<std::shared_ptr<Proposal>> proposals;
@@ -362,7 +362,7 @@
 auto Replica::confirmRevision(Wire::ConfirmReply &reply, const Wire::ConfirmRequest &request)
     -> void
 {
-    requireGroup(request.groupId, m_options.groupId);
+    requireServing(request.groupId);
     const auto wait =
         std::min(Utils::Milliseconds(request.timeoutMs), m_options.timing.callTimeout);
     StateLock lock(m_mutex);
--- a/src/libs/replication/replicavoters.cpp
+++ b/src/libs/replication/replicavoters.cpp
@@ -57,7 +57,7 @@
 auto Replica::replaceVoter(Wire::ReplaceVoterReply &reply, const Wire::ReplaceVoterRequest &request)
     -> void
 {
-    requireGroup(request.groupId, m_options.groupId);
+    requireServing(request.groupId);
     const auto changed = changeVoters(request.removedId,
                                       {request.addedId, request.addedZone, request.addedAddress},
                                       Utils::Milliseconds(request.timeoutMs));
