Serve peers only once the voter refuses elections after its start

A vote in this moment would have broken the lease of that leader. Requests are now served once the voter has started.

Tests: ReplicaStartTest and the other tests of replication.

--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -56,6 +56,7 @@
         m_electionDue = now;
     }
     startTasks();
+    m_started = true;
     return Utils::success();
 }
 
@@ -78,7 +79,6 @@
     m_commitRevision = m_snapshotRevision;
     m_appliedRevision = m_snapshotRevision;
     m_syncedRevision = m_entries.lastRevision();
-    m_loaded = true;
     return Utils::success();
 }
 
@@ -87,7 +87,7 @@
 auto Replica::requireServing(const std::string &groupId) const -> void
 {
     requireGroup(groupId, m_options.groupId);
-    if (!m_loaded)
+    if (!m_started)
         throw std::runtime_error("the log is not loaded yet");
 }
 
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -212,7 +212,7 @@
     Store::SnapshotStore m_snapshots;
     Store::VoteFile m_voteFile;
 
-    std::atomic_bool m_loaded = false; //!< Peers' requests are refused before.
+    std::atomic_bool m_started = false; //!< Requests of peers are refused before.
 
     mutable std::mutex m_mutex;
     std::condition_variable m_workChanged;    //!< Wakes the peers' tasks and the election task.
