Do not take the answer to an earlier order for that to a later one

Cause: orders through another control process are numbered by the link to it, and their answers are kept there by session. A process that is silent for 5 s is used no longer; when it comes back in the same term, a new link begins again at number 1 in the same session. Answers to orders of the earlier link, which could not be sent during the cut, were then taken for those to later orders with the same numbers: a poll of one endpoint got the list of another one, or a start the refusal of another one, so that running tasks counted as gone and were started again. Class of fault: names that are used again while messages with them are still on their way.

Each link has a session of its own now. Looked for elsewhere: frames are numbered by connection and end with it; the numbers of runs and the fencing tokens carry the term; sequences of announcements belong to an incarnation.

Test: RelayTest.AnAnswerFromBeforeTheLossOfARelayIsNotTakenForThatOfALaterOrder failed before: 30 of 60 orders got the answer to another one.

--- a/src/libs/service/relayedendpoints.cpp
+++ b/src/libs/service/relayedendpoints.cpp
@@ -75,7 +75,10 @@
             std::ranges::any_of(m_relays, [&](const auto &link) { return link->relay() == relay; });
         if (known)
             continue;
-        m_relays.push_back(std::make_shared<RelayLink>(m_loop, relay, session));
+        // Each link has a session of its own. A relay that was lost may still hold answers to orders
+        // of an earlier link, whose numbers are used again.
+        const auto linkSession = session + '/' + std::to_string(++m_links);
+        m_relays.push_back(std::make_shared<RelayLink>(m_loop, relay, linkSession));
         m_relays.back()->start();
     }
     const auto now = m_clock.now();
--- a/src/libs/service/relayedendpoints.h
+++ b/src/libs/service/relayedendpoints.h
@@ -5,6 +5,7 @@
 #include "execution/ports.h"
 #include "utils/clock.h"
 
+#include <cstdint>
 #include <map>
 #include <span>
 #include <string>
@@ -44,7 +45,7 @@
                      const Utils::Clock &clock);
     ~RelayedEndpoints() override;
 
-    /*! \brief Replaces the relays in use by \a relays; their orders belong to \a session. */
+    /*! \brief Replaces the relays in use by \a relays; \a session identifies the leader's term. */
     auto use(std::span<const RelayAddress> relays, const std::string &session) -> void;
     auto usesRelays() const -> bool { return !m_relays.empty(); }
 
@@ -73,6 +74,7 @@
     Execution::EndpointLink &m_direct;
     const Utils::Clock &m_clock;
     std::string m_session;
+    std::int64_t m_links = 0; //!< Number of links that were created.
     std::vector<std::shared_ptr<RelayLink>> m_relays;
     std::map<std::string, Utils::Instant> m_directUntil; //!< End of direct calls by endpoint id.
 };
--- a/tests/auto/service/tst_relayedendpoints.cpp
+++ b/tests/auto/service/tst_relayedendpoints.cpp
@@ -24,11 +24,14 @@
     auto start(Execution::StartOrder order) -> AsyncNet::Task<Execution::StartReply> override
     {
         starts.push_back(order);
+        const Execution::StartReply reply{startResult, 77};
+        if (startDelay.count() > 0)
+            co_await AsyncNet::pause(startDelay);
         if (hangs)
             co_await AsyncNet::pause(longestTest);
         if (silent)
             co_return Execution::StartReply();
-        co_return Execution::StartReply{StartResult::Started, 77};
+        co_return reply;
     }
     auto stop(Execution::StopOrder) -> AsyncNet::Task<Execution::OrderResult> override
     {
@@ -49,8 +52,10 @@
         co_return reply;
     }
 
-    bool silent = false; //!< Start orders get no reply.
-    bool hangs = false;  //!< Start orders are not completed during the test.
+    bool silent = false;        //!< Start orders get no reply.
+    bool hangs = false;         //!< Start orders are not completed during the test.
+    Milliseconds startDelay{0}; //!< Time until a start order gets its reply.
+    StartResult startResult = StartResult::Started;
     int stops = 0;
     std::vector<Execution::StartOrder> starts;
     std::vector<Execution::PollOrder> polls;
@@ -195,6 +200,33 @@
     EXPECT_EQ(m_directEndpoints.starts.size(), 1U);
 }
 
+// A relay that was cut off keeps the answers that it could not send, and may be used again in the
+// same term. The orders that it then gets must not have the numbers of earlier ones.
+TEST_F(RelayTest, AnAnswerFromBeforeTheLossOfARelayIsNotTakenForThatOfALaterOrder)
+{
+    constexpr std::size_t lostOrders = 30;
+    constexpr std::size_t laterOrders = 60;
+    ASSERT_TRUE(connect());
+    m_relayedEndpoints.startDelay = Milliseconds(500);
+    m_relayedEndpoints.startResult = StartResult::NoRoom;
+    std::vector<Execution::StartReply> lost;
+    for (std::size_t order = 0; order < lostOrders; ++order)
+        sendStart("a", lost);
+    ASSERT_TRUE(runUntil([&] { return m_relayedEndpoints.starts.size() == lostOrders; }));
+    m_leader.use({}, "session");
+    ASSERT_TRUE(runUntil([&] { return lost.size() == lostOrders; }));
+    m_relayedEndpoints.startDelay = Milliseconds(900);
+    m_relayedEndpoints.startResult = StartResult::Started;
+    m_relayedEndpoints.polls.clear();
+    ASSERT_TRUE(connect());
+    std::vector<Execution::StartReply> replies;
+    for (std::size_t order = 0; order < laterOrders; ++order)
+        sendStart("b", replies);
+    ASSERT_TRUE(runUntil([&] { return replies.size() == laterOrders; }));
+    for (const auto &reply : replies)
+        EXPECT_EQ(reply.result, StartResult::Started);
+}
+
 TEST_F(RelayTest, ARelayThatIsShuttingDownGetsNoMoreOrders)
 {
     ASSERT_TRUE(connect());
