Do not take the refusal of a second copy of a start for that of the first one

Callers could see: a task at work twice. An endpoint that closes a kept connection without a response to a start may carry the order out later (applied_late, answer_lost). The client sent the order once more on a new connection, and a refusal of that copy (no room, not healthy, too late, older than an end there) set the task open at once.

Cause: one reply was taken for that of two messages. Class of fault: evidence about one message is used for another one that is still on its way.

Found by reading; not shown to be the cause of the reported runs, whose order was not carried out seconds late.

A confirmation and a higher fencing token hold for both copies. Stops, paces and polls may be repeated: a second copy changes nothing that the first one does not. Sending starts only once was ruled out, since each idle connection that an endpoint has closed would then leave a start uncertain.

--- a/src/libs/asyncnet/httpclient.cpp
+++ b/src/libs/asyncnet/httpclient.cpp
@@ -208,6 +208,7 @@
         co_return result.error();
     if (result.value())
         m_connections->putBack(address, std::move(stream));
+    response.repeated = sentBefore;
     co_return response;
 }
 
--- a/src/libs/asyncnet/httpclient.h
+++ b/src/libs/asyncnet/httpclient.h
@@ -39,7 +39,8 @@
         \brief Sends \a request to HOST:PORT; \a timeout covers the whole call.
 
         If \a repeatable is true, a request that failed on an idle connection, which the server may
-        have closed meanwhile, is sent once more on a new connection.
+        have closed meanwhile, is sent once more on a new connection. The response then says that
+        it is repeated: the server may also process the first copy, at any later time.
     */
     auto call(std::string address,
               HttpRequest request,
--- a/src/libs/asyncnet/httpmessage.h
+++ b/src/libs/asyncnet/httpmessage.h
@@ -31,6 +31,8 @@
     std::string contentType = "application/json";
     std::string location; //!< Target of a redirection.
     std::optional<std::int64_t> retryAfterS;
+    //! An earlier copy of the request got no response; only set in responses that are received.
+    bool repeated = false;
 };
 
 /*! \brief Returns a response with a status and an empty JSON object as its body. */
