Do not take the endpoint of a host for ended after an order that may have been carried out before

Callers could see: tasks at work twice. The provider of hosts accepts an order of maintenance that it has carried out before. An order without a reply is remembered as such, so that the acceptance of the next one is checked against the list of hosts; but a refusal of that next one, or its withdrawal, removed the memory, and the third order counted as the first. Its acceptance ended the endpoint that had started after the maintenance, while its tasks ran on.

Cause: knowledge about one order was deleted with the outcome of another one. Class of fault: the same as for starts that are sent twice.

Hosts of a wave whose maintenance may have been carried out are kept for the term now.

--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -60,6 +60,7 @@
 auto MaintenancePlan::begin(const Control::State &state) -> void
 {
     m_inheritedWaves.clear();
+    m_maybeMaintained.clear();
     for (const auto &[number, wave] : state.waves)
         m_inheritedWaves.insert(number);
 }
@@ -184,8 +185,9 @@
         if (holdsLongRunning(view.ledger, host.endpoint))
             work.evacuate.push_back(host.endpoint);
         if (mayOrder && (candidate.empty || (due && view.ledger.canLose(host.endpoint)))) {
-            const auto repeated =
-                m_orders.contains(host.name) || m_inheritedWaves.contains(wave.number);
+            const auto repeated = m_orders.contains(host.name)
+                                  || m_maybeMaintained.contains({wave.number, host.name})
+                                  || m_inheritedWaves.contains(wave.number);
             m_orders[host.name] = {view.now, true};
             work.begin.push_back(
                 {wave.number, host.name, incarnationOf(view.ledger, host.endpoint), repeated});
@@ -206,6 +208,7 @@
         m_preparing.erase(step.host);
     if (result == HostOrderResult::Accepted || result == HostOrderResult::Unknown) {
         m_orders[step.host] = {now, result == HostOrderResult::Unknown};
+        m_maybeMaintained.insert({step.wave, step.host});
         m_refused.erase(step.host);
         if (result == HostOrderResult::Accepted && step.repeated && !step.incarnation.id.empty())
             m_unconfirmed[step.host] = {step.incarnation, now};
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -117,8 +117,10 @@
     std::set<std::int64_t> m_inheritedWaves;           //!< Waves that began in an earlier term.
     std::map<std::string, Utils::Instant> m_preparing; //!< Start of draining by host.
     std::map<std::string, Order> m_orders;             //!< Last order by host.
-    std::map<std::string, Unconfirmed> m_unconfirmed;  //!< Accepted orders by host.
-    std::map<std::string, Utils::Instant> m_refused;   //!< Time of the last refusal by host.
+    //! Waves and hosts with an order that was or may have been carried out.
+    std::set<std::pair<std::int64_t, std::string>> m_maybeMaintained;
+    std::map<std::string, Unconfirmed> m_unconfirmed; //!< Accepted orders by host.
+    std::map<std::string, Utils::Instant> m_refused;  //!< Time of the last refusal by host.
 };
 
 } // namespace Execution
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -204,6 +204,48 @@
     EXPECT_EQ(fixture.next(101).begin.size(), 1U);
 }
 
+TEST(MaintenancePlan, KeepsEndpointThatStartedAfterAnUnansweredOrderThoughTheNextOneWasRefused)
+{
+    WaveFixture fixture(1, 1);
+    const auto unanswered = fixture.next(0);
+    ASSERT_EQ(unanswered.begin.size(), 1U);
+    fixture.plan.ordered(unanswered.begin[0], HostOrderResult::Unknown, fixture.at(100));
+    const auto refused = fixture.next(2000);
+    ASSERT_EQ(refused.begin.size(), 1U);
+    fixture.plan.ordered(refused.begin[0], HostOrderResult::Busy, fixture.at(2100));
+    const auto accepted = fixture.next(4000);
+    ASSERT_EQ(accepted.begin.size(), 1U);
+    EXPECT_TRUE(accepted.begin[0].repeated);
+    fixture.plan.ordered(accepted.begin[0], HostOrderResult::Accepted, fixture.at(4100));
+    fixture.finish("a");
+    EXPECT_EQ(fixture.next(4200).open, std::vector<std::string>{"a"});
+}
+
+TEST(MaintenancePlan, OrderAfterAWithdrawnOneIsRepeatedIfAnEarlierOneWasNotAnswered)
+{
+    WaveFixture fixture(1, 1);
+    const auto unanswered = fixture.next(0);
+    ASSERT_EQ(unanswered.begin.size(), 1U);
+    fixture.plan.ordered(unanswered.begin[0], HostOrderResult::Unknown, fixture.at(100));
+    const auto withdrawn = fixture.next(2000);
+    ASSERT_EQ(withdrawn.begin.size(), 1U);
+    fixture.plan.withdraw(withdrawn.begin[0]);
+    const auto next = fixture.next(2100);
+    ASSERT_EQ(next.begin.size(), 1U);
+    EXPECT_TRUE(next.begin[0].repeated);
+}
+
+TEST(MaintenancePlan, OrderAfterRefusalsAloneIsNotRepeated)
+{
+    WaveFixture fixture(1, 1);
+    const auto refused = fixture.next(0);
+    ASSERT_EQ(refused.begin.size(), 1U);
+    fixture.plan.ordered(refused.begin[0], HostOrderResult::Busy, fixture.at(100));
+    const auto next = fixture.next(200);
+    ASSERT_EQ(next.begin.size(), 1U);
+    EXPECT_FALSE(next.begin[0].repeated);
+}
+
 // A wave of 120 idle hosts begins while a burst needs 150 other hosts. The provider accepts 100
 // orders a second. Without a common limit, the first orders of the wave alone exceed it, and the
 // provider refuses moves for which callers wait.
--- a/tests/auto/platform/tst_hostclient.cpp
+++ b/tests/auto/platform/tst_hostclient.cpp
@@ -39,6 +39,30 @@
         return hosts;
     }
 
+    // Orders maintenance from a provider that responds with \a status.
+    auto maintain(int status) -> Execution::HostOrderResult
+    {
+        AsyncNet::HttpListener provider(
+            m_loop, "provider", [status](HttpRequest) -> Task<HttpResponse> {
+                co_return AsyncNet::plainResponse(status);
+            });
+        EXPECT_TRUE(provider.start("127.0.0.1:0"));
+        Platform::HostClient client(
+            m_loop, "127.0.0.1:" + std::to_string(provider.port()), "control-1");
+        auto result = Execution::HostOrderResult::Refused;
+        m_finished = false;
+        const auto request = [&]() -> Task<void> {
+            result = co_await client.maintain("host-1", 1, 1);
+            m_finished = true;
+            m_loop.stop();
+        };
+        AsyncNet::start(m_loop, "test", request());
+        m_loop.restart();
+        m_loop.run_for(testTimeout);
+        EXPECT_TRUE(m_finished);
+        return result;
+    }
+
 private:
     AsyncNet::asio::io_context m_loop;
     bool m_finished = false;
@@ -59,6 +83,16 @@
     EXPECT_EQ(hosts.hosts[1].name, "m3");
 }
 
+TEST_F(HostClientTest, OnlyAClearRefusalSaysThatAnOrderIsNotCarriedOut)
+{
+    using Execution::HostOrderResult;
+    EXPECT_EQ(maintain(200), HostOrderResult::Accepted);
+    EXPECT_EQ(maintain(429), HostOrderResult::Busy);
+    EXPECT_EQ(maintain(503), HostOrderResult::Busy);
+    EXPECT_EQ(maintain(500), HostOrderResult::Unknown);
+    EXPECT_EQ(maintain(504), HostOrderResult::Unknown);
+}
+
 TEST_F(HostClientTest, ListWithoutItsLastPageIsNotComplete)
 {
     const auto hosts = list([](const std::string &) -> std::string {
