Show that a start in flight is repeated when its endpoint starts again under its id

An order names the id of an endpoint and not its birth, so that the next incarnation under the id carries out what was on its way to the former one. The ledger counts a run as gone with the incarnation that it was ordered for.

--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -104,12 +104,35 @@
 }
 
 auto LedgerFixture::confirm(const Execution::StartOrder &order) -> void
+{
+    confirmAt(order, 0);
+}
+
+auto LedgerFixture::confirmAt(const Execution::StartOrder &order, std::int64_t clockMs) -> void
 {
     Execution::StartReply reply;
     reply.result = Execution::StartResult::Started;
+    reply.clockMs = clockMs;
     ledger.startAnswered(order, reply, m_now);
 }
 
+auto LedgerFixture::refuse(const Execution::StartOrder &order) -> void
+{
+    Execution::StartReply reply;
+    reply.result = Execution::StartResult::NoRoom;
+    ledger.startAnswered(order, reply, m_now);
+}
+
+auto LedgerFixture::restart(const Control::EndpointRecord &record) -> Control::EndpointRecord
+{
+    auto restarted = record;
+    restarted.incarnation.bornMs += 1;
+    Control::Command command;
+    command.addEndpoint = restarted;
+    state.apply(command, m_wallMs);
+    return restarted;
+}
+
 auto LedgerFixture::acceptStop(const Execution::StopOrder &order) -> void
 {
     ledger.stopAnswered(order, Execution::OrderResult::Accepted, m_now);
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -34,6 +34,14 @@
     /*! \brief Returns how much of the capacity of the pool is in use. */
     auto use() const -> Execution::PoolUse;
     auto confirm(const Execution::StartOrder &order) -> void;
+    /*! \brief Lets the reply to the start order carry \a clockMs of the endpoint's clock. */
+    auto confirmAt(const Execution::StartOrder &order, std::int64_t clockMs) -> void;
+    auto refuse(const Execution::StartOrder &order) -> void;
+    /*! \brief Lets the endpoint start again under its id; the ledger does not know it yet. */
+    auto restart(const Control::EndpointRecord &record) -> Control::EndpointRecord;
+    /*! \brief Returns the time on the clock of all endpoints that have not started again. */
+    auto clockMs() const -> std::int64_t { return m_now.time_since_epoch().count(); }
+    auto now() const -> Utils::Instant { return m_now; }
     auto acceptStop(const Execution::StopOrder &order) -> void;
     /*! \brief Applies the task ends to the durable state and reports this to the ledger. */
     auto record(const Execution::PollEffects &effects) -> void;
--- /dev/null
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -0,0 +1,170 @@
+// Endpoints that start again under their id while orders to them are on their way.
+#include "ledgerfixture.h"
+
+#include <gtest/gtest.h>
+
+using namespace ExecutionTest;
+
+namespace {
+
+constexpr Utils::Milliseconds longerThanAnyLease{6300};
+constexpr std::int64_t clockOfRestartedMs = 20;
+
+/*! \brief A job of one task whose start order has been sent to "a", beside an idle "b". */
+class StartInFlight : public testing::Test
+{
+protected:
+    StartInFlight()
+    {
+        m_first = m_fixture.addEndpoint("a");
+        m_fixture.addJob("job", plainStep(1));
+        m_fixture.begin();
+        m_fixture.poll("a");
+        m_order = m_fixture.schedule().starts.front();
+        m_fixture.addEndpoint("b");
+        m_fixture.poll("b");
+    }
+    auto send() -> void { EXPECT_TRUE(m_fixture.ledger.confirmStart(m_order)); }
+    auto replace() -> void
+    {
+        m_fixture.ledger.addEndpoint(m_fixture.restart(m_first), m_fixture.now());
+    }
+    auto starts() -> std::size_t { return m_fixture.schedule().starts.size(); }
+    auto listedRun() const -> std::vector<Execution::RunningTask>
+    {
+        return {{m_order.task, m_order.run, "", 100, 0}};
+    }
+
+    LedgerFixture m_fixture;
+    Control::EndpointRecord m_first;
+    Execution::StartOrder m_order;
+};
+
+TEST_F(StartInFlight, IsNotRepeatedWhenTheNextIncarnationMayCarryItOut)
+{
+    send();
+    replace();
+    m_fixture.pollAll();
+    EXPECT_EQ(starts(), 0U);
+    m_fixture.confirmAt(m_order, clockOfRestartedMs);
+    m_fixture.poll("a", listedRun());
+    const auto orders = m_fixture.schedule();
+    EXPECT_TRUE(orders.starts.empty());
+    EXPECT_TRUE(orders.stops.empty());
+}
+
+TEST_F(StartInFlight, IsNotRepeatedAfterTheNextIncarnationHasConfirmedItBeforeItIsKnown)
+{
+    send();
+    m_fixture.confirmAt(m_order, clockOfRestartedMs);
+    replace();
+    EXPECT_EQ(starts(), 0U);
+    m_fixture.poll("a", listedRun());
+    EXPECT_EQ(starts(), 0U);
+}
+
+TEST_F(StartInFlight, IsNotRepeatedWhileTheNextIncarnationIsNotKnownYet)
+{
+    send();
+    m_fixture.ledger.endIncarnation(m_first.incarnation);
+    EXPECT_EQ(starts(), 0U);
+    m_fixture.confirmAt(m_order, clockOfRestartedMs);
+    EXPECT_EQ(starts(), 0U);
+    replace();
+    EXPECT_EQ(starts(), 0U);
+    m_fixture.poll("a", listedRun());
+    EXPECT_EQ(starts(), 0U);
+}
+
+TEST_F(StartInFlight, IsNotRepeatedBeforeAStopSettlesItIfItGotNoReply)
+{
+    send();
+    replace();
+    m_fixture.ledger.startAnswered(m_order, {}, m_fixture.now());
+    m_fixture.advance(Utils::Milliseconds(700));
+    m_fixture.pollAll();
+    const auto orders = m_fixture.schedule();
+    EXPECT_TRUE(orders.starts.empty());
+    ASSERT_EQ(orders.stops.size(), 1U);
+    EXPECT_NE(orders.stops.front().target.incarnation, m_first.incarnation);
+    m_fixture.acceptStop(orders.stops.front());
+    m_fixture.advance(Utils::Milliseconds(450));
+    m_fixture.pollAll();
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST_F(StartInFlight, IsRepeatedOnceTheNextIncarnationRefusesIt)
+{
+    send();
+    replace();
+    m_fixture.refuse(m_order);
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST_F(StartInFlight, IsRepeatedOnceThePollOfTheNextIncarnationDoesNotListTheConfirmedRun)
+{
+    send();
+    m_fixture.confirmAt(m_order, clockOfRestartedMs);
+    replace();
+    m_fixture.advance(Utils::Milliseconds(1));
+    m_fixture.poll("a");
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST_F(StartInFlight, IsRepeatedAtOnceIfTheEndedIncarnationConfirmedIt)
+{
+    send();
+    m_fixture.confirmAt(m_order, m_fixture.clockMs());
+    m_fixture.ledger.endIncarnation(m_first.incarnation);
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST_F(StartInFlight, IsRepeatedAtOnceIfItWasNotSent)
+{
+    m_fixture.ledger.endIncarnation(m_first.incarnation);
+    EXPECT_FALSE(m_fixture.ledger.confirmStart(m_order));
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST_F(StartInFlight, IsRepeatedOnceItsLeaseIsOverIfNoOtherIncarnationAppears)
+{
+    send();
+    m_fixture.ledger.endIncarnation(m_first.incarnation);
+    m_fixture.ledger.startAnswered(m_order, {}, m_fixture.now());
+    m_fixture.poll("b");
+    EXPECT_EQ(starts(), 0U);
+    m_fixture.advance(longerThanAnyLease);
+    m_fixture.poll("b");
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST(RestartedEndpoint, MayRunWhatAnEarlierLeaderOrderedItsFormerIncarnationToStart)
+{
+    LedgerFixture fixture;
+    const auto former = fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", plainStep(1));
+    fixture.recordStart("a", fixture.task("job"));
+    fixture.restart(former);
+    fixture.begin();
+    fixture.poll("b");
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.poll("a");
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
+TEST(RestartedEndpoint, RunsThatItsFirstPollListsHoldBeforeItsLeaseIsRenewed)
+{
+    LedgerFixture fixture;
+    const auto former = fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.poll("b");
+    fixture.ledger.addEndpoint(fixture.restart(former), fixture.now());
+    fixture.poll("a", {{fixture.task("job"), 1, "", 100, 0}});
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    EXPECT_TRUE(fixture.ledger.endpoints().at("a").runs.contains(fixture.task("job")));
+}
+
+} // namespace
