Keep a start booked while the next incarnation of its endpoint may carry it out

Callers could see: a task at work twice. An endpoint starts again under its id (reborn, flapping) and carries out an order that was sent to its former incarnation; the leader then learns of the new birth, counts the runs of the former one as gone, and starts the task elsewhere. The first poll of the new incarnation lists the run, which is stopped as the second one, about a second later. The reported runs fit this: the first run counted as gone while its order was on its way, and it was stopped 1.26 s later as a second run; the record holds no line that shows it.

Cause: orders name the id of an endpoint and not its birth, but the ledger bound runs to the birth. Class of fault: an order that was given counts as gone with the state that it was given for.

Now a start that was sent, and that the former incarnation has not shown to have carried out, stays booked under the id: on the new incarnation, whose poll, reply or stop settles it, or without one until its lease is over by the longest lease. A reply whose clock is behind that of the poll before the order comes from the new incarnation. Starts that were recorded but not sent, and runs that the former incarnation confirmed or listed, start again at once as before. The same holds for starts that an earlier leader recorded. A first poll that lists runs sets the lease of its endpoint, which had none before its second poll, so that a tick between the two released them.

Ruled out: a fencing token for each incarnation, which would settle this at the endpoint. Tokens carry the term, and a later leader of an older build could not exceed them.

--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -2,6 +2,7 @@
 
 #include "scheduling/placement.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -86,6 +87,22 @@
     m_backfill += run.fills ? by : 0;
 }
 
+auto OutlivingRuns::find(const Jobs::TaskId &task) -> Run *
+{
+    const auto found = std::ranges::find(runs, task, &Run::task);
+    return found != runs.end() ? &*found : nullptr;
+}
+
+auto OutlivingRuns::contains(const Jobs::TaskId &task) const -> bool
+{
+    return inherited.contains(task) || std::ranges::find(runs, task, &Run::task) != runs.end();
+}
+
+auto OutlivingRuns::erase(const Jobs::TaskId &task) -> void
+{
+    std::erase_if(runs, [&task](const Run &run) { return run.task == task; });
+}
+
 auto EndpointEntry::freeResources() const -> Jobs::Resources
 {
     auto free = record.capacity;
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -35,6 +35,11 @@
     bool adopted = false; //!< Found by a poll; its start time is not known.
     bool resumed = false; //!< The run started from a checkpoint.
     std::int64_t latencyTargetMs = 0;
+    bool sent = false; //!< The start order has been given out to be sent.
+    //! A reply shows that the incarnation that the order is for has carried it out.
+    bool carriedOut = false;
+    //! Time on the clock of that incarnation at the last poll before the order; 0 if not known.
+    std::int64_t clockAtOrderMs = 0;
     std::int64_t leaseEndMs = 0; //!< Lease end in the start order, on the endpoint's clock.
     Utils::Instant confirmedAt;  //!< Time at which the start was confirmed.
     std::int64_t percent = 0;    //!< Last reported readiness; 100 once the task is fully working.
@@ -48,6 +53,8 @@
     Utils::Instant stopSentAt;            //!< Time of the last stop order; zero if there was none.
     Utils::Instant stopAnsweredAt; //!< Time of the first accepted stop; zero if there was none.
 
+    /*! \brief Returns true if the next incarnation under the endpoint's id may carry the order out. */
+    auto mayOutliveIncarnation() const -> bool { return sent && !carriedOut; }
     /*! \brief Marks the run to be stopped. An urgent reason replaces one that canWait(). */
     auto requestStop(StopReason reason) -> void;
 };
@@ -147,6 +154,24 @@
     auto clockAtLeast(Utils::Instant now) const -> std::int64_t;
 };
 
+/*!
+    \brief What may still run under the id of an endpoint whose incarnation has ended.
+
+    Orders name the id of an endpoint and not its incarnation. An order that was on its way when the
+    incarnation ended is carried out by the next one, if that one starts under the same id.
+*/
+struct OutlivingRuns
+{
+    std::vector<Run> runs;
+    std::set<Jobs::TaskId> inherited; //!< Tasks that an earlier leader may have started.
+    Utils::Instant leaseEnd;          //!< Time by which all of them have ended.
+
+    auto empty() const -> bool { return runs.empty() && inherited.empty(); }
+    auto find(const Jobs::TaskId &task) -> Run *;
+    auto contains(const Jobs::TaskId &task) const -> bool;
+    auto erase(const Jobs::TaskId &task) -> void;
+};
+
 using EndpointTable = std::map<std::string, EndpointEntry>;
 
 } // namespace Execution
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -32,6 +32,7 @@
     m_starts = 0;
     m_endpoints.clear();
     m_endpointsByPool.clear();
+    m_outliving.clear();
     m_jobs.clear();
     m_checkpoints.clear();
     m_startedJobs.clear();
@@ -60,9 +61,9 @@
             continue;
         m_startedJobs.insert(id);
         for (const auto &[task, incarnation] : starts) {
+            // The next incarnation under the same id may have carried the order out.
             const auto endpoint = m_endpoints.find(incarnation.id);
-            if (endpoint == m_endpoints.end() || endpoint->second.record.incarnation != incarnation
-                || job->second.state(task) == TaskState::Done)
+            if (endpoint == m_endpoints.end() || job->second.state(task) == TaskState::Done)
                 continue;
             endpoint->second.inherited.insert(task);
             job->second.addEndpoint(incarnation.id);
@@ -76,9 +77,11 @@
     auto &endpoint = m_endpoints[record.incarnation.id];
     m_endpointsByPool.clear();
     if (endpoint.record.incarnation != record.incarnation) {
-        releaseRuns(endpoint);
+        keepOutlivingRuns(endpoint);
         endpoint = {};
         endpoint.leaseEnd = now;
+        endpoint.record = record;
+        takeOutlivingRuns(endpoint);
     }
     endpoint.record = record;
 }
@@ -190,7 +193,7 @@
     const auto found = m_endpoints.find(incarnation.id);
     if (found == m_endpoints.end() || found->second.record.incarnation != incarnation)
         return;
-    releaseRuns(found->second);
+    keepOutlivingRuns(found->second);
     m_endpointsByPool.clear();
     m_endpoints.erase(found);
 }
@@ -326,6 +329,7 @@
         run->confirmedAt = now;
     }
     run->listed = true;
+    run->carriedOut = true;
     run->percent = row.percent;
     run->load = row.load;
     if (!row.checkpoint.empty() && findUnfinished(row.task) != nullptr)
@@ -344,6 +348,8 @@
     adopted.confirmedAt = now;
     adopted.adopted = true;
     endpoint.inherited.erase(row.task);
+    // An earlier order may have set any lease that the endpoint accepts.
+    endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestLocalTime(m_timing.maximumLease));
     if (job == nullptr)
         adopted.requestStop(StopReason::NotWanted);
     else if (isBooked(row.task))
@@ -424,6 +430,9 @@
     if (job == m_jobs.end())
         return false;
     return std::ranges::any_of(job->second.endpoints(), [&](const std::string &id) {
+        const auto outliving = m_outliving.find(id);
+        if (outliving != m_outliving.end() && outliving->second.contains(task))
+            return true;
         const auto found = m_endpoints.find(id);
         if (found == m_endpoints.end())
             return false;
@@ -452,9 +461,58 @@
         reopen(task);
 }
 
+// Releases the runs of an incarnation that has ended, except those that the next one may carry out.
+auto RunLedger::keepOutlivingRuns(EndpointEntry &endpoint) -> void
+{
+    OutlivingRuns kept;
+    kept.leaseEnd = endpoint.leaseEnd;
+    for (const auto &[task, run] : endpoint.runs) {
+        if (run.mayOutliveIncarnation())
+            kept.runs.push_back(run);
+    }
+    kept.inherited = std::exchange(endpoint.inherited, {});
+    if (!kept.empty())
+        m_outliving[endpoint.record.incarnation.id] = std::move(kept);
+    releaseRuns(endpoint);
+}
+
+// Books on a new incarnation what it may have carried out of the orders to its predecessor.
+auto RunLedger::takeOutlivingRuns(EndpointEntry &endpoint) -> void
+{
+    const auto found = m_outliving.find(endpoint.record.incarnation.id);
+    if (found == m_outliving.end())
+        return;
+    endpoint.leaseEnd = std::max(endpoint.leaseEnd, found->second.leaseEnd);
+    endpoint.inherited = std::move(found->second.inherited);
+    for (auto &run : found->second.runs) {
+        // The times in the order are those of the former incarnation's clock.
+        run.leaseEndMs = INT64_MAX;
+        run.clockAtOrderMs = 0;
+        endpoint.runs.add(run);
+    }
+    m_outliving.erase(found);
+}
+
+auto RunLedger::expireOutlivingRuns(Utils::Instant now) -> void
+{
+    for (auto item = m_outliving.begin(); item != m_outliving.end();) {
+        if (now <= item->second.leaseEnd) {
+            ++item;
+            continue;
+        }
+        const auto expired = std::move(item->second);
+        item = m_outliving.erase(item);
+        for (const auto &run : expired.runs)
+            reopen(run.task);
+        for (const auto &task : expired.inherited)
+            reopen(task);
+    }
+}
+
 auto RunLedger::expireLeases(Utils::Instant now) -> std::vector<Control::EndpointIncarnation>
 {
     std::vector<Control::EndpointIncarnation> expired;
+    expireOutlivingRuns(now);
     for (auto &[id, endpoint] : m_endpoints) {
         if (now <= endpoint.leaseEnd)
             continue;
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -106,7 +106,12 @@
     auto setEndOrdered(const std::string &endpoint, bool ordered) -> void;
     /*! \brief Returns true if all steps stay within their limits if the endpoint ends now. */
     auto canLose(const std::string &endpoint) const -> bool;
-    /*! \brief Removes the endpoint and its runs, because \a incarnation has ended. */
+    /*!
+        \brief Removes the endpoint and its runs, because \a incarnation has ended.
+
+        Runs whose order may be carried out by the next incarnation under the same id stay booked
+        until that one, a reply to the order or the end of the lease settles them.
+    */
     auto endIncarnation(const Control::EndpointIncarnation &incarnation) -> void;
 
     auto endpoints() const -> const EndpointTable & { return m_endpoints; }
@@ -178,6 +183,9 @@
     auto learnDuration(const Run &run, Utils::Instant now) -> void;
     auto reconcile(EndpointEntry &endpoint, const PollReply &reply, Utils::Instant sentAt) -> void;
     auto releaseRuns(EndpointEntry &endpoint) -> void;
+    auto keepOutlivingRuns(EndpointEntry &endpoint) -> void;
+    auto takeOutlivingRuns(EndpointEntry &endpoint) -> void;
+    auto expireOutlivingRuns(Utils::Instant now) -> void;
     auto reopen(const Jobs::TaskId &task) -> void;
     auto isBooked(const Jobs::TaskId &task) const -> bool;
     auto specOf(const Jobs::TaskId &task) const -> const Jobs::StepSpec *;
@@ -213,6 +221,10 @@
     auto updateAvoided(PoolPlacement &pool) -> void;
     auto addDemand(JobProgress &job, std::int64_t wallMs) -> void;
     auto findRun(const OrderTarget &target, const Jobs::TaskId &task, std::int64_t number) -> Run *;
+    auto findStarted(const StartOrder &order) -> Run *;
+    auto extendLeaseOfNextIncarnation(const Control::EndpointIncarnation &former,
+                                      Utils::Instant now) -> void;
+    auto dropStart(const StartOrder &order) -> void;
     auto unavailableTasks(const Jobs::TaskId &task, std::string_view withoutEndpoint) const
         -> std::int64_t;
     auto mayMiss(const Jobs::TaskId &task, std::string_view withoutEndpoint) const -> bool;
@@ -223,6 +235,8 @@
     std::int64_t m_term = 0;
     std::int64_t m_starts = 0;
     EndpointTable m_endpoints;
+    std::map<std::string, OutlivingRuns>
+        m_outliving; //!< By the id of an endpoint that is not known.
     //! Endpoints by pool; empty until it is computed again after a change of m_endpoints.
     std::map<std::string, std::vector<EndpointEntry *>> m_endpointsByPool;
     JobsById m_jobs;
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -451,6 +451,7 @@
     const auto &spec = job.spec().steps[std::size_t(task.step)];
     auto run = makeRun(spec, task, number);
     run.orderedAt = now;
+    run.clockAtOrderMs = endpoint.clockMs;
     run.leaseEndMs = endpoint.clockAtLeast(now) + m_timing.lease.count();
     endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestLocalTime(m_timing.lease));
     if (spec.fills && endpoint.servesUsers())
@@ -484,25 +485,70 @@
 
 auto RunLedger::confirmStart(const StartOrder &order) -> bool
 {
-    const auto *run = findRun(order.target, order.task, order.run);
+    auto *run = findRun(order.target, order.task, order.run);
     if (run == nullptr || run->state != RunState::Ordered)
         return false;
-    if (!run->stopReason && specOf(order.task) != nullptr)
+    if (!run->stopReason && specOf(order.task) != nullptr) {
+        run->sent = true;
         return true;
+    }
     m_endpoints.at(order.target.incarnation.id).runs.erase(order.task);
     reopen(order.task);
     return false;
 }
 
+// Returns the run of a start order wherever it is booked now: the incarnation that the order is for
+// may have ended. Run numbers are unique within a term.
+auto RunLedger::findStarted(const StartOrder &order) -> Run *
+{
+    const auto &id = order.target.incarnation.id;
+    Run *run = nullptr;
+    if (const auto endpoint = m_endpoints.find(id); endpoint != m_endpoints.end())
+        run = endpoint->second.runs.find(order.task);
+    if (const auto outliving = m_outliving.find(id);
+        run == nullptr && outliving != m_outliving.end())
+        run = outliving->second.find(order.task);
+    const auto matches =
+        run != nullptr && run->number == order.run && order.target.fencingToken == m_term;
+    return matches ? run : nullptr;
+}
+
+// The next incarnation limits the lease in an order to the former one by its maximum alone, since its
+// clock starts anew.
+auto RunLedger::extendLeaseOfNextIncarnation(const Control::EndpointIncarnation &former,
+                                             Utils::Instant now) -> void
+{
+    const auto leaseEnd = now + longestLocalTime(m_timing.maximumLease);
+    if (const auto outliving = m_outliving.find(former.id); outliving != m_outliving.end())
+        outliving->second.leaseEnd = std::max(outliving->second.leaseEnd, leaseEnd);
+    const auto next = m_endpoints.find(former.id);
+    if (next != m_endpoints.end() && next->second.record.incarnation != former)
+        next->second.leaseEnd = std::max(next->second.leaseEnd, leaseEnd);
+}
+
+// Removes the run of a start order that will not be carried out.
+auto RunLedger::dropStart(const StartOrder &order) -> void
+{
+    const auto &id = order.target.incarnation.id;
+    if (const auto endpoint = m_endpoints.find(id); endpoint != m_endpoints.end())
+        endpoint->second.runs.erase(order.task);
+    if (const auto outliving = m_outliving.find(id); outliving != m_outliving.end())
+        outliving->second.erase(order.task);
+    reopen(order.task);
+}
+
 auto RunLedger::startAnswered(const StartOrder &order, const StartReply &reply, Utils::Instant now)
     -> void
 {
-    auto *run = findRun(order.target, order.task, order.run);
+    auto *run = findStarted(order);
     if (run == nullptr || run->state == RunState::Running)
         return;
+    extendLeaseOfNextIncarnation(order.target.incarnation, now);
     if (reply.result == StartResult::Started) {
         run->state = RunState::Running;
         run->confirmedAt = now;
+        // The clock of the next incarnation starts anew, so that it is behind.
+        run->carriedOut = run->clockAtOrderMs > 0 && reply.clockMs >= run->clockAtOrderMs;
         m_startedJobs.insert(order.task.job);
         return;
     }
@@ -510,13 +556,15 @@
         run->state = RunState::Uncertain;
         return;
     }
-    auto &endpoint = m_endpoints.at(order.target.incarnation.id);
-    if (reply.result == StartResult::NoRoom)
-        endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + noRoomPause);
-    else if (reply.result != StartResult::Outdated)
-        endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + unhealthyPause);
-    endpoint.runs.erase(order.task);
-    reopen(order.task);
+    if (const auto found = m_endpoints.find(order.target.incarnation.id);
+        found != m_endpoints.end()) {
+        auto &endpoint = found->second;
+        if (reply.result == StartResult::NoRoom)
+            endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + noRoomPause);
+        else if (reply.result != StartResult::Outdated)
+            endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + unhealthyPause);
+    }
+    dropStart(order);
 }
 
 auto RunLedger::stopAnswered(const StopOrder &order, OrderResult result, Utils::Instant now) -> void
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -138,6 +138,21 @@
     EXPECT_EQ(starts(), 1U);
 }
 
+// The next incarnation may have carried the order out just before it replied.
+TEST_F(StartInFlight, HoldsForAWholeLeaseAfterTheNextIncarnationHasConfirmedIt)
+{
+    send();
+    m_fixture.ledger.endIncarnation(m_first.incarnation);
+    m_fixture.advance(Utils::Milliseconds(1000));
+    m_fixture.confirmAt(m_order, clockOfRestartedMs);
+    m_fixture.advance(Utils::Milliseconds(6000));
+    m_fixture.poll("b");
+    EXPECT_EQ(starts(), 0U);
+    m_fixture.advance(Utils::Milliseconds(300));
+    m_fixture.poll("b");
+    EXPECT_EQ(starts(), 1U);
+}
+
 TEST(RestartedEndpoint, MayRunWhatAnEarlierLeaderOrderedItsFormerIncarnationToStart)
 {
     LedgerFixture fixture;
