Report the evidence for which a run counts as gone

The record of the incident could not tell which evidence released the first of two runs: a leader logged the orders to start and stop, but not that it took a run for gone.

--- a/src/libs/execution/leaderlog.cpp
+++ b/src/libs/execution/leaderlog.cpp
@@ -59,6 +59,27 @@
     return "unknown";
 }
 
+auto nameOf(ReleaseReason reason) -> std::string_view
+{
+    switch (reason) {
+    case ReleaseReason::Refused:
+        return "its start was refused";
+    case ReleaseReason::NotListed:
+        return "a poll does not list it";
+    case ReleaseReason::Stopped:
+        return "a poll does not list it after a stop";
+    case ReleaseReason::LeaseOver:
+        return "its order was not answered and its lease is over";
+    case ReleaseReason::LeaseExpired:
+        return "the lease of its endpoint has expired";
+    case ReleaseReason::IncarnationOver:
+        return "the incarnation of its endpoint is over";
+    case ReleaseReason::NotInherited:
+        return "a poll does not list what an earlier leader may have started";
+    }
+    return "unknown";
+}
+
 auto nameOf(OrderResult result) -> std::string_view
 {
     switch (result) {
@@ -212,6 +233,25 @@
                       {"result", nameOf(result)}});
 }
 
+// A run that is released while it still runs is started twice, so the evidence is logged.
+auto LeaderSession::reportReleases() -> void
+{
+    for (const auto &release : m_ledger.takeReleases()) {
+        const auto reason = nameOf(release.reason);
+        m_parts.metrics.count("trefoilshelf_released_runs_total",
+                              {{"reason", std::string(reason)}});
+        if (!m_releaseLines.allow(m_parts.clock.now()))
+            continue;
+        Utils::Log::info("execution",
+                         "a run counts as gone",
+                         {{"job", release.task.job},
+                          {"task", Jobs::toText(release.task)},
+                          {"run", release.run},
+                          {"endpoint", release.endpoint},
+                          {"reason", reason}});
+    }
+}
+
 auto LeaderSession::reportFirstStart(const StartOrder &order) -> void
 {
     const auto waitedMs = m_parts.state.read([&](const Control::State &state) {
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -34,6 +34,7 @@
     , m_startLines("starts of tasks", linesPerSecond)
     , m_endLines("ends of tasks", linesPerSecond)
     , m_stopLines("stops of tasks", linesPerSecond)
+    , m_releaseLines("runs that count as gone", linesPerSecond)
     , m_endedJobLines("ends of jobs", linesPerSecond)
     , m_firstStartLines("first starts of jobs", linesPerSecond)
     , m_failureLines("failures of tasks", linesPerSecond)
@@ -201,6 +202,7 @@
         return m_ledger.schedule(state, m_lastPass, m_parts.clock.wallTime());
     });
     const auto took = std::chrono::steady_clock::now() - began;
+    reportReleases();
     m_passInterval =
         std::clamp(std::chrono::duration_cast<Utils::Milliseconds>(took * passIntervalFactor),
                    minimumPassInterval,
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -93,6 +93,7 @@
     auto reportStart(const StartOrder &order, const StartReply &reply) -> void;
     auto reportFirstStart(const StartOrder &order) -> void;
     auto reportStop(const StopOrder &order, OrderResult result) -> void;
+    auto reportReleases() -> void;
 
     LeaderParts m_parts;
     RunLedger m_ledger;
@@ -113,6 +114,7 @@
     Utils::LogBudget m_startLines;
     Utils::LogBudget m_endLines;
     Utils::LogBudget m_stopLines;
+    Utils::LogBudget m_releaseLines;
     Utils::LogBudget m_endedJobLines;
     // First starts and failures have separate limits, since callers ask about slow and failed jobs.
     Utils::LogBudget m_firstStartLines;
--- a/src/libs/execution/orders.h
+++ b/src/libs/execution/orders.h
@@ -74,6 +74,26 @@
     std::int64_t mayMiss = 0;
 };
 
+/*! \brief The evidence for which a run counts as gone, so that its task may start again. */
+enum class ReleaseReason {
+    Refused,         //!< The start order was refused.
+    NotListed,       //!< A poll after the start was confirmed does not list the run.
+    Stopped,         //!< A stop was accepted, and a later poll does not list the run.
+    LeaseOver,       //!< The order got no reply, and its lease is over on the endpoint's clock.
+    LeaseExpired,    //!< The lease of the endpoint is over on the leader's clock.
+    IncarnationOver, //!< The endpoint's incarnation has ended.
+    NotInherited,    //!< A poll does not list what an earlier leader may have started.
+};
+
+/*! \brief A run that counts as gone although the endpoint has not reported its end. */
+struct Release
+{
+    Jobs::TaskId task;
+    std::int64_t run = 0; //!< 0 for a task that an earlier leader may have started.
+    std::string endpoint;
+    ReleaseReason reason = ReleaseReason::Refused;
+};
+
 /*! \brief A status poll: renews the lease of all runs, and asks for running and ended tasks. */
 struct PollOrder
 {
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -14,6 +14,8 @@
 constexpr std::int64_t urgentPollDivisor = 3;
 
 constexpr std::int64_t fullPercent = 100;
+// Releases beyond this number between two calls of takeReleases() are not reported.
+constexpr std::size_t maximumReleases = 1000;
 
 } // namespace
 
@@ -37,6 +39,7 @@
     m_checkpoints.clear();
     m_startedJobs.clear();
     m_demand.clear();
+    m_releases.clear();
     m_jobsVersion = 0;
     for (const auto &[id, known] : state.endpoints) {
         addEndpoint(known.record, now);
@@ -259,7 +262,7 @@
     // Inherited tasks that the reply lists neither as running nor as ended were never started here
     // or have ended for good, so they can be started again.
     for (const auto &task : std::exchange(endpoint.inherited, {}))
-        reopen(task);
+        release({task, 0, order.target.incarnation.id, ReleaseReason::NotInherited});
     return effects;
 }
 
@@ -369,7 +372,7 @@
 auto RunLedger::reconcile(EndpointEntry &endpoint, const PollReply &reply, Utils::Instant sentAt)
     -> void
 {
-    std::vector<Jobs::TaskId> gone;
+    std::vector<Release> gone;
     for (auto &item : endpoint.runs) {
         auto &run = item.second;
         const auto listed = std::exchange(run.listed, false);
@@ -389,12 +392,17 @@
                                   || run.stopAnsweredAt + m_timing.longestStop >= sentAt);
         if (stopping && !leaseOver)
             continue;
-        if (stopped || vanished || leaseOver)
-            gone.push_back(run.task);
+        if (!stopped && !vanished && !leaseOver)
+            continue;
+        const auto unlisted = vanished ? ReleaseReason::NotListed : ReleaseReason::LeaseOver;
+        gone.push_back({run.task,
+                        run.number,
+                        endpoint.record.incarnation.id,
+                        stopped ? ReleaseReason::Stopped : unlisted});
     }
-    for (const auto &task : gone) {
-        endpoint.runs.erase(task);
-        reopen(task);
+    for (auto &run : gone) {
+        endpoint.runs.erase(run.task);
+        release(std::move(run));
     }
 }
 
@@ -450,13 +458,27 @@
         job->second.setState(task, TaskState::Open);
 }
 
-auto RunLedger::releaseRuns(EndpointEntry &endpoint) -> void
+// Sets the task of a run that counts as gone open, unless it is booked elsewhere.
+auto RunLedger::release(Release release) -> void
+{
+    reopen(release.task);
+    if (m_releases.size() < maximumReleases)
+        m_releases.push_back(std::move(release));
+}
+
+auto RunLedger::takeReleases() -> std::vector<Release>
 {
+    return std::exchange(m_releases, {});
+}
+
+auto RunLedger::releaseRuns(EndpointEntry &endpoint, ReleaseReason reason) -> void
+{
+    const auto &id = endpoint.record.incarnation.id;
     const auto runs = endpoint.runs.take();
     for (const auto &[task, run] : runs)
-        reopen(task);
+        release({task, run.number, id, reason});
     for (const auto &task : std::exchange(endpoint.inherited, {}))
-        reopen(task);
+        release({task, 0, id, reason});
     for (const auto &task : std::exchange(endpoint.reopenWhenRecorded, {}))
         reopen(task);
 }
@@ -470,10 +492,12 @@
         if (run.mayOutliveIncarnation())
             kept.runs.push_back(run);
     }
+    for (const auto &run : kept.runs)
+        endpoint.runs.erase(run.task);
     kept.inherited = std::exchange(endpoint.inherited, {});
     if (!kept.empty())
         m_outliving[endpoint.record.incarnation.id] = std::move(kept);
-    releaseRuns(endpoint);
+    releaseRuns(endpoint, ReleaseReason::IncarnationOver);
 }
 
 // Books on a new incarnation what it may have carried out of the orders to its predecessor.
@@ -500,12 +524,13 @@
             ++item;
             continue;
         }
+        const auto id = item->first;
         const auto expired = std::move(item->second);
         item = m_outliving.erase(item);
         for (const auto &run : expired.runs)
-            reopen(run.task);
+            release({run.task, run.number, id, ReleaseReason::LeaseExpired});
         for (const auto &task : expired.inherited)
-            reopen(task);
+            release({task, 0, id, ReleaseReason::LeaseExpired});
     }
 }
 
@@ -516,7 +541,7 @@
     for (auto &[id, endpoint] : m_endpoints) {
         if (now <= endpoint.leaseEnd)
             continue;
-        releaseRuns(endpoint);
+        releaseRuns(endpoint, ReleaseReason::LeaseExpired);
         if (endpoint.leaving)
             expired.push_back(endpoint.record.incarnation);
     }
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -141,6 +141,8 @@
     */
     auto expireLeases(Utils::Instant now) -> std::vector<Control::EndpointIncarnation>;
 
+    /*! \brief Returns and forgets the runs that were released, up to a limit, since the last call. */
+    auto takeReleases() -> std::vector<Release>;
     /*! \brief Returns true if a task of the job is known to have been started. */
     auto hasStarted(const std::string &job) const -> bool;
     /*! \brief Returns the tasks that could have started in the last pass, but had no room. */
@@ -182,11 +184,12 @@
                     PollEffects &effects) -> void;
     auto learnDuration(const Run &run, Utils::Instant now) -> void;
     auto reconcile(EndpointEntry &endpoint, const PollReply &reply, Utils::Instant sentAt) -> void;
-    auto releaseRuns(EndpointEntry &endpoint) -> void;
+    auto releaseRuns(EndpointEntry &endpoint, ReleaseReason reason) -> void;
     auto keepOutlivingRuns(EndpointEntry &endpoint) -> void;
     auto takeOutlivingRuns(EndpointEntry &endpoint) -> void;
     auto expireOutlivingRuns(Utils::Instant now) -> void;
     auto reopen(const Jobs::TaskId &task) -> void;
+    auto release(Release release) -> void;
     auto isBooked(const Jobs::TaskId &task) const -> bool;
     auto specOf(const Jobs::TaskId &task) const -> const Jobs::StepSpec *;
     auto syncJobs(const Control::State &state) -> void;
@@ -249,6 +252,7 @@
     std::map<Jobs::TaskId, std::string> m_checkpoints;
     Utils::Instant m_pacesCheckedAt;
     std::unordered_set<std::string> m_startedJobs; //!< Jobs of m_jobs that have been started.
+    std::vector<Release> m_releases;
     std::map<std::string, PoolDemand> m_demand;
     std::size_t m_waitingTasks = 0;
     std::size_t m_searches = 0;
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -534,7 +534,7 @@
         endpoint->second.runs.erase(order.task);
     if (const auto outliving = m_outliving.find(id); outliving != m_outliving.end())
         outliving->second.erase(order.task);
-    reopen(order.task);
+    release({order.task, order.run, id, ReleaseReason::Refused});
 }
 
 auto RunLedger::startAnswered(const StartOrder &order, const StartReply &reply, Utils::Instant now)
