Do not let a restarted endpoint forget its ends for those of its former incarnation

A poll tells up to which number the ends of tasks are durable, and names the id of the endpoint alone. An endpoint that has started again under its id counts its ends anew, so that a poll to its former incarnation made it forget ends that were never recorded: a finished task then counts as gone and runs a second time. An endpoint that did not reply to the last poll is now polled without that number.

Evidence: RestartedEndpoint.DoesNotForgetItsEndsForThoseOfItsFormerIncarnation failed before. A connection that fails within one poll still sends the number to the next incarnation, which then has been up for the time of that poll's repetition alone.

--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -214,7 +214,10 @@
     auto &endpoint = found->second;
     PollOrder order;
     order.target = target(endpoint);
-    order.recordedEnds = endpoint.recordedEnds;
+    // An endpoint that did not reply may have started again under its id. It numbers its ends anew, and
+    // must not forget them for those of the former incarnation.
+    if (endpoint.answers)
+        order.recordedEnds = endpoint.recordedEnds;
     // The endpoint's clock is not known before the first poll, and an endpoint that shuts down
     // needs no lease. An endpoint that does not reply may still receive the poll, but its lease
     // must expire before its tasks start elsewhere, so the poll does not renew it.
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -168,6 +168,22 @@
     EXPECT_EQ(fixture.schedule().starts.size(), 1U);
 }
 
+TEST(RestartedEndpoint, DoesNotForgetItsEndsForThoseOfItsFormerIncarnation)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(2));
+    fixture.begin();
+    fixture.poll("a");
+    const auto run = fixture.schedule().starts.front();
+    fixture.record(fixture.poll("a", {}, {{1, run.task, run.run, Execution::EndKind::Done, ""}}));
+    EXPECT_EQ(fixture.ledger.pollOrder("a", fixture.now())->recordedEnds, 1);
+    fixture.failPoll("a");
+    EXPECT_EQ(fixture.ledger.pollOrder("a", fixture.now())->recordedEnds, 0);
+    fixture.poll("a");
+    EXPECT_EQ(fixture.ledger.pollOrder("a", fixture.now())->recordedEnds, 1);
+}
+
 TEST(RestartedEndpoint, RunsThatItsFirstPollListsHoldBeforeItsLeaseIsRenewed)
 {
     LedgerFixture fixture;
