Begin at most one session of leadership in a term

A voter that leads may lose the contact with a majority for a moment, after a freeze of about an election timeout, and find it again before it steps down; a session may also end by itself. The control process then began another session in the same term. Its run numbers began at the first one of the term again, so that endpoints refused them as older than what had ended there, and its fencing token was that of the first session, so that its polls did not fence orders of that session which were still on their way: a task that a poll does not list is started elsewhere, and runs twice once such an order arrives.

Cause: run numbers and tokens were taken for unique, since they carry the term, but a term could have two sessions.

A process whose term is used up resigns, so that the next leader has a higher term.

--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -83,6 +83,7 @@
     auto stop() -> void;
     auto submit(std::string payload, Utils::Milliseconds timeout) -> Utils::Result<SubmitReply>;
     auto confirm(Utils::Milliseconds timeout) -> Utils::Result<Revision>;
+    auto resign(std::uint64_t term) -> void;
     auto currentStatus() const -> LogStatus;
     auto leaderStatus(Utils::Milliseconds timeout) -> Utils::Result<LogStatus>;
     auto replaceVoterOrForward(const std::string &removedId,
--- a/src/libs/replication/replicaelection.cpp
+++ b/src/libs/replication/replicaelection.cpp
@@ -121,6 +121,13 @@
     m_appliedChanged.notify_all();
 }
 
+auto Replica::resign(std::uint64_t term) -> void
+{
+    const StateLock lock(m_mutex);
+    if (m_role == Role::Leader && m_vote.term == term)
+        stepDown("it has given up its term");
+}
+
 auto Replica::adoptTerm(std::uint64_t term) -> void
 {
     const std::scoped_lock disk(m_diskMutex);
--- a/src/libs/replication/replicalog.cpp
+++ b/src/libs/replication/replicalog.cpp
@@ -47,6 +47,11 @@
     return m_d->replica->confirm(timeout);
 }
 
+auto ReplicaLog::resign(std::uint64_t term) -> void
+{
+    m_d->replica->resign(term);
+}
+
 auto ReplicaLog::status() const -> LogStatus
 {
     return m_d->replica->currentStatus();
--- a/src/libs/replication/replicalog.h
+++ b/src/libs/replication/replicalog.h
@@ -29,6 +29,7 @@
     auto submit(std::string payload, Utils::Milliseconds timeout)
         -> Utils::Result<SubmitReply> override;
     auto confirmRevision(Utils::Milliseconds timeout) -> Utils::Result<Revision> override;
+    auto resign(std::uint64_t term) -> void override;
     auto status() const -> LogStatus override;
     auto leaderStatus(Utils::Milliseconds timeout) -> Utils::Result<LogStatus> override;
     auto replaceVoter(const std::string &removedId, const Voter &added, Utils::Milliseconds timeout)
--- a/src/libs/replication/replicatedlog.h
+++ b/src/libs/replication/replicatedlog.h
@@ -111,6 +111,8 @@
         \brief Waits until the leader's confirmed commit revision is applied here, and returns it.
     */
     virtual auto confirmRevision(Utils::Milliseconds timeout) -> Utils::Result<Revision> = 0;
+    /*! \brief Stops leading if this process leads in \a term; the next leader has a higher term. */
+    virtual auto resign(std::uint64_t) -> void {}
     virtual auto status() const -> LogStatus = 0;
     /*! \brief Returns the leader's status, whose progress covers all processes. */
     virtual auto leaderStatus(Utils::Milliseconds) -> Utils::Result<LogStatus> { return status(); }
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -1,6 +1,7 @@
 #include "controlservice.h"
 
 #include "addresses.h"
+#include "leadershipstep.h"
 
 #include "utils/cbor.h"
 #include "utils/log.h"
@@ -147,35 +148,44 @@
             m_session->end();
             m_session.reset();
         }
-        if (!m_session && leads) {
-            // After this commit, all entries that earlier leaders committed are applied here.
-            const auto ready = co_await commitNoOp();
-            const auto current = m_parts.log.status();
-            if (m_stopped)
-                co_return;
-            if (ready == Execution::CommitResult::Committed
-                && current.role == Replication::Role::Leader
-                && std::int64_t(current.term) == term) {
-                m_session = std::make_shared<Execution::LeaderSession>(
-                    Execution::LeaderParts{m_parts.loop,
-                                           m_parts.state,
-                                           m_endpoints,
-                                           m_committer,
-                                           m_parts.hosts,
-                                           m_parts.clock,
-                                           m_parts.metrics,
-                                           m_options.hostOrdersPerS},
-                    m_options.timing,
-                    term);
-                m_sequences.clear();
-                m_session->start();
-            }
+        if (!m_session) {
+            const auto step = nextLeadershipStep(status, m_lastSessionTerm);
+            if (step == LeadershipStep::BeginSession)
+                co_await beginSession(status.term);
+            else if (step == LeadershipStep::Resign)
+                m_parts.log.resign(status.term);
         }
+        if (m_stopped)
+            co_return;
         updateRelays();
         co_await AsyncNet::pause(leadershipCheck);
     }
 }
 
+auto ControlService::beginSession(std::uint64_t term) -> AsyncNet::Task<void>
+{
+    // After this commit, all entries that earlier leaders committed are applied here.
+    const auto ready = co_await commitNoOp();
+    const auto current = m_parts.log.status();
+    if (m_stopped || ready != Execution::CommitResult::Committed
+        || current.role != Replication::Role::Leader || current.term != term)
+        co_return;
+    m_session =
+        std::make_shared<Execution::LeaderSession>(Execution::LeaderParts{m_parts.loop,
+                                                                          m_parts.state,
+                                                                          m_endpoints,
+                                                                          m_committer,
+                                                                          m_parts.hosts,
+                                                                          m_parts.clock,
+                                                                          m_parts.metrics,
+                                                                          m_options.hostOrdersPerS},
+                                                   m_options.timing,
+                                                   std::int64_t(term));
+    m_lastSessionTerm = term;
+    m_sequences.clear();
+    m_session->start();
+}
+
 // Lets other control processes call the endpoints if there are too many for the leader alone.
 auto ControlService::updateRelays() -> void
 {
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -96,6 +96,7 @@
 private:
     auto updateRelays() -> void;
     auto watchLeadership() -> AsyncNet::Task<void>;
+    auto beginSession(std::uint64_t term) -> AsyncNet::Task<void>;
     auto handle(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>;
     auto hello(const Wire::ControlRequest &request) -> Wire::ControlReply;
     auto submitJob(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>;
@@ -131,6 +132,7 @@
     RelayedEndpoints m_endpoints;
     AsyncNet::FrameServer m_server;
     std::shared_ptr<Execution::LeaderSession> m_session;
+    std::uint64_t m_lastSessionTerm = 0; //!< 0 before the first session of this process.
     //! Sequence number of the last announcement of each incarnation.
     std::map<Control::EndpointIncarnation, std::int64_t> m_sequences;
     Control::CallerRoutesHistory m_routes;
--- a/tests/auto/replication/tst_replicafaults.cpp
+++ b/tests/auto/replication/tst_replicafaults.cpp
@@ -78,6 +78,21 @@
         [&] { return cluster.machine(old).payloads() == cluster.machine(next).payloads(); }));
 }
 
+TEST(ReplicaFaults, LeaderThatResignsIsFollowedByOneWithAHigherTerm)
+{
+    Cluster cluster(3);
+    cluster.start();
+    const auto old = cluster.waitForLeader();
+    const auto term = cluster.log(old).status().term;
+    cluster.log(old).resign(term - 1);
+    EXPECT_EQ(cluster.log(old).status().role, Role::Leader);
+    cluster.log(old).resign(term);
+    EXPECT_NE(cluster.log(old).status().role, Role::Leader);
+    const auto next = cluster.waitForLeader();
+    EXPECT_GT(cluster.log(next).status().term, term);
+    cluster.submit(next, "after");
+}
+
 TEST(ReplicaFaults, IsolatedFollowerDoesNotForceAnElection)
 {
     Cluster cluster(3);
