Drain the endpoint that starts on a host while its maintenance is still to be ordered

Cause: the preparation of a host was remembered by its name, and only its begin closed the endpoint. Class of fault: a decision about one incarnation is used for the next one.

The preparation names the endpoint now, and another one on the host is closed and drained anew. A host that counts as unavailable for its unanswered order may be drained without counting twice.

Evidence: MaintenancePlan.DrainsTheEndpointThatStartedAfterAnUnansweredOrderBeforeTheNextOne failed before.

--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -117,6 +117,12 @@
     return refused != m_refused.end() && view.listedAt <= refused->second;
 }
 
+auto MaintenancePlan::isPreparing(const HostInfo &host) const -> bool
+{
+    const auto found = m_preparing.find(host.name);
+    return found != m_preparing.end() && found->second.endpoint == host.endpoint;
+}
+
 auto MaintenancePlan::planWave(const Control::Wave &wave,
                                const MaintenanceView &view,
                                const HostOccupancy &occupancy,
@@ -149,7 +155,7 @@
         candidates.push_back({&host,
                               occupancy.isEmpty(host),
                               runsOn(view.ledger, host.endpoint),
-                              m_preparing.contains(name),
+                              isPreparing(host),
                               countsAsUnavailable});
     }
     prepare(wave, view, std::move(candidates), unavailable, work);
@@ -168,19 +174,20 @@
     for (const auto &candidate : candidates) {
         const auto &host = *candidate.host;
         const auto busy = !candidate.empty && !candidate.preparing;
-        if (busy && unavailable >= needed)
-            return;
-        if (unavailable >= wave.maximumAtOnce && !candidate.countsAsUnavailable)
+        const auto limit = busy ? needed : wave.maximumAtOnce;
+        if (unavailable >= limit && !candidate.countsAsUnavailable)
             return;
         const auto mayOrder = std::int64_t(work.begin.size()) < view.maximumOrders;
         // An empty host that waits for its order stays open for tasks and moves.
         if (candidate.empty && !candidate.preparing && !mayOrder)
             continue;
         unavailable += candidate.countsAsUnavailable ? 0 : 1;
-        const auto [since, fresh] = m_preparing.try_emplace(host.name, view.now);
-        if (fresh && !host.endpoint.empty())
-            work.close.push_back(host.endpoint);
-        const auto due = view.now - since->second > maximumDrainTime
+        if (!isPreparing(host)) {
+            m_preparing[host.name] = {view.now, host.endpoint};
+            if (!host.endpoint.empty())
+                work.close.push_back(host.endpoint);
+        }
+        const auto due = view.now - m_preparing.at(host.name).since > maximumDrainTime
                          && view.ledger.endpoints().contains(host.endpoint);
         if (holdsLongRunning(view.ledger, host.endpoint))
             work.evacuate.push_back(host.endpoint);
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -84,6 +84,12 @@
         Utils::Instant at;
         bool uncertain = false; //!< The order got no reply and may be carried out much later.
     };
+    /*! \brief The draining of a host's endpoint before its maintenance. */
+    struct Preparation
+    {
+        Utils::Instant since;
+        std::string endpoint; //!< Another endpoint on the host has to be drained anew.
+    };
     /*! \brief An accepted order that may already have been carried out before. */
     struct Unconfirmed
     {
@@ -112,11 +118,12 @@
                  MaintenanceWork &work) -> void;
     auto confirmOrders(const MaintenanceView &view, const HostsByName &hosts, MaintenanceWork &work)
         -> void;
+    auto isPreparing(const HostInfo &host) const -> bool;
     auto waitsForNewerList(const std::string &host, const MaintenanceView &view) const -> bool;
 
-    std::set<std::int64_t> m_inheritedWaves;           //!< Waves that began in an earlier term.
-    std::map<std::string, Utils::Instant> m_preparing; //!< Start of draining by host.
-    std::map<std::string, Order> m_orders;             //!< Last order by host.
+    std::set<std::int64_t> m_inheritedWaves;        //!< Waves that began in an earlier term.
+    std::map<std::string, Preparation> m_preparing; //!< By host.
+    std::map<std::string, Order> m_orders;          //!< Last order by host.
     //! Waves and hosts with an order that was or may have been carried out.
     std::set<std::pair<std::int64_t, std::string>> m_maybeMaintained;
     std::map<std::string, Unconfirmed> m_unconfirmed; //!< Accepted orders by host.
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -52,6 +52,11 @@
         m_ledger.begin();
     }
     auto pollAll() -> void { m_ledger.pollAll(); }
+    auto startEndpoint(const std::string &id) -> void
+    {
+        m_ledger.addEndpoint(id);
+        m_ledger.poll(id);
+    }
 
     auto next(std::int64_t elapsedMs) -> Execution::MaintenanceWork
     {
@@ -221,6 +226,23 @@
     EXPECT_EQ(fixture.next(4200).open, std::vector<std::string>{"a"});
 }
 
+// The endpoint that starts after the maintenance must be drained like any other before the order is
+// repeated, since the first order may not have been the cause of the restart.
+TEST(MaintenancePlan, DrainsTheEndpointThatStartedAfterAnUnansweredOrderBeforeTheNextOne)
+{
+    WaveFixture fixture(1, 1);
+    const auto unanswered = fixture.next(0);
+    ASSERT_EQ(unanswered.begin.size(), 1U);
+    fixture.plan.ordered(unanswered.begin[0], HostOrderResult::Unknown, fixture.at(100));
+    fixture.startEndpoint("newer");
+    fixture.list.hosts[0].endpoint = "newer";
+    fixture.runTaskOn("newer");
+    const auto work = fixture.next(longAfterDrainingMs);
+    EXPECT_EQ(work.close, std::vector<std::string>{"newer"});
+    EXPECT_TRUE(work.begin.empty());
+    EXPECT_EQ(fixture.next(2 * longAfterDrainingMs).begin.size(), 1U);
+}
+
 TEST(MaintenancePlan, OrderAfterAWithdrawnOneIsRepeatedIfAnEarlierOneWasNotAnswered)
 {
     WaveFixture fixture(1, 1);
