Hold what an earlier leader ordered on an endpoint that it has removed since

Cause: a new leader took over recorded starts of endpoints that were in its state alone. An endpoint that was removed may be announced again, or start again under its id with the order still on its way. Class of fault: an order counts as gone with the state that it was given for.

Such tasks are held until the endpoint is polled or the longest lease is over.

--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -51,12 +51,12 @@
         endpoint.draining = known.record.draining;
     }
     syncJobs(state);
-    inheritStarts(state);
+    inheritStarts(state, now);
 }
 
 // Takes over the tasks that earlier leaders may have started. Starts are recorded before they are
 // ordered, so earlier leaders have started no other tasks.
-auto RunLedger::inheritStarts(const Control::State &state) -> void
+auto RunLedger::inheritStarts(const Control::State &state, Utils::Instant now) -> void
 {
     for (const auto &[id, starts] : state.startedTasks) {
         const auto job = m_jobs.find(id);
@@ -64,17 +64,28 @@
             continue;
         m_startedJobs.insert(id);
         for (const auto &[task, incarnation] : starts) {
-            // The next incarnation under the same id may have carried the order out.
-            const auto endpoint = m_endpoints.find(incarnation.id);
-            if (endpoint == m_endpoints.end() || job->second.state(task) == TaskState::Done)
+            if (job->second.state(task) == TaskState::Done)
                 continue;
-            endpoint->second.inherited.insert(task);
+            inheritStart(task, incarnation.id, now);
             job->second.addEndpoint(incarnation.id);
             job->second.setState(task, TaskState::Booked);
         }
     }
 }
 
+// The order may have reached the next incarnation under the same id, so the id alone counts.
+auto RunLedger::inheritStart(const Jobs::TaskId &task, const std::string &id, Utils::Instant now)
+    -> void
+{
+    if (const auto endpoint = m_endpoints.find(id); endpoint != m_endpoints.end()) {
+        endpoint->second.inherited.insert(task);
+        return;
+    }
+    auto &outliving = m_outliving[id];
+    outliving.inherited.insert(task);
+    outliving.leaseEnd = now + longestLocalTime(m_timing.maximumLease);
+}
+
 auto RunLedger::addEndpoint(const Control::EndpointRecord &record, Utils::Instant now) -> void
 {
     auto &endpoint = m_endpoints[record.incarnation.id];
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -193,7 +193,8 @@
     auto isBooked(const Jobs::TaskId &task) const -> bool;
     auto specOf(const Jobs::TaskId &task) const -> const Jobs::StepSpec *;
     auto syncJobs(const Control::State &state) -> void;
-    auto inheritStarts(const Control::State &state) -> void;
+    auto inheritStarts(const Control::State &state, Utils::Instant now) -> void;
+    auto inheritStart(const Jobs::TaskId &task, const std::string &id, Utils::Instant now) -> void;
     using JobsById = std::map<std::string, JobProgress>;
 
     auto addJob(JobsById::iterator position, const Jobs::Job &job) -> void;
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -168,6 +168,43 @@
     EXPECT_EQ(fixture.schedule().starts.size(), 1U);
 }
 
+TEST(RestartedEndpoint, MayRunWhatAnEarlierLeaderOrderedBeforeItRemovedTheEndpoint)
+{
+    LedgerFixture fixture;
+    const auto removed = fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", plainStep(1));
+    fixture.recordStart("a", fixture.task("job"));
+    Control::Command command;
+    command.removeEndpoint = removed.incarnation;
+    fixture.state.apply(command, 1);
+    fixture.begin();
+    fixture.poll("b");
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.ledger.addEndpoint(removed, fixture.now());
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.poll("a", {{fixture.task("job"), 1, "", 100, 0}});
+    const auto orders = fixture.schedule();
+    EXPECT_TRUE(orders.starts.empty());
+    EXPECT_TRUE(orders.stops.empty());
+}
+
+TEST(RestartedEndpoint, TaskOfARemovedEndpointStartsElsewhereOnceItsLeaseIsOver)
+{
+    LedgerFixture fixture;
+    const auto removed = fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", plainStep(1));
+    fixture.recordStart("a", fixture.task("job"));
+    Control::Command command;
+    command.removeEndpoint = removed.incarnation;
+    fixture.state.apply(command, 1);
+    fixture.begin();
+    fixture.advance(longerThanAnyLease);
+    fixture.poll("b");
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
 TEST(RestartedEndpoint, DoesNotForgetItsEndsForThoseOfItsFormerIncarnation)
 {
     LedgerFixture fixture;
