Do not record a start that is gone over that of the task's next run

A commit of starts that failed was repeated with all of its starts, also with those whose endpoint had ended meanwhile. The repeated record then replaced that of the task's next run on another endpoint, so that the next leader waited for the wrong endpoint and could start the task beside that run (found by reading; the second run is not shown by a run).

Each attempt now leaves out the starts that are not to be sent any more.

--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -3,6 +3,8 @@
 #include "utils/log.h"
 
 #include <algorithm>
+#include <map>
+#include <span>
 #include <utility>
 
 namespace Execution {
@@ -24,6 +26,18 @@
 // with the work of a burst.
 constexpr std::int64_t linesPerSecond = 40;
 
+auto recordsOf(std::span<const StartOrder> orders) -> std::vector<Control::Command>
+{
+    std::map<Control::EndpointIncarnation, std::vector<Jobs::TaskId>> tasks;
+    for (const auto &order : orders)
+        tasks[order.target.incarnation].push_back(order.task);
+    std::vector<Control::Command> commands;
+    for (auto &[incarnation, started] : tasks)
+        commands.emplace_back().recordStarts =
+            Control::RecordStarts{incarnation, std::move(started)};
+    return commands;
+}
+
 } // namespace
 
 LeaderSession::LeaderSession(LeaderParts parts, LedgerTiming timing, std::int64_t term)
@@ -252,17 +266,21 @@
 }
 
 // Records the starts before their orders are sent: a later leader must know where a task may run.
+// Before each attempt, starts that are no longer to be sent are left out: their record would replace
+// that of the task's next run.
 auto LeaderSession::recordAndSend(std::vector<StartOrder> orders) -> Task
 {
-    std::map<Control::EndpointIncarnation, std::vector<Jobs::TaskId>> tasks;
-    for (const auto &order : orders)
-        tasks[order.target.incarnation].push_back(order.task);
-    std::vector<Control::Command> commands;
-    for (auto &[incarnation, started] : tasks)
-        commands.emplace_back().recordStarts =
-            Control::RecordStarts{incarnation, std::move(started)};
-    const auto committed = co_await commitUntilDone(std::move(commands));
-    if (!committed)
+    while (m_active) {
+        std::erase_if(orders, [this](const auto &order) { return !m_ledger.confirmRecord(order); });
+        if (orders.empty())
+            co_return;
+        auto commands = recordsOf(orders);
+        const auto result = co_await commit(std::move(commands));
+        if (result == CommitResult::Committed)
+            break;
+        co_await AsyncNet::pause(commitRetry);
+    }
+    if (!m_active)
         co_return;
     for (auto &order : orders) {
         if (m_ledger.confirmStart(order))
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -482,20 +482,26 @@
     return run != nullptr && run->number == number ? run : nullptr;
 }
 
-auto RunLedger::confirmStart(const StartOrder &order) -> bool
+auto RunLedger::confirmRecord(const StartOrder &order) -> bool
 {
-    auto *run = findRun(order.target, order.task, order.run);
+    const auto *run = findRun(order.target, order.task, order.run);
     if (run == nullptr || run->state != RunState::Ordered)
         return false;
-    if (!run->stopReason && specOf(order.task) != nullptr) {
-        run->sent = true;
+    if (!run->stopReason && specOf(order.task) != nullptr)
         return true;
-    }
     m_endpoints.at(order.target.incarnation.id).runs.erase(order.task);
     reopen(order.task);
     return false;
 }
 
+auto RunLedger::confirmStart(const StartOrder &order) -> bool
+{
+    if (!confirmRecord(order))
+        return false;
+    findRun(order.target, order.task, order.run)->sent = true;
+    return true;
+}
+
 // Returns the run of a start order wherever it is booked now: the incarnation that the order is for
 // may have ended. Run numbers are unique within a term.
 auto RunLedger::findStarted(const StartOrder &order) -> Run *
--- a/tests/auto/execution/fakefleet.cpp
+++ b/tests/auto/execution/fakefleet.cpp
@@ -8,8 +8,9 @@
     : m_clock(clock)
 {}
 
-auto FakeEndpoints::start(Execution::StartOrder) -> AsyncNet::Task<Execution::StartReply>
+auto FakeEndpoints::start(Execution::StartOrder order) -> AsyncNet::Task<Execution::StartReply>
 {
+    starts.push_back(std::move(order));
     Execution::StartReply reply;
     reply.result = Execution::StartResult::Started;
     co_return reply;
@@ -43,6 +44,12 @@
 auto FakeCommandLog::commit(std::vector<Control::Command> commands)
     -> AsyncNet::Task<Execution::CommitResult>
 {
+    const auto recordsStarts = !commands.empty() && commands.front().recordStarts;
+    if (recordsStarts && commands.front().recordStarts->incarnation.id == failsStartsOn) {
+        ++failedCommits;
+        co_return Execution::CommitResult::NotCommitted;
+    }
+    commitsOfStarts += recordsStarts ? 1 : 0;
     Control::CommandBatch batch;
     batch.timeMs = m_clock.wallTime();
     batch.commands = std::move(commands);
--- a/tests/auto/execution/fakefleet.h
+++ b/tests/auto/execution/fakefleet.h
@@ -20,6 +20,8 @@
     auto pace(Execution::PaceOrder order) -> AsyncNet::Task<Execution::OrderResult> override;
     auto poll(Execution::PollOrder order) -> AsyncNet::Task<Execution::PollReply> override;
 
+    std::vector<Execution::StartOrder> starts; //!< All start orders.
+
 private:
     const Utils::Clock &m_clock;
 };
@@ -33,6 +35,10 @@
     auto commit(std::vector<Control::Command> commands)
         -> AsyncNet::Task<Execution::CommitResult> override;
 
+    std::string failsStartsOn; //!< Commits of starts on this endpoint fail.
+    int failedCommits = 0;
+    int commitsOfStarts = 0; //!< Commits of starts that succeeded.
+
 private:
     Control::StateReplica &m_state;
     const Utils::Clock &m_clock;
--- a/tests/auto/execution/tst_leadersession.cpp
+++ b/tests/auto/execution/tst_leadersession.cpp
@@ -14,6 +14,9 @@
 constexpr std::int64_t term = 3;
 constexpr double hostOrdersPerS = 50;
 constexpr auto sparePool = "spare";
+constexpr auto jobId = "0123456789abcdef";
+// Long enough for several attempts to commit.
+constexpr Utils::Milliseconds severalRetries{500};
 
 /*! \brief A leader with one endpoint whose host is due for maintenance. */
 class SessionFixture
@@ -66,25 +69,82 @@
         return m_state.read(
             [](const Control::State &state) { return state.endpoints.contains("endpoint-1"); });
     }
-    /*! \brief Runs a session until \a condition holds; returns false after longestTest. */
-    auto leadUntil(const std::function<bool()> &condition) -> bool
+    /*! \brief Adds a job of one task, and the queue that it belongs to. */
+    auto addJob() -> void
     {
-        const auto session = std::make_shared<Execution::LeaderSession>(
+        Control::Command configuration;
+        configuration.configuration.emplace();
+        configuration.configuration->version = 2;
+        configuration.configuration->pools.push_back({"pool", true, false});
+        Control::Queue queue;
+        queue.name = "queue";
+        queue.pool = "pool";
+        queue.maximumAttempts = 3;
+        configuration.configuration->queues.push_back(queue);
+        Control::Command job;
+        job.submitJob.emplace();
+        job.submitJob->id = jobId;
+        job.submitJob->queue = "queue";
+        job.submitJob->pool = "pool";
+        auto &step = job.submitJob->steps.emplace_back();
+        step.count = 1;
+        step.demand = {1000, 100, 0};
+        step.estimateMs = 1000;
+        apply({configuration, job});
+    }
+    /*! \brief Returns the id of the endpoint on which the start of the job's task is recorded. */
+    auto recordedEndpoint() const -> std::string
+    {
+        return m_state.read([](const Control::State &state) {
+            const auto starts = state.startedTasks.find(jobId);
+            return starts != state.startedTasks.end() ? starts->second.begin()->second.id
+                                                      : std::string();
+        });
+    }
+    auto begin() -> std::shared_ptr<Execution::LeaderSession>
+    {
+        auto session = std::make_shared<Execution::LeaderSession>(
             Execution::LeaderParts{
-                m_loop, m_state, m_endpoints, m_log, hosts, m_clock, m_metrics, hostOrdersPerS},
+                m_loop, m_state, endpoints, log, hosts, m_clock, m_metrics, hostOrdersPerS},
             Execution::LedgerTiming(),
             term);
         session->start();
-        if (!m_state.read([](const Control::State &state) { return state.waves.contains(1); }))
-            beginWave();
-        const auto deadline = m_clock.now() + longestTest;
+        return session;
+    }
+    /*! \brief Lets another endpoint take the address of the first one. */
+    auto replaceEndpoint(Execution::LeaderSession &session) -> void
+    {
+        Control::Command removed;
+        removed.removeEndpoint = Control::EndpointIncarnation{"endpoint-1", 1000};
+        Control::Command added;
+        added.addEndpoint.emplace();
+        added.addEndpoint->incarnation = {"endpoint-2", 2000};
+        added.addEndpoint->pool = "pool";
+        added.addEndpoint->address = "endpoint-1:1";
+        added.addEndpoint->capacity = {4000, 8000, 0};
+        apply({removed, added});
+        session.endpointReplaced(*removed.removeEndpoint);
+        session.addEndpoint(*added.addEndpoint);
+    }
+    /*! \brief Runs the event loop until \a condition holds; returns false after \a longest. */
+    auto runUntil(const std::function<bool()> &condition, Utils::Milliseconds longest = longestTest)
+        -> bool
+    {
+        const auto deadline = m_clock.now() + longest;
         while (!condition() && m_clock.now() < deadline)
             m_loop.run_for(conditionCheck);
-        session->end();
         return condition();
     }
-
-    FakeHosts hosts;
+    /*! \brief Runs a session until \a condition holds; returns false after longestTest. */
+    auto leadUntil(const std::function<bool()> &condition) -> bool
+    {
+        const auto session = begin();
+        if (!m_state.read([](const Control::State &state) { return state.waves.contains(1); }))
+            beginWave();
+        const auto reached = runUntil(condition);
+        session->end();
+        return reached;
+    }
 
 private:
     auto apply(std::vector<Control::Command> commands) -> void
@@ -100,8 +160,11 @@
     Utils::SystemClock m_clock;
     Utils::Metrics m_metrics;
     Control::StateReplica m_state;
-    FakeEndpoints m_endpoints{m_clock};
-    FakeCommandLog m_log{m_state, m_clock};
+
+public:
+    FakeHosts hosts;
+    FakeEndpoints endpoints{m_clock};
+    FakeCommandLog log{m_state, m_clock};
 };
 
 TEST(LeaderSession, FinishesHostAfterRepeatedMaintenanceOrder)
@@ -146,4 +209,22 @@
     EXPECT_EQ(fixture.hosts.movesOfMaintained, 0);
 }
 
+// The next leader would wait for the wrong endpoint, and start the task beside its run.
+TEST(LeaderSession, DoesNotRecordTheStartOfRunThatIsGoneOverThatOfTheNextRun)
+{
+    SessionFixture fixture;
+    fixture.addJob();
+    fixture.log.failsStartsOn = "endpoint-1";
+    const auto session = fixture.begin();
+    ASSERT_TRUE(fixture.runUntil([&] { return fixture.log.failedCommits > 0; }));
+    fixture.replaceEndpoint(*session);
+    ASSERT_TRUE(fixture.runUntil([&] { return !fixture.endpoints.starts.empty(); }));
+    EXPECT_EQ(fixture.endpoints.starts.front().target.incarnation.id, "endpoint-2");
+    fixture.log.failsStartsOn.clear();
+    fixture.runUntil([&] { return fixture.log.commitsOfStarts > 1; }, severalRetries);
+    session->end();
+    EXPECT_EQ(fixture.endpoints.starts.size(), 1U);
+    EXPECT_EQ(fixture.recordedEndpoint(), "endpoint-2");
+}
+
 } // namespace
