Tell the session only of the incarnation that the state holds after the commit

A late announcement of a former incarnation that was committed after the next one's was ignored by the state, but the session replaced the newer endpoint by it, and dropped it at the first poll. As each later announcement was known already, the endpoint got no tasks for the rest of the term. By reading, no task runs twice from it.

--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -443,6 +443,15 @@
     co_return true;
 }
 
+// Returns false if a newer incarnation under the id has been committed meanwhile.
+auto ControlService::isCurrent(const Control::EndpointIncarnation &incarnation) const -> bool
+{
+    return m_parts.state.read([&](const Control::State &state) {
+        const auto found = state.endpoints.find(incarnation.id);
+        return found != state.endpoints.end() && found->second.record.incarnation == incarnation;
+    });
+}
+
 auto ControlService::announce(Announcement announcement) -> AsyncNet::Task<Outcome>
 {
     if (!leads())
@@ -483,10 +492,11 @@
     Control::Command command;
     command.addEndpoint = record;
     const auto result = co_await commit(std::move(command));
-    if (auto *active = session(); active != nullptr && result == Execution::CommitResult::Committed)
-        active->addEndpoint(record);
-    else
+    auto *active = session();
+    if (active == nullptr || result != Execution::CommitResult::Committed)
         m_sequences.erase(record.incarnation);
+    else if (isCurrent(record.incarnation))
+        active->addEndpoint(record);
     co_return outcomeFor(result);
 }
 
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -123,6 +123,7 @@
 
         Returns false if a newer incarnation is known at that address.
     */
+    auto isCurrent(const Control::EndpointIncarnation &incarnation) const -> bool;
     auto removeReplacedIncarnations(const Control::EndpointRecord &record) -> AsyncNet::Task<bool>;
 
     ControlParts m_parts;
