Test a control process that loses and regains its majority, and endpoints announced out of order

The fake log of the first two is adapted: a process that resigns leads in the next term. Before both failed: run numbers and the fencing token were used again.

--- /dev/null
+++ b/tests/auto/service/tst_controlservice.cpp
@@ -0,0 +1,304 @@
+// A control process that leads, with a log, endpoints and hosts that the test controls.
+#include "service/controlservice.h"
+
+#include "utils/cbor.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <condition_variable>
+#include <functional>
+#include <limits>
+#include <map>
+#include <mutex>
+#include <set>
+
+namespace {
+
+using Utils::Milliseconds;
+
+constexpr Milliseconds longestTest{10'000};
+constexpr Milliseconds conditionCheck{5};
+constexpr std::uint64_t firstTerm = 2;
+constexpr std::int64_t firstBornMs = 1000;
+constexpr std::int64_t nextBornMs = 2000;
+constexpr auto anyPort = "127.0.0.1:0";
+
+/*! \brief The log of a leader whose contact with a majority the test controls. */
+class FakeLog final : public Replication::ReplicatedLog
+{
+public:
+    explicit FakeLog(Control::StateReplica &state)
+        : m_state(state)
+    {}
+
+    auto start() -> Utils::Result<void> override { return Utils::success(); }
+    auto stop() -> void override {}
+    auto submit(std::string payload, Milliseconds)
+        -> Utils::Result<Replication::SubmitReply> override
+    {
+        std::unique_lock lock(m_mutex);
+        waits = m_allowed == 0;
+        m_changed.wait(lock, [this] { return m_allowed > 0; });
+        waits = false;
+        --m_allowed;
+        Replication::Entry entry;
+        entry.revision = ++m_revision;
+        entry.payload = std::move(payload);
+        m_state.apply(entry);
+        return Replication::SubmitReply{entry.revision, {}};
+    }
+    auto confirmRevision(Milliseconds) -> Utils::Result<Replication::Revision> override
+    {
+        return Replication::Revision(m_revision.load());
+    }
+    auto status() const -> Replication::LogStatus override
+    {
+        Replication::LogStatus status;
+        status.role = Replication::Role::Leader;
+        status.term = m_term;
+        status.hasQuorum = hasQuorum;
+        return status;
+    }
+
+    // Leads again in the next term.
+    auto resign(std::uint64_t term) -> void override
+    {
+        if (term == m_term)
+            ++m_term;
+    }
+
+    std::atomic<bool> hasQuorum = true;
+    std::atomic<bool> waits = false; //!< A commit waits for a call of allow().
+
+    /*! \brief Lets the next \a entries be committed, and later ones wait. */
+    auto allow(int entries) -> void
+    {
+        const std::lock_guard lock(m_mutex);
+        m_allowed = entries;
+        m_changed.notify_all();
+    }
+
+private:
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    int m_allowed = std::numeric_limits<int>::max();
+    Control::StateReplica &m_state;
+    std::atomic<Replication::Revision> m_revision = 0;
+    std::atomic<std::uint64_t> m_term = firstTerm;
+};
+
+/*! \brief Endpoints that reply to polls at once, list nothing, and record start orders. */
+class SilentStarts final : public Execution::EndpointLink
+{
+public:
+    auto start(Execution::StartOrder order) -> AsyncNet::Task<Execution::StartReply> override
+    {
+        starts.push_back(std::move(order));
+        co_await AsyncNet::pause(longestTest);
+        co_return Execution::StartReply();
+    }
+    auto stop(Execution::StopOrder) -> AsyncNet::Task<Execution::OrderResult> override
+    {
+        co_return Execution::OrderResult::Unknown;
+    }
+    auto pace(Execution::PaceOrder) -> AsyncNet::Task<Execution::OrderResult> override
+    {
+        co_return Execution::OrderResult::Unknown;
+    }
+    auto poll(Execution::PollOrder order) -> AsyncNet::Task<Execution::PollReply> override
+    {
+        co_await AsyncNet::pause(conditionCheck);
+        Execution::PollReply reply;
+        reply.result = Execution::PollResult::Seen;
+        const auto restarted = restartedMs.find(order.target.incarnation.id);
+        reply.bornMs =
+            restarted != restartedMs.end() ? restarted->second : order.target.incarnation.bornMs;
+        reply.clockMs = m_clock.now().time_since_epoch().count();
+        co_return reply;
+    }
+
+    std::vector<Execution::StartOrder> starts;
+    std::map<std::string, std::int64_t> restartedMs; //!< Times of the last restarts by endpoint.
+
+private:
+    Utils::SystemClock m_clock;
+};
+
+class NoHosts final : public Execution::HostProvider
+{
+public:
+    auto list() -> AsyncNet::Task<Execution::HostList> override { co_return Execution::HostList(); }
+    auto maintain(std::string, std::int64_t, std::int64_t)
+        -> AsyncNet::Task<Execution::HostOrderResult> override
+    {
+        co_return Execution::HostOrderResult::Refused;
+    }
+    auto move(std::string, std::string, std::int64_t)
+        -> AsyncNet::Task<Execution::HostOrderResult> override
+    {
+        co_return Execution::HostOrderResult::Refused;
+    }
+};
+
+class ControlServiceTest : public testing::Test
+{
+protected:
+    ControlServiceTest()
+    {
+        Control::Command configuration;
+        auto &content = configuration.configuration.emplace();
+        content.version = 1;
+        content.pools.push_back({"pool", true, false});
+        Control::Queue queue;
+        queue.name = "queue";
+        queue.pool = "pool";
+        queue.maximumAttempts = 3;
+        content.queues.push_back(queue);
+        Control::Command endpoint;
+        endpoint.addEndpoint = record(firstBornMs);
+        apply({configuration, endpoint});
+        EXPECT_TRUE(m_service.start());
+    }
+    ~ControlServiceTest() override { m_service.stop(); }
+
+    static auto record(std::int64_t bornMs) -> Control::EndpointRecord
+    {
+        Control::EndpointRecord record;
+        record.incarnation = {"a", bornMs};
+        record.pool = "pool";
+        record.address = "a:1";
+        record.capacity = {4000, 8000, 0};
+        return record;
+    }
+    auto addJob() -> void
+    {
+        Control::Command job;
+        auto &spec = job.submitJob.emplace();
+        spec.id = "0123456789abcdef";
+        spec.queue = "queue";
+        spec.pool = "pool";
+        auto &step = spec.steps.emplace_back();
+        step.count = 1;
+        step.demand = {1000, 100, 0};
+        step.estimateMs = 1000;
+        apply({job});
+    }
+    auto announce(const Control::EndpointRecord &record, std::int64_t sequence) -> void
+    {
+        AsyncNet::start(m_loop, "announcement", announceOne({record, sequence}));
+    }
+    auto runUntil(const std::function<bool()> &condition) -> bool
+    {
+        const auto deadline = m_clock.now() + longestTest;
+        while (!condition() && m_clock.now() < deadline)
+            m_loop.run_for(conditionCheck);
+        return condition();
+    }
+    // Lets the leader lose and regain its contact with a majority before the log steps down.
+    auto interruptContact() -> void
+    {
+        m_log.hasQuorum = false;
+        EXPECT_TRUE(runUntil([this] { return !m_service.leads(); }));
+        m_log.hasQuorum = true;
+        EXPECT_TRUE(runUntil([this] { return m_service.leads(); }));
+    }
+
+    // Applies commands as if the log had committed an entry of another process.
+    auto apply(std::vector<Control::Command> commands) -> void
+    {
+        Control::CommandBatch batch;
+        batch.commands = std::move(commands);
+        Replication::Entry entry;
+        entry.payload = Utils::toCbor(batch);
+        m_state.apply(entry);
+    }
+
+    SilentStarts m_endpoints;
+    AsyncNet::asio::io_context m_loop{1};
+    auto service() -> Service::ControlService & { return m_service; }
+    auto log() -> FakeLog & { return m_log; }
+    int m_announced = 0; //!< Announcements that have been answered.
+
+private:
+    auto announceOne(Service::Announcement announcement) -> AsyncNet::Task<void>
+    {
+        co_await m_service.announce(std::move(announcement));
+        ++m_announced;
+    }
+    Utils::SystemClock m_clock;
+    Utils::Metrics m_metrics;
+    Control::StateReplica m_state;
+    FakeLog m_log{m_state};
+    NoHosts m_hosts;
+    Service::MemberTable m_members;
+    Service::LeaderLink m_link{m_loop, {}, {}};
+    Service::ControlService m_service{
+        {m_loop, m_state, m_log, m_endpoints, m_hosts, m_clock, m_metrics, m_link, m_members},
+        {"127.0.0.1:1", anyPort, {}, 0}};
+};
+
+// The order of the first session may still be carried out, and its run be taken for the second one.
+TEST_F(ControlServiceTest, LeadingAgainAfterLostContactUsesNoRunNumberAgain)
+{
+    addJob();
+    ASSERT_TRUE(runUntil([this] { return !m_endpoints.starts.empty(); }));
+    interruptContact();
+    EXPECT_TRUE(runUntil([this] { return m_endpoints.starts.size() > 1; }));
+    std::set<std::int64_t> numbers;
+    for (const auto &order : m_endpoints.starts)
+        EXPECT_TRUE(numbers.insert(order.run).second) << order.run;
+}
+
+// A poll settles what an earlier session may have started, since its token makes those orders fail.
+TEST_F(ControlServiceTest, LeadingAgainAfterLostContactRepeatsNoStartThatIsNotFenced)
+{
+    addJob();
+    ASSERT_TRUE(runUntil([this] { return !m_endpoints.starts.empty(); }));
+    interruptContact();
+    EXPECT_TRUE(runUntil([this] { return m_endpoints.starts.size() > 1; }));
+    for (std::size_t index = 1; index < m_endpoints.starts.size(); ++index)
+        EXPECT_GT(m_endpoints.starts[index].target.fencingToken,
+                  m_endpoints.starts[index - 1].target.fencingToken);
+}
+
+TEST_F(ControlServiceTest, LateAnnouncementOfTheFormerIncarnationDoesNotRemoveTheNextOne)
+{
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    m_endpoints.restartedMs["a"] = nextBornMs;
+    auto late = record(firstBornMs);
+    late.draining = true;
+    // The first entry removes the former incarnation, the second one adds the next one.
+    log().allow(1);
+    announce(record(nextBornMs), 1);
+    ASSERT_TRUE(runUntil([this] { return log().waits.load(); }));
+    announce(late, 9);
+    m_loop.run_for(conditionCheck);
+    log().allow(std::numeric_limits<int>::max());
+    ASSERT_TRUE(runUntil([this] { return m_announced == 2; }));
+    addJob();
+    announce(record(nextBornMs), 2);
+    ASSERT_TRUE(runUntil([this] { return !m_endpoints.starts.empty(); }));
+    EXPECT_EQ(m_endpoints.starts.front().target.incarnation.bornMs, nextBornMs);
+}
+
+// A former leader's commands are forwarded, and may be committed after the next one has begun.
+TEST_F(ControlServiceTest, EndpointThatAFormerLeaderRecordedLateGetsTasks)
+{
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    auto late = record(nextBornMs);
+    late.incarnation.id = "b";
+    late.address = "b:1";
+    Control::Command added;
+    added.addEndpoint = late;
+    auto draining = record(firstBornMs);
+    draining.draining = true;
+    apply({added});
+    announce(draining, 1);
+    announce(late, 2);
+    ASSERT_TRUE(runUntil([this] { return m_announced == 2; }));
+    addJob();
+    EXPECT_TRUE(runUntil([this] { return !m_endpoints.starts.empty(); }));
+}
+
+} // namespace
