--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <map>
+
 using namespace ExecutionTest;
 
 namespace {
@@ -10,6 +12,47 @@
 constexpr Utils::Milliseconds longerThanAnyLease{6300};
 constexpr std::int64_t clockOfRestartedMs = 20;
 
+/*! \brief The rules by which an endpoint carries orders out, for one incarnation. */
+class FakeIncarnation
+{
+public:
+    auto accepts(const Execution::StartOrder &order) -> bool
+    {
+        if (!raise(order.target.fencingToken) || order.run <= m_settled[order.task])
+            return false;
+        // Its clock is about 0, so that no lease of an order to its predecessor is over.
+        m_runs[order.task] = order.run;
+        return true;
+    }
+    auto stop(const Execution::StopOrder &order) -> void
+    {
+        EXPECT_TRUE(raise(order.target.fencingToken));
+        m_settled[order.task] = order.run;
+        m_runs.erase(order.task);
+    }
+    auto answer(const Execution::PollOrder &order) -> std::vector<Execution::RunningTask>
+    {
+        EXPECT_TRUE(raise(order.target.fencingToken));
+        std::vector<Execution::RunningTask> rows;
+        for (const auto &[task, run] : m_runs)
+            rows.push_back({task, run, "", 100, 0});
+        return rows;
+    }
+
+private:
+    auto raise(std::int64_t token) -> bool
+    {
+        if (token < m_token)
+            return false;
+        m_token = token;
+        return true;
+    }
+
+    std::int64_t m_token = 0;
+    std::map<Jobs::TaskId, std::int64_t> m_settled; //!< Highest run that was stopped, by task.
+    std::map<Jobs::TaskId, std::int64_t> m_runs;
+};
+
 /*! \brief A job of one task whose start order has been sent to "a", beside an idle "b". */
 class StartInFlight : public testing::Test
 {
@@ -35,6 +78,15 @@
         return {{m_order.task, m_order.run, "", 100, 0}};
     }
 
+    // Polls "a" as the next incarnation, and returns whether that one then carries the order out.
+    auto nextIncarnationAccepts() -> bool
+    {
+        FakeIncarnation next;
+        const auto poll = m_fixture.ledger.pollOrder("a", m_fixture.now());
+        m_fixture.poll("a", next.answer(*poll));
+        return next.accepts(m_order);
+    }
+
     LedgerFixture m_fixture;
     Control::EndpointRecord m_first;
     Execution::StartOrder m_order;
@@ -163,6 +215,41 @@
     EXPECT_EQ(starts(), 1U);
 }
 
+// An order without an answer may be carried out seconds later, after a stop or the end of its lease.
+TEST_F(StartInFlight, RunsOnceIfTheNextIncarnationGetsItAfterTheFormerOneHasStoppedIt)
+{
+    FakeIncarnation former;
+    send();
+    m_fixture.ledger.startAnswered(m_order, {}, m_fixture.now());
+    m_fixture.advance(Utils::Milliseconds(700));
+    m_fixture.pollAll();
+    const auto stops = m_fixture.schedule().stops;
+    ASSERT_EQ(stops.size(), 1U);
+    former.stop(stops.front());
+    EXPECT_FALSE(former.accepts(m_order));
+    m_fixture.acceptStop(stops.front());
+    m_fixture.advance(Utils::Milliseconds(450));
+    m_fixture.pollAll();
+    m_fixture.ledger.setClosed("a", true);
+    const auto repeated = starts();
+    replace();
+    const auto accepted = nextIncarnationAccepts();
+    EXPECT_LE(repeated + (accepted ? 1U : 0U), 1U);
+}
+
+TEST_F(StartInFlight, RunsOnceIfTheNextIncarnationAppearsAndGetsItAfterItsLease)
+{
+    send();
+    m_fixture.ledger.endIncarnation(m_first.incarnation);
+    m_fixture.ledger.startAnswered(m_order, {}, m_fixture.now());
+    m_fixture.advance(longerThanAnyLease);
+    m_fixture.poll("b");
+    const auto repeated = starts();
+    replace();
+    const auto accepted = nextIncarnationAccepts();
+    EXPECT_LE(repeated + (accepted ? 1U : 0U), 1U);
+}
+
 TEST(RestartedEndpoint, MayRunWhatAnEarlierLeaderOrderedItsFormerIncarnationToStart)
 {
     LedgerFixture fixture;
