Do not let the record of a former leader replace the start of a later term

A new leader starts a long-running task as its first order while the task runs on an endpoint of the term before.

Cause: a process that has lost its leadership forwards the commands that wait for a commit for up to 2.5 s. Its record of a start, decided while it was cut off, was committed after the later leader had started the task elsewhere, and replaced that leader's record, so that the next leader waited for the wrong endpoint. Class of fault: a decision counts after the term for which it was made.

Records carry the term now, and one of an earlier term is ignored. Records of older builds count as term 0.

Evidence: ControlState.LateRecordOfAFormerLeaderDoesNotReplaceTheStartOfALaterTerm holds the rule; without the comparison the state kept the last record.

--- a/src/libs/control/controlcommands.h
+++ b/src/libs/control/controlcommands.h
@@ -58,6 +58,7 @@
 {
     EndpointIncarnation incarnation;
     std::vector<Jobs::TaskId> tasks;
+    std::int64_t term = 0; //!< Term of the leader that starts them; 0 in entries of older builds.
 };
 
 /*! \brief A maintenance wave: hosts to be maintained, with a limit on how many at a time. */
@@ -141,6 +142,7 @@
         tasks.push_back(Jobs::toText(task));
     archive.required("life", record.incarnation);
     archive.required("tasks", tasks);
+    archive.optional("term", record.term);
     record.tasks.clear();
     for (const auto &task : tasks)
         record.tasks.push_back(Jobs::taskFromText(task).value_or(Jobs::TaskId{}));
--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -85,8 +85,12 @@
 auto apply(State &state, const RecordStarts &record) -> void
 {
     for (const auto &task : record.tasks) {
-        if (isActive(state, task.job))
-            state.startedTasks[task.job][task] = record.incarnation;
+        if (!isActive(state, task.job))
+            continue;
+        // The record of a leader that has lost its term may be forwarded and committed later.
+        auto &start = state.startedTasks[task.job][task];
+        if (start.term <= record.term)
+            start = {record.incarnation, record.term};
     }
 }
 
@@ -98,7 +102,7 @@
     if (job == state.startedTasks.end())
         return;
     const auto start = job->second.find(task);
-    if (start != job->second.end() && start->second == incarnation)
+    if (start != job->second.end() && start->second.incarnation == incarnation)
         job->second.erase(start);
     if (job->second.empty() || !isActive(state, task.job))
         state.startedTasks.erase(job);
@@ -253,8 +257,8 @@
     for (const auto &[number, wave] : m_state.waves)
         snapshot.waves.push_back(wave);
     for (const auto &[job, starts] : m_state.startedTasks) {
-        for (const auto &[task, incarnation] : starts)
-            snapshot.starts.push_back({incarnation, {task}});
+        for (const auto &[task, start] : starts)
+            snapshot.starts.push_back({start.incarnation, {task}, start.term});
     }
     return Utils::toCbor(snapshot);
 }
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -20,6 +20,13 @@
     std::int64_t recordedEnds = 0; //!< Number of the last end that is durably recorded.
 };
 
+/*! \brief Where a task was last ordered to start, and in which term. */
+struct RecordedStart
+{
+    EndpointIncarnation incarnation;
+    std::int64_t term = 0;
+};
+
 /*! \brief The replicated state. Applying commands is deterministic. */
 struct State
 {
@@ -27,9 +34,9 @@
     Jobs::JobTable jobs;
     std::map<std::string, KnownEndpoint> endpoints; //!< Endpoints by id.
     std::map<std::int64_t, Wave> waves;             //!< Maintenance waves by number.
-    //! For each active job, the endpoints on which its tasks were last ordered to start. A task is
-    //! removed when its end is durably recorded on that endpoint, or when the job ends.
-    std::map<std::string, std::map<Jobs::TaskId, EndpointIncarnation>> startedTasks;
+    //! For each active job, where its tasks were last ordered to start. A task is removed when its
+    //! end is durably recorded on that endpoint, or when the job ends.
+    std::map<std::string, std::map<Jobs::TaskId, RecordedStart>> startedTasks;
 
     auto apply(const CommandBatch &batch) -> void;
     auto apply(const Command &command, std::int64_t nowMs) -> void;
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -26,7 +26,8 @@
 // with the work of a burst.
 constexpr std::int64_t linesPerSecond = 40;
 
-auto recordsOf(std::span<const StartOrder> orders) -> std::vector<Control::Command>
+auto recordsOf(std::span<const StartOrder> orders, std::int64_t term)
+    -> std::vector<Control::Command>
 {
     std::map<Control::EndpointIncarnation, std::vector<Jobs::TaskId>> tasks;
     for (const auto &order : orders)
@@ -34,7 +35,7 @@
     std::vector<Control::Command> commands;
     for (auto &[incarnation, started] : tasks)
         commands.emplace_back().recordStarts =
-            Control::RecordStarts{incarnation, std::move(started)};
+            Control::RecordStarts{incarnation, std::move(started), term};
     return commands;
 }
 
@@ -274,7 +275,7 @@
         std::erase_if(orders, [this](const auto &order) { return !m_ledger.confirmRecord(order); });
         if (orders.empty())
             co_return;
-        auto commands = recordsOf(orders);
+        auto commands = recordsOf(orders, m_term);
         const auto result = co_await commit(std::move(commands));
         if (result == CommitResult::Committed)
             break;
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -67,11 +67,11 @@
         if (job == m_jobs.end())
             continue;
         m_startedJobs.insert(id);
-        for (const auto &[task, incarnation] : starts) {
+        for (const auto &[task, start] : starts) {
             if (job->second.state(task) == TaskState::Done)
                 continue;
-            inheritStart(task, incarnation.id, now);
-            job->second.addEndpoint(incarnation.id);
+            inheritStart(task, start.incarnation.id, now);
+            job->second.addEndpoint(start.incarnation.id);
             job->second.setState(task, TaskState::Booked);
         }
     }
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -140,7 +140,7 @@
         Control::RecordEnds{endpoint.incarnation, {{1, first, Jobs::TaskOutcome::Done}}};
     state.apply(ended, 1);
     EXPECT_FALSE(state.startedTasks["job"].contains(first));
-    EXPECT_EQ(state.startedTasks["job"].at(second), endpoint.incarnation);
+    EXPECT_EQ(state.startedTasks["job"].at(second).incarnation, endpoint.incarnation);
     Control::Command cancelled;
     cancelled.cancelJob = "job";
     state.apply(cancelled, 1);
@@ -150,6 +150,30 @@
     EXPECT_TRUE(state.startedTasks.empty());
 }
 
+TEST(ControlState, LateRecordOfAFormerLeaderDoesNotReplaceTheStartOfALaterTerm)
+{
+    Control::State state;
+    Jobs::JobSpec job;
+    job.id = "job";
+    job.steps.emplace_back().count = 1;
+    state.jobs.add(job);
+    const Jobs::TaskId task{"job", 0, 0, 0};
+    const auto recordedAfter = [&](const std::string &id, std::int64_t term) {
+        Control::RecordStarts starts;
+        starts.incarnation = {id, 1};
+        starts.tasks = {task};
+        starts.term = term;
+        Control::Command command;
+        command.recordStarts = starts;
+        state.apply(command, 1);
+        return state.startedTasks["job"].at(task).incarnation.id;
+    };
+    EXPECT_EQ(recordedAfter("first", 2), "first");
+    EXPECT_EQ(recordedAfter("later", 3), "later");
+    EXPECT_EQ(recordedAfter("late", 2), "later");
+    EXPECT_EQ(recordedAfter("next", 3), "next");
+}
+
 TEST(ControlState, SnapshotContainsRecordedStarts)
 {
     Control::CommandBatch batch;
@@ -168,7 +192,7 @@
     Control::StateReplica restored;
     ASSERT_TRUE(restored.restore(replica.snapshot(), 1));
     const auto incarnation = restored.read([](const Control::State &state) {
-        return state.startedTasks.at("job").at(Jobs::TaskId{"job", 0, 0, 0});
+        return state.startedTasks.at("job").at(Jobs::TaskId{"job", 0, 0, 0}).incarnation;
     });
     EXPECT_EQ(incarnation, (Control::EndpointIncarnation{"e", 5}));
 }
--- a/tests/auto/execution/tst_leadersession.cpp
+++ b/tests/auto/execution/tst_leadersession.cpp
@@ -97,8 +97,9 @@
     {
         return m_state.read([](const Control::State &state) {
             const auto starts = state.startedTasks.find(jobId);
-            return starts != state.startedTasks.end() ? starts->second.begin()->second.id
-                                                      : std::string();
+            return starts != state.startedTasks.end()
+                       ? starts->second.begin()->second.incarnation.id
+                       : std::string();
         });
     }
     auto begin() -> std::shared_ptr<Execution::LeaderSession>
