Keep the place of an unanswered order of maintenance after the refusal of the next one

A host whose order of maintenance got no reply counts as unavailable for 13 s, since the order may still be carried out. The refusal or the withdrawal of the next order for the host ended that, and its tasks counted as available again: another host of the wave could be ordered beyond the wave's limit, and other tasks of a step be stopped beyond its limit.

Evidence: MaintenancePlan.RefusalOfTheNextOrderDoesNotFreeThePlaceOfAnUnansweredOne fails without the change.

--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -180,9 +180,10 @@
     const auto result = co_await m_parts.hosts.maintain(step.host, step.wave, m_term);
     if (!m_active)
         co_return;
-    if (result != HostOrderResult::Accepted && result != HostOrderResult::Unknown)
+    const auto now = m_parts.clock.now();
+    m_maintenance.ordered(step, result, now);
+    if (result != HostOrderResult::Accepted && !m_maintenance.mayBeCarriedOut(step.host, now))
         m_ledger.setEndOrdered(step.incarnation.id, false);
-    m_maintenance.ordered(step, result, m_parts.clock.now());
     Utils::Log::info("execution",
                      "ordered maintenance of a host",
                      {{"host", step.host},
--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -61,6 +61,7 @@
 {
     m_inheritedWaves.clear();
     m_maybeMaintained.clear();
+    m_unanswered.clear();
     for (const auto &[number, wave] : state.waves)
         m_inheritedWaves.insert(number);
 }
@@ -117,6 +118,12 @@
     return refused != m_refused.end() && view.listedAt <= refused->second;
 }
 
+auto MaintenancePlan::mayBeCarriedOut(const std::string &host, Utils::Instant now) const -> bool
+{
+    const auto found = m_unanswered.find(host);
+    return found != m_unanswered.end() && now - found->second < longestUncertain;
+}
+
 auto MaintenancePlan::isPreparing(const HostInfo &host) const -> bool
 {
     const auto found = m_preparing.find(host.name);
@@ -144,7 +151,8 @@
         const auto ordered = order != m_orders.end();
         const auto settling = ordered && view.listedAt < order->second.at + listLag;
         const auto uncertain =
-            ordered && order->second.uncertain && view.now - order->second.at < longestUncertain;
+            (ordered && order->second.uncertain && view.now - order->second.at < longestUncertain)
+            || mayBeCarriedOut(name, view.now);
         const auto countsAsUnavailable =
             host.state == HostState::Maintenance || settling || uncertain;
         unavailable += countsAsUnavailable ? 1 : 0;
@@ -216,6 +224,10 @@
     if (result == HostOrderResult::Accepted || result == HostOrderResult::Unknown) {
         m_orders[step.host] = {now, result == HostOrderResult::Unknown};
         m_maybeMaintained.insert({step.wave, step.host});
+        if (result == HostOrderResult::Unknown)
+            m_unanswered[step.host] = now;
+        else
+            m_unanswered.erase(step.host);
         m_refused.erase(step.host);
         if (result == HostOrderResult::Accepted && step.repeated && !step.incarnation.id.empty())
             m_unconfirmed[step.host] = {step.incarnation, now};
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -70,6 +70,8 @@
     auto next(const Control::State &state, const MaintenanceView &view) -> MaintenanceWork;
     /*! \brief Returns true if next() has to be called although all waves are done. */
     auto hasUnconfirmedOrders() const -> bool { return !m_unconfirmed.empty(); }
+    /*! \brief Returns true if an order for \a host without a reply may still be carried out. */
+    auto mayBeCarriedOut(const std::string &host, Utils::Instant now) const -> bool;
     /*! \brief Handles that the order was not sent. */
     auto withdraw(const MaintenanceStep &step) -> void;
     /*! \brief Handles the result of a maintenance order. */
@@ -121,9 +123,10 @@
     auto isPreparing(const HostInfo &host) const -> bool;
     auto waitsForNewerList(const std::string &host, const MaintenanceView &view) const -> bool;
 
-    std::set<std::int64_t> m_inheritedWaves;        //!< Waves that began in an earlier term.
-    std::map<std::string, Preparation> m_preparing; //!< By host.
-    std::map<std::string, Order> m_orders;          //!< Last order by host.
+    std::set<std::int64_t> m_inheritedWaves;            //!< Waves that began in an earlier term.
+    std::map<std::string, Preparation> m_preparing;     //!< By host.
+    std::map<std::string, Order> m_orders;              //!< Last order by host.
+    std::map<std::string, Utils::Instant> m_unanswered; //!< Last order without a reply by host.
     //! Waves and hosts with an order that was or may have been carried out.
     std::set<std::pair<std::int64_t, std::string>> m_maybeMaintained;
     std::map<std::string, Unconfirmed> m_unconfirmed; //!< Accepted orders by host.
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -257,6 +257,27 @@
     EXPECT_TRUE(next.begin[0].repeated);
 }
 
+TEST(MaintenancePlan, RefusalOfTheNextOrderDoesNotFreeThePlaceOfAnUnansweredOne)
+{
+    for (const auto withdrawn : {false, true}) {
+        WaveFixture fixture(2, 1);
+        const auto unanswered = fixture.next(0);
+        ASSERT_EQ(unanswered.begin.size(), 1U);
+        fixture.plan.ordered(unanswered.begin[0], HostOrderResult::Unknown, fixture.at(100));
+        const auto next = fixture.next(2000);
+        ASSERT_EQ(next.begin.size(), 1U);
+        if (withdrawn)
+            fixture.plan.withdraw(next.begin[0]);
+        else
+            fixture.plan.ordered(next.begin[0], HostOrderResult::Busy, fixture.at(2100));
+        // The refused host is left out until there is a newer list.
+        for (const auto &step : fixture.next(withdrawn ? 2200 : 2100).begin)
+            EXPECT_EQ(step.host, unanswered.begin[0].host);
+        EXPECT_TRUE(fixture.plan.mayBeCarriedOut(unanswered.begin[0].host, fixture.at(2200)));
+        EXPECT_FALSE(fixture.plan.mayBeCarriedOut(unanswered.begin[0].host, fixture.at(13'200)));
+    }
+}
+
 TEST(MaintenancePlan, OrderAfterRefusalsAloneIsNotRepeated)
 {
     WaveFixture fixture(1, 1);
