--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -89,7 +89,7 @@
             continue;
         // The record of a leader that has lost its term may be forwarded and committed later.
         auto &start = state.startedTasks[task.job][task];
-        if (start.term <= record.term)
+        if (record.term == 0 || start.term <= record.term)
             start = {record.incarnation, record.term};
     }
 }
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -172,6 +172,8 @@
     EXPECT_EQ(recordedAfter("later", 3), "later");
     EXPECT_EQ(recordedAfter("late", 2), "later");
     EXPECT_EQ(recordedAfter("next", 3), "next");
+    // Leaders of older builds record no term.
+    EXPECT_EQ(recordedAfter("older build", 0), "older build");
 }
 
 TEST(ControlState, SnapshotContainsRecordedStarts)
