Do not stop a run whose endpoint is announced again with the same birth

It knows its own stops and ends, so that it needs none. Evidence: StartInFlight.IsNotStoppedWhenItsEndpointIsAnnouncedAgainWithTheSameBirth fails without the change.

The lease of a next incarnation now also grows with a reply to a run that a poll has listed before (found by review, no test).

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -176,6 +176,7 @@
 {
     Jobs::TaskId task;
     std::int64_t run = 0;
+    std::int64_t bornMs = 0; //!< Birth of the incarnation that the order is for.
     Utils::Instant unansweredAt;
 };
 
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -555,7 +555,8 @@
     for (const auto &start : found->second) {
         const auto *run = endpoint.runs.find(start.task);
         const auto booked = run != nullptr && run->number == start.run;
-        if (booked)
+        // An incarnation that was removed and announced again still knows its stops and ends.
+        if (booked || start.bornMs == endpoint.record.incarnation.bornMs)
             continue;
         StopOrder stop{target(endpoint), start.task, start.run};
         stop.reason = StopReason::StartUnanswered;
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -547,9 +547,11 @@
     -> void
 {
     auto *run = findStarted(order);
-    if (run == nullptr || run->state == RunState::Running)
+    if (run == nullptr)
         return;
     extendLeaseOfNextIncarnation(order.target.incarnation, now);
+    if (run->state == RunState::Running)
+        return;
     if (reply.result == StartResult::Started) {
         run->state = RunState::Running;
         run->confirmedAt = now;
@@ -558,7 +560,8 @@
     }
     if (reply.result == StartResult::Unknown) {
         run->state = RunState::Uncertain;
-        m_lateStarts[order.target.incarnation.id].push_back({order.task, order.run, now});
+        m_lateStarts[order.target.incarnation.id].push_back(
+            {order.task, order.run, order.target.incarnation.bornMs, now});
         return;
     }
     if (const auto found = m_endpoints.find(order.target.incarnation.id);
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -220,6 +220,17 @@
     EXPECT_EQ(starts(), 1U);
 }
 
+TEST_F(StartInFlight, IsNotStoppedWhenItsEndpointIsAnnouncedAgainWithTheSameBirth)
+{
+    send();
+    m_fixture.ledger.startAnswered(m_order, {}, m_fixture.now());
+    m_fixture.poll("a", listedRun());
+    m_fixture.ledger.endIncarnation(m_first.incarnation);
+    m_fixture.ledger.addEndpoint(m_first, m_fixture.now());
+    m_fixture.poll("a", listedRun());
+    EXPECT_TRUE(m_fixture.schedule().stops.empty());
+}
+
 // An order without an answer may be carried out seconds later, after a stop or the end of its lease.
 TEST_F(StartInFlight, RunsOnceIfTheNextIncarnationGetsItAfterTheFormerOneHasStoppedIt)
 {
