--- a/tests/auto/execution/modelendpoint.h
+++ b/tests/auto/execution/modelendpoint.h
@@ -47,7 +47,7 @@
 };
 
 /*!
-    \brief One incarnation of an endpoint, which carries out orders as the platform's pages say.
+    \brief One incarnation of an endpoint, which carries out orders by the rules of the users' platform.
 
     Held by a std::shared_ptr, since actions on the virtual clock refer to it.
 */
