Set up unanswered orders and removed endpoints once for their tests

Seen in the last read of the whole change: three tests of maintenance and one of its loops began with the same unanswered order, and two tests of restarted endpoints with the same removed one.

--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -67,6 +67,14 @@
     }
     /*! \brief Starts a term in which the wave has already begun. */
     auto inheritWave() -> void { plan.begin(m_ledger.state); }
+    /*! \brief Gives the first order, which gets no reply, and returns it. */
+    auto leaveFirstOrderUnanswered() -> Execution::MaintenanceStep
+    {
+        const auto work = next(0);
+        EXPECT_EQ(work.begin.size(), 1U);
+        plan.ordered(work.begin.at(0), HostOrderResult::Unknown, at(100));
+        return work.begin.at(0);
+    }
     /*! \brief Records that the maintenance of \a host is finished. */
     auto finish(const std::string &host) -> void
     {
@@ -212,9 +220,7 @@
 TEST(MaintenancePlan, KeepsEndpointThatStartedAfterAnUnansweredOrderThoughTheNextOneWasRefused)
 {
     WaveFixture fixture(1, 1);
-    const auto unanswered = fixture.next(0);
-    ASSERT_EQ(unanswered.begin.size(), 1U);
-    fixture.plan.ordered(unanswered.begin[0], HostOrderResult::Unknown, fixture.at(100));
+    fixture.leaveFirstOrderUnanswered();
     const auto refused = fixture.next(2000);
     ASSERT_EQ(refused.begin.size(), 1U);
     fixture.plan.ordered(refused.begin[0], HostOrderResult::Busy, fixture.at(2100));
@@ -231,9 +237,7 @@
 TEST(MaintenancePlan, DrainsTheEndpointThatStartedAfterAnUnansweredOrderBeforeTheNextOne)
 {
     WaveFixture fixture(1, 1);
-    const auto unanswered = fixture.next(0);
-    ASSERT_EQ(unanswered.begin.size(), 1U);
-    fixture.plan.ordered(unanswered.begin[0], HostOrderResult::Unknown, fixture.at(100));
+    fixture.leaveFirstOrderUnanswered();
     fixture.startEndpoint("newer");
     fixture.list.hosts[0].endpoint = "newer";
     fixture.runTaskOn("newer");
@@ -246,9 +250,7 @@
 TEST(MaintenancePlan, OrderAfterAWithdrawnOneIsRepeatedIfAnEarlierOneWasNotAnswered)
 {
     WaveFixture fixture(1, 1);
-    const auto unanswered = fixture.next(0);
-    ASSERT_EQ(unanswered.begin.size(), 1U);
-    fixture.plan.ordered(unanswered.begin[0], HostOrderResult::Unknown, fixture.at(100));
+    fixture.leaveFirstOrderUnanswered();
     const auto withdrawn = fixture.next(2000);
     ASSERT_EQ(withdrawn.begin.size(), 1U);
     fixture.plan.withdraw(withdrawn.begin[0]);
@@ -261,9 +263,7 @@
 {
     for (const auto withdrawn : {false, true}) {
         WaveFixture fixture(2, 1);
-        const auto unanswered = fixture.next(0);
-        ASSERT_EQ(unanswered.begin.size(), 1U);
-        fixture.plan.ordered(unanswered.begin[0], HostOrderResult::Unknown, fixture.at(100));
+        const auto unanswered = fixture.leaveFirstOrderUnanswered();
         const auto next = fixture.next(2000);
         ASSERT_EQ(next.begin.size(), 1U);
         if (withdrawn)
@@ -272,9 +272,9 @@
             fixture.plan.ordered(next.begin[0], HostOrderResult::Busy, fixture.at(2100));
         // The refused host is left out until there is a newer list.
         for (const auto &step : fixture.next(withdrawn ? 2200 : 2100).begin)
-            EXPECT_EQ(step.host, unanswered.begin[0].host);
-        EXPECT_TRUE(fixture.plan.mayBeCarriedOut(unanswered.begin[0].host, fixture.at(2200)));
-        EXPECT_FALSE(fixture.plan.mayBeCarriedOut(unanswered.begin[0].host, fixture.at(13'200)));
+            EXPECT_EQ(step.host, unanswered.host);
+        EXPECT_TRUE(fixture.plan.mayBeCarriedOut(unanswered.host, fixture.at(2200)));
+        EXPECT_FALSE(fixture.plan.mayBeCarriedOut(unanswered.host, fixture.at(13'200)));
     }
 }
 
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -97,6 +97,20 @@
     Execution::StartOrder m_order;
 };
 
+// Begins a term after the former leader has started a task on "a" and then removed that endpoint.
+auto leadAfterRemovalOfA(LedgerFixture &fixture) -> Control::EndpointRecord
+{
+    auto removed = fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", plainStep(1));
+    fixture.recordStart("a", fixture.task("job"));
+    Control::Command command;
+    command.removeEndpoint = removed.incarnation;
+    fixture.state.apply(command, 1);
+    fixture.begin();
+    return removed;
+}
+
 TEST_F(StartInFlight, IsNotRepeatedWhenTheNextIncarnationMayCarryItOut)
 {
     send();
@@ -284,14 +298,7 @@
 TEST(RestartedEndpoint, MayRunWhatAnEarlierLeaderOrderedBeforeItRemovedTheEndpoint)
 {
     LedgerFixture fixture;
-    const auto removed = fixture.addEndpoint("a");
-    fixture.addEndpoint("b");
-    fixture.addJob("job", plainStep(1));
-    fixture.recordStart("a", fixture.task("job"));
-    Control::Command command;
-    command.removeEndpoint = removed.incarnation;
-    fixture.state.apply(command, 1);
-    fixture.begin();
+    const auto removed = leadAfterRemovalOfA(fixture);
     fixture.poll("b");
     EXPECT_TRUE(fixture.schedule().starts.empty());
     fixture.ledger.addEndpoint(removed, fixture.now());
@@ -305,14 +312,7 @@
 TEST(RestartedEndpoint, TaskOfARemovedEndpointStartsElsewhereOnceItsLeaseIsOver)
 {
     LedgerFixture fixture;
-    const auto removed = fixture.addEndpoint("a");
-    fixture.addEndpoint("b");
-    fixture.addJob("job", plainStep(1));
-    fixture.recordStart("a", fixture.task("job"));
-    Control::Command command;
-    command.removeEndpoint = removed.incarnation;
-    fixture.state.apply(command, 1);
-    fixture.begin();
+    leadAfterRemovalOfA(fixture);
     fixture.advance(longerThanAnyLease);
     fixture.poll("b");
     EXPECT_EQ(fixture.schedule().starts.size(), 1U);
