--- a/review/stand-ins/cases.cpp
+++ b/review/stand-ins/cases.cpp
@@ -227,6 +227,53 @@
                         + " starts)");
 }
 
+// For some seconds another writer's entry, with a field missing, stands for a machine of a wave.
+auto foreignEntry(Scene &scene) -> int
+{
+    constexpr auto machines = 8;
+    constexpr auto foreignMs = 2500;
+    const auto trouble = withTrouble();
+    std::atomic<std::int64_t> sinceMs = -1;
+    std::mutex mutex;
+    std::set<std::string> begun;
+    scene.machines->foreignEntry = [&](const std::string &machine) -> Json {
+        const auto now = scene.recorder.nowMs();
+        if (!trouble || machine != "m-107" || sinceMs < 0 || now > sinceMs + foreignMs)
+            return {};
+        return {{"machine", machine}, {"pool", "huvo11a"}, {"zone", "z1"}, {"labels", {"a", "r1"}}};
+    };
+    scene.machines->upkeepBegins = [&](const std::string &machine, const std::set<std::string> &) {
+        const std::scoped_lock lock(mutex);
+        begun.insert(machine);
+    };
+    if (!startUp(scene, machines, Json::array({route("r-1", 3000)})))
+        return exitCouldNotRun;
+    auto names = Json::array();
+    for (auto index = 0; index < machines; ++index)
+        names.push_back("m-" + std::to_string(100 + index));
+    const Json wave{{"wave", 1}, {"machines", names}, {"duration_s", 40}, {"cap", 1}};
+    if (scene.operatorCall("POST", "/trefoilshelf/wave-start", wave.dump()).status != 200)
+        return exitCouldNotRun;
+    sleepMs(4000);
+    sinceMs = scene.recorder.nowMs();
+    const auto endMs = scene.recorder.nowMs() + 60'000;
+    auto done = false;
+    while (!done && scene.recorder.nowMs() < endMs) {
+        sleepMs(1000);
+        const auto reply = scene.operatorCall("GET", "/trefoilshelf/wave-get/1", {});
+        scene.recorder.write("operator: the wave is shown as " + stateOf(reply));
+        done = stateOf(reply) == "done";
+    }
+    if (!done)
+        return exitCouldNotRun;
+    sleepMs(1000);
+    const std::scoped_lock lock(mutex);
+    return conclude(scene,
+                    int(begun.size()) < machines,
+                    "the wave is said to be done, and " + std::to_string(begun.size()) + " of its "
+                        + std::to_string(machines) + " machines have begun their upkeep");
+}
+
 // A manifest replaces a route by one with another name at the same host and path prefix.
 auto renamedRoute(Scene &scene) -> int
 {
@@ -402,6 +449,7 @@
     const std::map<std::string, std::pair<int, int (*)(Scene &)>> cases{
         {"upkeep-of-an-earlier-leader", {1, upkeepOfAnEarlierLeader}},
         {"many-ends", {1, manyEnds}},
+        {"foreign-entry", {1, foreignEntry}},
         {"renamed-route", {2, renamedRoute}},
         {"removed-route", {1, removedRoute}},
         {"gang-fails-twice", {1, gangFailsTwice}},
--- a/review/stand-ins/standins.cpp
+++ b/review/stand-ins/standins.cpp
@@ -390,7 +390,13 @@
 {
     const std::scoped_lock lock(m_mutex);
     auto rows = Json::array();
-    for (const auto &[name, machine] : m_machines)
+    for (const auto &[name, machine] : m_machines) {
+        const auto foreign = foreignEntry ? foreignEntry(name) : Json();
+        if (!foreign.is_null()) {
+            m_scene.recorder.write("platform: lists " + foreign.dump());
+            rows.push_back(foreign);
+            continue;
+        }
         rows.push_back({{"machine", name},
                         {"pool", "huvo11a"},
                         {"state", machine.state},
@@ -398,6 +404,7 @@
                         {"labels", {"a", "r1"}},
                         {"capacity", {{"cpu", 16000}, {"mem_mb", 64000}, {"gpu", 0}}},
                         {"id", machine.state == "up" ? machine.worker->id() : std::string()}});
+    }
     response.set_content(Json{{"machines", rows}, {"next_token", ""}}.dump(), "application/json");
 }
 
--- a/review/stand-ins/standins.h
+++ b/review/stand-ins/standins.h
@@ -201,6 +201,8 @@
         late;
     // Called when an upkeep begins, with the machines of the wave that are down for it then.
     std::function<void(const std::string &machine, const std::set<std::string> &down)> upkeepBegins;
+    // Returns what the list holds for the machine instead of its own entry, or null for that entry.
+    std::function<Json(const std::string &machine)> foreignEntry;
     std::atomic<int> upkeeps = 0;
 
 private:
