--- a/review/stand-ins/cases.cpp
+++ b/review/stand-ins/cases.cpp
@@ -227,6 +227,81 @@
                         + " starts)");
 }
 
+// A poll without a response is carried out after the worker has started again under its id.
+auto pollOfAFormerLife(Scene &scene) -> int
+{
+    constexpr auto lateMs = 6000;
+    const auto trouble = withTrouble();
+    std::atomic<bool> second = false;
+    std::atomic<int> drawn = 0;
+    scene.ending = [&](const StartInfo &) {
+        // The tasks of the second job end one after the other, from 1 s to 5 s after their starts.
+        return second ? Ending{1000 + drawn++ % 800 * 5, "done"} : Ending{300, "done"};
+    };
+    std::mutex mutex;
+    Json kept;
+    std::atomic<std::int64_t> keptMs = -1;
+    scene.keepsPoll = [&](const std::string &, const Json &poll) {
+        const std::scoped_lock lock(mutex);
+        if (!trouble || keptMs >= 0 || poll.value("last_seen", std::int64_t(0)) < 700)
+            return false;
+        kept = poll;
+        keptMs = scene.recorder.nowMs();
+        scene.recorder.write("worker: got hold " + poll.dump() + "; gives no answer and carries it out after "
+                             + std::to_string(lateMs) + " ms");
+        return true;
+    };
+    if (!startUp(scene, 1, Json::array({route("r-1", 3000)})))
+        return exitCouldNotRun;
+    const auto small = [](int count) {
+        auto many = step(count, 1000);
+        many["cpu"] = 20;
+        many["mem_mb"] = 16;
+        return job(Json::array({many}));
+    };
+    if (!scene.submit("/puxa400/" + jobId(1), small(800)))
+        return exitCouldNotRun;
+    const auto worker = scene.workers.front();
+    auto endMs = scene.recorder.nowMs() + 20'000;
+    while (scene.recorder.nowMs() < endMs && (trouble ? keptMs < 0 : scene.countSeen("done") < 800))
+        sleepMs(5);
+    if (trouble && keptMs < 0)
+        return exitCouldNotRun;
+    auto current = worker;
+    if (trouble) {
+        sleepMs(100);
+        scene.recorder.write("worker " + worker->id() + " crashes");
+        worker->end();
+        sleepMs(1000);
+        current = scene.restartWorker(worker);
+    }
+    sleepMs(1500);
+    second = true;
+    const auto path = "/puxa400/" + jobId(2);
+    if (!scene.submit(path, small(800)))
+        return exitCouldNotRun;
+    if (trouble) {
+        sleepMs(std::max<std::int64_t>(0, keptMs + lateMs - scene.recorder.nowMs()));
+        current->carryOutLate(kept);
+    }
+    std::string state;
+    endMs = scene.recorder.nowMs() + 30'000;
+    while (scene.recorder.nowMs() < endMs && state != "done") {
+        sleepMs(500);
+        state = stateOf(scene.client(0, "GET", path));
+    }
+    sleepMs(2000);
+    const auto again = scene.startsAfterDone();
+    if (scene.lapses > 0 || state.empty())
+        return exitCouldNotRun;
+    return conclude(scene,
+                    !again.empty(),
+                    std::to_string(again.size())
+                        + " starts of tasks whose run had ended done, with that end taken note of; the "
+                          "job is shown as "
+                        + state);
+}
+
 // For some seconds another writer's entry, with a field missing, stands for a machine of a wave.
 auto foreignEntry(Scene &scene) -> int
 {
@@ -450,6 +525,7 @@
         {"upkeep-of-an-earlier-leader", {1, upkeepOfAnEarlierLeader}},
         {"many-ends", {1, manyEnds}},
         {"foreign-entry", {1, foreignEntry}},
+        {"poll-of-a-former-life", {1, pollOfAFormerLife}},
         {"renamed-route", {2, renamedRoute}},
         {"removed-route", {1, removedRoute}},
         {"gang-fails-twice", {1, gangFailsTwice}},
--- a/review/stand-ins/standins.cpp
+++ b/review/stand-ins/standins.cpp
@@ -219,14 +219,14 @@
 
 auto Worker::hold(const Json &body, httplib::Response &response) -> void
 {
+    if (m_scene.keepsPoll && m_scene.keepsPoll(m_id, body)) {
+        sleepMs(12'000); // The caller has given the call up long before.
+        response.status = 503;
+        return;
+    }
     std::unique_lock lock(m_mutex);
     extendLease(body);
-    const auto lastSeen = body.value("last_seen", std::int64_t(0));
-    while (!m_unseenEnds.empty() && m_unseenEnds.front().number <= lastSeen) {
-        const auto &end = m_unseenEnds.front();
-        m_scene.seen(m_id, end.task, end.run, end.how);
-        m_unseenEnds.erase(m_unseenEnds.begin());
-    }
+    forgetEnds(body);
     const auto wait = std::min<std::int64_t>(body.value("wait_ms", std::int64_t(0)), 2000);
     m_changed.wait_for(lock, std::chrono::milliseconds(wait), [this] {
         return !m_unseenEnds.empty() || !m_alive;
@@ -246,6 +246,28 @@
     answer(response, 200, {{"born", m_bornMs}, {"running_count", running}, {"ended", ended}});
 }
 
+auto Worker::forgetEnds(const Json &body) -> void
+{
+    const auto lastSeen = body.value("last_seen", std::int64_t(0));
+    while (!m_unseenEnds.empty() && m_unseenEnds.front().number <= lastSeen) {
+        const auto &end = m_unseenEnds.front();
+        m_scene.seen(m_id, end.task, end.run, end.how);
+        m_unseenEnds.erase(m_unseenEnds.begin());
+    }
+}
+
+auto Worker::carryOutLate(const Json &poll) -> void
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto fence = poll.value("fence_token", std::int64_t(0));
+    if (!m_alive || fence < m_fence)
+        return;
+    m_fence = fence;
+    m_scene.recorder.write("worker " + m_id + ": carries out a late hold " + poll.dump());
+    extendLease(poll);
+    forgetEnds(poll);
+}
+
 auto Worker::endRun(const std::string &task, const std::string &how) -> void
 {
     const auto number = m_runs[task].number;
@@ -566,6 +588,18 @@
     return worker;
 }
 
+auto Scene::restartWorker(const std::shared_ptr<Worker> &worker) -> std::shared_ptr<Worker>
+{
+    const auto fresh = std::make_shared<Worker>(
+        *this, worker->id(), worker->machine(), worker->ip(), worker->service());
+    fresh->start();
+    machines->add(worker->machine(), fresh);
+    const std::scoped_lock lock(m_mutex);
+    workers.push_back(fresh);
+    recorder.write("worker " + worker->id() + " starts again under its id");
+    return fresh;
+}
+
 auto Scene::addWorker(const std::string &machine, const std::string &service)
     -> std::shared_ptr<Worker>
 {
--- a/review/stand-ins/standins.h
+++ b/review/stand-ins/standins.h
@@ -131,6 +131,9 @@
     auto machine() const -> const std::string & { return m_machine; }
     auto ip() const -> const std::string & { return m_ip; }
     auto runningTasks() -> std::vector<std::string>;
+    auto service() const -> const std::string & { return m_service; }
+    // Carries out a poll whose caller no longer waits for the response.
+    auto carryOutLate(const Json &poll) -> void;
 
 private:
     struct Run
@@ -164,6 +167,7 @@
     auto answer(httplib::Response &response, int status, Json body) const -> void;
     auto endRun(const std::string &task, const std::string &how) -> void;
     auto extendLease(const Json &body) -> void;
+    auto forgetEnds(const Json &body) -> void;
 
     Scene &m_scene;
     const std::string m_id;
@@ -259,6 +263,8 @@
     // Repeats a hand-in with the same id until it is answered; returns true if it was accepted.
     auto submit(const std::string &path, const std::string &body, int seconds = 12) -> bool;
     auto waitReady(int seconds = 20) -> bool;
+    // Starts the worker again under its id, at its address, as another life of its machine.
+    auto restartWorker(const std::shared_ptr<Worker> &worker) -> std::shared_ptr<Worker>;
     // The control process that answers a read of the manifest itself.
     auto leader() -> SystemProcess *;
     auto control(const std::string &id) -> SystemProcess *;
@@ -291,6 +297,8 @@
     std::unique_ptr<Machines> machines;
     std::function<Ending(const StartInfo &)> ending;
     std::atomic<int> lapses = 0; // Leases of workers that lapsed.
+    // Called with each poll; returns true if the worker leaves it without a response.
+    std::function<bool(const std::string &worker, const Json &poll)> keepsPoll;
     int gangSize = 0; // Members of each gang; 0 if no task belongs to one.
     std::string clientHost = "pule25.example";
 
