--- a/review/stand-ins/cases.cpp
+++ b/review/stand-ins/cases.cpp
@@ -180,9 +180,18 @@
 // The leader is killed, and until the next one asks a worker ends more tasks than it lists at once.
 auto manyEnds(Scene &scene) -> int
 {
-    constexpr auto tasks = 1200;
+    constexpr auto tasks = 1600;
     constexpr auto durationMs = 6000;
-    scene.ending = [](const StartInfo &) { return Ending{durationMs, "done"}; };
+    constexpr auto spreadMs = 400;
+    std::atomic<std::int64_t> firstStartMs = -1;
+    std::atomic<int> drawn = 0;
+    // The tasks end within spreadMs, durationMs after the first start.
+    scene.ending = [&](const StartInfo &info) {
+        auto none = std::int64_t(-1);
+        firstStartMs.compare_exchange_strong(none, info.atMs);
+        const auto endsMs = firstStartMs + durationMs + drawn++ % spreadMs;
+        return Ending{std::max<std::int64_t>(100, endsMs - info.atMs), "done"};
+    };
     if (!startUp(scene, 2, Json::array({route("r-1", 3000)})))
         return exitCouldNotRun;
     auto many = step(tasks, durationMs);
@@ -196,8 +205,7 @@
         sleepMs(5);
     if (scene.starts().empty())
         return exitCouldNotRun;
-    const auto firstMs = scene.starts().front().atMs;
-    sleepMs(firstMs + durationMs - 200 - scene.recorder.nowMs());
+    sleepMs(std::max<std::int64_t>(0, firstStartMs + durationMs - 200 - scene.recorder.nowMs()));
     scene.recorder.write(std::to_string(scene.running()) + " tasks run");
     SystemProcess *leader = scene.leader();
     if (leader == nullptr)
--- a/review/stand-ins/standins.cpp
+++ b/review/stand-ins/standins.cpp
@@ -463,7 +463,7 @@
     const std::scoped_lock lock(m_threadsMutex);
     m_threads.emplace_back([this, name, old] {
         sleepMs(upkeepMs);
-        const auto fresh = m_scene.freshWorker(name, {}, "huvo11a");
+        const auto fresh = m_scene.freshWorker(name, "huvo11a");
         const std::scoped_lock inner(m_mutex);
         m_machines[name].worker = fresh;
         m_machines[name].state = "up";
@@ -575,7 +575,7 @@
         process->start();
 }
 
-auto Scene::freshWorker(const std::string &machine, const std::string &, const std::string &service)
+auto Scene::freshWorker(const std::string &machine, const std::string &service)
     -> std::shared_ptr<Worker>
 {
     const auto number = ++m_nextWorker;
@@ -603,7 +603,7 @@
 auto Scene::addWorker(const std::string &machine, const std::string &service)
     -> std::shared_ptr<Worker>
 {
-    const auto worker = freshWorker(machine, {}, service);
+    const auto worker = freshWorker(machine, service);
     machines->add(machine, worker);
     return worker;
 }
--- a/review/stand-ins/standins.h
+++ b/review/stand-ins/standins.h
@@ -246,7 +246,7 @@
 
     auto startProcesses() -> void;
     auto addWorker(const std::string &machine, const std::string &service) -> std::shared_ptr<Worker>;
-    auto freshWorker(const std::string &machine, const std::string &ip, const std::string &service)
+    auto freshWorker(const std::string &machine, const std::string &service)
         -> std::shared_ptr<Worker>;
     // Sends the order as the operator does: to any control process, with up to two redirects, again
     // until there is a clear answer. Returns the last status.
