--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -4,4 +4,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/review/cases ] && [ -x target/src/app/trefoilshelf ] || exit 2
-exec timeout -s KILL 120 target/review/cases renamed-route "$folder"
+exec timeout -s KILL 120 target/review/cases late-record "$folder"
--- a/review/stand-ins/cases.cpp
+++ b/review/stand-ins/cases.cpp
@@ -310,6 +310,77 @@
                         + state);
 }
 
+// The leader freezes while it records a service's only worker; it commits the record after its thaw.
+auto lateRecord(Scene &scene) -> int
+{
+    constexpr auto freezeMs = 950;
+    constexpr auto finishMs = 14'000;
+    const auto trouble = withTrouble();
+    scene.ending = [](const StartInfo &) { return Ending{300, "done"}; };
+    if (!startUp(scene, 0, Json::array({route("r-1", 3000)})))
+        return exitCouldNotRun;
+    std::mt19937 engine(std::random_device{}());
+    std::atomic<int> number = 0;
+    std::vector<std::jthread> callers;
+    for (auto index = 0; index < 4; ++index) {
+        callers.emplace_back([&](const std::stop_token &stop) {
+            auto small = step(1, 300);
+            small["cpu"] = 10;
+            small["mem_mb"] = 1;
+            while (!stop.stop_requested()) {
+                scene.client(0, "POST", "/puxa400/" + jobId(++number), job(Json::array({small})));
+                sleepMs(25);
+            }
+        });
+    }
+    sleepMs(1000);
+    const auto endMs = scene.recorder.nowMs() + 75'000;
+    auto rounds = 0;
+    auto idle = false;
+    while (!idle && scene.recorder.nowMs() < endMs) {
+        auto *leader = scene.leader();
+        if (leader == nullptr) {
+            sleepMs(300);
+            continue;
+        }
+        ++rounds;
+        const auto worker = scene.addWorker("m-" + std::to_string(100 + rounds), "huvo11a");
+        sleepMs(2 + std::int64_t(engine() % 8));
+        if (trouble) {
+            scene.recorder.write("SIGSTOP " + leader->id());
+            leader->sendSignal(SIGSTOP);
+            sleepMs(freezeMs);
+            scene.recorder.write("SIGCONT " + leader->id());
+            leader->sendSignal(SIGCONT);
+        }
+        sleepMs(4500); // Longer than contact_ms, and three announcements of the worker.
+        const auto before = scene.starts().size();
+        sleepMs(500);
+        idle = scene.starts().size() == before;
+        if (idle)
+            break;
+        scene.recorder.write("worker " + worker->id() + " gets tasks, and ends");
+        worker->end();
+        sleepMs(500);
+    }
+    callers.clear();
+    if (!idle)
+        return conclude(scene, false, "each of " + std::to_string(rounds) + " new workers got tasks");
+    scene.recorder.write("the traffic ends");
+    sleepMs(finishMs);
+    const auto before = scene.starts().size();
+    sleepMs(3500);
+    const auto state = stateOf(scene.client(0, "GET", "/puxa400/" + jobId(number)));
+    if (state.empty())
+        return exitCouldNotRun;
+    return conclude(scene,
+                    scene.starts().size() == before && state == "queued",
+                    "the worker of round " + std::to_string(rounds)
+                        + " is acknowledged and empty; 14 s after the end of the traffic no task was started "
+                          "for 3.5 s, and a job is shown as "
+                        + state);
+}
+
 // For some seconds another writer's entry, with a field missing, stands for a machine of a wave.
 auto foreignEntry(Scene &scene) -> int
 {
@@ -534,6 +605,7 @@
         {"many-ends", {1, manyEnds}},
         {"foreign-entry", {1, foreignEntry}},
         {"poll-of-a-former-life", {1, pollOfAFormerLife}},
+        {"late-record", {1, lateRecord}},
         {"renamed-route", {2, renamedRoute}},
         {"removed-route", {1, removedRoute}},
         {"gang-fails-twice", {1, gangFailsTwice}},
--- a/review/stand-ins/standins.cpp
+++ b/review/stand-ins/standins.cpp
@@ -360,6 +360,8 @@
             const auto location = reply->get_header_value("Location");
             address = location.substr(7, location.find('/', 7) - 7);
         }
+        if (acknowledged)
+            m_scene.recorder.write("worker " + m_id + ": its ping is acknowledged");
         std::unique_lock lock(m_mutex);
         m_changed.wait_for(lock,
                            std::chrono::milliseconds(acknowledged ? heartbeatMs : 150),
