Commit what a leader decides in its own term or not at all

Cause: the log forwarded what a former leader submitted, so that the next leader committed the endpoint's record after its session had begun. The session learned of endpoints from its own commits alone, and the announcement found the record in the state and was acknowledged. The same way, a former leader could commit records of starts, ends and removals in a later term (docs/decisions/067).

Ruled out: an announcement that is lost (each one was answered 200); a poll that fails (the session has no such endpoint).

Change: processes of job control forward nothing and refuse what older builds forward. A request that was not committed is answered as by a process that does not lead, so that the entry process goes on to the next leader. The session takes changed endpoints over from the state, whoever committed them. The removal of an endpoint is repeated until it is committed; one that failed had the same effect.

tst_leadersession calls stateChanged() where it called addEndpoint(), which is private now; the test checks what it did.

--- a/src/app/platformcommands.cpp
+++ b/src/app/platformcommands.cpp
@@ -171,6 +171,8 @@
     options.dataFolder = settings.dataFolder;
     options.voters = identity.firstVoters;
     options.seed = seed;
+    // What a former leader decided must not be committed once the next one has begun.
+    options.forwards = false;
     return options;
 }
 
--- a/src/libs/control/controlcommands.h
+++ b/src/libs/control/controlcommands.h
@@ -34,6 +34,8 @@
     std::vector<std::string> labels; //!< Labels that tasks may require.
     Jobs::Resources capacity;
     bool draining = false; //!< Never reset: an endpoint that drains takes no new tasks.
+
+    auto operator==(const EndpointRecord &) const -> bool = default;
 };
 
 /*! \brief Records the ends of runs that an endpoint reported. */
--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -128,17 +128,16 @@
     }
 }
 
-auto apply(State &state, const EndpointRecord &record) -> void
+auto apply(State &state, EndpointRecord record) -> void
 {
     auto &known = state.endpoints[record.incarnation.id];
-    if (known.record.incarnation == record.incarnation) {
-        const auto draining = known.record.draining || record.draining;
-        known.record = record;
-        known.record.draining = draining;
+    const auto same = known.record.incarnation == record.incarnation;
+    if (!same && known.record.incarnation.bornMs >= record.incarnation.bornMs)
         return;
-    }
-    if (known.record.incarnation.bornMs < record.incarnation.bornMs)
-        known = {record, 0};
+    record.draining = record.draining || (same && known.record.draining);
+    if (known.record == record)
+        return;
+    known = {std::move(record), same ? known.recordedEnds : 0, ++state.endpointsVersion};
 }
 
 auto apply(State &state, const FinishWaveHost &finish) -> void
@@ -278,8 +277,12 @@
             job.occurrences[occurrence.number] = std::move(occurrence.progress);
     }
     state.jobs.restore(std::move(jobs));
-    for (auto &endpoint : snapshot.endpoints)
+    state.endpointsVersion =
+        read([](const State &current) { return current.endpointsVersion + 1; });
+    for (auto &endpoint : snapshot.endpoints) {
+        endpoint.changedIn = state.endpointsVersion;
         state.endpoints[endpoint.record.incarnation.id] = std::move(endpoint);
+    }
     for (auto &wave : snapshot.waves)
         state.waves[wave.number] = std::move(wave);
     for (const auto &start : snapshot.starts)
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -18,6 +18,7 @@
 {
     EndpointRecord record;
     std::int64_t recordedEnds = 0; //!< Number of the last end that is durably recorded.
+    std::uint64_t changedIn = 0;   //!< State::endpointsVersion since which the record is as it is.
 };
 
 /*! \brief Where a task was last ordered to start, and in which term. */
@@ -33,7 +34,9 @@
     Configuration configuration;
     Jobs::JobTable jobs;
     std::map<std::string, KnownEndpoint> endpoints; //!< Endpoints by id.
-    std::map<std::int64_t, Wave> waves;             //!< Maintenance waves by number.
+    //! Increases when a record in endpoints changes. Not replicated: each process has its own count.
+    std::uint64_t endpointsVersion = 0;
+    std::map<std::int64_t, Wave> waves; //!< Maintenance waves by number.
     //! For each active job, where its tasks were last ordered to start. A task is removed when its
     //! end is durably recorded on that endpoint, or when the job ends.
     std::map<std::string, std::map<Jobs::TaskId, RecordedStart>> startedTasks;
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -227,8 +227,9 @@
     co_await forgetEndpoint(step.incarnation, std::move(noOtherCommands));
 }
 
-// Removes an endpoint whose incarnation was ended by a maintenance or move order, and commits the
-// removal together with \a commands.
+// Removes an endpoint whose incarnation has ended, and commits the removal together with \a commands.
+// An endpoint that the state went on to hold would be acknowledged, and get no tasks, if it announced
+// itself again.
 auto LeaderSession::forgetEndpoint(Control::EndpointIncarnation incarnation,
                                    std::vector<Control::Command> commands) -> Task
 {
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -60,6 +60,7 @@
     m_parts.state.read([&](const Control::State &state) {
         m_ledger.begin(m_term, state, m_parts.clock.now());
         m_maintenance.begin(state);
+        m_endpointsVersion = state.endpointsVersion;
     });
     Utils::Log::info("execution",
                      "starts to lead",
@@ -90,6 +91,28 @@
     AsyncNet::start(m_parts.loop, "scheduling", schedulePass(), shared_from_this());
 }
 
+auto LeaderSession::stateChanged() -> void
+{
+    takeOverEndpoints();
+    wake();
+}
+
+auto LeaderSession::takeOverEndpoints() -> void
+{
+    std::vector<Control::EndpointRecord> changed;
+    m_parts.state.read([&](const Control::State &state) {
+        const auto known = std::exchange(m_endpointsVersion, state.endpointsVersion);
+        if (known == state.endpointsVersion)
+            return;
+        for (const auto &[id, endpoint] : state.endpoints) {
+            if (endpoint.changedIn > known)
+                changed.push_back(endpoint.record);
+        }
+    });
+    for (const auto &record : changed)
+        addEndpoint(record);
+}
+
 auto LeaderSession::addEndpoint(const Control::EndpointRecord &record) -> void
 {
     m_ledger.addEndpoint(record, m_parts.clock.now());
@@ -98,7 +121,6 @@
     if (m_polled.insert(record.incarnation).second)
         AsyncNet::start(
             m_parts.loop, "endpoint", pollEndpoint(record.incarnation), shared_from_this());
-    wake();
 }
 
 auto LeaderSession::markEndpointLeaving(const Control::EndpointIncarnation &incarnation) -> void
@@ -135,7 +157,7 @@
             if (found != m_ledger.endpoints().end() && found->second.leaving) {
                 co_await endIncarnation(
                     incarnation, "the endpoint announced its shutdown and no longer listens");
-                break;
+                continue;
             }
         }
         co_await processPoll(*order, reply, sentAt);
@@ -188,18 +210,8 @@
         "execution",
         "an endpoint's life is over",
         {{"endpoint", incarnation.id}, {"born", incarnation.bornMs}, {"reason", reason}});
-    m_ledger.endIncarnation(incarnation);
-    Control::Command command;
-    command.removeEndpoint = incarnation;
-    std::vector<Control::Command> commands;
-    commands.push_back(std::move(command));
-    // If the commit fails, the next leader detects the end by its own polls.
-    const auto result = co_await commit(std::move(commands));
-    if (result != CommitResult::Committed)
-        Utils::Log::warning("execution",
-                            "could not record the removal of an endpoint",
-                            {{"endpoint", incarnation.id}});
-    wake();
+    std::vector<Control::Command> noOtherCommands;
+    co_await forgetEndpoint(std::move(incarnation), std::move(noOtherCommands));
 }
 
 auto LeaderSession::schedulePass() -> Task
@@ -235,8 +247,12 @@
 {
     while (m_active) {
         for (const auto &incarnation : m_ledger.expireLeases(m_parts.clock.now()))
-            co_await endIncarnation(
-                incarnation, "the endpoint announced its shutdown and its lease has expired");
+            AsyncNet::start(
+                m_parts.loop,
+                "expired endpoint",
+                endIncarnation(incarnation,
+                               "the endpoint announced its shutdown and its lease has expired"),
+                shared_from_this());
         wake();
         const auto pausedAt = m_parts.clock.now();
         co_await AsyncNet::pause(tickInterval);
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -51,10 +51,10 @@
     auto term() const -> std::int64_t { return m_term; }
     auto ledger() const -> const RunLedger & { return m_ledger; }
 
-    /*! \brief Requests a scheduling pass; called when jobs or endpoints have changed. */
+    /*! \brief Requests a scheduling pass. */
     auto wake() -> void;
-    /*! \brief Adds an endpoint that is durably recorded, and starts to poll it. */
-    auto addEndpoint(const Control::EndpointRecord &record) -> void;
+    /*! \brief Takes changes of the state over, whoever committed them, and requests a pass. */
+    auto stateChanged() -> void;
     auto markEndpointLeaving(const Control::EndpointIncarnation &incarnation) -> void;
     /*! \brief Ends \a incarnation, because another process has its address. */
     auto endpointReplaced(const Control::EndpointIncarnation &incarnation) -> void;
@@ -62,6 +62,9 @@
 private:
     using Task = AsyncNet::Task<void>;
 
+    auto takeOverEndpoints() -> void;
+    /*! \brief Adds an endpoint that is durably recorded, and starts to poll it. */
+    auto addEndpoint(const Control::EndpointRecord &record) -> void;
     auto pollEndpoint(Control::EndpointIncarnation incarnation) -> Task;
     auto processPoll(const PollOrder &order, const PollReply &reply, Utils::Instant sentAt) -> Task;
     auto schedulePass() -> Task;
@@ -120,6 +123,7 @@
     Utils::LogBudget m_firstStartLines;
     Utils::LogBudget m_failureLines;
     std::set<Control::EndpointIncarnation> m_polled;
+    std::uint64_t m_endpointsVersion = 0; //!< State::endpointsVersion that has been taken over.
 };
 
 } // namespace Execution
--- a/src/libs/replication/replica.cpp
+++ b/src/libs/replication/replica.cpp
@@ -217,9 +217,22 @@
     m_workChanged.notify_all();
 }
 
+// Commits the payload in the term in which this process leads now, or not at all.
+auto Replica::submitInTerm(std::string payload, Utils::Instant deadline)
+    -> Utils::Result<SubmitReply>
+{
+    BOOST_OUTCOME_TRY(reply, submitLocally(std::move(payload), deadline));
+    StateLock lock(m_mutex);
+    if (waitApplied(lock, reply.revision, deadline))
+        return reply;
+    return Utils::failure(Utils::ErrorType::OutcomeUnknown, "the commit took too long");
+}
+
 auto Replica::submit(std::string payload, Utils::Milliseconds timeout) -> Utils::Result<SubmitReply>
 {
     const auto deadline = m_clock.now() + timeout;
+    if (!m_options.forwards)
+        return submitInTerm(std::move(payload), deadline);
     auto uncertain = false;
     for (;;) {
         auto result = submitLocally(payload, deadline);
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -174,6 +174,7 @@
     auto waitForProposal(StateLock &lock, const Proposal &proposal, Utils::Instant deadline)
         -> void;
     auto submitLocally(std::string payload, Utils::Instant deadline) -> Utils::Result<SubmitReply>;
+    auto submitInTerm(std::string payload, Utils::Instant deadline) -> Utils::Result<SubmitReply>;
     auto advanceCommit() -> void;
     auto majorityConfirmedAt() const -> Utils::Instant;
     auto majorityContactAt() const -> Utils::Instant;
--- a/src/libs/replication/replicaleader.cpp
+++ b/src/libs/replication/replicaleader.cpp
@@ -341,7 +341,7 @@
     StateLock lock(m_mutex);
     std::vector<std::shared_ptr<Proposal>> proposals;
     for (const auto &payload : request.payloads)
-        proposals.push_back(propose(payload));
+        proposals.push_back(m_options.forwards ? propose(payload) : nullptr);
     for (const auto &proposal : proposals) {
         auto &result = reply.results.emplace_back();
         result.status = Wire::SubmitStatus::NOT_LEADER;
--- a/src/libs/replication/replicaoptions.h
+++ b/src/libs/replication/replicaoptions.h
@@ -43,6 +43,12 @@
     std::uint64_t keptEntries = 1024;    //!< Entries kept in memory for lagging processes.
     std::uint64_t segmentBytes = 8 * 1024 * 1024;
     std::uint64_t seed = 0; //!< Seed of the random election delays.
+    /*!
+        \brief Forwards what is submitted here to the leader, and accepts what others forward.
+
+        Without it, only the leader commits, and in the term alone in which it was submitted.
+    */
+    bool forwards = true;
     Store::FileSystem *files = &Store::posixFileSystem();
     Wire::SocketFactory *sockets = &Wire::tcpSocketFactory();
     /*! \brief Called after a write that may be incomplete; the process aborts if this is empty. */
--- a/src/libs/replication/replicatedlog.h
+++ b/src/libs/replication/replicatedlog.h
@@ -90,7 +90,8 @@
 /*!
     \brief One process's access to the replicated log. Thread-safe.
 
-    Any process may submit: a process other than the leader forwards the payload to the leader.
+    Any process may submit: a process other than the leader forwards the payload to the leader, unless
+    the group's options say that none forwards.
 */
 class ReplicatedLog
 {
--- a/src/libs/replication/replicavoters.cpp
+++ b/src/libs/replication/replicavoters.cpp
@@ -9,7 +9,7 @@
                                     Utils::Milliseconds timeout) -> Utils::Result<void>
 {
     auto changed = changeVoters(removedId, added, timeout);
-    if (changed || changed.error().type != Utils::ErrorType::NotLeader)
+    if (changed || changed.error().type != Utils::ErrorType::NotLeader || !m_options.forwards)
         return changed;
     return m_forwarder.replaceVoter(removedId, added, timeout);
 }
@@ -58,6 +58,10 @@
     -> void
 {
     requireServing(request.groupId);
+    if (!m_options.forwards) {
+        reply.status = Wire::SubmitStatus::NOT_LEADER;
+        return;
+    }
     const auto changed = changeVoters(request.removedId,
                                       {request.addedId, request.addedZone, request.addedAddress},
                                       Utils::Milliseconds(request.timeoutMs));
--- a/src/libs/service/committer.cpp
+++ b/src/libs/service/committer.cpp
@@ -6,7 +6,7 @@
 
 namespace Service {
 
-// Longer than an election, so that commands can still be committed after a change of leader.
+// A leader that cannot commit for this long has lost its majority.
 constexpr Utils::Milliseconds commitTimeout{2500};
 // Minimum time between the starts of two entries. Each entry costs a disk sync and a message to
 // every voter, regardless of the number of commands in it.
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -38,19 +38,6 @@
     return reply;
 }
 
-auto replyFor(Execution::CommitResult result) -> Wire::ControlReply
-{
-    switch (result) {
-    case Execution::CommitResult::Committed:
-        return reply(Wire::ControlOutcome::DONE);
-    case Execution::CommitResult::NotCommitted:
-        return reply(Wire::ControlOutcome::REFUSED);
-    case Execution::CommitResult::Unknown:
-        break;
-    }
-    return reply(Wire::ControlOutcome::OUTCOME_UNKNOWN);
-}
-
 auto outcomeFor(Execution::CommitResult result) -> Outcome
 {
     switch (result) {
@@ -117,7 +104,7 @@
     if (std::exchange(m_notifiedVersion, version) != version)
         m_configurationChanged.notify();
     if (m_session)
-        m_session->wake();
+        m_session->stateChanged();
 }
 
 auto ControlService::session() const -> Execution::LeaderSession *
@@ -227,6 +214,20 @@
     return answer;
 }
 
+// The entry process sends a request that was not committed to the next leader.
+auto ControlService::replyFor(Execution::CommitResult result) const -> Wire::ControlReply
+{
+    switch (result) {
+    case Execution::CommitResult::Committed:
+        return reply(Wire::ControlOutcome::DONE);
+    case Execution::CommitResult::NotCommitted:
+        return notLeader();
+    case Execution::CommitResult::Unknown:
+        break;
+    }
+    return reply(Wire::ControlOutcome::OUTCOME_UNKNOWN);
+}
+
 // Returns the link address of the leader that the replicated log reports, or an empty string.
 auto ControlService::logLeaderAddress() const -> std::string
 {
@@ -443,15 +444,6 @@
     co_return true;
 }
 
-// Returns false if a newer incarnation under the id has been committed meanwhile.
-auto ControlService::isCurrent(const Control::EndpointIncarnation &incarnation) const -> bool
-{
-    return m_parts.state.read([&](const Control::State &state) {
-        const auto found = state.endpoints.find(incarnation.id);
-        return found != state.endpoints.end() && found->second.record.incarnation == incarnation;
-    });
-}
-
 auto ControlService::announce(Announcement announcement) -> AsyncNet::Task<Outcome>
 {
     if (!leads())
@@ -495,8 +487,8 @@
     auto *active = session();
     if (active == nullptr || result != Execution::CommitResult::Committed)
         m_sequences.erase(record.incarnation);
-    else if (isCurrent(record.incarnation))
-        active->addEndpoint(record);
+    else
+        active->stateChanged();
     co_return outcomeFor(result);
 }
 
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -108,6 +108,7 @@
     auto routesNewerThan(std::int64_t version) -> std::string;
     auto countWaitingJobs() -> void;
     auto notLeader() const -> Wire::ControlReply;
+    auto replyFor(Execution::CommitResult result) const -> Wire::ControlReply;
     auto logLeaderAddress() const -> std::string;
     auto knownMembers() const -> std::vector<std::string>;
     auto commit(Control::Command command) -> AsyncNet::Task<Execution::CommitResult>;
@@ -123,7 +124,6 @@
 
         Returns false if a newer incarnation is known at that address.
     */
-    auto isCurrent(const Control::EndpointIncarnation &incarnation) const -> bool;
     auto removeReplacedIncarnations(const Control::EndpointRecord &record) -> AsyncNet::Task<bool>;
 
     ControlParts m_parts;
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -150,6 +150,28 @@
     EXPECT_TRUE(state.startedTasks.empty());
 }
 
+TEST(ControlState, CountsChangesOfEndpointsAlone)
+{
+    Control::State state;
+    Control::Command added;
+    added.addEndpoint.emplace().incarnation = {"a", 20};
+    state.apply(added, 1);
+    const auto first = state.endpoints.at("a").changedIn;
+    EXPECT_EQ(first, state.endpointsVersion);
+    EXPECT_GT(first, 0U);
+    state.apply(added, 1);
+    EXPECT_EQ(state.endpointsVersion, first);
+    added.addEndpoint->draining = true;
+    state.apply(added, 1);
+    EXPECT_GT(state.endpoints.at("a").changedIn, first);
+    const auto second = state.endpointsVersion;
+    Control::Command other;
+    other.addEndpoint.emplace().incarnation = {"b", 20};
+    state.apply(other, 1);
+    EXPECT_EQ(state.endpoints.at("a").changedIn, second);
+    EXPECT_GT(state.endpoints.at("b").changedIn, second);
+}
+
 TEST(ControlState, LateRecordOfAFormerLeaderDoesNotReplaceTheStartOfALaterTerm)
 {
     Control::State state;
--- a/tests/auto/execution/tst_leadersession.cpp
+++ b/tests/auto/execution/tst_leadersession.cpp
@@ -125,7 +125,7 @@
         added.addEndpoint->capacity = {4000, 8000, 0};
         apply({removed, added});
         session.endpointReplaced(*removed.removeEndpoint);
-        session.addEndpoint(*added.addEndpoint);
+        session.stateChanged();
     }
     /*! \brief Runs the event loop until \a condition holds; returns false after \a longest. */
     auto runUntil(const std::function<bool()> &condition, Utils::Milliseconds longest = longestTest)
--- a/tests/auto/replication/tst_replicafaults.cpp
+++ b/tests/auto/replication/tst_replicafaults.cpp
@@ -93,6 +93,47 @@
     cluster.submit(next, "after");
 }
 
+// What a former leader has decided may contradict what the next one has found out since.
+TEST(ReplicaFaults, FormerLeaderThatDoesNotForwardCommitsNothingInALaterTerm)
+{
+    Cluster cluster(3);
+    cluster.options.forwards = false;
+    cluster.start();
+    const auto old = cluster.waitForLeader();
+    cluster.submit(old, "before");
+    cluster.isolate(old);
+    const auto next = cluster.waitForLeader(old);
+    cluster.links.heal();
+    EXPECT_TRUE(eventually([&] { return cluster.log(old).status().leaderId == next; }));
+    const auto late = cluster.log(old).submit("late", submitTimeout);
+    ASSERT_FALSE(late);
+    EXPECT_EQ(late.error().type, Utils::ErrorType::NotLeader);
+    cluster.submit(next, "after");
+    EXPECT_EQ(cluster.machine(next).payloads(), (std::vector<std::string>{"before", "after"}));
+}
+
+// An older build forwards without a look at the option.
+TEST(ReplicaFaults, LeaderThatDoesNotForwardRefusesWhatOthersForward)
+{
+    Cluster cluster(3);
+    cluster.start();
+    cluster.submit(cluster.waitForLeader(), "before");
+    for (const std::string id : {"v1", "v2"}) {
+        cluster.stopNode(id);
+        cluster.options.forwards = false;
+        ASSERT_TRUE(cluster.startNode(id));
+        cluster.waitForLeader();
+    }
+    ASSERT_TRUE(eventually([&] {
+        const auto status = cluster.log("v3").status();
+        if (status.role == Role::Leader)
+            cluster.log("v3").resign(status.term);
+        return status.leaderId == "v1" || status.leaderId == "v2";
+    }));
+    EXPECT_FALSE(cluster.log("v3").submit("forwarded", submitTimeout));
+    EXPECT_EQ(count(cluster.machine("v3").payloads(), "forwarded"), 0U);
+}
+
 TEST(ReplicaFaults, IsolatedFollowerDoesNotForceAnElection)
 {
     Cluster cluster(3);
--- a/tests/auto/service/tst_controlservice.cpp
+++ b/tests/auto/service/tst_controlservice.cpp
@@ -41,6 +41,10 @@
         waits = m_allowed == 0;
         m_changed.wait(lock, [this] { return m_allowed > 0; });
         waits = false;
+        if (failures > 0) {
+            --failures;
+            return Utils::failure(Utils::ErrorType::NoQuorum, "the test lets the commit fail");
+        }
         --m_allowed;
         Replication::Entry entry;
         entry.revision = ++m_revision;
@@ -70,6 +74,7 @@
 
     std::atomic<bool> hasQuorum = true;
     std::atomic<bool> waits = false; //!< A commit waits for a call of allow().
+    std::atomic<int> failures = 0;   //!< Number of the next entries that are not committed.
 
     /*! \brief Lets the next \a entries be committed, and later ones wait. */
     auto allow(int entries) -> void
@@ -301,4 +306,20 @@
     EXPECT_TRUE(runUntil([this] { return !m_endpoints.starts.empty(); }));
 }
 
+// The endpoint would be acknowledged from then on, and get no tasks.
+TEST_F(ControlServiceTest, EndpointWhoseRemovalCouldNotBeCommittedAtOnceGetsTasksAgain)
+{
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    log().failures = 1;
+    m_endpoints.restartedMs["a"] = nextBornMs;
+    ASSERT_TRUE(runUntil([this] { return log().failures == 0; }));
+    m_endpoints.restartedMs.clear();
+    addJob();
+    std::int64_t sequence = 0;
+    EXPECT_TRUE(runUntil([&] {
+        announce(record(firstBornMs), ++sequence);
+        return !m_endpoints.starts.empty();
+    }));
+}
+
 } // namespace
