Know jobs by the address of their queue instead of its name

Cause: a job was taken for that of a queue if their names were equal, but callers know host and path prefix alone.

Ruled out: entry processes with an old configuration (both answered 410 for as long as the case ran); a lost job (its tasks ran).

Change: a job records the address and the terms of its queue at its submission, as the leader's configuration has them, and requests carry the address that the entry process found. Addresses are compared; once the queue is gone, the recorded terms hold. Jobs and requests of older builds go by the name as before.

--- a/src/libs/control/callerroutes.h
+++ b/src/libs/control/callerroutes.h
@@ -18,6 +18,7 @@
     std::string pathPrefix;
     std::string pool;
 
+    auto address() const -> Jobs::QueueAddress { return {host, pathPrefix}; }
     auto operator==(const CallerRoute &) const -> bool = default;
 };
 
--- a/src/libs/control/configuration.h
+++ b/src/libs/control/configuration.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/jobtypes.h"
 #include "utils/fields.h"
 
 #include <cstdint>
@@ -34,6 +35,9 @@
     std::int64_t maximumAttempts = 0; //!< Limit of failed runs of one task; 0 if none.
     double stretch = 1;               //!< Allowed multiple of the job's critical path.
     AdvicePolicy advice;
+
+    auto address() const -> Jobs::QueueAddress { return {host, pathPrefix}; }
+    auto terms() const -> Jobs::QueueTerms;
 };
 
 /*! \brief A pool of hosts, each of which serves one endpoint. */
@@ -65,6 +69,24 @@
     /*! \brief Sorts the queues by name, which findQueue() requires. */
     auto sortQueues() -> void;
     auto findQueue(std::string_view name) const -> const Queue *;
+    /*!
+        \brief Returns the queue of a job or request, or nullptr if there is none any more.
+
+        Its name may have changed since, so the address counts if it is known. \a name is that of the
+        queue at that time.
+    */
+    auto findQueue(const Jobs::QueueAddress &address, std::string_view name) const -> const Queue *;
+    /*! \brief Returns the terms of the job's queue; those at its submission once the queue is gone. */
+    auto termsOf(const Jobs::JobSpec &job) const -> Jobs::QueueTerms;
+    /*!
+        \brief Returns true if callers find \a job at the queue that a request names.
+
+        Older builds know the names of queues alone: they record jobs without an address, and send
+        requests without one.
+    */
+    auto holdsJob(const Jobs::QueueAddress &address,
+                  std::string_view name,
+                  const Jobs::JobSpec &job) const -> bool;
     auto findPool(std::string_view name) const -> const Pool *;
 };
 
--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -120,10 +120,11 @@
             continue;
         recorded = end.number;
         const auto *job = state.jobs.find(end.task.job);
-        const auto *queue =
-            job != nullptr ? state.configuration.findQueue(job->spec.queue) : nullptr;
-        state.jobs.recordEnd(
-            end.task, end.outcome, queue != nullptr ? queue->maximumAttempts : 0, nowMs);
+        if (job != nullptr)
+            state.jobs.recordEnd(end.task,
+                                 end.outcome,
+                                 state.configuration.termsOf(job->spec).maximumAttempts,
+                                 nowMs);
         removeStart(state, end.task, record.incarnation);
     }
 }
--- a/src/libs/execution/jobprogress.h
+++ b/src/libs/execution/jobprogress.h
@@ -48,6 +48,9 @@
     JobProgress(const Jobs::Job &job, std::span<const std::int64_t> durationsMs);
 
     auto spec() const -> const Jobs::JobSpec & { return m_spec; }
+    /*! \brief Returns the terms of the job's queue that are in force. */
+    auto terms() const -> const Jobs::QueueTerms & { return m_terms; }
+    auto setTerms(const Jobs::QueueTerms &terms) -> void { m_terms = terms; }
     auto isLongRunning() const -> bool { return m_longRunning; }
     auto durationMs(std::size_t step) const -> std::int64_t { return m_durationsMs[step]; }
     auto state(const Jobs::TaskId &task) const -> TaskState;
@@ -84,6 +87,7 @@
     auto cachedReadyWork() -> const ReadyWork &;
 
     Jobs::JobSpec m_spec;
+    Jobs::QueueTerms m_terms;
     std::vector<std::int64_t> m_durationsMs;
     bool m_longRunning;
     std::int64_t m_chainMs;
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -205,7 +205,8 @@
     auto inheritStart(const Jobs::TaskId &task, const std::string &id, Utils::Instant now) -> void;
     using JobsById = std::map<std::string, JobProgress>;
 
-    auto addJob(JobsById::iterator position, const Jobs::Job &job) -> void;
+    auto addJob(JobsById::iterator position, const Jobs::Job &job, const Jobs::QueueTerms &terms)
+        -> void;
     auto removeJob(JobsById::iterator job) -> JobsById::iterator;
     auto endpointsOfPool(const std::string &pool) -> const std::vector<EndpointEntry *> &;
     auto stopUnwanted(Utils::Instant now, Orders &orders) -> void;
@@ -255,8 +256,8 @@
     std::map<std::string, std::vector<EndpointEntry *>> m_endpointsByPool;
     JobsById m_jobs;
     std::uint64_t m_jobsVersion = 0; //!< Version of the job table that m_jobs reflects.
-    std::map<std::string, Scheduling::QueueTerms> m_terms; //!< Scheduling terms by queue.
-    std::int64_t m_termsVersion = -1; //!< Version of the configuration that m_terms reflects.
+    std::int64_t m_termsVersion =
+        -1; //!< Version of the configuration that the jobs' terms reflect.
     Scheduling::DurationModel m_durations;
     bool m_stopsDue = true; //!< Runs may have to be stopped.
     Utils::Instant m_stopsCheckedAt;
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -79,13 +79,12 @@
     return orders;
 }
 
-// Updates m_terms from the configuration and m_jobs from the submitted and ended jobs.
+// Updates the terms of jobs from the configuration and m_jobs from the submitted and ended jobs.
 auto RunLedger::syncJobs(const Control::State &state) -> void
 {
     if (std::exchange(m_termsVersion, state.configuration.version) != state.configuration.version) {
-        m_terms.clear();
-        for (const auto &queue : state.configuration.queues)
-            m_terms[queue.name] = {queue.priority, queue.stretch, queue.objectiveMs};
+        for (auto &[id, job] : m_jobs)
+            job.setTerms(state.configuration.termsOf(job.spec()));
     }
     if (std::exchange(m_jobsVersion, state.jobs.version()) == state.jobs.version())
         return;
@@ -94,10 +93,12 @@
     for (const auto &id : state.jobs.activeIds()) {
         while (known != m_jobs.end() && known->first < id)
             known = removeJob(known);
-        if (known != m_jobs.end() && known->first == id)
+        if (known != m_jobs.end() && known->first == id) {
             ++known;
-        else
-            addJob(known, *state.jobs.find(id));
+            continue;
+        }
+        const auto &job = *state.jobs.find(id);
+        addJob(known, job, state.configuration.termsOf(job.spec));
     }
     while (known != m_jobs.end())
         known = removeJob(known);
@@ -116,12 +117,14 @@
 }
 
 // Adds the job in front of \a position.
-auto RunLedger::addJob(JobsById::iterator position, const Jobs::Job &job) -> void
+auto RunLedger::addJob(JobsById::iterator position,
+                       const Jobs::Job &job,
+                       const Jobs::QueueTerms &terms) -> void
 {
     std::vector<std::int64_t> durationsMs;
     for (const auto &step : job.spec.steps)
         durationsMs.push_back(m_durations.expect(job.spec.queue, step.estimateMs));
-    m_jobs.try_emplace(position, job.spec.id, job, durationsMs);
+    m_jobs.try_emplace(position, job.spec.id, job, durationsMs)->second.setTerms(terms);
 }
 
 auto RunLedger::updateDemand(std::int64_t wallMs) -> void
@@ -160,8 +163,7 @@
 
 auto RunLedger::rankOf(JobProgress &job, std::int64_t wallMs) const -> Scheduling::JobRank
 {
-    const auto found = m_terms.find(job.spec().queue);
-    auto terms = found != m_terms.end() ? found->second : Scheduling::QueueTerms();
+    auto terms = job.terms();
     if (job.isLongRunning())
         terms.priority = longRunningPriority;
     const auto number = job.currentOccurrence();
--- a/src/libs/jobs/jobtypes.h
+++ b/src/libs/jobs/jobtypes.h
@@ -89,11 +89,33 @@
     std::int64_t intervalMs = 0;
 };
 
+/*! \brief The part of a request that selects a queue. Callers know a queue by it alone. */
+struct QueueAddress
+{
+    std::string host;
+    std::string pathPrefix;
+
+    auto operator==(const QueueAddress &) const -> bool = default;
+    auto isKnown() const -> bool { return !host.empty() || !pathPrefix.empty(); }
+};
+
+/*! \brief The settings of a queue that apply to its jobs. */
+struct QueueTerms
+{
+    std::int64_t priority = 0;        //!< Jobs with smaller values go first.
+    double stretch = 1;               //!< Factor of the longest chain of steps in the objective.
+    std::int64_t objectiveMs = 0;     //!< Time that is added to the stretched chain.
+    std::int64_t maximumAttempts = 0; //!< Limit of failed runs of one task; 0 if none.
+};
+
 /*! \brief A job as submitted. */
 struct JobSpec
 {
     std::string id;
-    std::string queue;
+    std::string queue; //!< Name that the queue had at the submission.
+    //! Address of the queue at the submission; not known in jobs that older builds recorded.
+    QueueAddress address;
+    QueueTerms terms;    //!< Terms of the queue at the submission.
     std::string pool;    //!< Pool whose endpoints run the tasks.
     std::string payload; //!< Data that is passed to each task unchanged.
     std::vector<StepSpec> steps;
@@ -170,11 +192,29 @@
     archive.optional("interval", repetition.intervalMs);
 }
 
+template <typename Archive>
+auto describe(Archive &archive, QueueAddress &address) -> void
+{
+    archive.required("host", address.host);
+    archive.required("prefix", address.pathPrefix);
+}
+
+template <typename Archive>
+auto describe(Archive &archive, QueueTerms &terms) -> void
+{
+    archive.optional("priority", terms.priority);
+    archive.optional("stretch", terms.stretch);
+    archive.optional("objective", terms.objectiveMs);
+    archive.optional("attempts", terms.maximumAttempts);
+}
+
 template <typename Archive>
 auto describe(Archive &archive, JobSpec &job) -> void
 {
     archive.required("id", job.id);
     archive.required("queue", job.queue);
+    archive.optional("address", job.address);
+    archive.optional("terms", job.terms);
     archive.required("pool", job.pool);
     archive.optional("payload", job.payload);
     archive.required("steps", job.steps);
--- a/src/libs/scheduling/joborder.h
+++ b/src/libs/scheduling/joborder.h
@@ -9,13 +9,7 @@
 /*! Scheduling decisions without I/O: order of jobs, placement of tasks and sizes of pools. */
 namespace Scheduling {
 
-/*! \brief The settings of a queue that determine the order of its jobs. */
-struct QueueTerms
-{
-    std::int64_t priority = 0;    //!< Jobs with smaller values go first.
-    double stretch = 1;           //!< Factor of the longest chain of steps in the objective.
-    std::int64_t objectiveMs = 0; //!< Time that is added to the stretched chain.
-};
+using Jobs::QueueTerms;
 
 /*! \brief Whether a job can still meet its objective. */
 enum class Outlook {
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -38,6 +38,59 @@
     return reply;
 }
 
+auto addressIn(const Wire::ControlRequest &request) -> Jobs::QueueAddress
+{
+    return {request.host, request.pathPrefix};
+}
+
+// Returns the job of the request, or nullptr if callers do not find it at the queue that they name.
+auto findJob(const Control::State &state, const Wire::ControlRequest &request) -> const Jobs::Job *
+{
+    const auto *job = state.jobs.find(request.jobId);
+    const auto found =
+        job != nullptr
+        && state.configuration.holdsJob(addressIn(request), request.queue, job->spec);
+    return found ? job : nullptr;
+}
+
+// Returns the name that the queue has now, or its former one if there is no such queue any more.
+auto nameOfQueue(const Control::Configuration &configuration,
+                 const Jobs::QueueAddress &address,
+                 const std::string &name) -> std::string
+{
+    const auto *queue = configuration.findQueue(address, name);
+    return queue != nullptr ? queue->name : name;
+}
+
+// Takes what the job needs from its queue, as it is in force here: the configuration of the entry
+// process may be older. Returns false if there is no such queue.
+auto takeQueue(const Control::Configuration &configuration, Jobs::JobSpec &job) -> bool
+{
+    const auto *queue = configuration.findQueue(job.address, job.queue);
+    if (queue == nullptr)
+        return false;
+    job.queue = queue->name;
+    job.address = queue->address();
+    job.pool = queue->pool;
+    job.terms = queue->terms();
+    return true;
+}
+
+// Returns the outcome of a submission that needs no commit. Otherwise completes the job.
+auto answerKnown(const Control::State &state,
+                 const Wire::ControlRequest &request,
+                 Jobs::JobSpec &job) -> std::optional<Wire::ControlOutcome::type>
+{
+    if (findJob(state, request) != nullptr)
+        return Wire::ControlOutcome::DONE;
+    if (!takeQueue(state.configuration, job))
+        return Wire::ControlOutcome::UNKNOWN_NAME;
+    // Tasks are named after their job, so that two queues cannot have jobs with the same id.
+    if (state.jobs.find(job.id) != nullptr)
+        return Wire::ControlOutcome::REFUSED;
+    return std::nullopt;
+}
+
 auto outcomeFor(Execution::CommitResult result) -> Outcome
 {
     switch (result) {
@@ -112,6 +165,11 @@
     return m_session && m_session->isActive() ? m_session.get() : nullptr;
 }
 
+auto ControlService::linkPort() const -> int
+{
+    return m_server.port();
+}
+
 auto ControlService::leads() const -> bool
 {
     return session() != nullptr;
@@ -303,14 +361,10 @@
         co_return reply(Wire::ControlOutcome::REFUSED);
     }
     auto &spec = job.value();
-    const auto [known, queueKnown] = m_parts.state.read([&](const Control::State &state) {
-        return std::pair(state.jobs.find(spec.id) != nullptr,
-                         state.configuration.findQueue(spec.queue) != nullptr);
-    });
-    if (known)
-        co_return reply(Wire::ControlOutcome::DONE);
-    if (!queueKnown)
-        co_return reply(Wire::ControlOutcome::UNKNOWN_NAME);
+    const auto answer = m_parts.state.read(
+        [&](const Control::State &state) { return answerKnown(state, request, spec); });
+    if (answer)
+        co_return reply(*answer);
     spec.submittedMs = m_parts.clock.wallTime();
     const auto id = spec.id;
     const auto queue = spec.queue;
@@ -333,8 +387,8 @@
 {
     const auto started = m_session->ledger().hasStarted(request.jobId);
     return m_parts.state.read([&](const Control::State &state) {
-        const auto *job = state.jobs.find(request.jobId);
-        if (job == nullptr || job->spec.queue != request.queue)
+        const auto *job = findJob(state, request);
+        if (job == nullptr)
             return reply(Wire::ControlOutcome::UNKNOWN_NAME);
         auto answer = reply(Wire::ControlOutcome::DONE);
         answer.jobState = int(callerJobState(*job, started));
@@ -344,10 +398,8 @@
 
 auto ControlService::cancel(Wire::ControlRequest request) -> AsyncNet::Task<Wire::ControlReply>
 {
-    const auto known = m_parts.state.read([&](const Control::State &state) {
-        const auto *job = state.jobs.find(request.jobId);
-        return job != nullptr && job->spec.queue == request.queue;
-    });
+    const auto known = m_parts.state.read(
+        [&](const Control::State &state) { return findJob(state, request) != nullptr; });
     if (!known)
         co_return reply(Wire::ControlOutcome::UNKNOWN_NAME);
     Control::Command command;
@@ -367,7 +419,10 @@
     if (m_parts.clock.now() - m_waitingJobsCountedAt > countAge)
         countWaitingJobs();
     auto answer = reply(Wire::ControlOutcome::DONE);
-    if (const auto waiting = m_waitingJobs.find(request.queue); waiting != m_waitingJobs.end())
+    const auto queue = m_parts.state.read([&](const Control::State &state) {
+        return nameOfQueue(state.configuration, addressIn(request), request.queue);
+    });
+    if (const auto waiting = m_waitingJobs.find(queue); waiting != m_waitingJobs.end())
         answer.count = waiting->second;
     return answer;
 }
@@ -380,7 +435,8 @@
         for (const auto &id : state.jobs.activeIds()) {
             const auto *job = state.jobs.find(id);
             if (job->occurrences.empty() && !m_session->ledger().hasStarted(id))
-                ++m_waitingJobs[job->spec.queue];
+                ++m_waitingJobs[nameOfQueue(
+                    state.configuration, job->spec.address, job->spec.queue)];
         }
     });
 }
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -68,6 +68,8 @@
     auto stateChanged() -> void;
 
     auto leads() const -> bool;
+    /*! \brief Returns the port on which entry processes and control processes connect. */
+    auto linkPort() const -> int;
     /*! \brief Returns the link address of the leader, or an empty string if none is known. */
     auto leaderAddress() const -> std::string;
 
--- a/src/libs/service/entryservice.cpp
+++ b/src/libs/service/entryservice.cpp
@@ -39,16 +39,26 @@
     return Outcome::Unknown;
 }
 
-auto makeRequest(Wire::ControlCall::type call, std::string queue, std::string id)
-    -> Wire::ControlRequest
+auto makeRequest(Wire::ControlCall::type call,
+                 const std::string &queue,
+                 const Jobs::QueueAddress &address,
+                 std::string id) -> Wire::ControlRequest
 {
     Wire::ControlRequest request;
     request.call = call;
-    request.queue = std::move(queue);
+    request.queue = queue;
+    request.host = address.host;
+    request.pathPrefix = address.pathPrefix;
     request.jobId = std::move(id);
     return request;
 }
 
+auto makeRequest(Wire::ControlCall::type call, const Control::CallerRoute &route, std::string id)
+    -> Wire::ControlRequest
+{
+    return makeRequest(call, route.queue, route.address(), std::move(id));
+}
+
 } // namespace
 
 EntryService::EntryService(AsyncNet::asio::io_context &loop, LeaderLink &link)
@@ -90,7 +100,8 @@
 auto EntryService::followConfiguration() -> AsyncNet::Task<void>
 {
     while (!m_stopped) {
-        auto request = makeRequest(Wire::ControlCall::AWAIT_CONFIGURATION, {}, {});
+        Wire::ControlRequest request;
+        request.call = Wire::ControlCall::AWAIT_CONFIGURATION;
         request.version = m_routes.version();
         const auto reply = co_await m_link.call(request, configurationWait, configurationWait);
         if (!reply || reply.value().configuration.empty()) {
@@ -120,7 +131,7 @@
 
 auto EntryService::submitJob(Jobs::JobSpec job) -> AsyncNet::Task<JobSubmissionResult>
 {
-    auto request = makeRequest(Wire::ControlCall::HAND_IN, job.queue, job.id);
+    auto request = makeRequest(Wire::ControlCall::HAND_IN, job.queue, job.address, job.id);
     request.job = Utils::toCbor(job);
     const auto reply = co_await m_link.call(request, leaderTimeout, callTimeout);
     JobSubmissionResult result;
@@ -132,9 +143,10 @@
     co_return result;
 }
 
-auto EntryService::jobState(std::string queue, std::string id) -> AsyncNet::Task<JobStateResult>
+auto EntryService::jobState(Control::CallerRoute route, std::string id)
+    -> AsyncNet::Task<JobStateResult>
 {
-    auto request = makeRequest(Wire::ControlCall::JOB_STATE, std::move(queue), std::move(id));
+    auto request = makeRequest(Wire::ControlCall::JOB_STATE, route, std::move(id));
     const auto reply = co_await m_link.call(request, leaderTimeout, callTimeout);
     JobStateResult result;
     result.outcome = outcomeOf(reply);
@@ -143,18 +155,19 @@
     co_return result;
 }
 
-auto EntryService::cancel(std::string queue, std::string id) -> AsyncNet::Task<CancelResult>
+auto EntryService::cancel(Control::CallerRoute route, std::string id)
+    -> AsyncNet::Task<CancelResult>
 {
-    auto request = makeRequest(Wire::ControlCall::CANCEL_JOB, std::move(queue), std::move(id));
+    auto request = makeRequest(Wire::ControlCall::CANCEL_JOB, route, std::move(id));
     const auto reply = co_await m_link.call(request, leaderTimeout, callTimeout);
     CancelResult result;
     result.outcome = outcomeOf(reply);
     co_return result;
 }
 
-auto EntryService::countWaiting(std::string queue) -> AsyncNet::Task<CountResult>
+auto EntryService::countWaiting(Control::CallerRoute route) -> AsyncNet::Task<CountResult>
 {
-    auto request = makeRequest(Wire::ControlCall::COUNT_WAITING, std::move(queue), {});
+    auto request = makeRequest(Wire::ControlCall::COUNT_WAITING, route, {});
     const auto reply = co_await m_link.call(request, leaderTimeout, callTimeout);
     CountResult result;
     result.outcome = outcomeOf(reply);
--- a/src/libs/service/entryservice.h
+++ b/src/libs/service/entryservice.h
@@ -28,9 +28,9 @@
     auto isReady() const -> bool;
 
     auto submitJob(Jobs::JobSpec job) -> AsyncNet::Task<JobSubmissionResult>;
-    auto jobState(std::string queue, std::string id) -> AsyncNet::Task<JobStateResult>;
-    auto cancel(std::string queue, std::string id) -> AsyncNet::Task<CancelResult>;
-    auto countWaiting(std::string queue) -> AsyncNet::Task<CountResult>;
+    auto jobState(Control::CallerRoute route, std::string id) -> AsyncNet::Task<JobStateResult>;
+    auto cancel(Control::CallerRoute route, std::string id) -> AsyncNet::Task<CancelResult>;
+    auto countWaiting(Control::CallerRoute route) -> AsyncNet::Task<CountResult>;
 
 private:
     auto followConfiguration() -> AsyncNet::Task<void>;
--- a/src/libs/wire/control.thrift
+++ b/src/libs/wire/control.thrift
@@ -86,6 +86,9 @@
   // Set in CARRY_OUT and COLLECT_ANSWERS. A session is one term of one leader.
   10: string session
   11: list<EndpointOrder> orders
+  // Set with the queue: its address in the requests of callers. Older processes do not set them.
+  12: string host
+  13: string pathPrefix
 }
 
 enum ControlOutcome {
--- a/src/libs/wire/gen/control_types.cpp
+++ b/src/libs/wire/gen/control_types.cpp
@@ -1210,6 +1210,14 @@
 void ControlRequest::__set_orders(const std::vector<EndpointOrder> & val) {
   this->orders = val;
 }
+
+void ControlRequest::__set_host(const std::string& val) {
+  this->host = val;
+}
+
+void ControlRequest::__set_pathPrefix(const std::string& val) {
+  this->pathPrefix = val;
+}
 std::ostream& operator<<(std::ostream& out, const ControlRequest& obj)
 {
   obj.printTo(out);
@@ -1340,6 +1348,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->host);
+          this->__isset.host = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pathPrefix);
+          this->__isset.pathPrefix = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1409,6 +1433,14 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("host", ::apache::thrift::protocol::T_STRING, 12);
+  xfer += oprot->writeString(this->host);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("pathPrefix", ::apache::thrift::protocol::T_STRING, 13);
+  xfer += oprot->writeString(this->pathPrefix);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1427,6 +1459,8 @@
   swap(a.zone, b.zone);
   swap(a.session, b.session);
   swap(a.orders, b.orders);
+  swap(a.host, b.host);
+  swap(a.pathPrefix, b.pathPrefix);
   swap(a.__isset, b.__isset);
 }
 
@@ -1442,6 +1476,8 @@
   zone = other36.zone;
   session = other36.session;
   orders = other36.orders;
+  host = other36.host;
+  pathPrefix = other36.pathPrefix;
   __isset = other36.__isset;
 }
 ControlRequest::ControlRequest(ControlRequest&& other37) noexcept {
@@ -1456,6 +1492,8 @@
   zone = std::move(other37.zone);
   session = std::move(other37.session);
   orders = std::move(other37.orders);
+  host = std::move(other37.host);
+  pathPrefix = std::move(other37.pathPrefix);
   __isset = other37.__isset;
 }
 ControlRequest& ControlRequest::operator=(const ControlRequest& other38) {
@@ -1470,6 +1508,8 @@
   zone = other38.zone;
   session = other38.session;
   orders = other38.orders;
+  host = other38.host;
+  pathPrefix = other38.pathPrefix;
   __isset = other38.__isset;
   return *this;
 }
@@ -1485,6 +1525,8 @@
   zone = std::move(other39.zone);
   session = std::move(other39.session);
   orders = std::move(other39.orders);
+  host = std::move(other39.host);
+  pathPrefix = std::move(other39.pathPrefix);
   __isset = other39.__isset;
   return *this;
 }
@@ -1502,6 +1544,8 @@
   out << ", " << "zone=" << to_string(zone);
   out << ", " << "session=" << to_string(session);
   out << ", " << "orders=" << to_string(orders);
+  out << ", " << "host=" << to_string(host);
+  out << ", " << "pathPrefix=" << to_string(pathPrefix);
   out << ")";
 }
 
--- a/src/libs/wire/gen/control_types.h
+++ b/src/libs/wire/gen/control_types.h
@@ -455,7 +455,7 @@
 std::ostream& operator<<(std::ostream& out, const EndpointAnswer& obj);
 
 typedef struct _ControlRequest__isset {
-  _ControlRequest__isset() : sequence(false), call(false), job(false), jobId(false), queue(false), version(false), processId(false), address(false), zone(false), session(false), orders(false) {}
+  _ControlRequest__isset() : sequence(false), call(false), job(false), jobId(false), queue(false), version(false), processId(false), address(false), zone(false), session(false), orders(false), host(false), pathPrefix(false) {}
   bool sequence :1;
   bool call :1;
   bool job :1;
@@ -467,6 +467,8 @@
   bool zone :1;
   bool session :1;
   bool orders :1;
+  bool host :1;
+  bool pathPrefix :1;
 } _ControlRequest__isset;
 
 class ControlRequest : public virtual ::apache::thrift::TBase {
@@ -486,7 +488,9 @@
                    processId(),
                    address(),
                    zone(),
-                   session() {
+                   session(),
+                   host(),
+                   pathPrefix() {
   }
 
   virtual ~ControlRequest() noexcept;
@@ -505,6 +509,8 @@
   std::string zone;
   std::string session;
   std::vector<EndpointOrder>  orders;
+  std::string host;
+  std::string pathPrefix;
 
   _ControlRequest__isset __isset;
 
@@ -530,6 +536,10 @@
 
   void __set_orders(const std::vector<EndpointOrder> & val);
 
+  void __set_host(const std::string& val);
+
+  void __set_pathPrefix(const std::string& val);
+
   bool operator == (const ControlRequest & rhs) const
   {
     if (!(sequence == rhs.sequence))
@@ -554,6 +564,10 @@
       return false;
     if (!(orders == rhs.orders))
       return false;
+    if (!(host == rhs.host))
+      return false;
+    if (!(pathPrefix == rhs.pathPrefix))
+      return false;
     return true;
   }
   bool operator != (const ControlRequest &rhs) const {
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -150,6 +150,81 @@
     EXPECT_TRUE(state.startedTasks.empty());
 }
 
+/*! \brief A job of a queue that allows two attempts, and an endpoint on which its task fails. */
+class FailingJob : public testing::Test
+{
+protected:
+    FailingJob()
+    {
+        configure({m_queue});
+        Control::Command endpoint;
+        endpoint.addEndpoint.emplace().incarnation = m_incarnation;
+        state.apply(endpoint, 1);
+        Control::Command submission;
+        auto &job = submission.submitJob.emplace();
+        job.id = "job";
+        job.queue = m_queue.name;
+        job.address = m_queue.address();
+        job.terms = m_queue.terms();
+        job.steps.emplace_back().count = 1;
+        state.apply(submission, 1);
+    }
+    auto configure(std::vector<Control::Queue> queues) -> void
+    {
+        Control::Command command;
+        auto &content = command.configuration.emplace();
+        content.version = ++m_version;
+        content.queues = std::move(queues);
+        state.apply(command, 1);
+    }
+    auto fail() -> void
+    {
+        Control::Command ended;
+        ended.recordEnds = Control::RecordEnds{
+            m_incarnation, {{++m_ends, {"job", 0, 0, 0}, Jobs::TaskOutcome::Failed}}};
+        state.apply(ended, 1);
+    }
+    static auto queue(const std::string &name, const std::string &prefix, std::int64_t attempts)
+        -> Control::Queue
+    {
+        Control::Queue queue;
+        queue.name = name;
+        queue.host = "h.example";
+        queue.pathPrefix = prefix;
+        queue.maximumAttempts = attempts;
+        return queue;
+    }
+    auto jobState() const -> Jobs::JobState { return state.jobs.find("job")->state; }
+
+    Control::State state;
+
+private:
+    const Control::EndpointIncarnation m_incarnation{"a", 20};
+    const Control::Queue m_queue = queue("queue", "/a/", 2);
+    std::int64_t m_version = 0;
+    std::int64_t m_ends = 0;
+};
+
+// Without a limit, the task of a job that can never be done starts without end.
+TEST_F(FailingJob, FailsAfterTheAttemptsOfItsSubmissionOnceItsQueueIsGone)
+{
+    configure({});
+    fail();
+    EXPECT_EQ(jobState(), Jobs::JobState::Active);
+    fail();
+    EXPECT_EQ(jobState(), Jobs::JobState::Failed);
+}
+
+TEST_F(FailingJob, FailsAfterTheAttemptsOfItsQueueThatHasAnotherNameNow)
+{
+    configure({queue("queue", "/b/", 1), queue("renamed", "/a/", 3)});
+    fail();
+    fail();
+    EXPECT_EQ(jobState(), Jobs::JobState::Active);
+    fail();
+    EXPECT_EQ(jobState(), Jobs::JobState::Failed);
+}
+
 TEST(ControlState, CountsChangesOfEndpointsAlone)
 {
     Control::State state;
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -637,6 +637,37 @@
     EXPECT_EQ(fixture.schedule().stops.size(), 1U);
 }
 
+// A job of a queue that is renamed keeps its rank: callers do not see the name.
+TEST(RunLedger, RanksJobByTheQueueAtItsAddressOrElseByTheTermsOfItsSubmission)
+{
+    for (const auto renamed : {true, false}) {
+        LedgerFixture fixture;
+        fixture.addEndpoint("a");
+        auto &queues = fixture.state.configuration.queues;
+        Control::Queue low;
+        low.name = "low";
+        low.host = "h.example";
+        low.pathPrefix = "/low/";
+        low.pool = queues.front().pool;
+        low.priority = 2;
+        auto job = fixture.addJob("first", wholeEndpointStep());
+        job.id = "earlier";
+        job.queue = low.name;
+        job.address = low.address();
+        job.terms = low.terms();
+        fixture.state.jobs.add(job);
+        if (renamed) {
+            low.name = "renamed";
+            queues.push_back(low);
+        }
+        fixture.begin();
+        fixture.poll("a");
+        const auto started = fixture.schedule().starts;
+        ASSERT_EQ(started.size(), 1U);
+        EXPECT_EQ(started.front().task.job, "first") << renamed;
+    }
+}
+
 TEST(RunLedger, ReportsTheUnusedCapacityOfOpenEndpointsAlone)
 {
     LedgerFixture fixture;
--- a/tests/auto/service/tst_controlservice.cpp
+++ b/tests/auto/service/tst_controlservice.cpp
@@ -23,6 +23,8 @@
 constexpr std::int64_t firstBornMs = 1000;
 constexpr std::int64_t nextBornMs = 2000;
 constexpr auto anyPort = "127.0.0.1:0";
+constexpr auto host = "h.example";
+constexpr auto jobId = "0123456789abcdef";
 
 /*! \brief The log of a leader whose contact with a majority the test controls. */
 class FakeLog final : public Replication::ReplicatedLog
@@ -155,11 +157,7 @@
         auto &content = configuration.configuration.emplace();
         content.version = 1;
         content.pools.push_back({"pool", true, false});
-        Control::Queue queue;
-        queue.name = "queue";
-        queue.pool = "pool";
-        queue.maximumAttempts = 3;
-        content.queues.push_back(queue);
+        content.queues.push_back(queue("queue", "/a/"));
         Control::Command endpoint;
         endpoint.addEndpoint = record(firstBornMs);
         apply({configuration, endpoint});
@@ -176,19 +174,65 @@
         record.capacity = {4000, 8000, 0};
         return record;
     }
-    auto addJob() -> void
+    static auto queue(const std::string &name, const std::string &prefix) -> Control::Queue
     {
-        Control::Command job;
-        auto &spec = job.submitJob.emplace();
-        spec.id = "0123456789abcdef";
+        Control::Queue queue;
+        queue.name = name;
+        queue.host = host;
+        queue.pathPrefix = prefix;
+        queue.pool = "pool";
+        queue.maximumAttempts = 3;
+        return queue;
+    }
+    static auto jobSpec() -> Jobs::JobSpec
+    {
+        Jobs::JobSpec spec;
+        spec.id = jobId;
         spec.queue = "queue";
         spec.pool = "pool";
         auto &step = spec.steps.emplace_back();
         step.count = 1;
         step.demand = {1000, 100, 0};
         step.estimateMs = 1000;
+        return spec;
+    }
+    // Adds a job as an older build recorded it.
+    auto addJob() -> void
+    {
+        Control::Command job;
+        job.submitJob = jobSpec();
         apply({job});
     }
+    // Puts the next version of the configuration, with these queues alone, in force.
+    auto configure(std::vector<Control::Queue> queues) -> void
+    {
+        Control::Command configuration;
+        auto &content = configuration.configuration.emplace();
+        content.version = ++m_configurationVersion;
+        content.pools.push_back({"pool", true, false});
+        content.queues = std::move(queues);
+        apply({configuration});
+    }
+    // Sends a request as an entry process whose route has this name and prefix does.
+    auto ask(Wire::ControlCall::type call, const std::string &name, const std::string &prefix)
+        -> Wire::ControlReply
+    {
+        Wire::ControlRequest request;
+        request.call = call;
+        request.queue = name;
+        request.jobId = jobId;
+        if (!prefix.empty()) {
+            request.host = host;
+            request.pathPrefix = prefix;
+        }
+        if (call == Wire::ControlCall::HAND_IN) {
+            auto spec = jobSpec();
+            spec.queue = name;
+            spec.address = {request.host, request.pathPrefix};
+            request.job = Utils::toCbor(spec);
+        }
+        return send(request);
+    }
     auto announce(const Control::EndpointRecord &record, std::int64_t sequence) -> void
     {
         AsyncNet::start(m_loop, "announcement", announceOne({record, sequence}));
@@ -226,6 +270,24 @@
     int m_announced = 0; //!< Announcements that have been answered.
 
 private:
+    auto send(const Wire::ControlRequest &request) -> Wire::ControlReply
+    {
+        std::optional<Wire::ControlReply> reply;
+        AsyncNet::start(m_loop, "request", sendOne(request, reply));
+        EXPECT_TRUE(runUntil([&] { return reply.has_value(); }));
+        return reply.value_or(Wire::ControlReply());
+    }
+    auto sendOne(Wire::ControlRequest request, std::optional<Wire::ControlReply> &reply)
+        -> AsyncNet::Task<void>
+    {
+        const auto client = std::make_shared<AsyncNet::FrameClient>(
+            m_loop, "127.0.0.1:" + std::to_string(m_service.linkPort()));
+        co_await client->connect(longestTest);
+        const auto answer = co_await client->call(request, longestTest);
+        EXPECT_TRUE(answer);
+        reply = answer ? answer.value() : Wire::ControlReply();
+        client->close();
+    }
     auto announceOne(Service::Announcement announcement) -> AsyncNet::Task<void>
     {
         co_await m_service.announce(std::move(announcement));
@@ -233,6 +295,7 @@
     }
     Utils::SystemClock m_clock;
     Utils::Metrics m_metrics;
+    std::int64_t m_configurationVersion = 1;
     Control::StateReplica m_state;
     FakeLog m_log{m_state};
     NoHosts m_hosts;
@@ -322,4 +385,71 @@
     }));
 }
 
+// Callers know a queue by host and path prefix, never by its name.
+TEST_F(ControlServiceTest, JobIsKnownAtItsAddressAfterItsQueueWasRenamed)
+{
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    using Wire::ControlCall;
+    using Wire::ControlOutcome;
+    ASSERT_EQ(ask(ControlCall::HAND_IN, "queue", "/a/").outcome, ControlOutcome::DONE);
+    configure({queue("renamed", "/a/")});
+    EXPECT_EQ(ask(ControlCall::JOB_STATE, "renamed", "/a/").outcome, ControlOutcome::DONE);
+    EXPECT_EQ(ask(ControlCall::HAND_IN, "renamed", "/a/").outcome, ControlOutcome::DONE);
+    EXPECT_EQ(ask(ControlCall::CANCEL_JOB, "renamed", "/a/").outcome, ControlOutcome::DONE);
+    const auto state = ask(ControlCall::JOB_STATE, "renamed", "/a/");
+    EXPECT_EQ(state.jobState, int(Service::CallerJobState::Cancelled));
+}
+
+TEST_F(ControlServiceTest, WaitingJobsAreCountedAtTheAddressOfTheirQueue)
+{
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    using Wire::ControlCall;
+    m_endpoints.restartedMs["a"] = nextBornMs; // The job finds no endpoint.
+    ASSERT_EQ(ask(ControlCall::HAND_IN, "queue", "/a/").outcome, Wire::ControlOutcome::DONE);
+    configure({queue("queue", "/b/"), queue("renamed", "/a/")});
+    EXPECT_EQ(ask(ControlCall::COUNT_WAITING, "renamed", "/a/").count, 1);
+    EXPECT_EQ(ask(ControlCall::COUNT_WAITING, "queue", "/b/").count, 0);
+    // An entry process with the former configuration.
+    EXPECT_EQ(ask(ControlCall::COUNT_WAITING, "queue", "/a/").count, 1);
+}
+
+TEST_F(ControlServiceTest, JobIsNotKnownAtTheAddressOfAnotherQueueThatHasItsName)
+{
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    using Wire::ControlCall;
+    using Wire::ControlOutcome;
+    ASSERT_EQ(ask(ControlCall::HAND_IN, "queue", "/a/").outcome, ControlOutcome::DONE);
+    configure({queue("queue", "/b/"), queue("renamed", "/a/")});
+    EXPECT_EQ(ask(ControlCall::JOB_STATE, "queue", "/b/").outcome, ControlOutcome::UNKNOWN_NAME);
+    EXPECT_EQ(ask(ControlCall::CANCEL_JOB, "queue", "/b/").outcome, ControlOutcome::UNKNOWN_NAME);
+    // The job cannot be stored there as well, so that it must not be confirmed.
+    EXPECT_EQ(ask(ControlCall::HAND_IN, "queue", "/b/").outcome, ControlOutcome::REFUSED);
+    EXPECT_EQ(ask(ControlCall::JOB_STATE, "renamed", "/a/").outcome, ControlOutcome::DONE);
+}
+
+TEST_F(ControlServiceTest, EntryWithAFormerNameOfAQueueReachesIt)
+{
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    using Wire::ControlCall;
+    using Wire::ControlOutcome;
+    configure({queue("renamed", "/a/")});
+    EXPECT_EQ(ask(ControlCall::HAND_IN, "queue", "/a/").outcome, ControlOutcome::DONE);
+    EXPECT_EQ(ask(ControlCall::JOB_STATE, "queue", "/a/").outcome, ControlOutcome::DONE);
+    EXPECT_EQ(ask(ControlCall::JOB_STATE, "renamed", "/a/").outcome, ControlOutcome::DONE);
+    EXPECT_EQ(ask(ControlCall::HAND_IN, "queue", "/gone/").outcome, ControlOutcome::UNKNOWN_NAME);
+}
+
+TEST_F(ControlServiceTest, RequestsAndJobsOfOlderBuildsAreKnownByTheNameOfTheirQueue)
+{
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    using Wire::ControlCall;
+    using Wire::ControlOutcome;
+    addJob();
+    EXPECT_EQ(ask(ControlCall::JOB_STATE, "queue", "").outcome, ControlOutcome::DONE);
+    EXPECT_EQ(ask(ControlCall::JOB_STATE, "queue", "/a/").outcome, ControlOutcome::DONE);
+    EXPECT_EQ(ask(ControlCall::JOB_STATE, "other", "").outcome, ControlOutcome::UNKNOWN_NAME);
+    configure({queue("renamed", "/a/")});
+    EXPECT_EQ(ask(ControlCall::JOB_STATE, "renamed", "/a/").outcome, ControlOutcome::DONE);
+}
+
 } // namespace
