--- a/tests/auto/service/tst_controlservice.cpp
+++ b/tests/auto/service/tst_controlservice.cpp
@@ -282,7 +282,8 @@
     {
         const auto client = std::make_shared<AsyncNet::FrameClient>(
             m_loop, "127.0.0.1:" + std::to_string(m_service.linkPort()));
-        co_await client->connect(longestTest);
+        const auto connected = co_await client->connect(longestTest);
+        EXPECT_TRUE(connected);
         const auto answer = co_await client->call(request, longestTest);
         EXPECT_TRUE(answer);
         reply = answer ? answer.value() : Wire::ControlReply();
