Keep what a job takes from its queue out of the log

Cause: wrote the address and the terms of the queue into the submission. Older builds reject keys that they do not know, and skip such entries of the log. Ruled out: the new fields of the messages between processes, which older builds ignore.

Change: each process sets both when it applies the submission, from the configuration in force. The entry process sends the address beside the job.

--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -22,9 +22,17 @@
     Jobs::OccurrenceProgress progress;
 };
 
+struct QueueSnapshot
+{
+    Jobs::QueueAddress address;
+    Jobs::QueueTerms terms;
+};
+
 struct JobSnapshot
 {
     Jobs::JobSpec spec;
+    //! What the job's queue was at the submission, if the queue of its name differs from that now.
+    std::optional<QueueSnapshot> queue;
     Jobs::JobState state = Jobs::JobState::Active;
     std::int64_t endedMs = 0;
     std::vector<OccurrenceSnapshot> occurrences;
@@ -46,10 +54,18 @@
     archive.required("progress", occurrence.progress);
 }
 
+template <typename Archive>
+auto describe(Archive &archive, QueueSnapshot &queue) -> void
+{
+    archive.required("address", queue.address);
+    archive.required("terms", queue.terms);
+}
+
 template <typename Archive>
 auto describe(Archive &archive, JobSnapshot &job) -> void
 {
     archive.required("spec", job.spec);
+    archive.optional("queue", job.queue);
     archive.required("state", job.state);
     archive.required("ended", job.endedMs);
     archive.required("occurrences", job.occurrences);
@@ -76,6 +92,25 @@
 
 namespace {
 
+// Sets what a job keeps of its queue.
+auto takeQueue(const Configuration &configuration, Jobs::JobSpec &job) -> void
+{
+    const auto *queue = configuration.findQueue(job.queue);
+    job.address = queue != nullptr ? queue->address() : Jobs::QueueAddress();
+    job.terms = queue != nullptr ? queue->terms() : Jobs::QueueTerms();
+}
+
+// Returns what takeQueue() would not set again when the snapshot is restored.
+auto queueToSave(const Configuration &configuration, const Jobs::JobSpec &job)
+    -> std::optional<Internal::QueueSnapshot>
+{
+    auto restored = job;
+    takeQueue(configuration, restored);
+    if (restored.address == job.address && restored.terms == job.terms)
+        return std::nullopt;
+    return Internal::QueueSnapshot{job.address, job.terms};
+}
+
 auto isActive(const State &state, const std::string &job) -> bool
 {
     const auto *found = state.jobs.find(job);
@@ -164,8 +199,11 @@
 
 auto State::apply(const Command &command, std::int64_t nowMs) -> void
 {
-    if (command.submitJob)
-        jobs.add(*command.submitJob);
+    if (command.submitJob) {
+        auto job = *command.submitJob;
+        takeQueue(configuration, job);
+        jobs.add(std::move(job));
+    }
     if (command.cancelJob) {
         jobs.cancel(*command.cancelJob, nowMs);
         startedTasks.erase(*command.cancelJob);
@@ -247,6 +285,7 @@
     for (const auto &[id, job] : m_state.jobs.jobs()) {
         auto &saved = snapshot.jobs.emplace_back();
         saved.spec = job.spec;
+        saved.queue = queueToSave(m_state.configuration, job.spec);
         saved.state = job.state;
         saved.endedMs = job.endedMs;
         for (const auto &[number, progress] : job.occurrences)
@@ -272,6 +311,11 @@
     for (auto &saved : snapshot.jobs) {
         auto &job = jobs.emplace_back();
         job.spec = std::move(saved.spec);
+        takeQueue(state.configuration, job.spec);
+        if (saved.queue) {
+            job.spec.address = std::move(saved.queue->address);
+            job.spec.terms = saved.queue->terms;
+        }
         job.state = saved.state;
         job.endedMs = saved.endedMs;
         for (auto &occurrence : saved.occurrences)
--- a/src/libs/jobs/jobtypes.h
+++ b/src/libs/jobs/jobtypes.h
@@ -106,6 +106,8 @@
     double stretch = 1;               //!< Factor of the longest chain of steps in the objective.
     std::int64_t objectiveMs = 0;     //!< Time that is added to the stretched chain.
     std::int64_t maximumAttempts = 0; //!< Limit of failed runs of one task; 0 if none.
+
+    auto operator==(const QueueTerms &) const -> bool = default;
 };
 
 /*! \brief A job as submitted. */
@@ -113,7 +115,8 @@
 {
     std::string id;
     std::string queue; //!< Name that the queue had at the submission.
-    //! Address of the queue at the submission; not known in jobs that older builds recorded.
+    //! Address of the queue at the submission, if it is known. It is not encoded, and neither are the
+    //! terms, since older builds reject keys that they do not know.
     QueueAddress address;
     QueueTerms terms;    //!< Terms of the queue at the submission.
     std::string pool;    //!< Pool whose endpoints run the tasks.
@@ -213,8 +216,6 @@
 {
     archive.required("id", job.id);
     archive.required("queue", job.queue);
-    archive.optional("address", job.address);
-    archive.optional("terms", job.terms);
     archive.required("pool", job.pool);
     archive.optional("payload", job.payload);
     archive.required("steps", job.steps);
--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -62,17 +62,17 @@
     return queue != nullptr ? queue->name : name;
 }
 
-// Takes what the job needs from its queue, as it is in force here: the configuration of the entry
-// process may be older. Returns false if there is no such queue.
-auto takeQueue(const Control::Configuration &configuration, Jobs::JobSpec &job) -> bool
+// Sets the name and the pool of the job's queue as they are in force here: the configuration of the
+// entry process may be older. Returns false if there is no such queue.
+auto takeQueue(const Control::Configuration &configuration,
+               const Wire::ControlRequest &request,
+               Jobs::JobSpec &job) -> bool
 {
-    const auto *queue = configuration.findQueue(job.address, job.queue);
+    const auto *queue = configuration.findQueue(addressIn(request), job.queue);
     if (queue == nullptr)
         return false;
     job.queue = queue->name;
-    job.address = queue->address();
     job.pool = queue->pool;
-    job.terms = queue->terms();
     return true;
 }
 
@@ -83,7 +83,7 @@
 {
     if (findJob(state, request) != nullptr)
         return Wire::ControlOutcome::DONE;
-    if (!takeQueue(state.configuration, job))
+    if (!takeQueue(state.configuration, request, job))
         return Wire::ControlOutcome::UNKNOWN_NAME;
     // Tasks are named after their job, so that two queues cannot have jobs with the same id.
     if (state.jobs.find(job.id) != nullptr)
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -225,6 +225,36 @@
     EXPECT_EQ(jobState(), Jobs::JobState::Failed);
 }
 
+// A group holds processes of older builds during an upgrade, and these skip entries with other keys.
+TEST_F(FailingJob, IsEncodedWithoutKeysThatOlderBuildsDoNotKnow)
+{
+    const auto encoded = Utils::toCbor(state.jobs.find("job")->spec);
+    EXPECT_EQ(encoded.find("address"), std::string::npos);
+    EXPECT_EQ(encoded.find("terms"), std::string::npos);
+}
+
+TEST_F(FailingJob, KeepsItsQueueInSnapshotsAfterTheQueueWasRenamed)
+{
+    Control::StateReplica replica;
+    Control::CommandBatch batch;
+    for (const auto renamed : {false, true}) {
+        auto &content = batch.commands.emplace_back().configuration.emplace();
+        content.version = renamed ? 2 : 1;
+        content.queues = {queue(renamed ? "renamed" : "queue", "/a/", 2)};
+        if (!renamed)
+            batch.commands.emplace_back().submitJob = state.jobs.find("job")->spec;
+    }
+    replica.apply(entry(batch));
+    Control::StateReplica other;
+    ASSERT_TRUE(other.restore(replica.snapshot(), 1));
+    other.read([](const Control::State &restored) {
+        const auto &spec = restored.jobs.find("job")->spec;
+        EXPECT_EQ(spec.address.pathPrefix, "/a/");
+        EXPECT_EQ(spec.terms.maximumAttempts, 2);
+        return 0;
+    });
+}
+
 TEST(ControlState, CountsChangesOfEndpointsAlone)
 {
     Control::State state;
