--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -26,6 +26,8 @@
 {
     Jobs::QueueAddress address;
     Jobs::QueueTerms terms;
+
+    auto operator==(const QueueSnapshot &) const -> bool = default;
 };
 
 struct JobSnapshot
@@ -92,23 +94,30 @@
 
 namespace {
 
-// Sets what a job keeps of its queue.
-auto takeQueue(const Configuration &configuration, Jobs::JobSpec &job) -> void
+// Returns what a job keeps of the queue with this name.
+auto queueNamed(const Configuration &configuration, std::string_view name)
+    -> Internal::QueueSnapshot
+{
+    const auto *queue = configuration.findQueue(name);
+    if (queue == nullptr)
+        return {};
+    return {queue->address(), queue->terms()};
+}
+
+auto setQueue(Jobs::JobSpec &job, Internal::QueueSnapshot queue) -> void
 {
-    const auto *queue = configuration.findQueue(job.queue);
-    job.address = queue != nullptr ? queue->address() : Jobs::QueueAddress();
-    job.terms = queue != nullptr ? queue->terms() : Jobs::QueueTerms();
+    job.address = std::move(queue.address);
+    job.terms = queue.terms;
 }
 
-// Returns what takeQueue() would not set again when the snapshot is restored.
+// Returns the queue of the job if a restored snapshot would not find the same one by its name.
 auto queueToSave(const Configuration &configuration, const Jobs::JobSpec &job)
     -> std::optional<Internal::QueueSnapshot>
 {
-    auto restored = job;
-    takeQueue(configuration, restored);
-    if (restored.address == job.address && restored.terms == job.terms)
+    Internal::QueueSnapshot kept{job.address, job.terms};
+    if (kept == queueNamed(configuration, job.queue))
         return std::nullopt;
-    return Internal::QueueSnapshot{job.address, job.terms};
+    return kept;
 }
 
 auto isActive(const State &state, const std::string &job) -> bool
@@ -201,7 +210,7 @@
 {
     if (command.submitJob) {
         auto job = *command.submitJob;
-        takeQueue(configuration, job);
+        setQueue(job, queueNamed(configuration, job.queue));
         jobs.add(std::move(job));
     }
     if (command.cancelJob) {
@@ -311,11 +320,9 @@
     for (auto &saved : snapshot.jobs) {
         auto &job = jobs.emplace_back();
         job.spec = std::move(saved.spec);
-        takeQueue(state.configuration, job.spec);
-        if (saved.queue) {
-            job.spec.address = std::move(saved.queue->address);
-            job.spec.terms = saved.queue->terms;
-        }
+        setQueue(job.spec,
+                 saved.queue ? std::move(*saved.queue)
+                             : queueNamed(state.configuration, job.spec.queue));
         job.state = saved.state;
         job.endedMs = saved.endedMs;
         for (auto &occurrence : saved.occurrences)
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -164,8 +164,6 @@
         auto &job = submission.submitJob.emplace();
         job.id = "job";
         job.queue = m_queue.name;
-        job.address = m_queue.address();
-        job.terms = m_queue.terms();
         job.steps.emplace_back().count = 1;
         state.apply(submission, 1);
     }
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -65,29 +65,25 @@
                          std::vector<Execution::RunningTask> running,
                          std::vector<Execution::EndedTask> ended) -> Execution::PollEffects
 {
-    Execution::PollReply reply;
-    reply.running = std::move(running);
-    reply.ended = std::move(ended);
-    return answerPoll(id, std::move(reply));
+    return answerPoll(id, {std::move(running), std::move(ended), false});
 }
 
 auto LedgerFixture::pollTruncated(const std::string &id,
                                   std::vector<Execution::RunningTask> running,
                                   std::vector<Execution::EndedTask> ended) -> Execution::PollEffects
 {
-    Execution::PollReply reply;
-    reply.running = std::move(running);
-    reply.ended = std::move(ended);
-    reply.truncated = true;
-    return answerPoll(id, std::move(reply));
+    return answerPoll(id, {std::move(running), std::move(ended), true});
 }
 
-auto LedgerFixture::answerPoll(const std::string &id, Execution::PollReply reply)
-    -> Execution::PollEffects
+auto LedgerFixture::answerPoll(const std::string &id, Lists lists) -> Execution::PollEffects
 {
     const auto order = ledger.pollOrder(id, m_now);
     const auto sentAt = m_now;
     advance(roundTrip);
+    Execution::PollReply reply;
+    reply.running = std::move(lists.running);
+    reply.ended = std::move(lists.ended);
+    reply.truncated = lists.truncated;
     reply.result = Execution::PollResult::Seen;
     reply.bornMs = order->target.incarnation.bornMs;
     reply.clockMs = m_now.time_since_epoch().count();
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -55,7 +55,14 @@
     Execution::RunLedger ledger{{}};
 
 private:
-    auto answerPoll(const std::string &id, Execution::PollReply reply) -> Execution::PollEffects;
+    struct Lists
+    {
+        std::vector<Execution::RunningTask> running;
+        std::vector<Execution::EndedTask> ended;
+        bool truncated = false;
+    };
+
+    auto answerPoll(const std::string &id, Lists lists) -> Execution::PollEffects;
 
     Utils::Instant m_now{Utils::Milliseconds(1'000'000)};
     std::int64_t m_wallMs = 1'700'000'000'000;
--- a/tests/auto/service/tst_controlservice.cpp
+++ b/tests/auto/service/tst_controlservice.cpp
@@ -228,7 +228,6 @@
         if (call == Wire::ControlCall::HAND_IN) {
             auto spec = jobSpec();
             spec.queue = name;
-            spec.address = {request.host, request.pathPrefix};
             request.job = Utils::toCbor(spec);
         }
         return send(request);
