Log why a long-running task is not at work

The leader now logs once a second each long-running task that has waited for a second, with the reason, and keeps the longest wait of each pool as a gauge. No decision changes.

--- a/src/libs/execution/leaderlog.cpp
+++ b/src/libs/execution/leaderlog.cpp
@@ -11,6 +11,9 @@
 
 constexpr double millisecondsPerSecond = 1000;
 constexpr Utils::Milliseconds loadReportInterval{2000};
+constexpr Utils::Milliseconds waitReportInterval{1000};
+// A long-running task that is not at work for this time is reported, and again with each report.
+constexpr Utils::Milliseconds reportedWait{1000};
 
 auto inMilliseconds(std::chrono::microseconds duration) -> std::int64_t
 {
@@ -270,4 +273,52 @@
                           {"endpoint", order.target.incarnation.id}});
 }
 
+// Users of a long-running task miss it while it waits, so the cause of each longer wait is logged.
+auto LeaderSession::reportWaitingTasks() -> void
+{
+    const auto now = m_parts.clock.now();
+    if (now - m_waitsReportedAt < waitReportInterval)
+        return;
+    m_waitsReportedAt = now;
+    std::map<Jobs::TaskId, Utils::Instant> since;
+    std::map<std::string, Utils::Milliseconds> longest;
+    m_parts.state.read([&](const Control::State &state) {
+        for (const auto &pool : state.configuration.pools)
+            longest[pool.name] = {};
+    });
+    for (const auto &waiting : m_ledger.waitingLongRunningTasks(now)) {
+        const auto known = m_waitingSince.find(waiting.task);
+        const auto began = known != m_waitingSince.end() ? known->second : now;
+        since[waiting.task] = began;
+        longest[waiting.pool] = std::max(longest[waiting.pool], now - began);
+        if (now - began >= reportedWait)
+            reportWaitingTask(waiting, now - began);
+    }
+    m_waitingSince = std::move(since);
+    for (const auto &[pool, waited] : longest)
+        m_parts.metrics.set("trefoilshelf_longest_wait_seconds",
+                            {{"pool", pool}},
+                            std::chrono::duration<double>(waited).count());
+}
+
+auto LeaderSession::reportWaitingTask(const WaitingTask &waiting, Utils::Milliseconds waited)
+    -> void
+{
+    if (!m_waitLines.allow(m_parts.clock.now()))
+        return;
+    Utils::Log::info("execution",
+                     "a long-running task waits",
+                     {{"job", waiting.task.job},
+                      {"task", Jobs::toText(waiting.task)},
+                      {"waited_ms", waited.count()},
+                      {"pool", waiting.pool},
+                      {"reason", nameOf(waiting.reason)},
+                      {"endpoint", waiting.endpoint},
+                      {"open", waiting.openEndpoints},
+                      {"needs_millicores", waiting.demand.cpuMillicores},
+                      {"needs_memory_mb", waiting.demand.memoryMb},
+                      {"most_free_millicores", waiting.mostFree.cpuMillicores},
+                      {"most_free_memory_mb", waiting.mostFree.memoryMb}});
+}
+
 } // namespace Execution
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -53,6 +53,7 @@
     , m_endedJobLines("ends of jobs", linesPerSecond)
     , m_firstStartLines("first starts of jobs", linesPerSecond)
     , m_failureLines("failures of tasks", linesPerSecond)
+    , m_waitLines("long-running tasks that wait", linesPerSecond)
 {}
 
 auto LeaderSession::start() -> void
@@ -258,6 +259,7 @@
         co_await AsyncNet::pause(tickInterval);
         recordLag(m_parts.clock.now() - pausedAt - tickInterval);
         reportLoad();
+        reportWaitingTasks();
     }
 }
 
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -11,6 +11,7 @@
 #include "utils/logbudget.h"
 #include "utils/metrics.h"
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -97,6 +98,8 @@
     auto reportFirstStart(const StartOrder &order) -> void;
     auto reportStop(const StopOrder &order, OrderResult result) -> void;
     auto reportReleases() -> void;
+    auto reportWaitingTasks() -> void;
+    auto reportWaitingTask(const WaitingTask &waiting, Utils::Milliseconds waited) -> void;
 
     LeaderParts m_parts;
     RunLedger m_ledger;
@@ -112,6 +115,9 @@
     Utils::Instant m_lastPass;
     Utils::Milliseconds m_passInterval{0}; //!< Minimum time between the starts of two passes.
     Utils::Instant m_lastReport;
+    Utils::Instant m_waitsReportedAt;
+    //! Since when long-running tasks have been waiting, by task.
+    std::map<Jobs::TaskId, Utils::Instant> m_waitingSince;
     LeaderLoad m_load;
     Utils::Instant m_loadReportedAt;
     Utils::LogBudget m_startLines;
@@ -122,6 +128,7 @@
     // First starts and failures have separate limits, since callers ask about slow and failed jobs.
     Utils::LogBudget m_firstStartLines;
     Utils::LogBudget m_failureLines;
+    Utils::LogBudget m_waitLines;
     std::set<Control::EndpointIncarnation> m_polled;
     std::uint64_t m_endpointsVersion = 0; //!< State::endpointsVersion that has been taken over.
 };
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -3,6 +3,7 @@
 #include "endpointtable.h"
 #include "jobprogress.h"
 #include "orders.h"
+#include "waitingtasks.h"
 
 #include "control/controlstate.h"
 #include "scheduling/durationmodel.h"
@@ -153,6 +154,8 @@
     auto hasStarted(const std::string &job) const -> bool;
     /*! \brief Returns the tasks that could have started in the last pass, but had no room. */
     auto waitingTasks() const -> std::size_t { return m_waitingTasks; }
+    /*! \brief Returns the long-running tasks that are not at work at \a now, with the reasons. */
+    auto waitingLongRunningTasks(Utils::Instant now) -> std::vector<WaitingTask>;
     /*! \brief Returns the demand of each pool at the last call of updateDemand(). */
     auto demand() const -> const std::map<std::string, PoolDemand> & { return m_demand; }
     /*! \brief Returns for how many steps the last pass looked for room in their pool. */
@@ -233,6 +236,8 @@
               Utils::Instant now) -> StartOrder;
     auto updateAvoided(PoolPlacement &pool) -> void;
     auto addDemand(JobProgress &job, std::int64_t wallMs) -> void;
+    auto unfinishedLongRunningTasks() -> std::vector<Jobs::TaskId>;
+    auto explainPlacement(WaitingTask &waiting, Utils::Instant now) -> void;
     auto findRun(const OrderTarget &target, const Jobs::TaskId &task, std::int64_t number) -> Run *;
     auto findStarted(const StartOrder &order) -> Run *;
     auto extendLeaseOfNextIncarnation(const Control::EndpointIncarnation &former,
--- /dev/null
+++ b/src/libs/execution/waitingtasks.cpp
@@ -0,0 +1,157 @@
+// Implements the part of RunLedger that tells why long-running tasks are not at work.
+#include "waitingtasks.h"
+
+#include "runledger.h"
+
+#include "scheduling/placement.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Execution {
+namespace {
+
+/*! \brief The run of a task that is not at work, and where it is booked. */
+struct PendingRun
+{
+    WaitReason reason = WaitReason::EarlierRun;
+    std::string endpoint;
+};
+
+using PendingRuns = std::map<Jobs::TaskId, PendingRun>;
+
+auto reasonOf(const Run &run) -> WaitReason
+{
+    return run.state == RunState::Uncertain ? WaitReason::StartUnanswered : WaitReason::Starting;
+}
+
+// Returns what is booked on the endpoint, except for short tasks.
+auto addPendingRuns(const EndpointEntry &endpoint, PendingRuns &pending) -> void
+{
+    const auto &id = endpoint.record.incarnation.id;
+    for (const auto &[task, run] : endpoint.runs) {
+        if (run.longRunning && run.state != RunState::Running)
+            pending[task] = {reasonOf(run), id};
+    }
+    for (const auto &task : endpoint.inherited)
+        pending[task] = {WaitReason::EarlierRun, id};
+}
+
+} // namespace
+
+auto nameOf(WaitReason reason) -> std::string_view
+{
+    switch (reason) {
+    case WaitReason::Starting:
+        return "its start is not answered yet";
+    case WaitReason::StartUnanswered:
+        return "its start got no answer";
+    case WaitReason::EarlierRun:
+        return "an earlier run may not have ended";
+    case WaitReason::NoOpenEndpoint:
+        return "no endpoint accepts tasks";
+    case WaitReason::NoRoom:
+        return "no endpoint has room";
+    case WaitReason::HostLimit:
+        return "endpoints with room run enough tasks of its step";
+    case WaitReason::Label:
+        return "endpoints with room lack its label";
+    case WaitReason::NextPass:
+        return "it starts with the next pass";
+    }
+    return "unknown";
+}
+
+auto RunLedger::waitingLongRunningTasks(Utils::Instant now) -> std::vector<WaitingTask>
+{
+    std::set<Jobs::TaskId> atWork;
+    PendingRuns pending;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        for (const auto &[task, run] : endpoint.runs) {
+            if (run.longRunning && run.state == RunState::Running)
+                atWork.insert(task);
+        }
+        addPendingRuns(endpoint, pending);
+    }
+    for (const auto &[id, outliving] : m_outliving) {
+        for (const auto &run : outliving.runs)
+            pending[run.task] = {WaitReason::EarlierRun, id};
+        for (const auto &task : outliving.inherited)
+            pending[task] = {WaitReason::EarlierRun, id};
+    }
+    std::vector<WaitingTask> waiting;
+    for (const auto &task : unfinishedLongRunningTasks()) {
+        if (atWork.contains(task))
+            continue;
+        auto &entry = waiting.emplace_back();
+        entry.task = task;
+        entry.demand = Scheduling::occupiedBy(*specOf(task));
+        entry.pool = m_jobs.at(task.job).spec().pool;
+        explainPlacement(entry, now);
+        const auto run = pending.find(task);
+        if (run != pending.end()) {
+            entry.reason = run->second.reason;
+            entry.endpoint = run->second.endpoint;
+        } else if (m_jobs.at(task.job).state(task) == TaskState::Booked) {
+            entry.reason = WaitReason::EarlierRun;
+        }
+    }
+    return waiting;
+}
+
+// Returns the long-running tasks whose step is ready.
+auto RunLedger::unfinishedLongRunningTasks() -> std::vector<Jobs::TaskId>
+{
+    std::vector<Jobs::TaskId> tasks;
+    for (auto &[id, job] : m_jobs) {
+        if (!job.isLongRunning())
+            continue;
+        const auto number = job.currentOccurrence();
+        const auto &occurrence = job.occurrence(number);
+        for (std::size_t step = 0; step < occurrence.size(); ++step) {
+            const auto &spec = job.spec().steps[step];
+            if (!spec.longRunning || !job.isReady(occurrence, step))
+                continue;
+            for (std::int64_t index = 0; index < spec.count; ++index)
+                tasks.push_back({id, number, std::int64_t(step), index});
+        }
+    }
+    return tasks;
+}
+
+// Finds out what keeps an open task from the open endpoints of its pool: the first of the checks of
+// room, label and limit per host that none of them passes.
+auto RunLedger::explainPlacement(WaitingTask &waiting, Utils::Instant now) -> void
+{
+    const auto &spec = *specOf(waiting.task);
+    auto withRoom = false;
+    auto withLabel = false;
+    auto belowLimit = false;
+    for (const auto *endpoint : endpointsOfPool(waiting.pool)) {
+        if (!acceptsTasks(*endpoint, now))
+            continue;
+        ++waiting.openEndpoints;
+        const auto free = endpoint->freeResources();
+        waiting.mostFree = mostOf(waiting.mostFree, free);
+        if (!waiting.demand.fitsInto(free))
+            continue;
+        withRoom = true;
+        const auto &labels = endpoint->record.labels;
+        if (!spec.requiredLabel.empty()
+            && std::ranges::find(labels, spec.requiredLabel) == labels.end())
+            continue;
+        withLabel = true;
+        belowLimit = belowLimit || spec.maximumPerHost == 0
+                     || endpoint->runs.countOfStep(waiting.task) < spec.maximumPerHost;
+    }
+    if (waiting.openEndpoints == 0)
+        waiting.reason = WaitReason::NoOpenEndpoint;
+    else if (!withRoom)
+        waiting.reason = WaitReason::NoRoom;
+    else if (!withLabel)
+        waiting.reason = WaitReason::Label;
+    else if (!belowLimit)
+        waiting.reason = WaitReason::HostLimit;
+}
+
+} // namespace Execution
