Keep room free for long-running tasks that short ones would take piece by piece

A long-running task that was stopped did not run again for 15 s, although its pool had room for it again and again.

Cause: long-running tasks rank first, but only within one scheduling pass. One that fits on no endpoint now had no claim on what becomes free later: each short task that ended left a piece too small for it, and the same pass gave that piece to the next short task. It waited as long as the pool had a backlog.

Change: a long-running task that fits nowhere claims the endpoint that lacks the least of what it needs, among those that could run it once their short tasks have ended. Nothing else is started in that room, so what it lacks only shrinks until it starts. Such an endpoint is neither moved nor closed for a move, since it would be the first to become empty.

Evidence: before the change, on with the tests of this commit, LongRunningTasks.TaskThatNeedsMoreThanAShortTaskLeavesStartsAmidABacklog and LongRunningTasks.EndpointsThatNoLongRunningTaskWaitsForGoOnWithShortTasks failed: the task never started. Both pass now. EndpointThatIsKeptFreeForOneIsNotClosedForAMove was written with the change and guards its effect on moves.

--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -78,10 +78,15 @@
 
 auto RunTable::count(const Run &run, int by) -> void
 {
-    if (by > 0)
-        m_occupied += run.occupies;
-    else
-        m_occupied -= run.occupies;
+    const auto change = [by, &run](Jobs::Resources &sum) {
+        if (by > 0)
+            sum += run.occupies;
+        else
+            sum -= run.occupies;
+    };
+    change(m_occupied);
+    if (run.longRunning)
+        change(m_occupiedByLongRunning);
     m_withTarget += run.latencyTargetMs > 0 ? by : 0;
     m_longRunning += run.longRunning ? by : 0;
     m_backfill += run.fills ? by : 0;
@@ -110,6 +115,13 @@
     return free;
 }
 
+auto EndpointEntry::freeOfShortTasks() const -> Jobs::Resources
+{
+    auto free = record.capacity;
+    free -= runs.occupiedByLongRunning();
+    return free;
+}
+
 auto EndpointEntry::clockAtLeast(Utils::Instant now) const -> std::int64_t
 {
     return clockMs + (now - clockAt).count() * slowestClockPercent / 100;
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -97,6 +97,10 @@
     auto take() -> Runs;
 
     auto occupied() const -> const Jobs::Resources & { return m_occupied; }
+    auto occupiedByLongRunning() const -> const Jobs::Resources &
+    {
+        return m_occupiedByLongRunning;
+    }
     auto servesUsers() const -> bool { return m_withTarget > 0; }
     auto holdsLongRunning() const -> bool { return m_longRunning > 0; }
     auto holdsBackfill() const -> bool { return m_backfill > 0; }
@@ -110,6 +114,7 @@
 
     Runs m_runs;
     Jobs::Resources m_occupied;
+    Jobs::Resources m_occupiedByLongRunning; //!< Part of m_occupied.
     int m_withTarget = 0;
     int m_longRunning = 0;
     int m_backfill = 0;
@@ -147,6 +152,8 @@
     /*! \brief Returns the number of runs, including those an earlier leader may have started. */
     auto possibleRuns() const -> std::size_t { return runs.size() + inherited.size(); }
     auto freeResources() const -> Jobs::Resources;
+    /*! \brief Returns what is free once all tasks have ended, except for the long-running ones. */
+    auto freeOfShortTasks() const -> Jobs::Resources;
     auto servesUsers() const -> bool { return runs.servesUsers(); }
     auto holdsLongRunning() const -> bool { return runs.holdsLongRunning(); }
     /*! \brief Returns a lower bound of the time on the endpoint's clock at \a now. */
--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -70,6 +70,7 @@
     const auto endpoint = ledger.endpoints().find(host.endpoint);
     return endpoint != ledger.endpoints().end() && m_idleSince.contains(host.endpoint)
            && endpoint->second.answers && !endpoint->second.draining && !endpoint->second.leaving
+           && !ledger.isKeptFree(host.endpoint)
            && (!endpoint->second.closed || m_releasing.contains(host.endpoint));
 }
 
@@ -209,7 +210,7 @@
                 m_releasing.erase(id);
                 moves.open.push_back(id);
             } else if (endpoint.polled && !endpoint.closed && !endpoint.draining
-                       && !endpoint.holdsLongRunning()) {
+                       && !endpoint.holdsLongRunning() && !ledger.isKeptFree(id)) {
                 open.push_back(&endpoint);
             }
         }
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -156,6 +156,8 @@
     auto waitingTasks() const -> std::size_t { return m_waitingTasks; }
     /*! \brief Returns the long-running tasks that are not at work at \a now, with the reasons. */
     auto waitingLongRunningTasks(Utils::Instant now) -> std::vector<WaitingTask>;
+    /*! \brief Returns true if the last pass kept the endpoint free for a long-running task. */
+    auto isKeptFree(const std::string &endpoint) const -> bool;
     /*! \brief Returns the demand of each pool at the last call of updateDemand(). */
     auto demand() const -> const std::map<std::string, PoolDemand> & { return m_demand; }
     /*! \brief Returns for how many steps the last pass looked for room in their pool. */
@@ -227,6 +229,10 @@
                      Utils::Instant now) -> PoolPlacement &;
     auto startStep(JobProgress &job, const Jobs::TaskId &first, PoolPlacement &pool, Orders &orders)
         -> void;
+    auto hasRoom(PoolPlacement &pool, const Jobs::Resources &demand) -> bool;
+    auto keepFree(const Jobs::StepSpec &step,
+                  std::vector<std::int64_t> &tasksOfStep,
+                  PoolPlacement &pool) -> bool;
     auto startGang(JobProgress &job, const Jobs::TaskId &first, PoolPlacement &pool, Orders &orders)
         -> void;
     auto book(EndpointEntry &endpoint,
@@ -271,6 +277,8 @@
     std::unordered_set<std::string> m_startedJobs; //!< Jobs of m_jobs that have been started.
     std::vector<Release> m_releases;
     std::map<std::string, PoolDemand> m_demand;
+    //! Endpoints that the last pass kept free for long-running tasks.
+    std::set<std::string> m_keptFree;
     std::size_t m_waitingTasks = 0;
     std::size_t m_searches = 0;
 };
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -255,6 +255,7 @@
         view.rack = endpoint->record.rack;
         view.labels = endpoint->record.labels;
         view.free = endpoint->freeResources();
+        view.freeOfShortTasks = endpoint->freeOfShortTasks();
         view.servesUsers = endpoint->servesUsers();
         view.holdsLongRunning = endpoint->holdsLongRunning();
         view.recentFailures = endpoint->failureStreak;
@@ -309,13 +310,15 @@
     std::map<std::string, PoolPlacement> pools;
     m_waitingTasks = 0;
     m_searches = 0;
+    m_keptFree.clear();
     for (auto &[id, job] : m_jobs) {
         if (!job.mayStart(wallMs))
             continue;
         auto &pool = placementOf(pools, job.spec().pool, now);
         const auto work = job.readyWork();
-        // In a full pool most jobs wait, so they are neither ranked nor sorted.
-        if (work && !work->leastDemand.fitsInto(pool.mostFree)) {
+        // In a full pool most jobs wait, so they are neither ranked nor sorted. Endpoints may have to be
+        // kept free for long-running tasks.
+        if (!job.isLongRunning() && work && !work->leastDemand.fitsInto(pool.mostFree)) {
             m_waitingTasks += work->tasks;
             continue;
         }
@@ -380,27 +383,31 @@
 {
     const auto &spec = job.spec().steps[std::size_t(first.step)];
     const auto demand = Scheduling::occupiedBy(spec);
-    const auto refused = [&demand](const auto &tooLarge) { return tooLarge.fitsInto(demand); };
-    if (std::ranges::any_of(pool.tooLarge, refused))
-        return;
-    ++m_searches;
-    if (!Scheduling::hasRoom(pool.views, demand)) {
-        pool.tooLarge.push_back(demand);
+    auto roomLeft = hasRoom(pool, demand);
+    if (!roomLeft && !spec.longRunning)
         return;
-    }
     std::vector<std::int64_t> tasksOfStep;
     if (spec.maximumPerHost > 0 || spec.longRunning)
         tasksOfStep = countTasksOfStep(job, first, pool);
+    auto mayKeepFree = spec.longRunning;
     auto task = first;
     for (task.index = 0; task.index < spec.count; ++task.index) {
         if (job.state(task) != TaskState::Open)
             continue;
-        const auto chosen = Scheduling::chooseEndpoint(pool.views, {&spec, tasksOfStep});
+        const auto chosen =
+            roomLeft ? Scheduling::chooseEndpoint(pool.views, {&spec, tasksOfStep}) : std::nullopt;
         // A label or a limit per host may be the cause, so other steps may still have room.
-        if (!chosen)
+        roomLeft = chosen.has_value();
+        if (!chosen && !spec.longRunning)
             return;
+        if (!chosen) {
+            mayKeepFree = mayKeepFree && keepFree(spec, tasksOfStep, pool);
+            continue;
+        }
         auto &view = pool.views[*chosen];
         view.free -= demand;
+        if (spec.longRunning)
+            view.freeOfShortTasks -= demand;
         view.servesUsers = view.servesUsers || spec.latencyTargetMs > 0;
         view.holdsLongRunning = view.holdsLongRunning || spec.longRunning;
         if (!tasksOfStep.empty())
@@ -409,6 +416,41 @@
     }
 }
 
+auto RunLedger::hasRoom(PoolPlacement &pool, const Jobs::Resources &demand) -> bool
+{
+    const auto refused = [&demand](const auto &tooLarge) { return tooLarge.fitsInto(demand); };
+    if (std::ranges::any_of(pool.tooLarge, refused))
+        return false;
+    ++m_searches;
+    if (Scheduling::hasRoom(pool.views, demand))
+        return true;
+    pool.tooLarge.push_back(demand);
+    return false;
+}
+
+// Gives a long-running task the room that becomes free on an endpoint, so that tasks that need less
+// do not take it piece by piece. Returns false if no endpoint could run the task.
+auto RunLedger::keepFree(const Jobs::StepSpec &step,
+                         std::vector<std::int64_t> &tasksOfStep,
+                         PoolPlacement &pool) -> bool
+{
+    const auto chosen = Scheduling::chooseEndpointToKeepFree(pool.views, {&step, tasksOfStep});
+    if (!chosen)
+        return false;
+    auto &view = pool.views[*chosen];
+    const auto demand = Scheduling::occupiedBy(step);
+    view.free -= demand;
+    view.freeOfShortTasks -= demand;
+    ++tasksOfStep[*chosen];
+    m_keptFree.insert(pool.endpoints[*chosen]->record.incarnation.id);
+    return true;
+}
+
+auto RunLedger::isKeptFree(const std::string &endpoint) const -> bool
+{
+    return m_keptFree.contains(endpoint);
+}
+
 // Starts all members of a gang under one run number, or none of them.
 auto RunLedger::startGang(JobProgress &job,
                           const Jobs::TaskId &first,
--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -6,10 +6,13 @@
 namespace Scheduling {
 namespace {
 
-auto canRun(const EndpointView &endpoint, const Jobs::StepSpec &step, std::int64_t tasksOfStep)
-    -> bool
+// Returns true if an endpoint with this room can run the task.
+auto canRun(const EndpointView &endpoint,
+            const Jobs::Resources &room,
+            const Jobs::StepSpec &step,
+            std::int64_t tasksOfStep) -> bool
 {
-    if (!endpoint.open || !occupiedBy(step).fitsInto(endpoint.free))
+    if (!endpoint.open || !occupiedBy(step).fitsInto(room))
         return false;
     if (step.maximumPerHost > 0 && tasksOfStep >= step.maximumPerHost)
         return false;
@@ -31,6 +34,19 @@
                       step.longRunning ? -free : free);
 }
 
+// Returns the missing part of the required amount, at least 0.
+auto missingShare(std::int64_t required, std::int64_t free) -> double
+{
+    return required > 0 && required > free ? double(required - free) / double(required) : 0;
+}
+
+auto missingShare(const Jobs::Resources &required, const Jobs::Resources &free) -> double
+{
+    return std::max({missingShare(required.cpuMillicores, free.cpuMillicores),
+                     missingShare(required.memoryMb, free.memoryMb),
+                     missingShare(required.gpus, free.gpus)});
+}
+
 } // namespace
 
 auto occupiedBy(const Jobs::StepSpec &step) -> Jobs::Resources
@@ -47,7 +63,7 @@
     std::optional<std::size_t> best;
     for (std::size_t index = 0; index < endpoints.size(); ++index) {
         const auto tasksOfStep = request.tasksOfStep.empty() ? 0 : request.tasksOfStep[index];
-        if (!canRun(endpoints[index], *request.step, tasksOfStep))
+        if (!canRun(endpoints[index], endpoints[index].free, *request.step, tasksOfStep))
             continue;
         if (!best
             || costOf(endpoints[index], *request.step, tasksOfStep)
@@ -59,6 +75,26 @@
     return best;
 }
 
+auto chooseEndpointToKeepFree(std::span<const EndpointView> endpoints,
+                              const PlacementRequest &request) -> std::optional<std::size_t>
+{
+    const auto demand = occupiedBy(*request.step);
+    std::optional<std::size_t> best;
+    double leastMissing = 0;
+    for (std::size_t index = 0; index < endpoints.size(); ++index) {
+        const auto &endpoint = endpoints[index];
+        const auto tasksOfStep = request.tasksOfStep.empty() ? 0 : request.tasksOfStep[index];
+        if (!canRun(endpoint, endpoint.freeOfShortTasks, *request.step, tasksOfStep))
+            continue;
+        const auto missing = missingShare(demand, endpoint.free);
+        if (best && missing >= leastMissing)
+            continue;
+        best = index;
+        leastMissing = missing;
+    }
+    return best;
+}
+
 auto hasRoom(std::span<const EndpointView> endpoints, const Jobs::Resources &demand) -> bool
 {
     return std::ranges::any_of(endpoints, [&demand](const EndpointView &endpoint) {
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -15,6 +15,8 @@
     std::string_view rack;
     std::span<const std::string> labels;
     Jobs::Resources free;
+    //! Free once all tasks there have ended, except for the long-running ones.
+    Jobs::Resources freeOfShortTasks;
     bool open = false;             //!< The endpoint accepts new tasks.
     bool servesUsers = false;      //!< The endpoint runs a task with a latency target.
     bool holdsLongRunning = false; //!< The endpoint runs a long-running task.
@@ -44,6 +46,16 @@
 auto chooseEndpoint(std::span<const EndpointView> endpoints, const PlacementRequest &request)
     -> std::optional<std::size_t>;
 
+/*!
+    \brief Returns the index of the endpoint to keep free for a task that no endpoint has room for.
+
+    An endpoint qualifies if it could run the task once its short tasks have ended. The one that lacks
+    the least, relative to what the task requires, is chosen. While nothing starts there, it
+    stays the one that lacks the least.
+*/
+auto chooseEndpointToKeepFree(std::span<const EndpointView> endpoints,
+                              const PlacementRequest &request) -> std::optional<std::size_t>;
+
 /*! \brief Returns true if an open endpoint has room for \a demand, regardless of other limits. */
 auto hasRoom(std::span<const EndpointView> endpoints, const Jobs::Resources &demand) -> bool;
 
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -1,13 +1,22 @@
 #include "ledgerfixture.h"
 
+#include "execution/hostmoveplan.h"
+
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <deque>
+
 using namespace ExecutionTest;
+using Execution::EndKind;
 using Execution::WaitReason;
 
 namespace {
 
+constexpr std::int64_t shortJobs = 60;
 constexpr auto lastingJob = "lasting";
+// The highest number of short tasks that an endpoint of the fixture runs at once.
+constexpr std::size_t shortTasksPerEndpoint = 4;
 
 /*! \brief Returns a step of long-running tasks that need these resources each. */
 auto lastingStep(std::int64_t count, Jobs::Resources demand) -> Jobs::StepSpec
@@ -17,6 +26,138 @@
     return step;
 }
 
+/*! \brief Endpoints that work off a backlog of short tasks, one after the other. */
+class BacklogFixture
+{
+public:
+    explicit BacklogFixture(const std::vector<std::string> &endpoints)
+    {
+        for (const auto &id : endpoints)
+            m_ledger.addEndpoint(id);
+        for (std::int64_t job = 0; job < shortJobs; ++job)
+            m_ledger.addJob("short-" + std::to_string(job), plainStep(1));
+        m_ledger.begin();
+        m_ledger.pollAll();
+        pass();
+    }
+
+    auto submit(const Jobs::StepSpec &step) -> void { m_ledger.addJob(lastingJob, step); }
+    /*! \brief Decides on starts, and lets the endpoints confirm them. */
+    auto pass() -> void
+    {
+        for (const auto &order : m_ledger.schedule().starts) {
+            m_ledger.ledger.confirmStart(order);
+            m_ledger.confirm(order);
+            const auto &endpoint = order.target.incarnation.id;
+            if (order.task.job == lastingJob)
+                m_lasting[endpoint].push_back({order.task, order.run, "", 100, 0});
+            else
+                m_runs[endpoint].push_back(order);
+        }
+    }
+    /*! \brief Lets the oldest short task on the endpoint end, and decides on starts again. */
+    auto endOldest(const std::string &endpoint) -> void
+    {
+        auto &runs = m_runs[endpoint];
+        if (runs.empty())
+            return;
+        const auto ended = runs.front();
+        runs.pop_front();
+        auto running = m_lasting[endpoint];
+        for (const auto &order : runs)
+            running.push_back({order.task, order.run, "", 100, 0});
+        m_ledger.advance(Utils::Milliseconds(100));
+        m_ledger.record(m_ledger.poll(
+            endpoint, running, {{++m_ends[endpoint], ended.task, ended.run, EndKind::Done, ""}}));
+        pass();
+    }
+    /*! \brief Returns the endpoints to close so that their hosts can move to a pool with a backlog. */
+    auto closedForBacklogOfAnotherPool() -> std::vector<std::string>
+    {
+        constexpr auto otherPool = "other";
+        m_ledger.state.configuration.pools.push_back({otherPool, true, false});
+        Jobs::JobSpec job;
+        job.id = "backlog";
+        job.queue = "queue";
+        job.pool = otherPool;
+        job.steps.push_back(plainStep(shortJobs * shortJobs));
+        m_ledger.state.jobs.add(job);
+        m_ledger.schedule();
+        m_ledger.ledger.updateDemand(1'700'000'000'000);
+        Execution::HostList hosts;
+        hosts.complete = true;
+        for (const auto &[endpoint, runs] : m_runs)
+            hosts.hosts.push_back({endpoint, "pool", Execution::HostState::Up, endpoint});
+        Execution::HostMovePlan plan;
+        plan.observe(m_ledger.ledger, m_ledger.now());
+        return plan.next(m_ledger.state.configuration, m_ledger.ledger, hosts, 1, m_ledger.now())
+            .close;
+    }
+    auto shortTasksOn(const std::string &endpoint) const -> std::size_t
+    {
+        const auto found = m_runs.find(endpoint);
+        return found != m_runs.end() ? found->second.size() : 0;
+    }
+    auto lastingRuns() const -> std::size_t
+    {
+        std::size_t runs = 0;
+        for (const auto &[endpoint, tasks] : m_lasting)
+            runs += tasks.size();
+        return runs;
+    }
+
+private:
+    LedgerFixture m_ledger;
+    std::map<std::string, std::deque<Execution::StartOrder>> m_runs; //!< Short runs by endpoint.
+    std::map<std::string, std::int64_t> m_ends;
+    std::map<std::string, std::vector<Execution::RunningTask>> m_lasting; //!< By endpoint.
+};
+
+// Guards against LOST: the pieces of room that short tasks leave one by one go to other short tasks.
+TEST(LongRunningTasks, TaskThatNeedsMoreThanAShortTaskLeavesStartsAmidABacklog)
+{
+    BacklogFixture fixture({"a"});
+    ASSERT_EQ(fixture.shortTasksOn("a"), shortTasksPerEndpoint);
+    fixture.submit(lastingStep(1, {3000, 100, 0}));
+    for (auto end = 0; end < 3; ++end)
+        fixture.endOldest("a");
+    EXPECT_EQ(fixture.lastingRuns(), 1U);
+}
+
+TEST(LongRunningTasks, EndpointsThatNoLongRunningTaskWaitsForGoOnWithShortTasks)
+{
+    BacklogFixture fixture({"a", "b"});
+    fixture.submit(lastingStep(1, {3000, 100, 0}));
+    for (auto end = 0; end < 6; ++end) {
+        fixture.endOldest("a");
+        fixture.endOldest("b");
+    }
+    EXPECT_EQ(fixture.lastingRuns(), 1U);
+    EXPECT_EQ(std::max(fixture.shortTasksOn("a"), fixture.shortTasksOn("b")),
+              shortTasksPerEndpoint);
+}
+
+// The endpoint that is kept free soon runs the fewest tasks, so that it would be the first to be closed.
+TEST(LongRunningTasks, EndpointThatIsKeptFreeForOneIsNotClosedForAMove)
+{
+    BacklogFixture fixture({"a", "b", "c"});
+    fixture.submit(lastingStep(1, {3000, 100, 0}));
+    fixture.endOldest("b");
+    ASSERT_EQ(fixture.shortTasksOn("b"), shortTasksPerEndpoint - 1);
+    const auto closed = fixture.closedForBacklogOfAnotherPool();
+    EXPECT_FALSE(closed.empty());
+    EXPECT_EQ(std::ranges::count(closed, "b"), 0);
+}
+
+TEST(LongRunningTasks, TasksThatFitNowhereKeepNoEndpointFree)
+{
+    BacklogFixture fixture({"a"});
+    fixture.submit(lastingStep(1, {5000, 100, 0}));
+    for (auto end = 0; end < 6; ++end)
+        fixture.endOldest("a");
+    EXPECT_EQ(fixture.shortTasksOn("a"), shortTasksPerEndpoint);
+}
+
 /*! \brief One endpoint and a job of one or more long-running tasks. */
 class WaitFixture
 {
