Size pools by what their long-running tasks need, before short ones

Cause: a pool was sized by processors, never by memory, although such a task needs 15 GB of 64 in the mean and 2 of 16 cores. In a shortage a pool was sure of two hosts and of the largest limit per host of one step; what its long-running tasks need beyond that was cut like the batch work of all pools. And nothing told the sizing that a task fits on no host, as when others split the room.

Change: the least size of a pool covers the processors and the memory of its long-running tasks, and a host more for those that the last pass could neither start nor keep an endpoint free for. Pools share only what is left, and those below their least size get hosts first.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -83,6 +83,8 @@
     load.spare = pool.spare;
     if (const auto demand = ledger.demand().find(pool.name); demand != ledger.demand().end()) {
         load.longRunningMillicores = demand->second.longRunningMillicores;
+        load.longRunningMemoryMb = demand->second.longRunningMemoryMb;
+        load.hostsForUnplaced = demand->second.hostsForUnplaced;
         load.batchMillicores = demand->second.batchMillicores;
         load.minimumHosts = demand->second.minimumHosts;
     }
@@ -111,10 +113,11 @@
     if (host.state == HostState::Down)
         return;
     const auto endpoint = ledger.endpoints().find(host.endpoint);
+    const auto known = endpoint != ledger.endpoints().end();
     const auto leaves =
-        endpoint != ledger.endpoints().end()
-        && (endpoint->second.draining || endpoint->second.leaving || endpoint->second.closed);
+        known && (endpoint->second.draining || endpoint->second.leaving || endpoint->second.closed);
     load->hosts += leaves ? 0 : 1;
+    load->servingHosts += known && !leaves && endpoint->second.answers ? 1 : 0;
     if (!isIdle(ledger, occupancy, host))
         return;
     ++load->idleHosts;
@@ -136,13 +139,14 @@
                          const HostList &hosts,
                          Utils::Instant now) const -> std::vector<Scheduling::PoolLoad>
 {
-    std::int64_t hostMillicores = 0;
+    Jobs::Resources largest;
     for (const auto &[id, endpoint] : ledger.endpoints())
-        hostMillicores = std::max(hostMillicores, endpoint.record.capacity.cpuMillicores);
+        largest = mostOf(largest, endpoint.record.capacity);
     std::vector<Scheduling::PoolLoad> loads;
     for (const auto &pool : configuration.pools) {
         loads.push_back(demandOf(pool, ledger));
-        loads.back().hostMillicores = hostMillicores;
+        loads.back().hostMillicores = largest.cpuMillicores;
+        loads.back().hostMemoryMb = largest.memoryMb;
     }
     for (const auto &host : hosts.hosts)
         addHost(host, ledger, occupancy, now, loads);
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -4,6 +4,7 @@
 #include "utils/log.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Execution {
 namespace {
@@ -41,8 +42,10 @@
                           {"hosts", load.hosts},
                           {"wanted", Scheduling::wantedHosts(load)},
                           {"idle", load.idleHosts},
-                          {"at_least", load.minimumHosts},
+                          {"at_least", Scheduling::leastHosts(load)},
                           {"lasting_millicores", load.longRunningMillicores},
+                          {"lasting_memory_mb", load.longRunningMemoryMb},
+                          {"for_unplaced", std::int64_t(std::ceil(load.hostsForUnplaced))},
                           {"batch_millicores", std::int64_t(load.batchMillicores)},
                           {"open", use.openEndpoints},
                           {"free_millicores", use.freeMillicores},
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -60,8 +60,11 @@
     //! Capacity that finishes all known batch work by its objectives.
     double batchMillicores = 0;
     std::int64_t longRunningMillicores = 0; //!< Demand of long-running tasks, running or waiting.
+    std::int64_t longRunningMemoryMb = 0;
     //! Hosts needed to respect the limits of long-running tasks per host.
     std::int64_t minimumHosts = 0;
+    //! Hosts that run the long-running tasks for which no endpoint of the pool can be kept free.
+    double hostsForUnplaced = 0;
 };
 
 /*! \brief How much of the capacity of one pool is in use. */
@@ -233,6 +236,8 @@
     auto keepFree(const Jobs::StepSpec &step,
                   std::vector<std::int64_t> &tasksOfStep,
                   PoolPlacement &pool) -> bool;
+    auto addUnplaced(const Jobs::StepSpec &step, std::int64_t count, const std::string &pool)
+        -> void;
     auto startGang(JobProgress &job, const Jobs::TaskId &first, PoolPlacement &pool, Orders &orders)
         -> void;
     auto book(EndpointEntry &endpoint,
@@ -279,6 +284,8 @@
     std::map<std::string, PoolDemand> m_demand;
     //! Endpoints that the last pass kept free for long-running tasks.
     std::set<std::string> m_keptFree;
+    //! PoolDemand::hostsForUnplaced by pool, at the last pass.
+    std::map<std::string, double> m_hostsForUnplaced;
     std::size_t m_waitingTasks = 0;
     std::size_t m_searches = 0;
 };
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -130,6 +130,8 @@
 auto RunLedger::updateDemand(std::int64_t wallMs) -> void
 {
     m_demand.clear();
+    for (const auto &[pool, hosts] : m_hostsForUnplaced)
+        m_demand[pool].hostsForUnplaced = hosts;
     for (auto &[id, job] : m_jobs)
         addDemand(job, wallMs);
 }
@@ -153,6 +155,7 @@
             continue;
         }
         demand.longRunningMillicores += millicores * spec.count;
+        demand.longRunningMemoryMb += spec.demand.memoryMb * spec.count;
         if (spec.maximumPerHost > 0) {
             const auto apart = (spec.count + spec.maximumPerHost - 1) / spec.maximumPerHost;
             demand.minimumHosts = std::max(demand.minimumHosts, apart);
@@ -311,6 +314,7 @@
     m_waitingTasks = 0;
     m_searches = 0;
     m_keptFree.clear();
+    m_hostsForUnplaced.clear();
     for (auto &[id, job] : m_jobs) {
         if (!job.mayStart(wallMs))
             continue;
@@ -389,7 +393,7 @@
     std::vector<std::int64_t> tasksOfStep;
     if (spec.maximumPerHost > 0 || spec.longRunning)
         tasksOfStep = countTasksOfStep(job, first, pool);
-    auto mayKeepFree = spec.longRunning;
+    std::int64_t unplaced = 0; // Long-running tasks that no endpoint could run.
     auto task = first;
     for (task.index = 0; task.index < spec.count; ++task.index) {
         if (job.state(task) != TaskState::Open)
@@ -401,7 +405,8 @@
         if (!chosen && !spec.longRunning)
             return;
         if (!chosen) {
-            mayKeepFree = mayKeepFree && keepFree(spec, tasksOfStep, pool);
+            const auto kept = unplaced == 0 && keepFree(spec, tasksOfStep, pool);
+            unplaced += kept ? 0 : 1;
             continue;
         }
         auto &view = pool.views[*chosen];
@@ -414,6 +419,8 @@
             ++tasksOfStep[*chosen];
         orders.starts.push_back(book(*pool.endpoints[*chosen], job, task, nextNumber(), pool.now));
     }
+    if (unplaced > 0)
+        addUnplaced(spec, unplaced, job.spec().pool);
 }
 
 auto RunLedger::hasRoom(PoolPlacement &pool, const Jobs::Resources &demand) -> bool
@@ -446,6 +453,19 @@
     return true;
 }
 
+// Counts the hosts that run so many tasks of the step. A host that has not the label, or is too small,
+// would not help.
+auto RunLedger::addUnplaced(const Jobs::StepSpec &step, std::int64_t count, const std::string &pool)
+    -> void
+{
+    Jobs::Resources largest;
+    for (const auto &[id, endpoint] : m_endpoints)
+        largest = mostOf(largest, endpoint.record.capacity);
+    const auto tasks = Scheduling::tasksPerHost(step, largest);
+    if (tasks > 0 && step.requiredLabel.empty())
+        m_hostsForUnplaced[pool] += double(count) / double(tasks);
+}
+
 auto RunLedger::isKeptFree(const std::string &endpoint) const -> bool
 {
     return m_keptFree.contains(endpoint);
--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -95,6 +95,19 @@
     return best;
 }
 
+auto tasksPerHost(const Jobs::StepSpec &step, const Jobs::Resources &capacity) -> std::int64_t
+{
+    const auto demand = occupiedBy(step);
+    auto tasks = step.maximumPerHost > 0 ? step.maximumPerHost : step.count;
+    if (demand.cpuMillicores > 0)
+        tasks = std::min(tasks, capacity.cpuMillicores / demand.cpuMillicores);
+    if (demand.memoryMb > 0)
+        tasks = std::min(tasks, capacity.memoryMb / demand.memoryMb);
+    if (demand.gpus > 0)
+        tasks = std::min(tasks, capacity.gpus / demand.gpus);
+    return tasks;
+}
+
 auto hasRoom(std::span<const EndpointView> endpoints, const Jobs::Resources &demand) -> bool
 {
     return std::ranges::any_of(endpoints, [&demand](const EndpointView &endpoint) {
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -56,6 +56,9 @@
 auto chooseEndpointToKeepFree(std::span<const EndpointView> endpoints,
                               const PlacementRequest &request) -> std::optional<std::size_t>;
 
+/*! \brief Returns how many tasks of \a step an otherwise empty host of this \a capacity can run. */
+auto tasksPerHost(const Jobs::StepSpec &step, const Jobs::Resources &capacity) -> std::int64_t;
+
 /*! \brief Returns true if an open endpoint has room for \a demand, regardless of other limits. */
 auto hasRoom(std::span<const EndpointView> endpoints, const Jobs::Resources &demand) -> bool;
 
--- a/src/libs/scheduling/poolsizing.cpp
+++ b/src/libs/scheduling/poolsizing.cpp
@@ -6,12 +6,20 @@
 namespace Scheduling {
 namespace {
 
-// Share of a host's processors that tasks can use, since tasks do not fill hosts completely.
+// Share of a host's capacity that tasks can use, since tasks do not fill hosts completely.
 constexpr double usableShare = 0.8;
 // Minimum number of hosts of a pool even without work, so that the first task of a burst starts at
 // once.
 constexpr std::int64_t minimumPoolHosts = 2;
 
+// Returns how many hosts with this capacity provide the amount of a resource.
+auto hostsFor(double amount, std::int64_t capacity) -> std::int64_t
+{
+    if (capacity <= 0)
+        return 0;
+    return std::int64_t(std::ceil(amount / (double(capacity) * usableShare)));
+}
+
 struct Balance
 {
     const PoolLoad *pool;
@@ -35,6 +43,11 @@
     to.hosts += count;
 }
 
+auto leastOf(const Balance &balance) -> std::int64_t
+{
+    return std::min(balance.wanted, leastHosts(*balance.pool));
+}
+
 // Limits the wanted hosts of the pools to the number of hosts: each pool gets its minimum, and the
 // same fraction of its remaining demand.
 auto distributeHosts(std::vector<Balance> &balances) -> void
@@ -42,9 +55,6 @@
     std::int64_t available = 0;
     std::int64_t wanted = 0;
     std::int64_t least = 0;
-    const auto leastOf = [](const Balance &balance) {
-        return std::min(balance.wanted, std::max(minimumPoolHosts, balance.pool->minimumHosts));
-    };
     for (const auto &balance : balances) {
         available += balance.hosts;
         wanted += balance.wanted;
@@ -59,7 +69,8 @@
     }
 }
 
-// Returns the pools that lack hosts, sorted by the number of missing hosts in descending order.
+// Returns the pools that lack hosts: those that lack the most for long-running tasks first, and then
+// those that lack the most.
 auto poolsLackingHosts(std::vector<Balance> &balances) -> std::vector<Balance *>
 {
     std::vector<Balance *> lacking;
@@ -67,8 +78,9 @@
         if (!balance.pool->spare && balance.wanted > balance.hosts)
             lacking.push_back(&balance);
     }
-    std::ranges::sort(
-        lacking, std::greater<>(), [](const auto *b) { return b->wanted - b->hosts; });
+    std::ranges::sort(lacking, std::greater<>(), [](const auto *b) {
+        return std::pair(std::max<std::int64_t>(0, leastOf(*b) - b->hosts), b->wanted - b->hosts);
+    });
     return lacking;
 }
 
@@ -89,16 +101,24 @@
 
 } // namespace
 
+auto leastHosts(const PoolLoad &load) -> std::int64_t
+{
+    if (load.spare)
+        return 0;
+    const auto unplaced = std::int64_t(std::ceil(load.hostsForUnplaced));
+    return std::max({minimumPoolHosts,
+                     load.minimumHosts,
+                     hostsFor(double(load.longRunningMillicores), load.hostMillicores),
+                     hostsFor(double(load.longRunningMemoryMb), load.hostMemoryMb),
+                     unplaced > 0 ? load.servingHosts + unplaced : 0});
+}
+
 auto wantedHosts(const PoolLoad &load) -> std::int64_t
 {
     if (load.spare)
         return 0;
-    const auto least = std::max(minimumPoolHosts, load.minimumHosts);
-    if (load.hostMillicores <= 0)
-        return least;
     const auto millicores = double(load.longRunningMillicores) + load.batchMillicores;
-    const auto hosts = std::ceil(millicores / (double(load.hostMillicores) * usableShare));
-    return std::max(least, std::int64_t(hosts));
+    return std::max(leastHosts(load), hostsFor(millicores, load.hostMillicores));
 }
 
 auto planTransfers(std::span<const PoolLoad> pools) -> TransferPlan
--- a/src/libs/scheduling/poolsizing.h
+++ b/src/libs/scheduling/poolsizing.h
@@ -13,9 +13,14 @@
     std::string name;
     bool spare = false;              //!< The hosts of the pool are turned off and cost nothing.
     std::int64_t hosts = 0;          //!< Hosts that accept tasks or will soon.
+    std::int64_t servingHosts = 0;   //!< Hosts that accept tasks now.
     std::int64_t minimumHosts = 0;   //!< Hosts needed to respect limits of tasks per host.
     std::int64_t hostMillicores = 0; //!< Capacity of one host.
+    std::int64_t hostMemoryMb = 0;
     std::int64_t longRunningMillicores = 0; //!< Demand of long-running tasks.
+    std::int64_t longRunningMemoryMb = 0;
+    //! Hosts, beside the serving ones, for long-running tasks that fit on none of these.
+    double hostsForUnplaced = 0;
     //! Capacity for batch work to meet its objectives at the time when a moved host could serve.
     double batchMillicores = 0;
     std::int64_t idleHosts = 0;     //!< Hosts that run no tasks now.
@@ -43,6 +48,9 @@
     std::vector<Release> releases;
 };
 
+/*! \brief Returns the number of hosts that the long-running tasks of the pool require. */
+auto leastHosts(const PoolLoad &load) -> std::int64_t;
+
 /*! \brief Returns the number of hosts that the work of the pool requires. */
 auto wantedHosts(const PoolLoad &load) -> std::int64_t;
 
@@ -52,8 +60,8 @@
     Demand peaks may occur in one pool after another, each above the capacity of the pool. Hosts
     that are turned off, and then hosts that are idle in other pools, move to pools that lack hosts.
     Idle hosts that no pool needs are turned off once keeping them has cost more than moving them
-    twice. When all pools together need more hosts than there are, each pool gets a share, and pools
-    with more than their share release hosts.
+    twice. When all pools together need more hosts than there are, each pool gets those of its
+    long-running tasks and a share of the others, and pools with more than that release hosts.
 */
 auto planTransfers(std::span<const PoolLoad> pools) -> TransferPlan;
 
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -158,6 +158,59 @@
     EXPECT_EQ(fixture.shortTasksOn("a"), shortTasksPerEndpoint);
 }
 
+/*! \brief A pool whose hosts run long-running tasks, and a spare pool. */
+class SizingFixture
+{
+public:
+    SizingFixture() { ledger.state.configuration.pools.push_back({"spare", true, true}); }
+
+    auto addHosts(const std::vector<std::string> &endpoints) -> void
+    {
+        for (const auto &id : endpoints) {
+            ledger.addEndpoint(id);
+            m_hosts.hosts.push_back({"host-" + id, "pool", Execution::HostState::Up, id});
+        }
+        m_hosts.complete = true;
+    }
+    /*! \brief Returns the hosts that the pool wants after a pass. */
+    auto wantedHosts() -> std::int64_t
+    {
+        ledger.begin();
+        ledger.pollAll();
+        for (const auto &order : ledger.schedule().starts)
+            ledger.confirm(order);
+        ledger.schedule();
+        ledger.ledger.updateDemand(1'700'000'000'000);
+        const auto loads =
+            m_plan.loads(ledger.state.configuration, ledger.ledger, m_hosts, ledger.now());
+        return Scheduling::wantedHosts(loads.front());
+    }
+
+    LedgerFixture ledger;
+
+private:
+    Execution::HostList m_hosts;
+    Execution::HostMovePlan m_plan;
+};
+
+// Guards against LOST: a pool was sized by processors alone.
+TEST(LongRunningTasks, PoolIsSizedByTheirMemoryToo)
+{
+    SizingFixture fixture;
+    fixture.addHosts({"a", "b"});
+    fixture.ledger.addJob(lastingJob, lastingStep(4, {100, 7000, 0}));
+    EXPECT_GE(fixture.wantedHosts(), 4);
+}
+
+// Guards against LOST: the sums fit into the pool, but no host has room for the last task.
+TEST(LongRunningTasks, TaskThatFitsOnNoHostOfItsPoolMakesThePoolWantAnotherOne)
+{
+    SizingFixture fixture;
+    fixture.addHosts({"a", "b", "c", "d"});
+    fixture.ledger.addJob(lastingJob, lastingStep(5, {100, 4500, 0}));
+    EXPECT_GE(fixture.wantedHosts(), 5);
+}
+
 /*! \brief One endpoint and a job of one or more long-running tasks. */
 class WaitFixture
 {
--- a/tests/auto/scheduling/tst_poolsizing.cpp
+++ b/tests/auto/scheduling/tst_poolsizing.cpp
@@ -94,6 +94,19 @@
     EXPECT_EQ(plan.releases[0].count, 15);
 }
 
+// Guards against LOST: the backlog of another pool took the hosts that long-running tasks need.
+TEST(PoolSizing, BacklogOfAnotherPoolLeavesLongRunningTasksTheirHosts)
+{
+    auto lasting = pool("lasting", 4, 0);
+    lasting.longRunningMillicores = 128'000;
+    auto hog = pool("hog", 20, 0);
+    hog.batchMillicores = 1'000'000;
+    const auto plan = Scheduling::planTransfers(std::array{hog, lasting, spare(0)});
+    ASSERT_EQ(plan.releases.size(), 1U);
+    EXPECT_EQ(plan.releases[0].pool, "hog");
+    EXPECT_EQ(plan.releases[0].count, 6);
+}
+
 TEST(PoolSizing, ReleasesNoHostsIfNoPoolLacksHosts)
 {
     auto working = pool("working", 10, 0);
