Count a host that is being released as a host of its pool until it moves

Cause: an endpoint that was closed so that its host could move no longer counted as a host of its pool. So the pool seemed to have nothing left to release, the next plan opened the endpoint again, another pool closed one, and neither became empty. The same count limited the transfer of hosts that had become idle.

Change: such a host counts until it moves.

Evidence: before the change, HostMovePlan.EndpointThatIsClosedForAMoveStaysClosedUntilItsHostIsIdle failed: the endpoint was opened in the next pass, and two pools closed one in turn. It passes now.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -114,10 +114,14 @@
         return;
     const auto endpoint = ledger.endpoints().find(host.endpoint);
     const auto known = endpoint != ledger.endpoints().end();
-    const auto leaves =
-        known && (endpoint->second.draining || endpoint->second.leaving || endpoint->second.closed);
+    const auto closed = known && endpoint->second.closed;
+    // A host that is being released stays in its pool until it moves. Otherwise the pool would seem to
+    // have no host left to release, and the endpoint would be opened again.
+    const auto leaves = known
+                        && (endpoint->second.draining || endpoint->second.leaving
+                            || (closed && !m_releasing.contains(host.endpoint)));
     load->hosts += leaves ? 0 : 1;
-    load->servingHosts += known && !leaves && endpoint->second.answers ? 1 : 0;
+    load->servingHosts += known && !leaves && !closed && endpoint->second.answers ? 1 : 0;
     if (!isIdle(ledger, occupancy, host))
         return;
     ++load->idleHosts;
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -3,7 +3,6 @@
 namespace ExecutionTest {
 namespace {
 
-constexpr auto poolName = "pool";
 constexpr auto queueName = "queue";
 constexpr std::int64_t maximumAttempts = 3;
 constexpr Utils::Milliseconds roundTrip{3};
@@ -14,19 +13,20 @@
 {
     Control::Queue queue;
     queue.name = queueName;
-    queue.pool = poolName;
+    queue.pool = defaultPool;
     queue.maximumAttempts = maximumAttempts;
     queue.objectiveMs = 600;
     state.configuration.version = 1;
     state.configuration.queues.push_back(queue);
-    state.configuration.pools.push_back({poolName, true, false});
+    state.configuration.pools.push_back({defaultPool, true, false});
 }
 
-auto LedgerFixture::addEndpoint(const std::string &id) -> Control::EndpointRecord
+auto LedgerFixture::addEndpoint(const std::string &id, const std::string &pool)
+    -> Control::EndpointRecord
 {
     Control::EndpointRecord record;
     record.incarnation = {id, 1000};
-    record.pool = poolName;
+    record.pool = pool;
     record.address = id + ":1";
     record.capacity = capacity;
     Control::Command command;
@@ -36,12 +36,14 @@
     return record;
 }
 
-auto LedgerFixture::addJob(const std::string &id, const Jobs::StepSpec &step) -> Jobs::JobSpec
+auto LedgerFixture::addJob(const std::string &id,
+                           const Jobs::StepSpec &step,
+                           const std::string &pool) -> Jobs::JobSpec
 {
     Jobs::JobSpec job;
     job.id = id;
     job.queue = queueName;
-    job.pool = poolName;
+    job.pool = pool;
     job.steps.push_back(step);
     job.submittedMs = m_wallMs;
     state.jobs.add(job);
@@ -113,7 +115,7 @@
 
 auto LedgerFixture::use() const -> Execution::PoolUse
 {
-    return ledger.useOf(poolName, m_now);
+    return ledger.useOf(defaultPool, m_now);
 }
 
 auto LedgerFixture::confirm(const Execution::StartOrder &order) -> void
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -16,8 +16,13 @@
 
     LedgerFixture();
 
-    auto addEndpoint(const std::string &id) -> Control::EndpointRecord;
-    auto addJob(const std::string &id, const Jobs::StepSpec &step) -> Jobs::JobSpec;
+    static constexpr auto defaultPool = "pool";
+
+    auto addEndpoint(const std::string &id, const std::string &pool = defaultPool)
+        -> Control::EndpointRecord;
+    auto addJob(const std::string &id,
+                const Jobs::StepSpec &step,
+                const std::string &pool = defaultPool) -> Jobs::JobSpec;
     /*! \brief Records that an earlier leader was about to start \a task on \a endpoint. */
     auto recordStart(const std::string &endpoint, const Jobs::TaskId &task) -> void;
     auto begin() -> void;
--- a/tests/auto/execution/tst_hostmoveplan.cpp
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -13,6 +13,7 @@
 constexpr std::int64_t hostsOff = 40;
 constexpr auto sparePool = "spare";
 constexpr std::int64_t longAfterParkingMs = 5000;
+constexpr std::int64_t backlogTasks = 1000;
 
 /*! \brief A new leader with a burst of work and hosts that are turned off. */
 class TakeOverFixture
@@ -131,4 +132,47 @@
     }
 }
 
+// Guards against LOST: two pools took turns in closing an endpoint for a third one, and neither moved.
+TEST(HostMovePlan, EndpointThatIsClosedForAMoveStaysClosedUntilItsHostIsIdle)
+{
+    LedgerFixture ledger;
+    auto &configuration = ledger.state.configuration;
+    configuration.pools.push_back({"other", true, false});
+    configuration.pools.push_back({"lacking", true, false});
+    Execution::HostList list;
+    list.complete = true;
+    const auto addHosts = [&](const std::string &pool, const std::vector<std::string> &endpoints) {
+        for (const auto &id : endpoints) {
+            ledger.addEndpoint(id, pool);
+            list.hosts.push_back({"host-" + id, pool, HostState::Up, id});
+        }
+    };
+    addHosts("pool", {"a1", "a2", "a3"});
+    addHosts("other", {"b1", "b2", "b3"});
+    addHosts("lacking", {"c1"});
+    ledger.addJob("backlog-a", plainStep(backlogTasks));
+    ledger.addJob("backlog-b", plainStep(backlogTasks), "other");
+    auto apart = longRunningStep(2, 1);
+    apart.maximumPerHost = 1;
+    ledger.addJob("lasting", apart, "lacking");
+    ledger.begin();
+    ledger.pollAll();
+    for (const auto &order : ledger.schedule().starts)
+        ledger.confirm(order);
+    Execution::HostMovePlan plan;
+    std::int64_t closed = 0;
+    for (auto pass = 0; pass < 10; ++pass) {
+        ledger.advance(Utils::Milliseconds(100));
+        ledger.ledger.updateDemand(1'700'000'000'000);
+        plan.observe(ledger.ledger, ledger.now());
+        const auto moves = plan.next(configuration, ledger.ledger, list, hostsOff, ledger.now());
+        EXPECT_TRUE(moves.open.empty()) << "pass " << pass;
+        for (const auto &id : moves.close) {
+            ledger.ledger.setClosed(id, true);
+            ++closed;
+        }
+    }
+    EXPECT_EQ(closed, 1);
+}
+
 } // namespace
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -76,12 +76,7 @@
     {
         constexpr auto otherPool = "other";
         m_ledger.state.configuration.pools.push_back({otherPool, true, false});
-        Jobs::JobSpec job;
-        job.id = "backlog";
-        job.queue = "queue";
-        job.pool = otherPool;
-        job.steps.push_back(plainStep(shortJobs * shortJobs));
-        m_ledger.state.jobs.add(job);
+        m_ledger.addJob("backlog", plainStep(shortJobs * shortJobs), otherPool);
         m_ledger.schedule();
         m_ledger.ledger.updateDemand(1'700'000'000'000);
         Execution::HostList hosts;
