Ask for no host for a long-running task that fits on no kind of host

The largest amount of each resource was taken from different hosts. Sites with hosts of one kind are not affected. The hosts are looked at one by one now.

LongRunningTasks.TaskThatFitsOnNoKindOfHostDoesNotMakeItsPoolGrow failed before (5 hosts wanted, 4 there) and passes now.

--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -453,16 +453,17 @@
     return true;
 }
 
-// Counts the hosts that run so many tasks of the step. A host that has not the label, or is too small,
-// would not help.
+// Counts the hosts that run so many tasks of the step. Hosts that lack the label or are too small would
+// not help.
 auto RunLedger::addUnplaced(const Jobs::StepSpec &step, std::int64_t count, const std::string &pool)
     -> void
 {
-    Jobs::Resources largest;
+    if (!step.requiredLabel.empty())
+        return;
+    std::int64_t tasks = 0;
     for (const auto &[id, endpoint] : m_endpoints)
-        largest = mostOf(largest, endpoint.record.capacity);
-    const auto tasks = Scheduling::tasksPerHost(step, largest);
-    if (tasks > 0 && step.requiredLabel.empty())
+        tasks = std::max(tasks, Scheduling::tasksPerHost(step, endpoint.record.capacity));
+    if (tasks > 0)
         m_hostsForUnplaced[pool] += double(count) / double(tasks);
 }
 
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -21,14 +21,15 @@
     state.configuration.pools.push_back({defaultPool, true, false});
 }
 
-auto LedgerFixture::addEndpoint(const std::string &id, const std::string &pool)
-    -> Control::EndpointRecord
+auto LedgerFixture::addEndpoint(const std::string &id,
+                                const std::string &pool,
+                                const Jobs::Resources &size) -> Control::EndpointRecord
 {
     Control::EndpointRecord record;
     record.incarnation = {id, 1000};
     record.pool = pool;
     record.address = id + ":1";
-    record.capacity = capacity;
+    record.capacity = size;
     Control::Command command;
     command.addEndpoint = record;
     state.apply(command, m_wallMs);
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -18,8 +18,9 @@
 
     static constexpr auto defaultPool = "pool";
 
-    auto addEndpoint(const std::string &id, const std::string &pool = defaultPool)
-        -> Control::EndpointRecord;
+    auto addEndpoint(const std::string &id,
+                     const std::string &pool = defaultPool,
+                     const Jobs::Resources &size = capacity) -> Control::EndpointRecord;
     auto addJob(const std::string &id,
                 const Jobs::StepSpec &step,
                 const std::string &pool = defaultPool) -> Jobs::JobSpec;
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -159,10 +159,11 @@
 public:
     SizingFixture() { ledger.state.configuration.pools.push_back({"spare", true, true}); }
 
-    auto addHosts(const std::vector<std::string> &endpoints) -> void
+    auto addHosts(const std::vector<std::string> &endpoints,
+                  const Jobs::Resources &size = LedgerFixture::capacity) -> void
     {
         for (const auto &id : endpoints) {
-            ledger.addEndpoint(id);
+            ledger.addEndpoint(id, LedgerFixture::defaultPool, size);
             m_hosts.hosts.push_back({"host-" + id, "pool", Execution::HostState::Up, id});
         }
         m_hosts.complete = true;
@@ -206,6 +207,16 @@
     EXPECT_GE(fixture.wantedHosts(), 5);
 }
 
+// No host has the processors and the memory that the task needs, although each is there on some host.
+TEST(LongRunningTasks, TaskThatFitsOnNoKindOfHostDoesNotMakeItsPoolGrow)
+{
+    SizingFixture fixture;
+    fixture.addHosts({"a", "b", "c"});
+    fixture.addHosts({"d"}, {1000, 32'000, 0});
+    fixture.ledger.addJob(lastingJob, lastingStep(1, {3000, 16'000, 0}));
+    EXPECT_LE(fixture.wantedHosts(), 4);
+}
+
 /*! \brief One endpoint and a job of one or more long-running tasks. */
 class WaitFixture
 {
