Keep room free for long-running gangs, too

Short tasks took what became free before there was enough for all, as from single tasks. All members of a long-running gang now claim an endpoint, or none does and the pool asks for hosts.

LongRunningTasks.GangStartsAmidABacklog failed before (the gang never started) and passes now.

--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -236,6 +236,8 @@
     auto keepFree(const Jobs::StepSpec &step,
                   std::vector<std::int64_t> &tasksOfStep,
                   PoolPlacement &pool) -> bool;
+    auto keepFreeForGang(const JobProgress &job, const Jobs::StepSpec &step, PoolPlacement &pool)
+        -> void;
     auto addUnplaced(const Jobs::StepSpec &step, std::int64_t count, const std::string &pool)
         -> void;
     auto startGang(JobProgress &job, const Jobs::TaskId &first, PoolPlacement &pool, Orders &orders)
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -453,6 +453,24 @@
     return true;
 }
 
+// Keeps room free for all members of a long-running gang, or counts them as unplaced.
+auto RunLedger::keepFreeForGang(const JobProgress &job,
+                                const Jobs::StepSpec &step,
+                                PoolPlacement &pool) -> void
+{
+    const auto savedViews = pool.views;
+    const auto savedKeptFree = m_keptFree;
+    std::vector<std::int64_t> tasksOfStep(pool.endpoints.size(), 0);
+    for (std::int64_t member = 0; member < step.count; ++member) {
+        if (keepFree(step, tasksOfStep, pool))
+            continue;
+        pool.views = savedViews;
+        m_keptFree = savedKeptFree;
+        addUnplaced(step, step.count - member, job.spec().pool);
+        return;
+    }
+}
+
 // Counts the hosts that run so many tasks of the step. Hosts that lack the label or are too small would
 // not help.
 auto RunLedger::addUnplaced(const Jobs::StepSpec &step, std::int64_t count, const std::string &pool)
@@ -489,6 +507,8 @@
         const auto chosen = Scheduling::chooseEndpoint(pool.views, {&spec, tasksOfStep});
         if (!chosen) {
             pool.views = savedViews;
+            if (spec.longRunning)
+                keepFreeForGang(job, spec, pool);
             return;
         }
         pool.views[*chosen].free -= Scheduling::occupiedBy(spec);
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -119,6 +119,32 @@
     EXPECT_EQ(fixture.lastingRuns(), 1U);
 }
 
+// Guards against LOST: all members of a gang need room at the same time.
+TEST(LongRunningTasks, GangStartsAmidABacklog)
+{
+    BacklogFixture fixture({"a", "b"});
+    auto gang = lastingStep(2, {3000, 100, 0});
+    gang.gang = true;
+    fixture.submit(gang);
+    for (auto end = 0; end < 3; ++end) {
+        fixture.endOldest("a");
+        fixture.endOldest("b");
+    }
+    EXPECT_EQ(fixture.lastingRuns(), 2U);
+}
+
+// No member of a gang starts unless all do, so that one without room for all of them keeps none.
+TEST(LongRunningTasks, GangThatDoesNotFitKeepsNoEndpointFree)
+{
+    BacklogFixture fixture({"a", "b"});
+    auto gang = lastingStep(3, {3000, 100, 0});
+    gang.gang = true;
+    fixture.submit(gang);
+    for (auto end = 0; end < 6; ++end)
+        fixture.endOldest("a");
+    EXPECT_EQ(fixture.shortTasksOn("a"), shortTasksPerEndpoint);
+}
+
 TEST(LongRunningTasks, EndpointsThatNoLongRunningTaskWaitsForGoOnWithShortTasks)
 {
     BacklogFixture fixture({"a", "b"});
