Drain last the endpoint that is kept free for a long-running task

Seen by callers: a long-running task waits for room, and its wait begins again when a wave of maintenance closes the endpoint that was nearly free for it.

Cause: MaintenancePlan::prepare() drains the endpoints with the fewest tasks first. An endpoint that RunLedger keeps free for a waiting task gets no short tasks, so it soon has the fewest.

Evidence: MaintenancePlan.EndpointThatIsKeptFreeForALongRunningTaskIsDrainedLast failed before (it closed "b", which was kept free, instead of "a") and passes now. The other tests of tst_execution were run without RandomFleet for this commit, and passed.

Why it works: hosts of such endpoints come after all others that are not being prepared yet, so the task starts there unless the wave has no other host. None is left out, so the wave still ends.

--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -175,8 +175,13 @@
                               std::int64_t unavailable,
                               MaintenanceWork &work) -> void
 {
-    std::ranges::stable_sort(candidates, {}, [](const Candidate &candidate) {
-        return std::tuple(!candidate.preparing, !candidate.empty, candidate.runs);
+    // An endpoint that is kept free for a long-running task soon runs the fewest tasks. Closing it would
+    // make that task wait for another one.
+    std::ranges::stable_sort(candidates, {}, [&view](const Candidate &candidate) {
+        return std::tuple(!candidate.preparing,
+                          view.ledger.isKeptFree(candidate.host->endpoint),
+                          !candidate.empty,
+                          candidate.runs);
     });
     const auto needed = neededAtOnce(wave, view.wallMs);
     for (const auto &candidate : candidates) {
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -86,6 +86,18 @@
     {
         return Utils::Instant(Utils::Milliseconds(1'000'000 + elapsedMs));
     }
+    /*! \brief Submits a long-running task of this demand, and decides on starts. */
+    auto waitForRoom(Jobs::Resources demand) -> void
+    {
+        auto step = longRunningStep(1, 1);
+        step.demand = demand;
+        m_ledger.addJob("waiting", step);
+        m_ledger.schedule();
+    }
+    auto isKeptFree(const std::string &endpoint) const -> bool
+    {
+        return m_ledger.ledger.isKeptFree(endpoint);
+    }
     auto runTaskOn(const std::string &endpoint) -> void
     {
         m_ledger.addJob("job-" + endpoint, plainStep(1));
@@ -127,6 +139,20 @@
     EXPECT_EQ(fixture.next(20'000).close.size(), 2U);
 }
 
+// Guards against LOST: the endpoint with the fewest tasks is the one that a waiting task is to get.
+TEST(MaintenancePlan, EndpointThatIsKeptFreeForALongRunningTaskIsDrainedLast)
+{
+    WaveFixture fixture(2, 1);
+    fixture.runTaskOn("a");
+    fixture.runTaskOn("a");
+    fixture.runTaskOn("b");
+    fixture.waitForRoom({4000, 100, 0});
+    ASSERT_TRUE(fixture.isKeptFree("b"));
+    const auto work = fixture.next(0);
+    ASSERT_EQ(work.close.size(), 1U);
+    EXPECT_EQ(work.close[0], "a");
+}
+
 TEST(MaintenancePlan, CountsHostAsUnavailableWhileAnUnansweredOrderMayStillBeCarriedOut)
 {
     WaveFixture fixture(2, 1);
