Choose endpoints whose orders get replies before those where a start got none

Seen by callers: a long-running task does not run for two or more leases in a row, each 5 to 6 s, while an idle endpoint has room for it.

Cause: a start without a reply changed nothing in the choice of endpoints. RunLedger::acceptsTasks() looks at replies to polls alone. An endpoint that answers polls and no orders keeps the task booked until the lease is over, since no stop is accepted either; it is then as free as before, and is chosen again.

Evidence: LongRunningTasks.StartWithoutReplyIsNotRepeatedOnThatEndpointWhileAnotherOneHasRoom failed before ("a" again, with "b" idle) and passes now.

Why it works: starts without a reply count like failures of tasks in the comparison of endpoints, so others with room come first. The endpoint is not closed: where no other has room it goes on with tasks, since one lost reply must not take capacity from a full pool. A reply to a start, an accepted stop, or a poll that lists an unconfirmed run shows that orders arrive, and ends the count.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -144,6 +144,8 @@
     std::set<Jobs::TaskId> inherited;
     std::vector<Jobs::TaskId> reopenWhenRecorded; //!< Tasks whose failure is being recorded.
     std::int64_t failureStreak = 0;               //!< Failed task ends since the last success.
+    //! Starts that got no reply since an order has last been known to arrive.
+    std::int64_t unansweredStarts = 0;
     Utils::Instant avoidUntil;          //!< The endpoint gets no new tasks before this time.
     std::int64_t backfillPercent = 100; //!< Share of their full speed that backfill tasks get here.
     bool loadUpdated = false; //!< Loads were reported since backfillPercent was last decided.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -355,6 +355,7 @@
     if (run->state != RunState::Running) {
         run->state = RunState::Running;
         run->confirmedAt = now;
+        endpoint.unansweredStarts = 0;
     }
     run->listed = true;
     run->carriedOut = true;
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -256,6 +256,7 @@
     auto extendLeaseOfNextIncarnation(const Control::EndpointIncarnation &former,
                                       Utils::Instant now) -> void;
     auto dropStart(const StartOrder &order) -> void;
+    auto countUnanswered(const OrderTarget &target, StartResult result) -> void;
     auto unavailableTasks(const Jobs::TaskId &task, std::string_view withoutEndpoint) const
         -> std::int64_t;
     auto mayMiss(const Jobs::TaskId &task, std::string_view withoutEndpoint) const -> bool;
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -261,7 +261,8 @@
         view.freeOfShortTasks = endpoint->freeOfShortTasks();
         view.servesUsers = endpoint->servesUsers();
         view.holdsLongRunning = endpoint->holdsLongRunning();
-        view.recentFailures = endpoint->failureStreak;
+        // Polls may still get replies where orders do not, so they do not make the endpoint a good choice.
+        view.recentFailures = endpoint->failureStreak + endpoint->unansweredStarts;
         view.open = acceptsTasks(*endpoint, now);
         if (view.open)
             placement.mostFree = mostOf(placement.mostFree, view.free);
@@ -637,6 +638,7 @@
     extendLeaseOfNextIncarnation(order.target.incarnation, now);
     if (run->state == RunState::Running)
         return;
+    countUnanswered(order.target, reply.result);
     if (reply.result == StartResult::Started) {
         run->state = RunState::Running;
         run->confirmedAt = now;
@@ -660,12 +662,24 @@
     dropStart(order);
 }
 
+// Counts starts without a reply of the incarnation that they were for. Any reply ends the count.
+auto RunLedger::countUnanswered(const OrderTarget &target, StartResult result) -> void
+{
+    const auto found = m_endpoints.find(target.incarnation.id);
+    if (found == m_endpoints.end() || found->second.record.incarnation != target.incarnation)
+        return;
+    auto &unanswered = found->second.unansweredStarts;
+    unanswered = result == StartResult::Unknown ? unanswered + 1 : 0;
+}
+
 auto RunLedger::stopAnswered(const StopOrder &order, OrderResult result, Utils::Instant now) -> void
 {
     auto *run = findRun(order.target, order.task, order.run);
+    if (run == nullptr || result != OrderResult::Accepted)
+        return;
+    m_endpoints.at(order.target.incarnation.id).unansweredStarts = 0;
     // Stops are repeated until the run is settled; the time of the first accepted one counts.
-    if (run != nullptr && result == OrderResult::Accepted
-        && run->stopAnsweredAt == Utils::Instant())
+    if (run->stopAnsweredAt == Utils::Instant())
         run->stopAnsweredAt = now;
 }
 
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -179,6 +179,47 @@
     EXPECT_EQ(fixture.shortTasksOn("a"), shortTasksPerEndpoint);
 }
 
+// Guards against LOST: each start that gets no reply books its endpoint for a whole lease.
+TEST(LongRunningTasks, StartWithoutReplyIsNotRepeatedOnThatEndpointWhileAnotherOneHasRoom)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob(lastingJob, lastingStep(1, {1000, 100, 0}));
+    fixture.begin();
+    fixture.pollAll();
+    const auto first = fixture.schedule().starts.at(0);
+    fixture.ledger.confirmStart(first);
+    fixture.ledger.startAnswered(first, {}, fixture.now());
+    auto starts = fixture.schedule().starts;
+    // The endpoint answers polls, but no stops.
+    for (auto poll = 0; poll < 20 && starts.empty(); ++poll) {
+        fixture.advance(Utils::Milliseconds(500));
+        fixture.pollAll();
+        starts = fixture.schedule().starts;
+    }
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_NE(starts[0].target.incarnation.id, first.target.incarnation.id);
+}
+
+TEST(LongRunningTasks, EndpointThatOnlyLostTheReplyToAStartIsChosenAgain)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("first", lastingStep(1, {1000, 100, 0}));
+    fixture.begin();
+    fixture.pollAll();
+    const auto first = fixture.schedule().starts.at(0);
+    fixture.ledger.confirmStart(first);
+    fixture.ledger.startAnswered(first, {}, fixture.now());
+    const auto &endpoint = first.target.incarnation.id;
+    fixture.poll(endpoint, {{first.task, first.run, "", 100, 0}});
+    // Otherwise equal endpoints are chosen in the order that long-running tasks share one.
+    fixture.addJob("second", lastingStep(1, {1000, 100, 0}));
+    EXPECT_EQ(fixture.schedule().starts.at(0).target.incarnation.id, endpoint);
+}
+
 /*! \brief A pool whose hosts run long-running tasks, and a spare pool. */
 class SizingFixture
 {
