Keep an endpoint closed for maintenance when its host is not to move any more

Seen by callers: a long-running task starts on an endpoint that is about to be maintained, is stopped there at once, and starts there again.

Cause: moves, releases and maintenance shared one flag. HostMovePlan::releaseHosts() closes the endpoints with the fewest tasks, which a wave then drains first. When the pool need not release the host any more, releaseHosts() opened the endpoint for both; MaintenancePlan closes an endpoint only once. It had the most room, so long-running tasks came first to it, and each pass of the wave evacuated them.

Evidence: RunLedger.EndpointToBeMaintainedIsNotOpenedWhenItsHostIsNotToMoveAnyMore failed with the new argument of setClosed() ignored, which is the former behavior, and passes now.

Why it works: each kind of order closes and opens an endpoint by a flag of its own, and only an endpoint without either one gets tasks.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -23,6 +23,9 @@
     Uncertain, //!< The start order got no reply; a poll or a stop has to settle the run.
 };
 
+/*! \brief The orders for which an endpoint is closed. */
+enum class ClosedFor { Move, Maintenance };
+
 /*! \brief One execution of a task on an endpoint, from its start order until it has ended. */
 struct Run
 {
@@ -127,8 +130,10 @@
     bool polled = false;  //!< The endpoint has replied to a poll in this term.
     bool answers = false; //!< The endpoint has replied to the last poll.
     bool draining = false;
-    //! The endpoint gets no new tasks, because its host is to be maintained or moved.
-    bool closed = false;
+    //! The endpoint gets no new tasks, because its host is to be moved.
+    bool closedForMove = false;
+    //! The endpoint gets no new tasks, because its host is to be maintained.
+    bool closedForMaintenance = false;
     //! An order that ends all tasks here has been issued and was not refused.
     bool endOrdered = false;
     bool leaving = false;       //!< The endpoint has announced its shutdown.
@@ -153,6 +158,8 @@
 
     /*! \brief Returns the number of runs, including those an earlier leader may have started. */
     auto possibleRuns() const -> std::size_t { return runs.size() + inherited.size(); }
+    /*! \brief Returns true if the endpoint gets no new tasks because of orders for its host. */
+    auto isClosed() const -> bool { return closedForMove || closedForMaintenance; }
     auto freeResources() const -> Jobs::Resources;
     /*! \brief Returns what is free once all tasks have ended, except for the long-running ones. */
     auto freeOfShortTasks() const -> Jobs::Resources;
--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -71,7 +71,7 @@
     return endpoint != ledger.endpoints().end() && m_idleSince.contains(host.endpoint)
            && endpoint->second.answers && !endpoint->second.draining && !endpoint->second.leaving
            && !ledger.isKeptFree(host.endpoint)
-           && (!endpoint->second.closed || m_releasing.contains(host.endpoint));
+           && (!endpoint->second.isClosed() || m_releasing.contains(host.endpoint));
 }
 
 // Returns the load of the pool without its hosts.
@@ -114,7 +114,7 @@
         return;
     const auto endpoint = ledger.endpoints().find(host.endpoint);
     const auto known = endpoint != ledger.endpoints().end();
-    const auto closed = known && endpoint->second.closed;
+    const auto closed = known && endpoint->second.isClosed();
     // A host that is being released stays in its pool until it moves. Otherwise the pool would seem to
     // have no host left to release, and the endpoint would be opened again.
     const auto leaves = known
@@ -217,7 +217,7 @@
                     continue;
                 m_releasing.erase(id);
                 moves.open.push_back(id);
-            } else if (endpoint.polled && !endpoint.closed && !endpoint.draining
+            } else if (endpoint.polled && !endpoint.isClosed() && !endpoint.draining
                        && !endpoint.holdsLongRunning() && !ledger.isKeptFree(id)) {
                 open.push_back(&endpoint);
             }
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -131,7 +131,7 @@
 {
     const auto work = planMaintenance();
     for (const auto &endpoint : work.close)
-        m_ledger.setClosed(endpoint, true);
+        m_ledger.setClosed(endpoint, true, ClosedFor::Maintenance);
     for (const auto &endpoint : work.evacuate)
         m_ledger.evacuate(endpoint);
     for (const auto &endpoint : work.open) {
@@ -139,7 +139,7 @@
                          "an earlier order had maintained the host before its endpoint started",
                          {{"endpoint", endpoint}});
         m_ledger.setEndOrdered(endpoint, false);
-        m_ledger.setClosed(endpoint, false);
+        m_ledger.setClosed(endpoint, false, ClosedFor::Maintenance);
     }
     for (const auto &incarnation : work.ended)
         AsyncNet::start(m_parts.loop,
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -131,11 +131,14 @@
     found->second.leaseEnd = std::min(found->second.leaseEnd, now + m_timing.maximumLease);
 }
 
-auto RunLedger::setClosed(const std::string &endpoint, bool closed) -> void
+auto RunLedger::setClosed(const std::string &endpoint, bool closed, ClosedFor orders) -> void
 {
     const auto found = m_endpoints.find(endpoint);
-    if (found != m_endpoints.end())
-        found->second.closed = closed;
+    if (found == m_endpoints.end())
+        return;
+    auto &entry = found->second;
+    auto &flag = orders == ClosedFor::Move ? entry.closedForMove : entry.closedForMaintenance;
+    flag = closed;
 }
 
 auto RunLedger::evacuate(const std::string &endpoint) -> void
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -97,8 +97,13 @@
     auto drain(const std::string &endpoint) -> void;
     /*! \brief Handles an endpoint's announcement that it is shutting down. */
     auto leave(const Control::EndpointIncarnation &incarnation, Utils::Instant now) -> void;
-    /*! \brief Closes an endpoint for new tasks, or reopens it. */
-    auto setClosed(const std::string &endpoint, bool closed) -> void;
+    /*!
+        \brief Sets whether orders of this kind close an endpoint for new tasks.
+
+        An endpoint is open if neither kind closes it.
+    */
+    auto setClosed(const std::string &endpoint, bool closed, ClosedFor orders = ClosedFor::Move)
+        -> void;
     /*!
         \brief Stops long-running tasks on a closed endpoint, as far as their steps allow it.
 
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -668,6 +668,22 @@
     }
 }
 
+// Tasks that start on such an endpoint are stopped again at once.
+TEST(RunLedger, EndpointToBeMaintainedIsNotOpenedWhenItsHostIsNotToMoveAnyMore)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", longRunningStep(1, 1));
+    fixture.begin();
+    fixture.poll("a");
+    fixture.ledger.setClosed("a", true, Execution::ClosedFor::Move);
+    fixture.ledger.setClosed("a", true, Execution::ClosedFor::Maintenance);
+    fixture.ledger.setClosed("a", false, Execution::ClosedFor::Move);
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.ledger.setClosed("a", false, Execution::ClosedFor::Maintenance);
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
 TEST(RunLedger, ReportsTheUnusedCapacityOfOpenEndpointsAlone)
 {
     LedgerFixture fixture;
