--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -122,6 +122,9 @@
                         && (endpoint->second.draining || endpoint->second.leaving
                             || (closed && !m_releasing.contains(host.endpoint)));
     load->hosts += leaves ? 0 : 1;
+    const auto fixed =
+        known && (endpoint->second.holdsLongRunning() || ledger.isKeptFree(host.endpoint));
+    load->fixedHosts += fixed && !leaves && !closed ? 1 : 0;
     if (!isIdle(ledger, occupancy, host))
         return;
     ++load->idleHosts;
--- a/src/libs/scheduling/poolsizing.cpp
+++ b/src/libs/scheduling/poolsizing.cpp
@@ -45,7 +45,7 @@
 
 auto leastOf(const Balance &balance) -> std::int64_t
 {
-    return std::min(balance.wanted, leastHosts(*balance.pool));
+    return std::min(balance.wanted, std::max(balance.pool->fixedHosts, leastHosts(*balance.pool)));
 }
 
 // Limits the wanted hosts of the pools to the number of hosts: each pool gets its minimum, and the
@@ -125,7 +125,8 @@
 {
     std::vector<Balance> balances;
     for (const auto &pool : pools)
-        balances.push_back({&pool, wantedHosts(pool), pool.hosts, pool.idleHosts});
+        balances.push_back(
+            {&pool, std::max(pool.fixedHosts, wantedHosts(pool)), pool.hosts, pool.idleHosts});
     distributeHosts(balances);
     TransferPlan plan;
     std::int64_t missing = 0;
--- a/tests/auto/execution/tst_hostmoveplan.cpp
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -234,6 +234,22 @@
     EXPECT_EQ(closed, 1U);
 }
 
+// Guards against LOST: the host to release was sought in a pool whose hosts all run long-running tasks.
+TEST(HostMovePlan, PoolThatCanReleaseNoHostLeavesItToAnother)
+{
+    PoolsFixture fixture({"other", "lacking"});
+    fixture.addHosts("pool", {"a1", "a2", "a3"});
+    fixture.addHosts("other", {"b1", "b2", "b3"});
+    fixture.addHosts("lacking", {"c1"});
+    fixture.ledger.addJob("lasting-a", longRunningStep(3, 1));
+    fixture.ledger.addJob("backlog-b", plainStep(backlogTasks), "other");
+    fixture.addApart("lacking", 2);
+    fixture.begin();
+    const auto closed = fixture.next(hostsOff).close;
+    ASSERT_EQ(closed.size(), 1U);
+    EXPECT_EQ(closed.front().substr(0, 1), "b");
+}
+
 TEST(HostMovePlan, HostThatHasArrivedIsNotAskedForAgainBeforeAPassUsesIt)
 {
     PoolsFixture fixture({});
