Keep an idle released host closed while its move waits for an order

Its endpoint was then opened for short tasks again, and had to become empty once more. What a pass cannot order stays released.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -189,10 +189,13 @@
     if (!hosts.complete || !mayMove(ledger, hosts, now))
         return moves;
     const HostOccupancy occupancy(ledger, hosts);
-    const auto plan =
-        Scheduling::planTransfers(loads(configuration, ledger, occupancy, hosts, now));
+    auto plan = Scheduling::planTransfers(loads(configuration, ledger, occupancy, hosts, now));
     for (auto transfer : plan.transfers) {
-        transfer.count = std::min(transfer.count, maximumMoves - std::int64_t(moves.steps.size()));
+        const auto available = maximumMoves - std::int64_t(moves.steps.size());
+        // Hosts whose move has to wait for an order stay released.
+        if (transfer.count > available)
+            plan.releases.push_back({transfer.from, transfer.count - available});
+        transfer.count = std::min(transfer.count, available);
         for (auto &step : chooseHosts(transfer, ledger, occupancy, hosts, now))
             moves.steps.push_back(std::move(step));
     }
@@ -209,8 +212,9 @@
 {
     std::erase_if(m_releasing, [&](const auto &id) { return !ledger.endpoints().contains(id); });
     for (const auto &pool : configuration.pools) {
-        const auto release = std::ranges::find(releases, pool.name, &Scheduling::Release::pool);
-        auto wanted = release != releases.end() ? release->count : 0;
+        std::int64_t wanted = 0;
+        for (const auto &release : releases)
+            wanted += release.pool == pool.name ? release.count : 0;
         std::vector<const EndpointEntry *> open;
         for (const auto &[id, endpoint] : ledger.endpoints()) {
             if (endpoint.record.pool != pool.name)
--- a/tests/auto/execution/tst_hostmoveplan.cpp
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -250,6 +250,24 @@
     EXPECT_EQ(closed.front().substr(0, 1), "b");
 }
 
+// Guards against LOST: an idle host whose move had to wait for an order got short tasks again.
+TEST(HostMovePlan, ReleasedHostThatIsIdleStaysClosedWhileItsMoveWaitsForAnOrder)
+{
+    PoolsFixture fixture({"other", "lacking"});
+    fixture.addHosts("pool", {"a1", "a2"});
+    fixture.addHosts("other", {"b1", "b2", "b3"});
+    fixture.addHosts("lacking", {"c1"});
+    fixture.ledger.addJob("backlog-b", plainStep(backlogTasks), "other");
+    fixture.addApart("lacking", 2);
+    fixture.begin();
+    const auto closed = fixture.next(hostsOff).close;
+    ASSERT_EQ(closed.size(), 1U);
+    fixture.endAllOn(closed.front());
+    fixture.startAll();
+    EXPECT_TRUE(fixture.next(0).open.empty());
+    EXPECT_EQ(fixture.next(1).steps.size(), 1U);
+}
+
 TEST(HostMovePlan, HostThatHasArrivedIsNotAskedForAgainBeforeAPassUsesIt)
 {
     PoolsFixture fixture({});
