Play random faults under a backlog, and watch how long long-running tasks wait

A new test, RandomWaits, plays the ledger in a pool of model endpoints that a backlog of short tasks of random sizes keeps busy, with several long-running jobs and faults: endpoints that restart, flap, are replaced, leave one by one or by half of the pool, leave for good, are closed and evacuated and then maintained or reopened, or whose orders, replies or answers to starts are lost. After the last fault the backlog goes on. The bound is that of the rule LOST: a long-running task is late if for 3 s it is not at work though an endpoint could hold it beside the other long-running tasks there, where these 3 s begin after 4 calm seconds and 6 s after its last run. A failure shows the seed, the task and what it waited for; RANDOMWAITS_TRACE shows its events, too.

Model endpoints now take the demand of a task from its payload; the plays of RandomFleet draw the same numbers as before.

Not played: changes of leader, orders that are carried out late by an endpoint, short tasks of more than 2.5 s, several pools and moves of hosts between them.

--- a/tests/auto/execution/modelendpoint.cpp
+++ b/tests/auto/execution/modelendpoint.cpp
@@ -14,8 +14,6 @@
 constexpr std::int64_t permille = 1000;
 constexpr double hiddenStopsPercent = 50;
 constexpr std::int64_t shortestFailureUs = 1000;
-// All model tasks need the same resources.
-constexpr Jobs::Resources taskDemand{1000, 100, 0};
 
 auto nameOf(Execution::EndKind kind) -> std::string
 {
@@ -41,13 +39,15 @@
 auto ModelWork::fromText(const std::string &text) -> ModelWork
 {
     ModelWork work;
-    std::istringstream(text) >> work.durationMs >> work.gangSize;
+    std::istringstream(text) >> work.durationMs >> work.gangSize >> work.demand.cpuMillicores
+        >> work.demand.memoryMb;
     return work;
 }
 
 auto ModelWork::toText() const -> std::string
 {
-    return std::to_string(durationMs) + ' ' + std::to_string(gangSize);
+    return std::to_string(durationMs) + ' ' + std::to_string(gangSize) + ' '
+           + std::to_string(demand.cpuMillicores) + ' ' + std::to_string(demand.memoryMb);
 }
 
 ModelEndpoint::ModelEndpoint(ModelParts parts, Control::EndpointRecord record, ModelTraits traits)
@@ -95,6 +95,25 @@
     return demand.fitsInto(room);
 }
 
+auto ModelEndpoint::freeOfShortTasks() const -> Jobs::Resources
+{
+    auto room = m_record.capacity;
+    for (const auto &[key, run] : m_runs) {
+        if (run.longRunning)
+            room -= run.occupies;
+    }
+    return room;
+}
+
+auto ModelEndpoint::countOfStep(const Jobs::TaskId &task) const -> std::int64_t
+{
+    return std::ranges::count_if(m_runs, [&task](const auto &item) {
+        auto same = item.first.first;
+        same.index = task.index;
+        return same == task;
+    });
+}
+
 auto ModelEndpoint::start(const Execution::StartOrder &order) -> Execution::StartReply
 {
     return {decide(order), clockMs()};
@@ -114,7 +133,7 @@
         return StartResult::Outdated;
     if (m_runs.contains({order.task, order.run}))
         return StartResult::Started;
-    if (m_traits.guardsCapacity && !hasRoom(taskDemand))
+    if (m_traits.guardsCapacity && !hasRoom(ModelWork::fromText(order.payload).demand))
         return StartResult::NoRoom;
     begin(order);
     return StartResult::Started;
@@ -123,7 +142,8 @@
 auto ModelEndpoint::begin(const Execution::StartOrder &order) -> void
 {
     const auto work = ModelWork::fromText(order.payload);
-    m_runs[{order.task, order.run}] = {taskDemand, work.gangSize > 0, false, false};
+    m_runs[{order.task, order.run}] = {
+        work.demand, work.gangSize > 0, work.durationMs == 0, false, false};
     m_parts.watch.started(order.task, order.run, name());
     if (work.gangSize > 0) {
         m_parts.gangs.join(
--- a/tests/auto/execution/modelendpoint.h
+++ b/tests/auto/execution/modelendpoint.h
@@ -30,6 +30,7 @@
 {
     std::int64_t durationMs = 0; //!< 0 for a long-running task.
     std::int64_t gangSize = 0;   //!< 0 for a task that is no member of a gang.
+    Jobs::Resources demand{1000, 100, 0};
 
     static auto fromText(const std::string &text) -> ModelWork;
     auto toText() const -> std::string;
@@ -65,6 +66,10 @@
     auto bornUs() const -> std::int64_t { return m_bornUs; }
     auto isUp() const -> bool { return m_up; }
     auto clockMs() const -> std::int64_t { return clockUs() / usPerMs; }
+    /*! \brief Returns what is free once all runs have ended, except for the long-running ones. */
+    auto freeOfShortTasks() const -> Jobs::Resources;
+    /*! \brief Returns the number of runs of the same step and occurrence as \a task. */
+    auto countOfStep(const Jobs::TaskId &task) const -> std::int64_t;
 
     auto start(const Execution::StartOrder &order) -> Execution::StartReply;
     auto stop(const Execution::StopOrder &order) -> Execution::OrderResult;
@@ -83,6 +88,7 @@
     {
         Jobs::Resources occupies;
         bool gang = false;
+        bool longRunning = false;
         bool stopping = false;
         bool hidden = false; //!< Not listed, because it is being stopped.
     };
--- a/tests/auto/execution/modelleader.cpp
+++ b/tests/auto/execution/modelleader.cpp
@@ -110,6 +110,17 @@
     m_ledger.setClosed(endpoint, closed);
 }
 
+auto ModelLeader::evacuate(const std::string &endpoint) -> void
+{
+    m_ledger.evacuate(endpoint);
+    wake();
+}
+
+auto ModelLeader::waitingLongRunningTasks() -> std::vector<Execution::WaitingTask>
+{
+    return m_ledger.waitingLongRunningTasks(m_environment.time.now());
+}
+
 auto ModelLeader::forgetEndpoint(const Incarnation &incarnation) -> void
 {
     endIncarnation(incarnation, "its host was maintained", [] {});
--- a/tests/auto/execution/modelleader.h
+++ b/tests/auto/execution/modelleader.h
@@ -41,11 +41,15 @@
     auto term() const -> std::int64_t { return m_term; }
     auto ledger() const -> const Execution::RunLedger & { return m_ledger; }
 
+    /*! \brief Returns the long-running tasks that are not at work, with the reasons. */
+    auto waitingLongRunningTasks() -> std::vector<Execution::WaitingTask>;
+
     auto wake() -> void;
     auto addEndpoint(const Control::EndpointRecord &record) -> void;
     auto markEndpointLeaving(const Control::EndpointIncarnation &incarnation) -> void;
     auto endpointReplaced(const Control::EndpointIncarnation &incarnation) -> void;
     auto setClosed(const std::string &endpoint, bool closed) -> void;
+    auto evacuate(const std::string &endpoint) -> void;
     /*! \brief Ends \a incarnation, and commits its removal; retried until \a isActive is false. */
     auto forgetEndpoint(const Control::EndpointIncarnation &incarnation) -> void;
 
--- /dev/null
+++ b/tests/auto/execution/modelwaits.cpp
@@ -0,0 +1,435 @@
+#include "modelwaits.h"
+
+#include <algorithm>
+#include <sstream>
+#include <utility>
+
+namespace ExecutionTest {
+namespace {
+
+constexpr std::int64_t ms = usPerMs;
+constexpr std::int64_t seconds = 1000 * usPerMs;
+constexpr auto queueName = "queue";
+constexpr double evenPercent = 50;
+
+// The rule LOST: calm time and time since the last run before a task counts as missing, and how long
+// it has to be missing.
+constexpr std::int64_t calmUs = 4 * seconds;
+constexpr std::int64_t sinceLastRunUs = 6 * seconds;
+constexpr std::int64_t missingUs = 3 * seconds;
+
+constexpr std::int64_t observeUs = 20 * ms;
+constexpr std::int64_t firstFaultUs = 1 * seconds;
+constexpr std::int64_t lastFaultUs = 15 * seconds;
+constexpr std::int64_t calmStretchUs = 15 * seconds;
+constexpr std::int64_t backlogUs = 50 * ms;
+constexpr std::int64_t evacuateUs = 200 * ms;
+constexpr std::int64_t latestSubmissionUs = 14 * seconds;
+constexpr std::int64_t neverUs = 1000 * seconds;
+
+constexpr std::int64_t hostCpu = 4000;
+constexpr std::int64_t hostMemoryMb = 8000;
+constexpr std::int64_t fullPercent = 100;
+constexpr std::int64_t largeLongRunningPercent = 40;
+constexpr std::int64_t largestLongRunningPercent = 70;
+constexpr std::int64_t smallestPercent = 3;
+constexpr std::int64_t shortestTaskMs = 100;
+constexpr std::int64_t mostTasksOfJob = 6;
+constexpr std::int64_t maximumAttempts = 1000;
+constexpr std::size_t shownLines = 15;
+
+/*! \brief Least and most percent of a host's capacity. */
+struct Shares
+{
+    std::int64_t least = 0;
+    std::int64_t most = 0;
+};
+
+auto randomDemand(RandomSource &random, Shares shares) -> Jobs::Resources
+{
+    return {hostCpu * random.between(shares.least, shares.most) / fullPercent,
+            hostMemoryMb * random.between(shares.least, shares.most) / fullPercent,
+            0};
+}
+
+auto textOf(const Jobs::Resources &resources) -> std::string
+{
+    return std::to_string(resources.cpuMillicores) + " millicores and "
+           + std::to_string(resources.memoryMb) + " MB";
+}
+
+auto textOf(const Execution::WaitingTask &waiting) -> std::string
+{
+    std::ostringstream text;
+    text << Execution::nameOf(waiting.reason);
+    if (!waiting.endpoint.empty())
+        text << " on " << waiting.endpoint;
+    text << "; it needs " << textOf(waiting.demand) << ", " << waiting.openEndpoints
+         << " open endpoints";
+    return text.str();
+}
+
+} // namespace
+
+ModelWaits::ModelWaits(std::uint64_t seed, const std::optional<Jobs::TaskId> &traced)
+    : m_random(seed)
+    , m_watch(m_time)
+    , m_gangs(m_time, m_random)
+    , m_log(m_time, m_random)
+    , m_network(m_time, m_random)
+    , m_membership(m_log)
+    , m_hosts({m_time, m_random, m_watch, m_gangs}, m_network, m_membership)
+{
+    if (traced)
+        m_watch.trace(*traced);
+}
+
+auto ModelWaits::configure() -> void
+{
+    Control::Queue queue;
+    queue.name = queueName;
+    queue.pool = ModelHosts::poolName;
+    queue.maximumAttempts = maximumAttempts;
+    queue.objectiveMs = 600;
+    Control::Configuration configuration;
+    configuration.version = 1;
+    configuration.queues.push_back(queue);
+    configuration.pools.push_back({ModelHosts::poolName, true, false});
+    Control::Command command;
+    command.configuration = configuration;
+    m_log.apply(command);
+    for (auto kind = 0; kind <= int(Fault::LostReplies); ++kind) {
+        if (m_random.chance(evenPercent))
+            m_kinds.insert(m_kinds.end(), std::size_t(m_random.between(1, 3)), Fault(kind));
+    }
+    m_kinds.push_back(Fault(m_random.between(0, std::int64_t(Fault::LostReplies))));
+    m_faultGapUs = m_random.between(200, 2500) * ms;
+    m_longestTaskMs = m_random.between(500, 2500);
+    m_largestShortPercent = m_random.between(8, 50);
+}
+
+auto ModelWaits::play() -> WaitResult
+{
+    configure();
+    const auto hosts = m_random.between(3, 8);
+    m_backlog = std::size_t(hosts * m_random.between(100, 400) / m_largestShortPercent);
+    ModelTraits traits;
+    traits.failurePercent = double(m_random.between(0, 1));
+    m_hosts.start(std::size_t(hosts), traits);
+    m_leader = std::make_shared<ModelLeader>(
+        LeaderEnvironment{m_time, m_random, m_watch, m_network, m_log}, 1);
+    m_membership.use(m_leader);
+    m_leader->start();
+    for (auto jobs = m_random.between(2, 4); jobs > 0; --jobs)
+        m_time.after(m_random.between(0, latestSubmissionUs), [this] { submitLongRunning(); });
+    fillBacklog();
+    m_time.after(firstFaultUs, [this] { nextFault(); });
+    observe();
+    m_time.runUntil(lastFaultUs);
+    while (m_result.late.empty() && m_time.nowUs() < m_calmSinceUs + calmStretchUs)
+        m_time.runUntil(m_time.nowUs() + 100 * ms);
+    m_result.breach = m_watch.breach();
+    if (!m_result.task)
+        m_result.task = m_watch.breachTask();
+    m_result.starts = m_watch.starts();
+    m_result.trace = m_watch.traceText();
+    return m_result;
+}
+
+auto ModelWaits::newJob(const Jobs::StepSpec &step, std::int64_t durationMs) -> Jobs::JobSpec
+{
+    Jobs::JobSpec job;
+    job.id = "job" + std::to_string(++m_jobs);
+    job.queue = queueName;
+    job.pool = ModelHosts::poolName;
+    job.payload = ModelWork{durationMs, 0, step.demand}.toText();
+    job.submittedMs = m_time.wallMs();
+    job.steps.push_back(step);
+    return job;
+}
+
+auto ModelWaits::submit(Jobs::JobSpec job) -> void
+{
+    Control::Command command;
+    command.submitJob = std::move(job);
+    m_log.commit({command}, [this](bool) { m_leader->wake(); });
+}
+
+auto ModelWaits::submitLongRunning() -> void
+{
+    Jobs::StepSpec step;
+    step.count = m_random.between(1, 3);
+    step.demand = randomDemand(m_random, {smallestPercent, largestLongRunningPercent});
+    // Half of the jobs need more than short tasks usually leave free.
+    if (m_random.chance(evenPercent))
+        step.demand = randomDemand(m_random, {largeLongRunningPercent, largestLongRunningPercent});
+    step.longRunning = true;
+    step.maximumPerHost = m_random.chance(evenPercent) ? 0 : m_random.between(1, 2);
+    step.mayMiss = m_random.between(0, 1);
+    m_longRunning.push_back(newJob(step, 0));
+    submit(m_longRunning.back());
+}
+
+auto ModelWaits::submitShort() -> void
+{
+    Jobs::StepSpec step;
+    step.count = m_random.between(1, mostTasksOfJob);
+    step.demand = randomDemand(m_random, {smallestPercent, m_largestShortPercent});
+    const auto durationMs = m_random.between(shortestTaskMs, m_longestTaskMs);
+    step.estimateMs = durationMs;
+    submit(newJob(step, durationMs));
+}
+
+// Keeps up the number of active short jobs, those that wait for the log aside.
+auto ModelWaits::fillBacklog() -> void
+{
+    const auto active = m_log.state().jobs.activeIds().size();
+    const auto wanted = m_backlog + m_longRunning.size();
+    for (auto missing = wanted > active ? wanted - active : 0; missing > 0; --missing)
+        submitShort();
+    m_time.after(backlogUs, [this] { fillBacklog(); });
+}
+
+auto ModelWaits::nextFault() -> void
+{
+    if (m_time.nowUs() >= lastFaultUs)
+        return;
+    ++m_result.faults;
+    strike(m_kinds[std::size_t(m_random.between(0, std::int64_t(m_kinds.size()) - 1))]);
+    m_time.after(m_random.between(0, 2 * m_faultGapUs), [this] { nextFault(); });
+}
+
+auto ModelWaits::strike(Fault fault) -> void
+{
+    const auto host = std::size_t(m_random.between(0, std::int64_t(m_hosts.size()) - 1));
+    if (m_departed.contains(host))
+        return;
+    switch (fault) {
+    case Fault::Restart:
+        m_hosts.crash(host, {m_random.between(20 * ms, 2 * seconds), true, true});
+        break;
+    case Fault::Flap:
+        flap(host, m_random.between(2, 4));
+        break;
+    case Fault::Replace:
+        m_hosts.crash(
+            host,
+            {m_random.between(1 * seconds, 4 * seconds), false, m_random.chance(evenPercent)});
+        break;
+    case Fault::Leave:
+        leave(host);
+        break;
+    case Fault::HalfLeave:
+        for (std::size_t other = 0; other < m_hosts.size() / 2; ++other)
+            leave((host + other) % m_hosts.size());
+        break;
+    case Fault::Depart:
+        depart(host);
+        break;
+    case Fault::Maintain:
+        maintain(host, false);
+        break;
+    case Fault::CloseAndReopen:
+        maintain(host, true);
+        break;
+    case Fault::CutOrders:
+        cut(host, true);
+        break;
+    case Fault::CutReplies:
+        cut(host, false);
+        break;
+    case Fault::LostReplies:
+        loseReplies();
+        break;
+    }
+}
+
+auto ModelWaits::flap(std::size_t host, std::int64_t times) -> void
+{
+    if (times == 0 || m_departed.contains(host))
+        return;
+    m_hosts.crash(host, {m_random.between(20 * ms, 200 * ms), true, true});
+    const auto gapUs = m_random.between(200 * ms, seconds);
+    m_disturbedUntilUs = std::max(m_disturbedUntilUs, m_time.nowUs() + gapUs);
+    m_time.after(gapUs, [this, host, times] { flap(host, times - 1); });
+}
+
+auto ModelWaits::leave(std::size_t host) -> void
+{
+    if (m_departed.contains(host))
+        return;
+    m_hosts.leave(
+        host,
+        m_random.between(500 * ms, 4 * seconds),
+        {m_random.between(1 * seconds, 4 * seconds), false, m_random.chance(evenPercent)});
+}
+
+// Lets the endpoint leave for good, so that others have to take over its long-running tasks.
+auto ModelWaits::depart(std::size_t host) -> void
+{
+    const auto most = m_hosts.size() / 2;
+    const auto undisturbed = m_hosts.isUp(host) && !m_hosts.isLeaving(host)
+                             && !m_closed.contains(m_hosts.endpoint(host).record().incarnation.id);
+    if (!undisturbed || m_departed.size() >= most)
+        return;
+    m_hosts.leave(host, m_random.between(500 * ms, 4 * seconds), {neverUs, false, false});
+    m_departed.insert(host);
+}
+
+// Closes and evacuates the endpoint, and then reopens it or has its host maintained.
+auto ModelWaits::maintain(std::size_t host, bool reopen) -> void
+{
+    if (!m_hosts.isUp(host))
+        return;
+    const auto known =
+        m_leader->ledger().endpoints().find(m_hosts.endpoint(host).record().incarnation.id);
+    if (known == m_leader->ledger().endpoints().end())
+        return;
+    const auto incarnation = known->second.record.incarnation;
+    if (!m_closed.insert(incarnation.id).second)
+        return;
+    m_watch.noteEndpoint(m_hosts.endpoint(host).name(), "is closed and evacuated");
+    m_leader->setClosed(incarnation.id, true);
+    evacuate(incarnation);
+    m_time.after(m_random.between(500 * ms, 3 * seconds),
+                 [this, host, incarnation, reopen] { endMaintenance(host, incarnation, reopen); });
+}
+
+auto ModelWaits::evacuate(const Control::EndpointIncarnation &incarnation) -> void
+{
+    if (!m_closed.contains(incarnation.id))
+        return;
+    m_leader->evacuate(incarnation.id);
+    m_time.after(evacuateUs, [this, incarnation] { evacuate(incarnation); });
+}
+
+auto ModelWaits::endMaintenance(std::size_t host,
+                                const Control::EndpointIncarnation &incarnation,
+                                bool reopen) -> void
+{
+    m_closed.erase(incarnation.id);
+    const auto stays =
+        m_hosts.isUp(host) && m_hosts.endpoint(host).record().incarnation.id == incarnation.id;
+    if (reopen || !stays) {
+        m_watch.noteEndpoint(incarnation.id, "is reopened");
+        m_leader->setClosed(incarnation.id, false);
+        m_leader->wake();
+        return;
+    }
+    m_hosts.crash(host, {2 * seconds, false, m_random.chance(evenPercent)});
+    m_time.after(m_random.between(1 * ms, 60 * ms),
+                 [this, incarnation] { m_leader->forgetEndpoint(incarnation); });
+}
+
+// Cuts the endpoint off from orders, or its replies and announcements from the leader.
+auto ModelWaits::cut(std::size_t host, bool orders) -> void
+{
+    const auto endUs = m_time.nowUs() + m_random.between(100 * ms, 5 * seconds);
+    const auto &endpoint = m_hosts.endpoint(host);
+    m_watch.noteEndpoint(endpoint.name(),
+                         std::string(orders ? "orders" : "replies") + " are cut off until "
+                             + std::to_string(endUs / ms) + " ms");
+    m_network.cut(endpoint.record().address, {orders, !orders, endUs});
+    m_disturbedUntilUs = std::max(m_disturbedUntilUs, endUs);
+}
+
+auto ModelWaits::loseReplies() -> void
+{
+    const auto lengthUs = m_random.between(200 * ms, 3 * seconds);
+    m_network.traits.lostReplyPercent = double(m_random.between(10, 60));
+    m_disturbedUntilUs = std::max(m_disturbedUntilUs, m_time.nowUs() + lengthUs);
+    m_time.after(lengthUs, [this] { m_network.traits.lostReplyPercent = 0; });
+}
+
+auto ModelWaits::isDisturbed() const -> bool
+{
+    if (m_time.nowUs() < std::max(lastFaultUs, m_disturbedUntilUs) || !m_closed.empty())
+        return true;
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        const auto up = m_hosts.isUp(host);
+        if (up ? m_hosts.isLeaving(host) : !m_departed.contains(host))
+            return true;
+    }
+    return false;
+}
+
+auto ModelWaits::observe() -> void
+{
+    if (isDisturbed())
+        m_calmSinceUs = m_time.nowUs();
+    noteReasons();
+    for (const auto &job : m_longRunning) {
+        const auto &step = job.steps.front();
+        for (std::int64_t index = 0; index < step.count; ++index)
+            judge({job.id, 0, 0, index}, step);
+    }
+    m_time.after(observeUs, [this] { observe(); });
+}
+
+// Keeps each change of what a task waits for.
+auto ModelWaits::noteReasons() -> void
+{
+    std::map<Jobs::TaskId, std::string> reasons;
+    for (const auto &waiting : m_leader->waitingLongRunningTasks()) {
+        reasons[waiting.task] = textOf(waiting);
+        m_waits.try_emplace(waiting.task);
+    }
+    for (auto &[task, wait] : m_waits) {
+        const auto found = reasons.find(task);
+        const auto reason = found != reasons.end() ? found->second : "at work for the leader";
+        if (reason != std::exchange(wait.reason, reason))
+            wait.lines.push_back(std::to_string(m_time.nowUs() / ms) + " ms: " + reason);
+    }
+}
+
+auto ModelWaits::judge(const Jobs::TaskId &task, const Jobs::StepSpec &step) -> void
+{
+    auto &wait = m_waits[task];
+    if (m_watch.isAtWork(task) || !couldRun(task, step)) {
+        wait.missingSinceUs.reset();
+        return;
+    }
+    const auto nowUs = m_time.nowUs();
+    const auto sinceUs =
+        std::max({wait.missingSinceUs.value_or(nowUs),
+                  m_calmSinceUs + calmUs,
+                  m_watch.lastEndUs(task).value_or(-sinceLastRunUs) + sinceLastRunUs});
+    if (!wait.missingSinceUs)
+        wait.missingSinceUs = nowUs;
+    m_result.longestMissingUs = std::max(m_result.longestMissingUs, nowUs - sinceUs);
+    if (nowUs - sinceUs < missingUs || !m_result.late.empty())
+        return;
+    reportLate(task);
+}
+
+auto ModelWaits::reportLate(const Jobs::TaskId &task) -> void
+{
+    const auto lastEndUs = m_watch.lastEndUs(task);
+    m_result.task = task;
+    m_result.late = "LOST: task " + Jobs::toText(task) + " at "
+                    + std::to_string(m_time.nowUs() / ms) + " ms, calm since "
+                    + std::to_string(m_calmSinceUs / ms) + " ms, "
+                    + (lastEndUs ? "last run until " + std::to_string(*lastEndUs / ms) + " ms"
+                                 : std::string("never run"));
+    const auto &lines = m_waits.at(task).lines;
+    const auto first = lines.size() - std::min(lines.size(), shownLines);
+    for (auto line = first; line < lines.size(); ++line)
+        m_result.waits += "  " + lines[line] + '\n';
+}
+
+// Returns true if an endpoint could hold the task beside the other long-running tasks there.
+auto ModelWaits::couldRun(const Jobs::TaskId &task, const Jobs::StepSpec &step) const -> bool
+{
+    for (std::size_t host = 0; host < m_hosts.size(); ++host) {
+        const auto &endpoint = m_hosts.endpoint(host);
+        const auto open = endpoint.isUp() && !m_hosts.isLeaving(host)
+                          && !m_closed.contains(endpoint.record().incarnation.id);
+        if (!open || !step.demand.fitsInto(endpoint.freeOfShortTasks()))
+            continue;
+        if (step.maximumPerHost == 0 || endpoint.countOfStep(task) < step.maximumPerHost)
+            return true;
+    }
+    return false;
+}
+
+} // namespace ExecutionTest
--- a/tests/auto/execution/runwatch.cpp
+++ b/tests/auto/execution/runwatch.cpp
@@ -51,6 +51,7 @@
                      const std::string &how) -> void
 {
     note(task, endpoint, "RUN " + std::to_string(run) + " ENDS: " + how);
+    m_lastEndUs[task] = m_time.nowUs();
     const auto found = m_atWork.find(task);
     if (found == m_atWork.end())
         return;
@@ -101,6 +102,12 @@
     return m_atWork.contains(task);
 }
 
+auto RunWatch::lastEndUs(const Jobs::TaskId &task) const -> std::optional<std::int64_t>
+{
+    const auto found = m_lastEndUs.find(task);
+    return found != m_lastEndUs.end() ? std::optional(found->second) : std::nullopt;
+}
+
 auto RunWatch::traceText() const -> std::string
 {
     std::set<std::string> ids{""};
--- a/tests/auto/execution/runwatch.h
+++ b/tests/auto/execution/runwatch.h
@@ -42,6 +42,8 @@
 
     auto starts() const -> std::int64_t { return m_starts; }
     auto isAtWork(const Jobs::TaskId &task) const -> bool;
+    /*! \brief Returns when the last run of \a task ended, if one has. */
+    auto lastEndUs(const Jobs::TaskId &task) const -> std::optional<std::int64_t>;
     /*! \brief Returns what was seen first, or an empty text. */
     auto breach() const -> const std::string & { return m_breach; }
     auto breachTask() const -> const std::optional<Jobs::TaskId> & { return m_breachTask; }
@@ -62,6 +64,7 @@
     const VirtualTime &m_time;
     std::map<Jobs::TaskId, std::map<std::int64_t, std::set<std::string>>> m_atWork;
     std::map<Jobs::TaskId, std::int64_t> m_lastStartUs;
+    std::map<Jobs::TaskId, std::int64_t> m_lastEndUs;
     std::map<Jobs::TaskId, std::int64_t> m_doneUs; //!< Ends as done that were recorded.
     std::int64_t m_starts = 0;
     std::string m_breach;
--- /dev/null
+++ b/tests/auto/execution/tst_randomwaits.cpp
@@ -0,0 +1,56 @@
+// Random faults in a pool with a backlog: no long-running task may wait long (rule LOST).
+#include "modelwaits.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <iostream>
+
+using namespace ExecutionTest;
+
+namespace {
+
+constexpr std::int64_t defaultSeeds = 120;
+
+auto numberFrom(const char *variable, std::int64_t otherwise) -> std::int64_t
+{
+    const auto *text = std::getenv(variable);
+    return text != nullptr ? std::atoll(text) : otherwise;
+}
+
+// Plays the seed again, and returns what happened to the task of the result.
+auto traceOf(std::uint64_t seed, const WaitResult &result) -> std::string
+{
+    return ModelWaits(seed, result.task).play().trace;
+}
+
+// Plays the seeds that RANDOMWAITS_FIRST and RANDOMWAITS_SEEDS name, by default a fixed set. With
+// RANDOMWAITS_TRACE, all events of the tasks that failed are shown.
+TEST(RandomWaits, NoLongRunningTaskWaitsLongBehindABacklog)
+{
+    const auto first = numberFrom("RANDOMWAITS_FIRST", 1);
+    const auto count = numberFrom("RANDOMWAITS_SEEDS", defaultSeeds);
+    const auto traces = numberFrom("RANDOMWAITS_TRACE", 0) != 0;
+    std::int64_t starts = 0;
+    std::int64_t faults = 0;
+    std::int64_t longestMissingUs = 0;
+    std::int64_t longestSeed = first;
+    for (auto seed = first; seed < first + count; ++seed) {
+        const auto result = ModelWaits(std::uint64_t(seed), std::nullopt).play();
+        starts += result.starts;
+        faults += result.faults;
+        if (result.longestMissingUs > longestMissingUs) {
+            longestMissingUs = result.longestMissingUs;
+            longestSeed = seed;
+        }
+        EXPECT_EQ(result.late, "") << "seed " << seed << ", it waited for:\n" << result.waits;
+        EXPECT_EQ(result.breach, "") << "seed " << seed;
+        if (traces && result.task)
+            std::cout << traceOf(std::uint64_t(seed), result);
+    }
+    std::cout << count << " plays from seed " << first << ": " << faults << " faults, " << starts
+              << " runs, a task was missing for " << longestMissingUs / usPerMs
+              << " ms at most (seed " << longestSeed << ")\n";
+}
+
+} // namespace
