Record that a run is gone, so that the next leader does not wait for it

Cause: the start of a task is recorded, but of its ends only done and failed ones of short tasks are. That a run was stopped, or counts as gone, was known to the leader that saw it alone. The next one finds the start, cannot ask an endpoint that has left, and holds the task for the longest lease from the beginning of its own term, and so does each leader after it.

A leader records now that nothing runs a task any more, if the task does not start again in the same pass; the removal of an endpoint is committed together with what it means for tasks. The record is that of a start without an endpoint.

--- a/src/libs/control/controlcommands.h
+++ b/src/libs/control/controlcommands.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <tuple>
+#include <utility>
 
 /*! The replicated state of job control: configuration, jobs, endpoints and maintenance waves. */
 namespace Control {
@@ -55,6 +56,8 @@
     \brief Records that tasks are about to be ordered to start on an endpoint.
 
     A later leader then knows where a task may be running even if it cannot reach that endpoint.
+    An incarnation without an id records that nothing runs the tasks any more. Older builds take it
+    for an endpoint that has left.
 */
 struct RecordStarts
 {
@@ -63,6 +66,15 @@
     std::int64_t term = 0; //!< Term of the leader that starts them; 0 in entries of older builds.
 };
 
+/*! \brief Returns the record that nothing runs \a tasks any more. */
+inline auto recordGone(std::vector<Jobs::TaskId> tasks, std::int64_t term) -> RecordStarts
+{
+    RecordStarts record;
+    record.tasks = std::move(tasks);
+    record.term = term;
+    return record;
+}
+
 /*! \brief A maintenance wave: hosts to be maintained, with a limit on how many at a time. */
 struct Wave
 {
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -24,8 +24,10 @@
 /*! \brief Where a task was last ordered to start, and in which term. */
 struct RecordedStart
 {
-    EndpointIncarnation incarnation;
+    EndpointIncarnation incarnation; //!< Without an id if the run that was started is gone.
     std::int64_t term = 0;
+
+    auto mayRun() const -> bool { return !incarnation.id.empty(); }
 };
 
 /*! \brief The replicated state. Applying commands is deterministic. */
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -205,7 +205,8 @@
     }
     // The provider also accepts an order that it has already carried out, so this incarnation may
     // have started after the maintenance. The next list of hosts shows it.
-    const auto committed = co_await commitUntilDone(std::move(commands));
+    std::vector<Jobs::TaskId> noGoneTasks;
+    const auto committed = co_await commitUntilDone(std::move(commands), std::move(noGoneTasks));
     if (committed)
         wake();
 }
@@ -230,7 +231,8 @@
     co_await forgetEndpoint(step.incarnation, std::move(noOtherCommands));
 }
 
-// Removes an endpoint whose incarnation has ended, and commits the removal together with \a commands.
+// Removes an endpoint whose incarnation has ended, and commits the removal together with \a commands
+// and with what it means for tasks: a later leader cannot ask a removed endpoint for them.
 // An endpoint that the state went on to hold would be acknowledged, and get no tasks, if it announced
 // itself again.
 auto LeaderSession::forgetEndpoint(Control::EndpointIncarnation incarnation,
@@ -240,7 +242,9 @@
     Control::Command removed;
     removed.removeEndpoint = incarnation;
     commands.push_back(std::move(removed));
-    const auto committed = co_await commitUntilDone(std::move(commands));
+    auto gone = m_parts.state.read(
+        [this](const Control::State &state) { return m_ledger.takeGone(state); });
+    const auto committed = co_await commitUntilDone(std::move(commands), std::move(gone));
     if (committed)
         wake();
 }
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -196,7 +196,8 @@
     std::vector<Control::Command> commands;
     if (!effects.record.ends.empty())
         commands.emplace_back().recordEnds = effects.record;
-    const auto committed = co_await commitUntilDone(std::move(commands));
+    std::vector<Jobs::TaskId> noGoneTasks;
+    const auto committed = co_await commitUntilDone(std::move(commands), std::move(noGoneTasks));
     if (!committed)
         co_return;
     m_ledger.endsRecorded(effects.record, effects.lastEnd);
@@ -240,6 +241,9 @@
     if (!orders.starts.empty())
         AsyncNet::start(
             m_parts.loop, "starts", recordAndSend(std::move(orders.starts)), shared_from_this());
+    if (!orders.gone.empty())
+        AsyncNet::start(
+            m_parts.loop, "gone runs", recordGone(std::move(orders.gone)), shared_from_this());
     for (auto &order : orders.paces)
         AsyncNet::start(m_parts.loop, "pace", sendPace(std::move(order)), shared_from_this());
 }
@@ -271,12 +275,20 @@
     co_return result;
 }
 
-// Commits \a commands with retries; returns false if this process has stopped leading.
-auto LeaderSession::commitUntilDone(std::vector<Control::Command> commands) -> AsyncNet::Task<bool>
+// Commits \a commands, and that nothing runs the tasks \a gone, with retries; returns false if this
+// process has stopped leading. Before each attempt, tasks that have been started again are left out:
+// the record would replace that of their next run.
+auto LeaderSession::commitUntilDone(std::vector<Control::Command> commands,
+                                    std::vector<Jobs::TaskId> gone) -> AsyncNet::Task<bool>
 {
-    while (m_active && !commands.empty()) {
-        auto copy = commands;
-        const auto result = co_await commit(std::move(copy));
+    while (m_active) {
+        std::erase_if(gone, [this](const auto &task) { return !m_ledger.isOpen(task); });
+        auto attempt = commands;
+        if (!gone.empty())
+            attempt.emplace_back().recordStarts = Control::recordGone(gone, m_term);
+        if (attempt.empty())
+            break;
+        const auto result = co_await commit(std::move(attempt));
         if (result == CommitResult::Committed)
             break;
         co_await AsyncNet::pause(commitRetry);
@@ -284,6 +296,13 @@
     co_return m_active;
 }
 
+// The next leader does not have to wait for the endpoints of runs that are recorded as gone.
+auto LeaderSession::recordGone(std::vector<Jobs::TaskId> tasks) -> Task
+{
+    std::vector<Control::Command> noCommands;
+    co_await commitUntilDone(std::move(noCommands), std::move(tasks));
+}
+
 // Records the starts before their orders are sent: a later leader must know where a task may run.
 // Before each attempt, starts that are no longer to be sent are left out: their record would replace
 // that of the task's next run.
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -71,7 +71,9 @@
     auto schedulePass() -> Task;
     auto tick() -> Task;
     auto recordAndSend(std::vector<StartOrder> orders) -> Task;
-    auto commitUntilDone(std::vector<Control::Command> commands) -> AsyncNet::Task<bool>;
+    auto recordGone(std::vector<Jobs::TaskId> tasks) -> Task;
+    auto commitUntilDone(std::vector<Control::Command> commands, std::vector<Jobs::TaskId> gone)
+        -> AsyncNet::Task<bool>;
     auto commit(std::vector<Control::Command> commands) -> AsyncNet::Task<CommitResult>;
     auto recordLag(Utils::Milliseconds lag) -> void;
     auto sendStart(StartOrder order) -> Task;
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -46,6 +46,7 @@
     m_keptFree.clear();
     m_unplaced.clear();
     m_releases.clear();
+    m_gone.clear();
     m_jobsVersion = 0;
     for (const auto &[id, known] : state.endpoints) {
         addEndpoint(known.record, now);
@@ -70,7 +71,7 @@
             continue;
         m_startedJobs.insert(id);
         for (const auto &[task, start] : starts) {
-            if (job->second.state(task) == TaskState::Done)
+            if (job->second.state(task) == TaskState::Done || !start.mayRun())
                 continue;
             inheritStart(task, start.incarnation.id, now);
             job->second.addEndpoint(start.incarnation.id);
@@ -487,8 +488,42 @@
 auto RunLedger::reopen(const Jobs::TaskId &task) -> void
 {
     const auto job = m_jobs.find(task.job);
-    if (job != m_jobs.end() && !isBooked(task))
-        job->second.setState(task, TaskState::Open);
+    if (job == m_jobs.end() || isBooked(task))
+        return;
+    job->second.setState(task, TaskState::Open);
+    m_gone.insert(task);
+}
+
+auto RunLedger::isOpen(const Jobs::TaskId &task) const -> bool
+{
+    const auto job = m_jobs.find(task.job);
+    return job != m_jobs.end() && job->second.specOf(task) != nullptr
+           && job->second.state(task) == TaskState::Open;
+}
+
+auto RunLedger::takeGone(const Control::State &state) -> std::vector<Jobs::TaskId>
+{
+    std::vector<Jobs::TaskId> gone;
+    if (m_gone.empty())
+        return gone;
+    const auto late = tasksOfLateStarts();
+    std::erase_if(m_gone, [&](const Jobs::TaskId &task) {
+        if (!isOpen(task))
+            return true;
+        // A later leader does not block late starts, so it has to wait for their endpoints.
+        if (late.contains(task))
+            return false;
+        const auto job = state.startedTasks.find(task.job);
+        if (job == state.startedTasks.end())
+            return false;
+        // The record of a start that was not sent may still be on its way.
+        const auto start = job->second.find(task);
+        if (start == job->second.end() || !start->second.mayRun())
+            return false;
+        gone.push_back(task);
+        return true;
+    });
+    return gone;
 }
 
 // Sets the task of a run that counts as gone open, unless it is booked elsewhere.
@@ -574,6 +609,16 @@
     }
 }
 
+auto RunLedger::tasksOfLateStarts() const -> std::set<Jobs::TaskId>
+{
+    std::set<Jobs::TaskId> tasks;
+    for (const auto &[id, starts] : m_lateStarts) {
+        for (const auto &start : starts)
+            tasks.insert(start.task);
+    }
+    return tasks;
+}
+
 auto RunLedger::forgetLateStarts(Utils::Instant now) -> void
 {
     for (auto &[id, starts] : m_lateStarts) {
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -42,6 +42,8 @@
     std::vector<StartOrder> starts;
     std::vector<StopOrder> stops;
     std::vector<PaceOrder> paces;
+    //! Tasks that wait and that nothing runs any more, although a start of them is recorded.
+    std::vector<Jobs::TaskId> gone;
 };
 
 /*! \brief The consequences of a poll reply: task ends to record, and changes of the endpoint. */
@@ -148,6 +150,13 @@
         Removes a run that is not wanted any more, as its job has ended or its task is done.
     */
     auto confirmRecord(const StartOrder &order) -> bool;
+    /*!
+        \brief Returns the tasks that wait and that nothing runs any more, once for each start of
+        them that \a state holds.
+    */
+    auto takeGone(const Control::State &state) -> std::vector<Jobs::TaskId>;
+    /*! \brief Returns true if the task waits, and nothing runs it. */
+    auto isOpen(const Jobs::TaskId &task) const -> bool;
     /*! \brief Like confirmRecord() for a recorded start, which counts as sent if that is true. */
     auto confirmStart(const StartOrder &order) -> bool;
     auto startAnswered(const StartOrder &order, const StartReply &reply, Utils::Instant now)
@@ -214,6 +223,7 @@
     auto takeOutlivingRuns(EndpointEntry &endpoint) -> void;
     auto expireOutlivingRuns(Utils::Instant now) -> void;
     auto blockLateStarts(const EndpointEntry &endpoint) -> void;
+    auto tasksOfLateStarts() const -> std::set<Jobs::TaskId>;
     auto forgetLateStarts(Utils::Instant now) -> void;
     auto reopen(const Jobs::TaskId &task) -> void;
     auto release(Release release) -> void;
@@ -297,6 +307,8 @@
     Utils::Instant m_pacesCheckedAt;
     std::unordered_set<std::string> m_startedJobs; //!< Jobs of m_jobs that have been started.
     std::vector<Release> m_releases;
+    //! Tasks whose run is gone since their start was recorded, until they start again.
+    std::set<Jobs::TaskId> m_gone;
     std::map<std::string, PoolDemand> m_demand;
     //! Endpoints that the last pass kept free for long-running tasks.
     std::set<std::string> m_keptFree;
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -76,6 +76,7 @@
         stopUnwanted(now, orders);
     paceBackfill(now, orders);
     startTasks(now, wallMs, orders);
+    orders.gone = takeGone(state);
     return orders;
 }
 
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -324,6 +324,29 @@
     EXPECT_EQ(incarnation, (Control::EndpointIncarnation{"e", 5}));
 }
 
+TEST(ControlState, RunThatIsRecordedAsGoneStaysGoneInASnapshot)
+{
+    Control::CommandBatch batch;
+    auto &job = batch.commands.emplace_back().submitJob.emplace();
+    job.id = "job";
+    job.steps.emplace_back().count = 1;
+    Control::RecordStarts starts;
+    starts.incarnation = {"endpoint", 1};
+    starts.tasks = {{"job", 0, 0, 0}};
+    starts.term = 3;
+    batch.commands.emplace_back().recordStarts = starts;
+    batch.commands.emplace_back().recordStarts = Control::recordGone(starts.tasks, starts.term);
+    Control::StateReplica replica;
+    replica.apply(entry(batch));
+    Control::StateReplica restored;
+    ASSERT_TRUE(restored.restore(replica.snapshot(), 1));
+    restored.read([&](const Control::State &state) {
+        const auto &start = state.startedTasks.at("job").at(starts.tasks.front());
+        EXPECT_FALSE(start.mayRun());
+        EXPECT_EQ(start.term, starts.term);
+    });
+}
+
 // The process that submits an entry applies the batch it has in memory, and the others decode it. A
 // field that is missing from the encoding would make their states differ.
 TEST(ControlState, ExpectedAndDecodedEntryGiveTheSameState)
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -59,6 +59,21 @@
     state.apply(command, m_wallMs);
 }
 
+auto LedgerFixture::recordGone(const Jobs::TaskId &task) -> void
+{
+    Control::Command command;
+    command.recordStarts = Control::recordGone({task}, term);
+    state.apply(command, m_wallMs);
+}
+
+auto LedgerFixture::removeEndpoint(const std::string &id) -> void
+{
+    Control::Command command;
+    command.removeEndpoint = state.endpoints.at(id).record.incarnation;
+    state.apply(command, m_wallMs);
+    ledger.endIncarnation(*command.removeEndpoint);
+}
+
 auto LedgerFixture::begin() -> void
 {
     ledger.begin(term, state, m_now);
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -26,6 +26,10 @@
                 const std::string &pool = defaultPool) -> Jobs::JobSpec;
     /*! \brief Records that an earlier leader was about to start \a task on \a endpoint. */
     auto recordStart(const std::string &endpoint, const Jobs::TaskId &task) -> void;
+    /*! \brief Records that the run of \a task is gone. */
+    auto recordGone(const Jobs::TaskId &task) -> void;
+    /*! \brief Removes the endpoint from the durable state and from the ledger. */
+    auto removeEndpoint(const std::string &id) -> void;
     auto begin() -> void;
     auto advance(Utils::Milliseconds by) -> void { m_now += by; }
 
--- a/tests/auto/execution/modelleader.h
+++ b/tests/auto/execution/modelleader.h
@@ -69,6 +69,7 @@
                         const VirtualTime::Action &done) -> void;
     auto tick() -> void;
     auto schedulePass() -> void;
+    auto addGone(std::vector<Jobs::TaskId> tasks, std::vector<Control::Command> &commands) -> void;
     auto recordAndSend(std::vector<Execution::StartOrder> orders) -> void;
     auto sendStart(const Execution::StartOrder &order) -> void;
     auto sendStop(const Execution::StopOrder &order) -> void;
