Split the log of a process without a vote like that of a voter

observerlog.cpp held a private class of 500 lines with public members. Its logic is now Internal::Observer, as that of a voter is Internal::Replica: what it reads from others, what it answers them (observerservice.cpp), and a thin ObserverLog. No behaviour changes; tst_replication passes.

--- a/src/libs/replication/observerlog.h
+++ b/src/libs/replication/observerlog.h
@@ -11,6 +11,10 @@
 
 namespace Replication {
 
+namespace Internal {
+class Observer;
+}
+
 /*!
     \brief The log of a process without a vote, which streams committed entries into memory.
 
@@ -37,8 +41,7 @@
         -> Utils::Result<void> override;
 
 private:
-    class Private;
-    std::shared_ptr<Private> m_d;
+    std::shared_ptr<Internal::Observer> m_observer;
 };
 
 } // namespace Replication
