Say that a long-running task waits whose run is believed but not seen

Callers may miss a task while the ledger takes it for one at work: a run that was confirmed once counted as at work whatever the lists of its endpoint said, and while the endpoint did not answer at all.

There are two more reasons now: the endpoint does not answer the last poll, and the last complete list does not hold the run, which is kept since a stop of it has no answer. A list that may lack entries leaves the latter as it is; Run::unlisted was reset by each such list. A task of which another run is at work does not wait.

Evidence: the two tests failed with the former logic (the new reasons declared, and never given). No order depends on the reasons. Run::unlisted lets a stop of a run pass that a complete list has shown to be gone, now also after lists that may lack entries.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -49,7 +49,8 @@
     std::int64_t pacePercent = 100; //!< Share of its full speed that a backfill task may use.
     bool paceInFlight = false;      //!< An order that changes pacePercent is waiting for its reply.
     bool listed = false;            //!< The poll reply that is being processed lists the run.
-    bool unlisted = false; //!< The last poll was sent after the start and did not list the run.
+    //! The last complete list is that of a poll sent after the start, and does not hold the run.
+    bool unlisted = false;
     std::optional<StopReason> stopReason; //!< Set if the run is to be stopped.
     Utils::Instant stopSentAt;            //!< Time of the last stop order; zero if there was none.
     Utils::Instant stopAnsweredAt; //!< Time of the first accepted stop; zero if there was none.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -409,10 +409,11 @@
     for (auto &item : endpoint.runs) {
         auto &run = item.second;
         const auto listed = std::exchange(run.listed, false);
-        run.unlisted =
-            !listed && !reply.truncated && std::max(run.orderedAt, run.confirmedAt) < sentAt;
+        if (listed)
+            run.unlisted = false;
         if (listed || reply.truncated)
             continue;
+        run.unlisted = std::max(run.orderedAt, run.confirmedAt) < sentAt;
         // Times have a resolution of 1 ms, and the network delay may be shorter: an order whose
         // reply arrived in the same millisecond in which the poll was sent may have been carried
         // out after the poll.
--- a/src/libs/execution/waitingtasks.cpp
+++ b/src/libs/execution/waitingtasks.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
+#include <set>
 
 namespace Execution {
 namespace {
@@ -20,18 +22,32 @@
 
 using PendingRuns = std::map<Jobs::TaskId, PendingRun>;
 
-auto reasonOf(const Run &run) -> WaitReason
+// Returns why the run is not known to be at work, or nothing if it is.
+auto reasonOf(const EndpointEntry &endpoint, const Run &run) -> std::optional<WaitReason>
 {
-    return run.state == RunState::Uncertain ? WaitReason::StartUnanswered : WaitReason::Starting;
+    if (run.state == RunState::Ordered)
+        return WaitReason::Starting;
+    if (run.state == RunState::Uncertain)
+        return WaitReason::StartUnanswered;
+    if (!endpoint.answers)
+        return WaitReason::EndpointSilent;
+    if (run.unlisted)
+        return WaitReason::NotListed;
+    return std::nullopt;
 }
 
-// Returns what is booked on the endpoint, except for short tasks.
-auto addPendingRuns(const EndpointEntry &endpoint, PendingRuns &pending) -> void
+// Sorts what is booked on the endpoint, except for short tasks, by whether it is at work.
+auto addRuns(const EndpointEntry &endpoint, std::set<Jobs::TaskId> &atWork, PendingRuns &pending)
+    -> void
 {
     const auto &id = endpoint.record.incarnation.id;
     for (const auto &[task, run] : endpoint.runs) {
-        if (run.longRunning && run.state != RunState::Running)
-            pending[task] = {reasonOf(run), id};
+        if (!run.longRunning)
+            continue;
+        if (const auto reason = reasonOf(endpoint, run))
+            pending[task] = {*reason, id};
+        else
+            atWork.insert(task);
     }
     for (const auto &task : endpoint.inherited)
         pending[task] = {WaitReason::EarlierRun, id};
@@ -56,6 +72,10 @@
         return "endpoints with room run enough tasks of its step";
     case WaitReason::Label:
         return "endpoints with room lack its label";
+    case WaitReason::EndpointSilent:
+        return "its endpoint does not answer";
+    case WaitReason::NotListed:
+        return "it counts as at work, but is not listed";
     case WaitReason::NextPass:
         return "it starts with the next pass";
     }
@@ -66,13 +86,8 @@
 {
     std::set<Jobs::TaskId> atWork;
     PendingRuns pending;
-    for (const auto &[id, endpoint] : m_endpoints) {
-        for (const auto &[task, run] : endpoint.runs) {
-            if (run.longRunning && run.state == RunState::Running)
-                atWork.insert(task);
-        }
-        addPendingRuns(endpoint, pending);
-    }
+    for (const auto &[id, endpoint] : m_endpoints)
+        addRuns(endpoint, atWork, pending);
     for (const auto &[id, outliving] : m_outliving) {
         for (const auto &run : outliving.runs)
             pending[run.task] = {WaitReason::EarlierRun, id};
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -294,10 +294,14 @@
         ledger.addJob(lastingJob, step);
         ledger.begin();
     }
+    auto waits() -> std::vector<Execution::WaitingTask>
+    {
+        return ledger.ledger.waitingLongRunningTasks(ledger.now());
+    }
     /*! \brief Returns what the only task that is not at work waits for. */
     auto onlyWait() -> Execution::WaitingTask
     {
-        const auto waiting = ledger.ledger.waitingLongRunningTasks(ledger.now());
+        const auto waiting = waits();
         EXPECT_EQ(waiting.size(), 1U);
         return waiting.empty() ? Execution::WaitingTask() : waiting.front();
     }
@@ -348,6 +352,40 @@
     EXPECT_TRUE(fixture.ledger.ledger.waitingLongRunningTasks(fixture.ledger.now()).empty());
 }
 
+// Guards against a wait that nothing shows: a run that was once confirmed counted as at work.
+TEST(LongRunningTasks, WaitForARunThatIsNotListedIsExplained)
+{
+    WaitFixture fixture(lastingStep(1, {1000, 100, 0}));
+    fixture.ledger.poll("a");
+    const auto order = fixture.ledger.schedule().starts.at(0);
+    fixture.ledger.confirm(order);
+    fixture.ledger.ledger.evacuate("a");
+    ASSERT_EQ(fixture.ledger.schedule().stops.size(), 1U);
+    EXPECT_TRUE(fixture.waits().empty());
+    fixture.ledger.advance(Utils::Milliseconds(1));
+    fixture.ledger.poll("a");
+    EXPECT_EQ(fixture.onlyWait().reason, WaitReason::NotListed);
+    EXPECT_EQ(fixture.onlyWait().endpoint, "a");
+    fixture.ledger.pollTruncated("a");
+    EXPECT_EQ(fixture.onlyWait().reason, WaitReason::NotListed);
+    fixture.ledger.poll("a", {{order.task, order.run, "", 100, 0}});
+    EXPECT_TRUE(fixture.waits().empty());
+}
+
+// Guards against a wait that nothing shows: the users may miss the task of an endpoint that is gone.
+TEST(LongRunningTasks, WaitForAnEndpointThatDoesNotAnswerIsExplained)
+{
+    WaitFixture fixture(lastingStep(1, {1000, 100, 0}));
+    fixture.ledger.poll("a");
+    const auto order = fixture.ledger.schedule().starts.at(0);
+    fixture.ledger.confirm(order);
+    fixture.ledger.failPoll("a");
+    EXPECT_EQ(fixture.onlyWait().reason, WaitReason::EndpointSilent);
+    EXPECT_EQ(fixture.onlyWait().endpoint, "a");
+    fixture.ledger.poll("a", {{order.task, order.run, "", 100, 0}});
+    EXPECT_TRUE(fixture.waits().empty());
+}
+
 TEST(LongRunningTasks, WaitForAnEarlierLeadersStartIsExplained)
 {
     LedgerFixture fixture;
