Hold the stop of an unanswered start while its step can miss no task more

Cause: a stop passed whatever the step could miss if the last list did not hold the run. A start without a reply may be carried out between that list and the stop, so the stop that should settle the run ends a task at work.

Such a stop is sent now only if the step may miss the task. Otherwise a poll lists the run, which then goes on, or the lease in its order is over on the endpoint's clock, after which the endpoint refuses it and the task starts elsewhere: 5.5 s at most, the time that it takes where stops are not answered. The exemption stays for confirmed runs, of which the LOST that led to it was suspected: no lease settles those.

Evidence: StopOfAStartWithoutReplyEndsNoTaskThatItsStepCannotMiss and StartWithoutReplyWhoseStopIsHeldBackIsRepeatedOnceItsLeaseIsOver failed before, as stops were sent. StartsWithoutReplyAreStoppedAlthoughTheirStepMissesTooManyTasks guards the former rule where it stays.

DoesNotStopLongRunningStartWithoutReplyWhileTooManyOtherTasksAreUnavailable demanded the stop after a list without the run while the other task was not ready, which is the fault. It demands now that none is sent then, and that it is sent once the other task is ready.

--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -188,8 +188,12 @@
 auto RunLedger::mayStopNow(const Run &run) const -> bool
 {
     const auto reason = run.stopReason.value_or(StopReason::StartUnanswered);
-    // A run that is not listed is not ready anyway, and only a reply to a stop settles it soon.
-    return !canWait(reason) || run.unlisted || mayMiss(run.task, {});
+    // A start without a reply may be carried out after a list without it was made. The end of its lease
+    // settles it, unless the next incarnation may carry it out: the order's times are of another clock.
+    const auto mayStillStart = run.state == RunState::Uncertain && run.leaseEndMs != INT64_MAX;
+    // Other runs that are not listed are not ready, and only a reply to a stop settles them soon.
+    const auto gone = run.unlisted && !mayStillStart;
+    return !canWait(reason) || gone || mayMiss(run.task, {});
 }
 
 // Returns the number of other tasks of the step that are not ready, or would not be ready without
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -220,6 +220,62 @@
     EXPECT_EQ(fixture.schedule().starts.at(0).target.incarnation.id, endpoint);
 }
 
+// Guards against AVAIL: the start is carried out late, between the list without it and the stop.
+TEST(LongRunningTasks, StopOfAStartWithoutReplyEndsNoTaskThatItsStepCannotMiss)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    auto step = lastingStep(2, {1000, 100, 0});
+    step.maximumPerHost = 1;
+    fixture.addJob(lastingJob, step);
+    fixture.begin();
+    fixture.pollAll();
+    const auto starts = fixture.schedule().starts;
+    ASSERT_EQ(starts.size(), 2U);
+    const auto &late = starts[0];
+    const auto &other = starts[1];
+    const auto &endpoint = late.target.incarnation.id;
+    for (const auto &order : starts)
+        fixture.ledger.confirmStart(order);
+    fixture.ledger.startAnswered(late, {}, fixture.now());
+    fixture.confirm(other);
+    fixture.failPoll(other.target.incarnation.id);
+    fixture.advance(Utils::Milliseconds(700));
+    fixture.poll(endpoint);
+    EXPECT_TRUE(fixture.schedule().stops.empty());
+    // The order may have been carried out meanwhile, and the run at work is wanted.
+    fixture.poll(endpoint, {{late.task, late.run, "", 100, 0}});
+    EXPECT_TRUE(fixture.schedule().stops.empty());
+    EXPECT_TRUE(fixture.ledger.takeReleases().empty());
+}
+
+// Guards against LOST: nothing but the lease settles a start whose stop is held back.
+TEST(LongRunningTasks, StartWithoutReplyWhoseStopIsHeldBackIsRepeatedOnceItsLeaseIsOver)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob(lastingJob, lastingStep(2, {3000, 100, 0}));
+    fixture.begin();
+    fixture.pollAll();
+    const auto orderedAt = fixture.now();
+    for (const auto &order : fixture.schedule().starts) {
+        fixture.ledger.confirmStart(order);
+        fixture.ledger.startAnswered(order, {}, fixture.now());
+    }
+    std::vector<Execution::StartOrder> starts;
+    while (starts.empty() && fixture.now() - orderedAt < Utils::Milliseconds(6000)) {
+        fixture.advance(Utils::Milliseconds(500));
+        fixture.pollAll();
+        const auto orders = fixture.schedule();
+        EXPECT_TRUE(orders.stops.empty());
+        starts = orders.starts;
+    }
+    EXPECT_EQ(starts.size(), 2U);
+    EXPECT_LE(fixture.now() - orderedAt, Utils::Milliseconds(5600));
+}
+
 /*! \brief A pool whose hosts run long-running tasks, and a spare pool. */
 class SizingFixture
 {
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -280,6 +280,26 @@
     EXPECT_LE(repeated + (accepted ? 1U : 0U), 1U);
 }
 
+// Guards against LOST: each of two such runs keeps the other one from being stopped, without end.
+TEST(RestartedEndpoint, StartsWithoutReplyAreStoppedAlthoughTheirStepMissesTooManyTasks)
+{
+    LedgerFixture fixture;
+    const auto first = fixture.addEndpoint("a");
+    fixture.addJob("job", longRunningStep(2, 1));
+    fixture.begin();
+    fixture.poll("a");
+    const auto starts = fixture.schedule().starts;
+    ASSERT_EQ(starts.size(), 2U);
+    for (const auto &order : starts) {
+        EXPECT_TRUE(fixture.ledger.confirmStart(order));
+        fixture.ledger.startAnswered(order, {}, fixture.now());
+    }
+    fixture.ledger.addEndpoint(fixture.restart(first), fixture.now());
+    fixture.advance(Utils::Milliseconds(1000));
+    fixture.poll("a");
+    EXPECT_EQ(fixture.schedule().stops.size(), 2U);
+}
+
 TEST(RestartedEndpoint, MayRunWhatAnEarlierLeaderOrderedItsFormerIncarnationToStart)
 {
     LedgerFixture fixture;
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -633,7 +633,11 @@
     // Before a poll, it is not known whether the task is ready.
     EXPECT_TRUE(fixture.schedule().stops.empty());
     fixture.advance(longerThanAStopRetry);
+    // After a poll, the order may still be carried out.
     fixture.poll("a", {{other.task, other.run, "", 50, 0}});
+    EXPECT_TRUE(fixture.schedule().stops.empty());
+    fixture.advance(longerThanAStopRetry);
+    fixture.poll("a", {{other.task, other.run, "", 100, 0}});
     EXPECT_EQ(fixture.schedule().stops.size(), 1U);
 }
 
