Judge the waits of long-running tasks while leaders change

ModelWaits judged long-running tasks by the times of the rule LOST under one leader, and ModelFleet changed leaders without judging waits. So a wait that began anew with each leader was not found.

ModelWaits can change its leader now: one planned restart or up to eight, 1 to 6 s apart, 20 to 300 ms without a leader, from the first event on and during the calm stretch, which they do not end. Endpoints leave or are maintained meanwhile. Callers repeat submissions that a change of leader left unanswered, and the next leader takes over the orders for hosts.

--- a/tests/auto/execution/modelwaits.cpp
+++ b/tests/auto/execution/modelwaits.cpp
@@ -25,6 +25,10 @@
 constexpr std::int64_t backlogUs = 50 * ms;
 constexpr std::int64_t evacuateUs = 200 * ms;
 constexpr std::int64_t latestSubmissionUs = 14 * seconds;
+constexpr std::int64_t submitRetryUs = 100 * ms;
+constexpr std::int64_t forgetRetryUs = 300 * ms;
+constexpr std::int64_t latestFirstChangeUs = 20 * seconds;
+constexpr std::int64_t mostLeaderChanges = 8;
 constexpr std::int64_t neverUs = 1000 * seconds;
 
 constexpr std::int64_t hostCpu = 4000;
@@ -71,9 +75,7 @@
 
 } // namespace
 
-ModelWaits::ModelWaits(std::uint64_t seed,
-                       const std::optional<Jobs::TaskId> &traced,
-                       LongestTask longest)
+ModelWaits::ModelWaits(std::uint64_t seed, const WaitOptions &options)
     : m_random(seed)
     , m_watch(m_time)
     , m_gangs(m_time, m_random)
@@ -81,10 +83,10 @@
     , m_network(m_time, m_random)
     , m_membership(m_log)
     , m_hosts({m_time, m_random, m_watch, m_gangs}, m_network, m_membership)
-    , m_longest(longest)
+    , m_options(options)
 {
-    if (traced)
-        m_watch.trace(*traced);
+    if (options.trace)
+        m_watch.trace(*options.trace);
 }
 
 auto ModelWaits::configure() -> void
@@ -101,14 +103,23 @@
     Control::Command command;
     command.configuration = configuration;
     m_log.apply(command);
-    for (auto kind = 0; kind <= int(Fault::LostReplies); ++kind) {
+    drawFaults();
+    m_faultGapUs = m_random.between(200, 2500) * ms;
+    m_longestTaskMs = m_random.between(m_options.longest.leastMs, m_options.longest.mostMs);
+    m_largestShortPercent = m_random.between(8, 50);
+}
+
+// Each play has some kinds of faults, so that few of them meet often.
+auto ModelWaits::drawFaults() -> void
+{
+    const auto first = std::int64_t(m_options.plannedOnly ? Fault::Leave : Fault::Restart);
+    const auto last =
+        std::int64_t(m_options.plannedOnly ? Fault::CloseAndReopen : Fault::LostReplies);
+    for (auto kind = first; kind <= last; ++kind) {
         if (m_random.chance(evenPercent))
             m_kinds.insert(m_kinds.end(), std::size_t(m_random.between(1, 3)), Fault(kind));
     }
-    m_kinds.push_back(Fault(m_random.between(0, std::int64_t(Fault::LostReplies))));
-    m_faultGapUs = m_random.between(200, 2500) * ms;
-    m_longestTaskMs = m_random.between(m_longest.leastMs, m_longest.mostMs);
-    m_largestShortPercent = m_random.between(8, 50);
+    m_kinds.push_back(Fault(m_random.between(first, last)));
 }
 
 auto ModelWaits::play() -> WaitResult
@@ -119,13 +130,12 @@
     ModelTraits traits;
     traits.failurePercent = double(m_random.between(0, 1));
     m_hosts.start(std::size_t(hosts), traits);
-    m_leader = std::make_shared<ModelLeader>(
-        LeaderEnvironment{m_time, m_random, m_watch, m_network, m_log}, 1);
-    m_membership.use(m_leader);
-    m_leader->start();
+    startLeader();
     for (auto jobs = m_random.between(2, 4); jobs > 0; --jobs)
         m_time.after(m_random.between(0, latestSubmissionUs), [this] { submitLongRunning(); });
     fillBacklog();
+    if (m_options.leadersChange)
+        planLeaderChanges();
     m_time.after(firstFaultUs, [this] { nextFault(); });
     observe();
     m_time.runUntil(lastFaultUs);
@@ -135,6 +145,7 @@
     if (!m_result.task)
         m_result.task = m_watch.breachTask();
     m_result.starts = m_watch.starts();
+    m_result.leaders = m_term;
     m_result.trace = m_watch.traceText();
     return m_result;
 }
@@ -151,11 +162,21 @@
     return job;
 }
 
-auto ModelWaits::submit(Jobs::JobSpec job) -> void
+// Callers repeat what they got no acknowledgement for.
+auto ModelWaits::submit(const Jobs::JobSpec &job) -> void
 {
+    if (!m_leader) {
+        m_time.after(submitRetryUs, [this, job] { submit(job); });
+        return;
+    }
     Control::Command command;
-    command.submitJob = std::move(job);
-    m_log.commit({command}, [this](bool) { m_leader->wake(); });
+    command.submitJob = job;
+    m_log.commit({command}, [this, job](bool committed) {
+        if (committed)
+            m_leader->wake();
+        else
+            m_time.after(submitRetryUs, [this, job] { submit(job); });
+    });
 }
 
 auto ModelWaits::submitLongRunning() -> void
@@ -193,6 +214,39 @@
     m_time.after(backlogUs, [this] { fillBacklog(); });
 }
 
+auto ModelWaits::startLeader() -> void
+{
+    m_leader = std::make_shared<ModelLeader>(
+        LeaderEnvironment{m_time, m_random, m_watch, m_network, m_log}, ++m_term);
+    m_membership.use(m_leader);
+    m_leader->start();
+    // It takes the orders for hosts over.
+    for (const auto &endpoint : m_closed)
+        m_leader->setClosed(endpoint, true);
+}
+
+// Plans one restart of the leader, or a series of them a few seconds apart.
+auto ModelWaits::planLeaderChanges() -> void
+{
+    const auto times = m_random.chance(evenPercent) ? 1 : m_random.between(2, mostLeaderChanges);
+    const auto gapUs = m_random.between(1 * seconds, 6 * seconds);
+    m_time.after(m_random.between(firstFaultUs, latestFirstChangeUs),
+                 [this, gapUs, times] { changeLeaderEvery(gapUs, times); });
+}
+
+auto ModelWaits::changeLeaderEvery(std::int64_t gapUs, std::int64_t times) -> void
+{
+    if (times == 0)
+        return;
+    m_watch.noteEndpoint({}, "the leader of term " + std::to_string(m_term) + " ends");
+    m_leader->end();
+    m_leader = nullptr;
+    m_membership.use(nullptr);
+    m_log.loseLeader();
+    m_time.after(m_random.between(20 * ms, 300 * ms), [this] { startLeader(); });
+    m_time.after(gapUs, [this, gapUs, times] { changeLeaderEvery(gapUs, times - 1); });
+}
+
 auto ModelWaits::nextFault() -> void
 {
     if (m_time.nowUs() >= lastFaultUs)
@@ -257,13 +311,21 @@
     m_time.after(gapUs, [this, host, times] { flap(host, times - 1); });
 }
 
+// The pages let an endpoint work on for some seconds after the confirmation that it drains, which may
+// come with the second announcement. An endpoint in trouble leaves sooner.
+auto ModelWaits::drawDrainUs() -> std::int64_t
+{
+    return m_options.plannedOnly ? m_random.between(3500 * ms, 7 * seconds)
+                                 : m_random.between(500 * ms, 4 * seconds);
+}
+
 auto ModelWaits::leave(std::size_t host) -> void
 {
     if (m_departed.contains(host))
         return;
     m_hosts.leave(
         host,
-        m_random.between(500 * ms, 4 * seconds),
+        drawDrainUs(),
         {m_random.between(1 * seconds, 4 * seconds), false, m_random.chance(evenPercent)});
 }
 
@@ -275,14 +337,14 @@
                              && !m_closed.contains(m_hosts.endpoint(host).record().incarnation.id);
     if (!undisturbed || m_departed.size() >= most)
         return;
-    m_hosts.leave(host, m_random.between(500 * ms, 4 * seconds), {neverUs, false, false});
+    m_hosts.leave(host, drawDrainUs(), {neverUs, false, false});
     m_departed.insert(host);
 }
 
 // Closes and evacuates the endpoint, and then reopens it or has its host maintained.
 auto ModelWaits::maintain(std::size_t host, bool reopen) -> void
 {
-    if (!m_hosts.isUp(host))
+    if (!m_leader || !m_hosts.isUp(host))
         return;
     const auto known =
         m_leader->ledger().endpoints().find(m_hosts.endpoint(host).record().incarnation.id);
@@ -302,7 +364,8 @@
 {
     if (!m_closed.contains(incarnation.id))
         return;
-    m_leader->evacuate(incarnation.id);
+    if (m_leader)
+        m_leader->evacuate(incarnation.id);
     m_time.after(evacuateUs, [this, incarnation] { evacuate(incarnation); });
 }
 
@@ -314,14 +377,33 @@
     const auto stays =
         m_hosts.isUp(host) && m_hosts.endpoint(host).record().incarnation.id == incarnation.id;
     if (reopen || !stays) {
-        m_watch.noteEndpoint(incarnation.id, "is reopened");
-        m_leader->setClosed(incarnation.id, false);
-        m_leader->wake();
+        openAgain(incarnation.id);
         return;
     }
     m_hosts.crash(host, {2 * seconds, false, m_random.chance(evenPercent)});
-    m_time.after(m_random.between(1 * ms, 60 * ms),
-                 [this, incarnation] { m_leader->forgetEndpoint(incarnation); });
+    m_time.after(m_random.between(1 * ms, 60 * ms), [this, incarnation] { forget(incarnation); });
+}
+
+auto ModelWaits::openAgain(const std::string &endpoint) -> void
+{
+    m_watch.noteEndpoint(endpoint, "is reopened");
+    if (!m_leader)
+        return;
+    m_leader->setClosed(endpoint, false);
+    m_leader->wake();
+}
+
+// Removes the endpoint of a maintained host. The next leader does it anew: its predecessor may not
+// have committed it.
+auto ModelWaits::forget(const Control::EndpointIncarnation &incarnation) -> void
+{
+    if (m_leader)
+        m_leader->forgetEndpoint(incarnation);
+    const auto by = m_leader;
+    m_time.after(forgetRetryUs, [this, by, incarnation] {
+        if (!by || by != m_leader)
+            forget(incarnation);
+    });
 }
 
 // Cuts the endpoint off from orders, or its replies and announcements from the leader.
@@ -372,6 +454,8 @@
 // Keeps each change of what a task waits for.
 auto ModelWaits::noteReasons() -> void
 {
+    if (!m_leader)
+        return;
     std::map<Jobs::TaskId, std::string> reasons;
     for (const auto &waiting : m_leader->waitingLongRunningTasks()) {
         reasons[waiting.task] = textOf(waiting);
--- a/tests/auto/execution/modelwaits.h
+++ b/tests/auto/execution/modelwaits.h
@@ -24,6 +24,7 @@
     std::string trace;                //!< Events of the traced task.
     std::int64_t starts = 0;
     std::int64_t faults = 0;
+    std::int64_t leaders = 0;
     //! Longest time for which a long-running task counted as missing in the calm stretch.
     std::int64_t longestMissingUs = 0;
 };
@@ -35,6 +36,16 @@
     std::int64_t mostMs = 2500;
 };
 
+/*! \brief What a test adds to the plays. */
+struct WaitOptions
+{
+    LongestTask longest;
+    //! Planned restarts change the leader, in the calm stretch as well: they do not end the calm.
+    bool leadersChange = false;
+    bool plannedOnly = false; //!< Endpoints leave or are maintained, and nothing else happens.
+    std::optional<Jobs::TaskId> trace; //!< Task whose events are kept.
+};
+
 /*!
     \brief One random play of a pool with a backlog of short tasks, long-running ones and faults.
 
@@ -45,14 +56,12 @@
 class ModelWaits
 {
 public:
-    /*! \brief Creates the play of \a seed; the events of \a traced are kept. */
-    ModelWaits(std::uint64_t seed,
-               const std::optional<Jobs::TaskId> &traced,
-               LongestTask longest = {});
+    ModelWaits(std::uint64_t seed, const WaitOptions &options);
 
     auto play() -> WaitResult;
 
 private:
+    //! Planned events are those from Leave to CloseAndReopen.
     enum class Fault {
         Restart,
         Flap,
@@ -75,15 +84,21 @@
     };
 
     auto configure() -> void;
-    auto submit(Jobs::JobSpec job) -> void;
+    auto drawFaults() -> void;
+    auto submit(const Jobs::JobSpec &job) -> void;
     auto newJob(const Jobs::StepSpec &step, std::int64_t durationMs) -> Jobs::JobSpec;
     auto submitLongRunning() -> void;
     auto submitShort() -> void;
     auto fillBacklog() -> void;
 
+    auto startLeader() -> void;
+    auto planLeaderChanges() -> void;
+    auto changeLeaderEvery(std::int64_t gapUs, std::int64_t times) -> void;
+
     auto nextFault() -> void;
     auto strike(Fault fault) -> void;
     auto flap(std::size_t host, std::int64_t times) -> void;
+    auto drawDrainUs() -> std::int64_t;
     auto leave(std::size_t host) -> void;
     auto depart(std::size_t host) -> void;
     auto maintain(std::size_t host, bool reopen) -> void;
@@ -91,6 +106,8 @@
     auto endMaintenance(std::size_t host,
                         const Control::EndpointIncarnation &incarnation,
                         bool reopen) -> void;
+    auto openAgain(const std::string &endpoint) -> void;
+    auto forget(const Control::EndpointIncarnation &incarnation) -> void;
     auto cut(std::size_t host, bool orders) -> void;
     auto loseReplies() -> void;
     auto isDisturbed() const -> bool;
@@ -109,7 +126,8 @@
     ModelNetwork m_network;
     ModelMembership m_membership;
     ModelHosts m_hosts;
-    std::shared_ptr<ModelLeader> m_leader;
+    std::shared_ptr<ModelLeader> m_leader; //!< None while the leader changes.
+    std::int64_t m_term = 0;
     std::vector<Fault> m_kinds; //!< Faults of this play; frequent ones are listed several times.
     std::int64_t m_faultGapUs = 0;
     std::int64_t m_disturbedUntilUs = 0; //!< The last fault of the network or the leader ends then.
@@ -117,7 +135,7 @@
     std::set<std::string> m_closed;      //!< Endpoints that are closed for maintenance.
     std::int64_t m_calmSinceUs = 0;
     std::size_t m_backlog = 0; //!< Active short jobs that are kept up.
-    LongestTask m_longest;
+    WaitOptions m_options;
     std::int64_t m_longestTaskMs = 0;
     std::int64_t m_largestShortPercent = 0; //!< Of a host's capacity.
     std::int64_t m_jobs = 0;
--- a/tests/auto/execution/tst_randomwaits.cpp
+++ b/tests/auto/execution/tst_randomwaits.cpp
@@ -22,26 +22,29 @@
 }
 
 // Plays the seed again, and returns what happened to the task of the result.
-auto traceOf(std::uint64_t seed, const WaitResult &result) -> std::string
+auto traceOf(std::uint64_t seed, WaitOptions options, const WaitResult &result) -> std::string
 {
-    return ModelWaits(seed, result.task).play().trace;
+    options.trace = result.task;
+    return ModelWaits(seed, options).play().trace;
 }
 
 // Plays the seeds that RANDOMWAITS_FIRST and RANDOMWAITS_SEEDS name, by default a fixed set. With
 // RANDOMWAITS_TRACE, all events of the tasks that failed are shown.
-TEST(RandomWaits, NoLongRunningTaskWaitsLongBehindABacklog)
+auto playSeeds(const WaitOptions &options) -> void
 {
     const auto first = numberFrom("RANDOMWAITS_FIRST", 1);
     const auto count = numberFrom("RANDOMWAITS_SEEDS", defaultSeeds);
     const auto traces = numberFrom("RANDOMWAITS_TRACE", 0) != 0;
     std::int64_t starts = 0;
     std::int64_t faults = 0;
+    std::int64_t leaders = 0;
     std::int64_t longestMissingUs = 0;
     std::int64_t longestSeed = first;
     for (auto seed = first; seed < first + count; ++seed) {
-        const auto result = ModelWaits(std::uint64_t(seed), std::nullopt).play();
+        const auto result = ModelWaits(std::uint64_t(seed), options).play();
         starts += result.starts;
         faults += result.faults;
+        leaders += result.leaders;
         if (result.longestMissingUs > longestMissingUs) {
             longestMissingUs = result.longestMissingUs;
             longestSeed = seed;
@@ -49,17 +52,33 @@
         EXPECT_EQ(result.late, "") << "seed " << seed << ", it waited for:\n" << result.waits;
         EXPECT_EQ(result.breach, "") << "seed " << seed;
         if (traces && result.task)
-            std::cout << traceOf(std::uint64_t(seed), result);
+            std::cout << traceOf(std::uint64_t(seed), options, result);
     }
-    std::cout << count << " plays from seed " << first << ": " << faults << " faults, " << starts
-              << " runs, a task was missing for " << longestMissingUs / usPerMs
-              << " ms at most (seed " << longestSeed << ")\n";
+    std::cout << count << " plays from seed " << first << ": " << faults << " faults, " << leaders
+              << " leaders, " << starts << " runs, a task was missing for "
+              << longestMissingUs / usPerMs << " ms at most (seed " << longestSeed << ")\n";
+}
+
+TEST(RandomWaits, NoLongRunningTaskWaitsLongBehindABacklog)
+{
+    playSeeds({});
+}
+
+// Guards against LOST: a wait for a run that has ended begins anew with each leader.
+TEST(RandomWaits, NoLongRunningTaskWaitsLongWhileLeadersChange)
+{
+    WaitOptions options;
+    options.leadersChange = true;
+    options.plannedOnly = true;
+    playSeeds(options);
 }
 
 // Guards against LOST: a task waits for the lease of a lost endpoint, and only then claims room.
 TEST(RandomWaits, TaskOfALostEndpointWaitsNotLongBehindTasksOfSeveralSeconds)
 {
-    const auto result = ModelWaits(seedOfALostEndpoint, std::nullopt, severalSeconds).play();
+    WaitOptions options;
+    options.longest = severalSeconds;
+    const auto result = ModelWaits(seedOfALostEndpoint, options).play();
     EXPECT_EQ(result.late, "") << "it waited for:\n" << result.waits;
 }
 
