Release a run that lists leave out for longer than a stop takes

Cause: an endpoint need not list a run that is being stopped, although it may go on for a while, and the time that it may go on was counted from an accepted stop alone.

A confirmed run that a complete list leaves out has been stopped or has ended by then, whichever stop did it. So it is over once the time that a stop takes has passed since that reply, and a complete list that was asked for later still leaves it out; had it ended meanwhile, that list would hold its end. A list that holds the run begins this anew, lists that may lack entries settle nothing, and a list of before the start's reply does not count: the confirmation of a start resets what earlier lists have told, which also let the stop of a task at work pass without the check of what its step may miss.

Evidence: RunThatIsNotListedForLongerThanAStopTakesIsNotHeldWithoutEnd and RunThatIsNotListedAnyMoreMayGoOnForAsLongAsAStopTakes failed with the former rule, and ListWithoutARunThatIsNotConfirmedYetDoesNotShortenItsStop without that reset. RunThatIsListedAgainCountsAsAtWork guards the new rule.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -51,6 +51,7 @@
     bool listed = false;            //!< The poll reply that is being processed lists the run.
     //! The last complete list is that of a poll sent after the start, and does not hold the run.
     bool unlisted = false;
+    Utils::Instant unlistedAt;            //!< Time of the reply from which on the run is unlisted.
     std::optional<StopReason> stopReason; //!< Set if the run is to be stopped.
     Utils::Instant stopSentAt;            //!< Time of the last stop order; zero if there was none.
     Utils::Instant stopAnsweredAt; //!< Time of the first accepted stop; zero if there was none.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -417,7 +417,10 @@
             run.unlisted = false;
         if (listed || reply.truncated)
             continue;
+        const auto unlistedBefore = run.unlisted;
         run.unlisted = std::max(run.orderedAt, run.confirmedAt) < sentAt;
+        if (!unlistedBefore)
+            run.unlistedAt = endpoint.lastReplyAt;
         // Times have a resolution of 1 ms, and the network delay may be shorter: an order whose
         // reply arrived in the same millisecond in which the poll was sent may have been carried
         // out after the poll.
@@ -429,7 +432,11 @@
         const auto stopping = run.stopSentAt != Utils::Instant()
                               && (run.stopAnsweredAt == Utils::Instant()
                                   || run.stopAnsweredAt + m_timing.longestStop >= sentAt);
-        if (stopping && !leaseOver)
+        // The first list without it proves that a stop had arrived, although none may have been
+        // answered, so the run is over after the time that a stop takes.
+        const auto ended =
+            vanished && unlistedBefore && run.unlistedAt + m_timing.longestStop < sentAt;
+        if (stopping && !leaseOver && !ended)
             continue;
         if (!stopped && !vanished && !leaseOver)
             continue;
@@ -590,6 +597,7 @@
         run.leaseEndMs = INT64_MAX;
         run.stopSentAt = {};
         run.stopAnsweredAt = {};
+        run.unlisted = false;
         endpoint.runs.add(run);
     }
     m_outliving.erase(found);
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -648,6 +648,7 @@
     if (reply.result == StartResult::Started) {
         run->state = RunState::Running;
         run->confirmedAt = now;
+        run->unlisted = false;
         m_startedJobs.insert(order.task.job);
         return;
     }
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -276,6 +276,92 @@
     EXPECT_LE(fixture.now() - orderedAt, Utils::Milliseconds(5600));
 }
 
+/*! \brief A task at work on "a" that is ordered to stop there, beside an idle "b". */
+class StopInFlight : public testing::Test
+{
+protected:
+    StopInFlight()
+    {
+        m_fixture.addEndpoint("a");
+        m_fixture.addJob(lastingJob, lastingStep(1, {1000, 100, 0}));
+        m_fixture.begin();
+        m_fixture.poll("a");
+        m_start = m_fixture.schedule().starts.at(0);
+        m_fixture.confirm(m_start);
+        m_fixture.addEndpoint("b");
+        m_fixture.ledger.drain("a");
+        m_fixture.poll("b");
+        EXPECT_EQ(m_fixture.schedule().stops.size(), 1U);
+        m_fixture.advance(Utils::Milliseconds(1));
+    }
+    auto startsAfterPoll(std::vector<Execution::RunningTask> running = {}) -> std::size_t
+    {
+        m_fixture.poll("b");
+        m_fixture.poll("a", std::move(running));
+        return m_fixture.schedule().starts.size();
+    }
+    auto listedRun() const -> std::vector<Execution::RunningTask>
+    {
+        return {{m_start.task, m_start.run, "", 100, 0}};
+    }
+
+    LedgerFixture m_fixture;
+    Execution::StartOrder m_start;
+};
+
+// Guards against LOST: the endpoint answers polls, and never a stop.
+TEST_F(StopInFlight, RunThatIsNotListedForLongerThanAStopTakesIsNotHeldWithoutEnd)
+{
+    EXPECT_EQ(startsAfterPoll(), 0U);
+    m_fixture.advance(Utils::Milliseconds(500));
+    EXPECT_EQ(startsAfterPoll(), 1U);
+}
+
+// Guards against TWICE: a run that is being stopped need not be listed.
+TEST_F(StopInFlight, RunThatIsNotListedAnyMoreMayGoOnForAsLongAsAStopTakes)
+{
+    m_fixture.advance(Utils::Milliseconds(5000));
+    EXPECT_EQ(startsAfterPoll(listedRun()), 0U);
+    m_fixture.advance(Utils::Milliseconds(5000));
+    EXPECT_EQ(startsAfterPoll(), 0U);
+    m_fixture.advance(Utils::Milliseconds(380));
+    EXPECT_EQ(startsAfterPoll(), 0U);
+    m_fixture.advance(Utils::Milliseconds(100));
+    EXPECT_EQ(startsAfterPoll(), 1U);
+}
+
+// Guards against TWICE: the time since a list without the run counts, not that since an earlier one.
+TEST_F(StopInFlight, RunThatIsListedAgainCountsAsAtWork)
+{
+    EXPECT_EQ(startsAfterPoll(), 0U);
+    m_fixture.advance(Utils::Milliseconds(300));
+    EXPECT_EQ(startsAfterPoll(listedRun()), 0U);
+    m_fixture.advance(Utils::Milliseconds(300));
+    EXPECT_EQ(startsAfterPoll(), 0U);
+}
+
+// Guards against TWICE: a list of before the start's reply tells nothing of a stop.
+TEST(LongRunningTasks, ListWithoutARunThatIsNotConfirmedYetDoesNotShortenItsStop)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob(lastingJob, lastingStep(1, {1000, 100, 0}));
+    fixture.begin();
+    fixture.poll("a");
+    const auto start = fixture.schedule().starts.at(0);
+    fixture.advance(Utils::Milliseconds(1));
+    fixture.poll("a");
+    fixture.confirm(start);
+    fixture.addEndpoint("b");
+    fixture.ledger.drain("a");
+    fixture.advance(Utils::Milliseconds(1000));
+    EXPECT_EQ(fixture.schedule().stops.size(), 1U);
+    fixture.advance(Utils::Milliseconds(1));
+    fixture.poll("b");
+    fixture.poll("a");
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+}
+
 /*! \brief A pool whose hosts run long-running tasks, and a spare pool. */
 class SizingFixture
 {
