Show that a start without a reply is held without end by an endpoint that answers no stop

An order may be late by 13 s, so that a list asked for after that, and after the time that a stop takes, proves the run to be gone. A mend is left out, since that still makes a task wait for longer than the rule LOST allows.

--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -164,6 +164,24 @@
     EXPECT_EQ(starts(), 1U);
 }
 
+// Guards against LOST: the next incarnation answers polls, and never a stop.
+TEST_F(StartInFlight, IsNotHeldWithoutEndIfTheNextIncarnationAnswersNoStop)
+{
+    send();
+    replace();
+    m_fixture.ledger.startAnswered(m_order, {}, m_fixture.now());
+    const auto unansweredAt = m_fixture.now();
+    std::size_t started = 0;
+    for (auto poll = 0; poll < 15 && started == 0; ++poll) {
+        m_fixture.advance(Utils::Milliseconds(1000));
+        m_fixture.pollAll();
+        started = starts();
+    }
+    EXPECT_EQ(started, 1U);
+    // Until then, the order may be carried out late.
+    EXPECT_GE(m_fixture.now() - unansweredAt, Utils::Milliseconds(13'000));
+}
+
 TEST_F(StartInFlight, IsRepeatedOnceTheNextIncarnationRefusesIt)
 {
     send();
