Test that hosts which have crashed are not released in place of others

HostMovePlan.ReleasesNoHostThatHasCrashed fails on the logic of: it closes b1, the endpoint of a crashed host. Endpoints without runs are released first, and those of crashed hosts stay in the ledger without runs. Seen in play: no host moved from 18.9 to 33 s, while a pool kept 79 hosts and two others lacked hosts for long-running tasks for 16 s.

--- a/tests/auto/execution/tst_hostmoveplan.cpp
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -151,6 +151,12 @@
             m_list.hosts.push_back({"host-" + id, pool, HostState::Up, id});
         }
     }
+    /*! \brief Ends a host for good: its endpoint no longer replies, and lists of hosts lack it. */
+    auto loseHost(const std::string &endpoint) -> void
+    {
+        std::erase_if(m_list.hosts, [&](const auto &host) { return host.endpoint == endpoint; });
+        ledger.failPoll(endpoint);
+    }
     /*! \brief Adds a job of long-running tasks, no two of which may share a host. */
     auto addApart(const std::string &pool, std::int64_t count) -> void
     {
@@ -250,6 +256,34 @@
     EXPECT_EQ(closed.front().substr(0, 1), "b");
 }
 
+// Guards against long waits: the endpoints of crashed hosts, which run nothing, were released in place of
+// the hosts that another pool lacked.
+TEST(HostMovePlan, ReleasesNoHostThatHasCrashed)
+{
+    PoolsFixture fixture({"other", "lacking"});
+    fixture.addHosts("pool", {"a1", "a2"});
+    fixture.addHosts("other", {"b1", "b2", "b3", "b4", "b5"});
+    fixture.addHosts("lacking", {"c1"});
+    fixture.ledger.addJob("backlog-b", plainStep(backlogTasks), "other");
+    fixture.addApart("lacking", 2);
+    fixture.begin();
+    for (const auto *crashed : {"b1", "b2"})
+        fixture.loseHost(crashed);
+    fixture.ledger.advance(Utils::Milliseconds(longAfterParkingMs));
+    for (const auto *up : {"a1", "a2", "b3", "b4", "b5", "c1"})
+        fixture.ledger.poll(up);
+    fixture.ledger.ledger.expireLeases(fixture.ledger.now());
+    fixture.startAll();
+    std::vector<std::string> closed;
+    for (auto pass = 0; pass < 10; ++pass) {
+        for (auto &id : fixture.next(hostsOff).close)
+            closed.push_back(std::move(id));
+    }
+    ASSERT_EQ(closed.size(), 1U);
+    EXPECT_TRUE(closed.front() == "b3" || closed.front() == "b4" || closed.front() == "b5")
+        << closed.front();
+}
+
 // Guards against LOST: an idle host whose move had to wait for an order got short tasks again.
 TEST(HostMovePlan, ReleasedHostThatIsIdleStaysClosedWhileItsMoveWaitsForAnOrder)
 {
