Record runs that are found, and no inherited start as gone while it may be late

- A run that a poll finds after its task was recorded as gone had no record, so that the next leader started the task before it had polled that endpoint.
Runs that polls find are recorded now, unless the state names their incarnation already.
- Which starts of an earlier leader got no reply is not known, so that a start that may still be carried out was recorded as gone once the longest lease was over.

Evidence: his two tests, which failed, and one of a refused start that has another copy.

--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -244,6 +244,9 @@
     if (!orders.gone.empty())
         AsyncNet::start(
             m_parts.loop, "gone runs", recordGone(std::move(orders.gone)), shared_from_this());
+    if (!orders.found.empty())
+        AsyncNet::start(
+            m_parts.loop, "found runs", recordFound(std::move(orders.found)), shared_from_this());
     for (auto &order : orders.paces)
         AsyncNet::start(m_parts.loop, "pace", sendPace(std::move(order)), shared_from_this());
 }
@@ -326,6 +329,21 @@
     }
 }
 
+// The next leader has to look for the runs where they were found.
+auto LeaderSession::recordFound(std::vector<StartOrder> runs) -> Task
+{
+    while (m_active) {
+        std::erase_if(runs, [this](const auto &run) { return !m_ledger.holds(run); });
+        if (runs.empty())
+            co_return;
+        auto commands = recordsOf(runs, m_term);
+        const auto result = co_await commit(std::move(commands));
+        if (result == CommitResult::Committed)
+            co_return;
+        co_await AsyncNet::pause(commitRetry);
+    }
+}
+
 auto LeaderSession::sendStart(StartOrder order) -> Task
 {
     const auto since = m_parts.clock.now();
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -72,6 +72,7 @@
     auto tick() -> Task;
     auto recordAndSend(std::vector<StartOrder> orders) -> Task;
     auto recordGone(std::vector<Jobs::TaskId> tasks) -> Task;
+    auto recordFound(std::vector<StartOrder> runs) -> Task;
     auto commitUntilDone(std::vector<Control::Command> commands, std::vector<Jobs::TaskId> gone)
         -> AsyncNet::Task<bool>;
     auto commit(std::vector<Control::Command> commands) -> AsyncNet::Task<CommitResult>;
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -47,6 +47,10 @@
     m_unplaced.clear();
     m_releases.clear();
     m_gone.clear();
+    m_takenGone.clear();
+    m_formerStarts.clear();
+    m_found.clear();
+    m_beganAt = now;
     m_jobsVersion = 0;
     for (const auto &[id, known] : state.endpoints) {
         addEndpoint(known.record, now);
@@ -397,6 +401,12 @@
         adopted.requestStop(StopReason::Draining);
     m_stopsDue = m_stopsDue || adopted.stopReason;
     m_startedJobs.insert(row.task.job);
+    if (job != nullptr && adopted.stopReason != StopReason::SecondRun) {
+        auto &found = m_found.emplace_back();
+        found.target = target(endpoint);
+        found.task = row.task;
+        found.run = row.run;
+    }
     if (job != nullptr) {
         job->addEndpoint(endpoint.record.incarnation.id);
         job->setState(row.task, TaskState::Booked);
@@ -513,17 +523,21 @@
            && job->second.state(task) == TaskState::Open;
 }
 
-auto RunLedger::takeGone(const Control::State &state) -> std::vector<Jobs::TaskId>
+auto RunLedger::takeGone(const Control::State &state, Utils::Instant now)
+    -> std::vector<Jobs::TaskId>
 {
     std::vector<Jobs::TaskId> gone;
     if (m_gone.empty())
         return gone;
+    if (now - m_beganAt > longestLateStart)
+        m_formerStarts.clear();
     const auto late = tasksOfLateStarts();
     std::erase_if(m_gone, [&](const Jobs::TaskId &task) {
         if (!isOpen(task))
             return true;
-        // A later leader does not block late starts, so it has to wait for their endpoints.
-        if (late.contains(task))
+        // A later leader does not block late starts, so it has to wait for their endpoints. Which
+        // starts of an earlier leader are late is not known.
+        if (late.contains(task) || m_formerStarts.contains(task))
             return false;
         const auto job = state.startedTasks.find(task.job);
         if (job == state.startedTasks.end())
@@ -535,13 +549,40 @@
         gone.push_back(task);
         return true;
     });
+    m_takenGone.insert(gone.begin(), gone.end());
     return gone;
 }
 
+// Returns the found runs whose start is recorded elsewhere or not at all, or was recorded as gone: a
+// later leader would not look for them where they run.
+auto RunLedger::takeFound(const Control::State &state) -> std::vector<StartOrder>
+{
+    auto found = std::exchange(m_found, {});
+    std::erase_if(found, [&](const StartOrder &order) {
+        if (!holds(order))
+            return true;
+        if (m_takenGone.contains(order.task))
+            return false;
+        const auto job = state.startedTasks.find(order.task.job);
+        if (job == state.startedTasks.end())
+            return false;
+        const auto start = job->second.find(order.task);
+        return start != job->second.end() && start->second.incarnation == order.target.incarnation;
+    });
+    return found;
+}
+
+auto RunLedger::holds(const StartOrder &order) -> bool
+{
+    return findRun(order.target, order.task, order.run) != nullptr;
+}
+
 // Sets the task of a run that counts as gone open, unless it is booked elsewhere.
 auto RunLedger::release(Release release) -> void
 {
     reopen(release.task);
+    if (release.run == 0)
+        m_formerStarts.insert(release.task);
     if (m_releases.size() < maximumReleases)
         m_releases.push_back(std::move(release));
 }
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -44,6 +44,8 @@
     std::vector<PaceOrder> paces;
     //! Tasks that wait and that nothing runs any more, although a start of them is recorded.
     std::vector<Jobs::TaskId> gone;
+    //! Runs that polls found and that no record names; their start is to be recorded.
+    std::vector<StartOrder> found;
 };
 
 /*! \brief The consequences of a poll reply: task ends to record, and changes of the endpoint. */
@@ -154,7 +156,9 @@
         \brief Returns the tasks that wait and that nothing runs any more, once for each start of
         them that \a state holds.
     */
-    auto takeGone(const Control::State &state) -> std::vector<Jobs::TaskId>;
+    auto takeGone(const Control::State &state, Utils::Instant now) -> std::vector<Jobs::TaskId>;
+    /*! \brief Returns true if the run is booked on the incarnation that the order names. */
+    auto holds(const StartOrder &order) -> bool;
     /*! \brief Returns true if the task waits, and nothing runs it. */
     auto isOpen(const Jobs::TaskId &task) const -> bool;
     /*! \brief Like confirmRecord() for a recorded start, which counts as sent if that is true. */
@@ -223,6 +227,7 @@
     auto takeOutlivingRuns(EndpointEntry &endpoint) -> void;
     auto expireOutlivingRuns(Utils::Instant now) -> void;
     auto blockLateStarts(const EndpointEntry &endpoint) -> void;
+    auto takeFound(const Control::State &state) -> std::vector<StartOrder>;
     auto tasksOfLateStarts() const -> std::set<Jobs::TaskId>;
     auto forgetLateStarts(Utils::Instant now) -> void;
     auto reopen(const Jobs::TaskId &task) -> void;
@@ -309,6 +314,11 @@
     std::vector<Release> m_releases;
     //! Tasks whose run is gone since their start was recorded, until they start again.
     std::set<Jobs::TaskId> m_gone;
+    std::set<Jobs::TaskId> m_takenGone; //!< Tasks that takeGone() has returned in this term.
+    //! Tasks that an earlier leader had started, and that were released while that order may be late.
+    std::set<Jobs::TaskId> m_formerStarts;
+    std::vector<StartOrder> m_found; //!< Runs that polls found since the last pass.
+    Utils::Instant m_beganAt;        //!< Beginning of the term.
     std::map<std::string, PoolDemand> m_demand;
     //! Endpoints that the last pass kept free for long-running tasks.
     std::set<std::string> m_keptFree;
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -76,7 +76,8 @@
         stopUnwanted(now, orders);
     paceBackfill(now, orders);
     startTasks(now, wallMs, orders);
-    orders.gone = takeGone(state);
+    orders.gone = takeGone(state, now);
+    orders.found = takeFound(state);
     return orders;
 }
 
--- a/tests/auto/execution/modelleader.cpp
+++ b/tests/auto/execution/modelleader.cpp
@@ -225,7 +225,7 @@
     Control::Command command;
     command.removeEndpoint = incarnation;
     std::vector<Control::Command> commands{command};
-    addGone(m_ledger.takeGone(m_environment.log.state()), commands);
+    addGone(m_ledger.takeGone(m_environment.log.state(), m_environment.time.now()), commands);
     m_environment.log.commit(std::move(commands),
                              [self = shared_from_this(), done](bool committed) {
                                  if (!committed)
@@ -261,6 +261,9 @@
         recordAndSend(std::move(orders.starts));
     std::vector<Control::Command> commands;
     addGone(std::move(orders.gone), commands);
+    for (const auto &run : orders.found)
+        commands.emplace_back().recordStarts =
+            Control::RecordStarts{run.target.incarnation, {run.task}, m_term};
     if (!commands.empty())
         m_environment.log.commit(std::move(commands), [](bool) {});
     for (const auto &order : orders.paces)
--- a/tests/auto/execution/tst_leaderchanges.cpp
+++ b/tests/auto/execution/tst_leaderchanges.cpp
@@ -37,7 +37,7 @@
     auto leave() -> std::vector<Jobs::TaskId>
     {
         m_ledger.removeEndpoint("leaving");
-        return m_ledger.ledger.takeGone(m_ledger.state);
+        return m_ledger.ledger.takeGone(m_ledger.state, m_ledger.now());
     }
     auto record(const std::vector<Jobs::TaskId> &gone) -> void
     {
@@ -93,7 +93,7 @@
     fixture.recordStart("a", starts.front().task);
     ASSERT_TRUE(fixture.ledger.confirmStart(starts.front()));
     fixture.removeEndpoint("a");
-    EXPECT_TRUE(fixture.ledger.takeGone(fixture.state).empty());
+    EXPECT_TRUE(fixture.ledger.takeGone(fixture.state, fixture.now()).empty());
     EXPECT_TRUE(fixture.schedule().gone.empty());
 }
 
@@ -106,8 +106,6 @@
     EXPECT_TRUE(fixture.leave().empty());
 }
 
-// The following tests show what a review of issue 44 found. Each fails.
-
 // Guards against TWICE: a run that is found after the task was recorded as gone has no record.
 TEST(LeaderChanges, RunThatIsFoundAfterItsTaskWasRecordedAsGoneIsNotRepeatedByTheNextLeader)
 {
@@ -135,6 +133,28 @@
     EXPECT_TRUE(fixture.schedule().starts.empty());
 }
 
+// Guards against TWICE: a run whose refused start had another copy is found after its task counted as gone.
+TEST(LeaderChanges, RunThatIsFoundAfterItsTaskWasTakenForGoneIsRecordedAgain)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob(lastingJob, longRunningStep(1, 1));
+    fixture.begin();
+    fixture.poll("a");
+    const auto starts = fixture.schedule().starts;
+    ASSERT_EQ(starts.size(), 1U);
+    const auto &order = starts.front();
+    fixture.recordStart("a", order.task);
+    ASSERT_TRUE(fixture.ledger.confirmStart(order));
+    fixture.refuse(order);
+    ASSERT_EQ(fixture.schedule().gone.size(), 1U);
+    fixture.poll("a", {{order.task, order.run, "", 100, 0}});
+    const auto found = fixture.schedule().found;
+    ASSERT_EQ(found.size(), 1U);
+    EXPECT_EQ(found.front().target.incarnation.id, "a");
+    EXPECT_TRUE(fixture.schedule().found.empty());
+}
+
 // Guards against TWICE: a leader does not know which starts of its predecessor got no answer.
 TEST(LeaderChanges, StartOfAFormerLeaderIsNotRecordedAsGoneWhileItMayBeCarriedOut)
 {
