Test that endpoints which do not reply to polls get no long-running tasks

Seen in play: a poll of i-06d0cb14c7 fails at 12.050 s, a task is ordered to start there at 12.223 s without an answer, and further starts until 14.575 s make its lease end at 19.802 s.

--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -465,6 +465,21 @@
     EXPECT_EQ(fixture.onlyWait().reason, WaitReason::NoOpenEndpoint);
 }
 
+// Guards against long waits: a start was sent to an endpoint whose last poll had got no reply. Nothing
+// settled it before the lease was over, and the start made that later, too.
+TEST(LongRunningTasks, AreNotStartedOnAnEndpointThatDoesNotReplyToPolls)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.begin();
+    fixture.poll("a");
+    fixture.failPoll("a");
+    fixture.addJob(lastingJob, lastingStep(1, {1000, 100, 0}));
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.poll("a");
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
 TEST(LongRunningTasks, WaitForALimitIsExplained)
 {
     auto step = lastingStep(2, {1000, 100, 0});
