Release no hosts whose endpoints do not answer

Cause: endpoints with the fewest runs are released first. Those of crashed hosts stay in the ledger without runs, so they are closed in place of others, and count as released from then on although no host of theirs can move.

Only endpoints that answered the last poll are released now, and a released one that does not answer is not counted. Evidence: HostMovePlan.ReleasesNoHostThatHasCrashed failed, as it closed the endpoint of a crashed host.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -220,11 +220,14 @@
             if (endpoint.record.pool != pool.name)
                 continue;
             if (m_releasing.contains(id)) {
+                // Its host may have crashed, so that there is nothing to move.
+                if (!endpoint.answers)
+                    continue;
                 if (wanted-- > 0)
                     continue;
                 m_releasing.erase(id);
                 moves.open.push_back(id);
-            } else if (endpoint.polled && !endpoint.isClosed() && !endpoint.draining
+            } else if (endpoint.answers && !endpoint.isClosed() && !endpoint.draining
                        && !endpoint.holdsLongRunning() && !ledger.isKeptFree(id)) {
                 open.push_back(&endpoint);
             }
