Start no tasks on endpoints that did not answer the last poll

Cause: an endpoint accepted tasks while its last reply was younger than 2.8 s, whatever became of the polls since then.

An endpoint accepts tasks now only if the last poll was answered. Evidence: LongRunningTasks.AreNotStartedOnAnEndpointThatDoesNotReplyToPolls failed.

--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -274,7 +274,7 @@
 
 auto RunLedger::acceptsTasks(const EndpointEntry &endpoint, Utils::Instant now) const -> bool
 {
-    return endpoint.polled && !endpoint.draining && !endpoint.isClosed() && !endpoint.leaving
+    return endpoint.answers && !endpoint.draining && !endpoint.isClosed() && !endpoint.leaving
            && now - endpoint.lastReplyAt < m_timing.maximumPollAge && now >= endpoint.avoidUntil;
 }
 
