Count runs that an earlier leader may be stopping as unavailable

Cause: which runs are being stopped is known to the leader that ordered it alone.

An endpoint refuses orders of the earlier leader once it has seen the new term. So a run that an earlier leader started counts as ready only in a list that came longer after the first reply of this term than a stop takes. Evidence: the test failed, as a stop was sent at once.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -139,7 +139,8 @@
     //! An order that ends all tasks here has been issued and was not refused.
     bool endOrdered = false;
     bool leaving = false;       //!< The endpoint has announced its shutdown.
-    Utils::Instant lastReplyAt; //!< Time of the last reply to a poll.
+    Utils::Instant firstReplyAt; //!< Time of the first reply to a poll in this term.
+    Utils::Instant lastReplyAt;  //!< Time of the last reply to a poll.
     std::int64_t clockMs = 0;   //!< Time on the endpoint's clock at clockAt.
     Utils::Instant clockAt;     //!< Local time of the poll reply that carried clockMs.
     //! Time by which all tasks there have ended, unless the lease is renewed.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -10,6 +10,8 @@
 
 // Covers rounding and the time from the decision on an order until it is sent.
 constexpr Utils::Milliseconds leaseMargin{100};
+// Covers the time that a list is on its way.
+constexpr Utils::Milliseconds stopMargin{100};
 // Polls whose results are needed soon wait for a task end for the usual time divided by 3.
 constexpr std::int64_t urgentPollDivisor = 3;
 
@@ -214,11 +216,14 @@
         const auto &endpoint = found->second;
         if (id == withoutEndpoint || !endpoint.answers || endpoint.endOrdered)
             continue;
+        // A stop that an earlier leader ordered may still be ending a run that the first lists hold.
+        const auto earlierStopsAreOver =
+            endpoint.lastReplyAt - endpoint.firstReplyAt > m_timing.longestStop + stopMargin;
         const auto runs = endpoint.runs.ofStep(task);
         unavailable -= std::count_if(runs.begin(), runs.end(), [&](const auto &item) {
             const auto &run = item.second;
             return run.task.index != task.index && run.state == RunState::Running && !run.stopReason
-                   && run.percent >= fullPercent;
+                   && run.percent >= fullPercent && (!run.adopted || earlierStopsAreOver);
         });
     }
     return unavailable;
@@ -285,7 +290,8 @@
     endpoint.answers = reply.result == PollResult::Seen;
     if (effects.incarnationOver || !endpoint.answers)
         return effects;
-    endpoint.polled = true;
+    if (!std::exchange(endpoint.polled, true))
+        endpoint.firstReplyAt = now;
     endpoint.forgottenEnds = std::max(endpoint.forgottenEnds, order.recordedEnds);
     endpoint.lastReplyAt = now;
     endpoint.clockMs = reply.clockMs;
--- a/tests/auto/execution/tst_leaderchanges.cpp
+++ b/tests/auto/execution/tst_leaderchanges.cpp
@@ -169,6 +169,29 @@
     EXPECT_TRUE(fixture.schedule().gone.empty());
 }
 
+// Guards against AVAIL: a stop of the former leader may still be ending a run that is listed.
+TEST(LeaderChanges, RunThatAFormerLeaderMayHaveStoppedCountsAsUnavailable)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob(lastingJob, longRunningStep(2, 1));
+    fixture.recordStart("a", fixture.task(lastingJob, 0));
+    fixture.recordStart("b", fixture.task(lastingJob, 1));
+    fixture.begin();
+    const auto pollBoth = [&] {
+        fixture.poll("a", {{fixture.task(lastingJob, 0), 1, "", 100, 0}});
+        fixture.poll("b", {{fixture.task(lastingJob, 1), 2, "", 100, 0}});
+    };
+    pollBoth();
+    fixture.ledger.evacuate("a");
+    EXPECT_TRUE(fixture.schedule().stops.empty());
+    fixture.advance(Utils::Milliseconds(600));
+    pollBoth();
+    fixture.ledger.evacuate("a");
+    EXPECT_EQ(fixture.schedule().stops.size(), 1U);
+}
+
 // Guards against LOST: that an endpoint is leaving is known to the leader that it told alone. Its
 // removal is what lets tasks go, and the next leader never removes it.
 TEST(LeaderChanges, EndpointThatAnnouncedItsShutdownIsRemovedByTheNextLeader)
