Tell backfill tasks their speed anew after a change of leader

Backfill tasks that the former leader had slowed down or paused stayed so: the next one took them for tasks at full speed, which they were to have, so that it ordered nothing. A paused task was never done.

The speed of a run that a poll finds, and of one whose order got no reply, counts as unknown now, so that it is ordered. Beside tasks with a latency target they begin at 40 %, as when a task starts.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -23,6 +23,11 @@
     Uncertain, //!< The start order got no reply; a poll or a stop has to settle the run.
 };
 
+//! Share of their full speed that backfill tasks get beside tasks with a latency target at first.
+inline constexpr std::int64_t initialBackfillPercent = 40;
+//! What a backfill task was last told may not be what it does.
+inline constexpr std::int64_t unknownPercent = -1;
+
 /*! \brief The orders for which an endpoint is closed. */
 enum class ClosedFor { Move, Maintenance };
 
@@ -46,7 +51,8 @@
     std::int64_t percent = 0;    //!< Last reported readiness; 100 once the task is fully working.
     std::int64_t load = 0;       //!< Last reported load, see RunningTask::load.
     Utils::Instant orderedAt;    //!< Time at which the start was decided.
-    std::int64_t pacePercent = 100; //!< Share of its full speed that a backfill task may use.
+    //! Share of its full speed that a backfill task may use, or unknownPercent.
+    std::int64_t pacePercent = 100;
     bool paceInFlight = false;      //!< An order that changes pacePercent is waiting for its reply.
     bool listed = false;            //!< The poll reply that is being processed lists the run.
     //! The last complete list is that of a poll sent after the start, and does not hold the run.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -62,6 +62,7 @@
         // The previous leader may have renewed the lease until just now.
         endpoint.leaseEnd = now + longestLocalTime(m_timing.maximumLease);
         endpoint.draining = known.record.draining;
+        endpoint.backfillPercent = initialBackfillPercent;
     }
     syncJobs(state);
     inheritStarts(state, now);
@@ -396,6 +397,7 @@
     adopted.state = RunState::Running;
     adopted.confirmedAt = now;
     adopted.adopted = true;
+    adopted.pacePercent = unknownPercent;
     endpoint.inherited.erase(row.task);
     // An earlier order may have set any lease that the endpoint accepts.
     endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestLocalTime(m_timing.maximumLease));
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -37,8 +37,6 @@
 // Backfill tasks are sped up again when all tail latencies are below this percentage.
 constexpr std::int64_t speedUpBackfillBelow = 55;
 constexpr std::int64_t fullPercent = 100;
-constexpr std::int64_t initialBackfillPercent =
-    40; // Initial speed beside tasks with a latency target, before their loads are known.
 constexpr std::int64_t minimumBackfillPercent =
     10; // Backfill tasks pause instead of running slower than this.
 constexpr std::int64_t backfillIncrease = 15;
@@ -697,8 +695,7 @@
     if (run == nullptr)
         return;
     run->paceInFlight = false;
-    if (result == OrderResult::Accepted)
-        run->pacePercent = order.percent;
+    run->pacePercent = result == OrderResult::Accepted ? order.percent : unknownPercent;
 }
 
 auto RunLedger::nextNumber() -> std::int64_t
