Remove draining endpoints whose lease is over

An endpoint that had announced its shutdown to a leader, which changed before it was removed, stayed in the state for good: that it is leaving is known to that leader alone, and the next one only knows that it drains. Each leader waited for its lease anew.

A draining endpoint is removed now once its lease is over. One that was only cut off announces itself again. The wait of one lease for its tasks stays.

--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -717,7 +717,8 @@
         if (now <= endpoint.leaseEnd)
             continue;
         releaseRuns(endpoint, ReleaseReason::LeaseExpired);
-        if (endpoint.leaving)
+        // The next leader does not know which endpoints have announced their shutdown.
+        if (endpoint.leaving || endpoint.draining)
             expired.push_back(endpoint.record.incarnation);
     }
     return expired;
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -171,7 +171,7 @@
     /*!
         \brief Reopens the tasks of endpoints whose leases have expired.
 
-        Returns the expired incarnations that had announced their shutdown.
+        Returns the expired incarnations that had announced their shutdown, or that they drain.
     */
     auto expireLeases(Utils::Instant now) -> std::vector<Control::EndpointIncarnation>;
 
