--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -53,8 +53,8 @@
     Utils::Instant orderedAt;    //!< Time at which the start was decided.
     //! Share of its full speed that a backfill task may use, or unknownPercent.
     std::int64_t pacePercent = 100;
-    bool paceInFlight = false;      //!< An order that changes pacePercent is waiting for its reply.
-    bool listed = false;            //!< The poll reply that is being processed lists the run.
+    bool paceInFlight = false; //!< An order that changes pacePercent is waiting for its reply.
+    bool listed = false;       //!< The poll reply that is being processed lists the run.
     //! The last complete list is that of a poll sent after the start, and does not hold the run.
     bool unlisted = false;
     Utils::Instant unlistedAt;            //!< Time of the reply from which on the run is unlisted.
@@ -144,11 +144,11 @@
     bool closedForMaintenance = false;
     //! An order that ends all tasks here has been issued and was not refused.
     bool endOrdered = false;
-    bool leaving = false;       //!< The endpoint has announced its shutdown.
+    bool leaving = false;        //!< The endpoint has announced its shutdown.
     Utils::Instant firstReplyAt; //!< Time of the first reply to a poll in this term.
     Utils::Instant lastReplyAt;  //!< Time of the last reply to a poll.
-    std::int64_t clockMs = 0;   //!< Time on the endpoint's clock at clockAt.
-    Utils::Instant clockAt;     //!< Local time of the poll reply that carried clockMs.
+    std::int64_t clockMs = 0;    //!< Time on the endpoint's clock at clockAt.
+    Utils::Instant clockAt;      //!< Local time of the poll reply that carried clockMs.
     //! Time by which all tasks there have ended, unless the lease is renewed.
     Utils::Instant leaseEnd;
     std::int64_t recordedEnds = 0;  //!< Number of the last task end that is durably recorded.
