Keep room free for a task of a silent endpoint before its lease is over

Callers saw a long-running task without a run for longer than the rule allows where short tasks take several seconds: its endpoint is lost, the task waits 4 to 5 s for the lease, and only then claims room, which short tasks leave up to 3 s later.

A pass claims room now, after the open long-running tasks have started, for each long-running task that is booked on an endpoint that has not answered for as long as it may get new tasks (2.8 s), or on none. Such a task asks for no further host, and nothing starts sooner than before. Tasks of gangs claim nothing while they are booked. A silent endpoint of a new leader counts from the beginning of the term.

Evidence: TaskOfASilentEndpointHasRoomOnceItsLeaseIsOver failed without the claim.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -146,7 +146,7 @@
     bool endOrdered = false;
     bool leaving = false;        //!< The endpoint has announced its shutdown.
     Utils::Instant firstReplyAt; //!< Time of the first reply to a poll in this term.
-    Utils::Instant lastReplyAt;  //!< Time of the last reply to a poll.
+    Utils::Instant lastReplyAt;  //!< Time of the last reply to a poll, or beginning of the term.
     std::int64_t clockMs = 0;    //!< Time on the endpoint's clock at clockAt.
     Utils::Instant clockAt;      //!< Local time of the poll reply that carried clockMs.
     //! Time by which all tasks there have ended, unless the lease is renewed.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -63,6 +63,7 @@
         endpoint.leaseEnd = now + longestLocalTime(m_timing.maximumLease);
         endpoint.draining = known.record.draining;
         endpoint.backfillPercent = initialBackfillPercent;
+        endpoint.lastReplyAt = now;
     }
     syncJobs(state);
     inheritStarts(state, now);
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -262,6 +262,8 @@
     auto keepFree(const Jobs::StepSpec &step,
                   std::vector<std::int64_t> &tasksOfStep,
                   PoolPlacement &pool) -> bool;
+    auto keepFreeForLost(std::map<std::string, PoolPlacement> &pools, Utils::Instant now) -> void;
+    auto lostTasks(Utils::Instant now) -> std::set<Jobs::TaskId>;
     auto keepFreeForGang(const JobProgress &job, const Jobs::StepSpec &step, PoolPlacement &pool)
         -> void;
     auto addUnplaced(const JobProgress &job,
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -330,8 +330,55 @@
         candidates.push_back({rankOf(job, wallMs), &job, &pool});
     }
     std::ranges::sort(candidates, std::less<>(), &Candidate::rank);
-    for (const auto &candidate : candidates)
+    auto keepsForLost = false;
+    for (const auto &candidate : candidates) {
+        // Long-running tasks come first.
+        if (!candidate.job->isLongRunning() && !std::exchange(keepsForLost, true))
+            keepFreeForLost(pools, now);
         startJob(*candidate.job, *candidate.pool, wallMs, orders);
+    }
+}
+
+// Keeps room free for tasks whose lease is awaited: short tasks may take longer to leave it.
+auto RunLedger::keepFreeForLost(std::map<std::string, PoolPlacement> &pools, Utils::Instant now)
+    -> void
+{
+    std::vector<std::int64_t> tasksOfStep;
+    std::optional<Jobs::TaskId> step;
+    for (const auto &task : lostTasks(now)) {
+        const auto &job = m_jobs.at(task.job);
+        auto &pool = placementOf(pools, job.spec().pool, now);
+        const Jobs::TaskId first{task.job, task.occurrence, task.step, 0};
+        if (std::exchange(step, first) != first)
+            tasksOfStep = countTasksOfStep(job, first, pool);
+        keepFree(*job.specOf(task), tasksOfStep, pool);
+    }
+}
+
+// Returns the long-running tasks that are booked where nothing answers; gangs start together only.
+auto RunLedger::lostTasks(Utils::Instant now) -> std::set<Jobs::TaskId>
+{
+    std::set<Jobs::TaskId> tasks;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (now - endpoint.lastReplyAt < m_timing.maximumPollAge)
+            continue;
+        for (const auto &[task, run] : endpoint.runs)
+            tasks.insert(task);
+        tasks.insert(endpoint.inherited.begin(), endpoint.inherited.end());
+    }
+    for (const auto &[id, outliving] : m_outliving) {
+        for (const auto &run : outliving.runs)
+            tasks.insert(run.task);
+        tasks.insert(outliving.inherited.begin(), outliving.inherited.end());
+    }
+    std::erase_if(tasks, [this](const Jobs::TaskId &task) {
+        const auto *job = findUnfinished(task);
+        if (job == nullptr || job->state(task) != TaskState::Booked)
+            return true;
+        const auto &spec = *job->specOf(task);
+        return !spec.longRunning || spec.gang;
+    });
+    return tasks;
 }
 
 auto RunLedger::placementOf(std::map<std::string, PoolPlacement> &pools,
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -88,6 +88,16 @@
         return plan.next(m_ledger.state.configuration, m_ledger.ledger, hosts, 1, m_ledger.now())
             .close;
     }
+    /*! \brief Lets the endpoint be silent for this time, while all others answer. */
+    auto silence(const std::string &endpoint, Utils::Milliseconds time) -> void
+    {
+        m_ledger.failPoll(endpoint);
+        m_ledger.advance(time);
+    }
+    auto endpointOfLasting() const -> std::string
+    {
+        return m_lasting.empty() ? std::string() : m_lasting.begin()->first;
+    }
     auto shortTasksOn(const std::string &endpoint) const -> std::size_t
     {
         const auto found = m_runs.find(endpoint);
@@ -119,6 +129,27 @@
     EXPECT_EQ(fixture.lastingRuns(), 1U);
 }
 
+// Guards against LOST: a task waits for the lease of a lost endpoint, and only then for room.
+TEST(LongRunningTasks, TaskOfASilentEndpointHasRoomOnceItsLeaseIsOver)
+{
+    BacklogFixture fixture({"a", "b"});
+    fixture.submit(lastingStep(1, {3000, 100, 0}));
+    while (fixture.lastingRuns() == 0) {
+        fixture.endOldest("a");
+        fixture.endOldest("b");
+    }
+    const auto silent = fixture.endpointOfLasting();
+    const std::string other = silent == "a" ? "b" : "a";
+    fixture.silence(silent, Utils::Milliseconds(3000));
+    for (auto end = 0; end < 3; ++end)
+        fixture.endOldest(other);
+    EXPECT_EQ(fixture.shortTasksOn(other), shortTasksPerEndpoint - 3);
+    EXPECT_EQ(fixture.lastingRuns(), 1U);
+    fixture.silence(silent, Utils::Milliseconds(3000));
+    fixture.endOldest(other);
+    EXPECT_EQ(fixture.lastingRuns(), 2U);
+}
+
 // Guards against LOST: all members of a gang need room at the same time.
 TEST(LongRunningTasks, GangStartsAmidABacklog)
 {
