--- a/src/libs/service/controlservice.cpp
+++ b/src/libs/service/controlservice.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 
 namespace Service {
 namespace {
@@ -23,6 +24,7 @@
 // Relays in use are kept until the number of endpoints falls below this one.
 constexpr std::size_t minimumEndpointsToKeepRelays = 40;
 constexpr std::int64_t submissionLinesPerSecond = 40;
+constexpr std::int64_t readLinesPerSecond = 40;
 // Maximum time for which the reply to a request for a newer configuration is delayed. Must be
 // shorter than the 6 s that entry processes wait for the reply.
 constexpr Utils::Milliseconds configurationWait{4000};
@@ -104,6 +106,27 @@
     return Outcome::Unknown;
 }
 
+// Returns why a read of the configuration is refused after a commit with this result.
+auto refusalFor(Execution::CommitResult result) -> std::string_view
+{
+    switch (result) {
+    case Execution::CommitResult::Committed:
+        return "there is no configuration";
+    case Execution::CommitResult::NotCommitted:
+        return "lost the leadership while it confirmed it";
+    case Execution::CommitResult::Unknown:
+        break;
+    }
+    return "could not confirm its leadership in time";
+}
+
+auto documentOf(const Control::State &state) -> std::optional<std::string>
+{
+    if (state.configuration.version == 0)
+        return std::nullopt;
+    return state.configuration.document;
+}
+
 auto callerJobState(const Jobs::Job &job, bool started) -> CallerJobState
 {
     switch (job.state) {
@@ -130,6 +153,8 @@
     , m_server(parts.loop, [this](Wire::ControlRequest request) { return handle(request); })
     , m_configurationChanged(parts.loop)
     , m_submissionLogBudget("hand-ins", submissionLinesPerSecond)
+    , m_readLines("reads of the configuration", readLinesPerSecond)
+    , m_refusedReadLines("refused reads of the configuration", readLinesPerSecond)
 {}
 
 ControlService::~ControlService() = default;
@@ -596,17 +621,44 @@
 
 auto ControlService::readConfiguration() -> AsyncNet::Task<std::optional<std::string>>
 {
+    const auto started = m_parts.clock.now();
+    std::optional<std::string> document;
+    std::string_view refusal = "does not lead";
     // A commit proves that no other leader has accepted a newer configuration.
-    if (!leads())
-        co_return std::nullopt;
-    const auto confirmed = co_await commitNoOp();
-    if (confirmed != Execution::CommitResult::Committed)
-        co_return std::nullopt;
-    co_return m_parts.state.read([](const Control::State &state) -> std::optional<std::string> {
-        if (state.configuration.version == 0)
-            return std::nullopt;
-        return state.configuration.document;
-    });
+    if (leads()) {
+        const auto confirmed = co_await commitNoOp();
+        refusal = refusalFor(confirmed);
+        if (confirmed == Execution::CommitResult::Committed)
+            document = m_parts.state.read(documentOf);
+    }
+    logConfigurationRead(document, refusal, started);
+    co_return document;
+}
+
+auto ControlService::logConfigurationRead(const std::optional<std::string> &document,
+                                          std::string_view refusal,
+                                          Utils::Instant started) -> void
+{
+    const auto now = m_parts.clock.now();
+    const auto tookMs = (now - started).count();
+    const auto status = m_parts.log.status();
+    if (document) {
+        if (m_readLines.allow(now))
+            Utils::Log::info(
+                "service",
+                "answered a read of the configuration",
+                {{"took_ms", tookMs}, {"bytes", document->size()}, {"term", status.term}});
+        return;
+    }
+    if (m_refusedReadLines.allow(now))
+        Utils::Log::warning("service",
+                            "refused a read of the configuration",
+                            {{"reason", refusal},
+                             {"took_ms", tookMs},
+                             {"term", status.term},
+                             {"leads", leads()},
+                             {"has_quorum", status.hasQuorum},
+                             {"leader", leaderAddress()}});
 }
 
 auto ControlService::startWave(Control::Wave wave) -> AsyncNet::Task<Outcome>
--- a/src/libs/service/controlservice.h
+++ b/src/libs/service/controlservice.h
@@ -120,6 +120,9 @@
         After success, all entries that any leader committed before the command are applied here.
     */
     auto commitNoOp() -> AsyncNet::Task<Execution::CommitResult>;
+    auto logConfigurationRead(const std::optional<std::string> &document,
+                              std::string_view refusal,
+                              Utils::Instant started) -> void;
     auto session() const -> Execution::LeaderSession *;
     /*!
         \brief Removes other endpoints and incarnations at the address of \a record.
@@ -145,6 +148,8 @@
     std::map<std::string, std::int64_t> m_waitingJobs; //!< Unstarted jobs by queue.
     Utils::Instant m_waitingJobsCountedAt;
     Utils::LogBudget m_submissionLogBudget;
+    Utils::LogBudget m_readLines;
+    Utils::LogBudget m_refusedReadLines;
     std::int64_t m_notifiedVersion = 0;
     Utils::Instant m_relaysUpdatedAt;
     bool m_stopped = false;
