--- a/tests/auto/service/tst_controlservice.cpp
+++ b/tests/auto/service/tst_controlservice.cpp
@@ -2,11 +2,17 @@
 #include "service/controlservice.h"
 
 #include "utils/cbor.h"
+#include "utils/fields.h"
+#include "utils/log.h"
 
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <atomic>
 #include <condition_variable>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <limits>
 #include <map>
@@ -252,6 +258,15 @@
         EXPECT_TRUE(runUntil([this] { return m_service.leads(); }));
     }
 
+    // Reads the configuration as the operator does. Returns whether it came.
+    auto readConfiguration() -> bool
+    {
+        std::optional<bool> came;
+        AsyncNet::start(m_loop, "read", readOne(came));
+        EXPECT_TRUE(runUntil([&] { return came.has_value(); }));
+        return came.value_or(false);
+    }
+
     // Applies commands as if the log had committed an entry of another process.
     auto apply(std::vector<Control::Command> commands) -> void
     {
@@ -293,6 +308,11 @@
         co_await m_service.announce(std::move(announcement));
         ++m_announced;
     }
+    auto readOne(std::optional<bool> &came) -> AsyncNet::Task<void>
+    {
+        const auto document = co_await m_service.readConfiguration();
+        came = document.has_value();
+    }
     Utils::SystemClock m_clock;
     Utils::Metrics m_metrics;
     std::int64_t m_configurationVersion = 1;
@@ -306,6 +326,42 @@
         {"127.0.0.1:1", anyPort, {}, 0}};
 };
 
+/*! \brief A file that receives the log lines of this process. */
+class LogFile
+{
+public:
+    LogFile()
+    {
+        std::filesystem::remove(m_path);
+        Utils::Log::initialize({Utils::Log::Level::Info, m_path, "c1", "z1"});
+    }
+    LogFile(const LogFile &) = delete;
+    auto operator=(const LogFile &) -> LogFile & = delete;
+    ~LogFile()
+    {
+        Utils::Log::initialize({});
+        std::filesystem::remove(m_path);
+    }
+    // Returns the only line with this message, or null.
+    auto line(std::string_view message) const -> Utils::Json
+    {
+        std::ifstream file(m_path);
+        Utils::Json found;
+        for (std::string text; std::getline(file, text);) {
+            auto line = Utils::Json::parse(text);
+            if (line["message"] != message)
+                continue;
+            EXPECT_TRUE(found.is_null());
+            found = std::move(line);
+        }
+        return found;
+    }
+
+private:
+    std::string m_path =
+        testing::TempDir() + "tst_controlservice_" + std::to_string(getpid()) + ".jsonl";
+};
+
 // The order of the first session may still be carried out, and its run be taken for the second one.
 TEST_F(ControlServiceTest, LeadingAgainAfterLostContactUsesNoRunNumberAgain)
 {
@@ -452,4 +508,41 @@
     EXPECT_EQ(ask(ControlCall::JOB_STATE, "renamed", "/a/").outcome, ControlOutcome::DONE);
 }
 
+TEST_F(ControlServiceTest, AnsweredReadOfTheConfigurationIsLogged)
+{
+    const LogFile file;
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    EXPECT_TRUE(readConfiguration());
+    const auto line = file.line("answered a read of the configuration");
+    ASSERT_TRUE(line.is_object());
+    EXPECT_EQ(line["term"], firstTerm);
+    EXPECT_TRUE(line["took_ms"].is_number_integer());
+    EXPECT_TRUE(line["bytes"].is_number_integer());
+}
+
+TEST_F(ControlServiceTest, ReadOfTheConfigurationAtAProcessThatDoesNotLeadIsLoggedAsRefused)
+{
+    const LogFile file;
+    log().hasQuorum = false;
+    EXPECT_FALSE(readConfiguration());
+    const auto line = file.line("refused a read of the configuration");
+    ASSERT_TRUE(line.is_object());
+    EXPECT_EQ(line["reason"], "does not lead");
+    EXPECT_EQ(line["leads"], false);
+    EXPECT_EQ(line["has_quorum"], false);
+    EXPECT_EQ(line["term"], firstTerm);
+}
+
+TEST_F(ControlServiceTest, ReadOfTheConfigurationThatCannotBeConfirmedIsLoggedAsRefused)
+{
+    const LogFile file;
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    log().failures = 1;
+    EXPECT_FALSE(readConfiguration());
+    const auto line = file.line("refused a read of the configuration");
+    ASSERT_TRUE(line.is_object());
+    EXPECT_EQ(line["reason"], "lost the leadership while it confirmed it");
+    EXPECT_EQ(line["leads"], true);
+}
+
 } // namespace
