Accept the connections that wait together in one turn of the event loop

The leader led, its loop was at most 55 ms late, and each read took it under 0.2 s once its handler had begun.

Cause: a listener accepted one connection in each turn of the event loop. Under load a turn takes tens of milliseconds. When hundreds of endpoints turn to a new leader at once, connections come faster than that; callers give up after a second and connect again, which keeps the queue full. The listener for links between processes did the same.

The new test needed 206 turns for 200 clients, and fails without the change.

Why it works: after an asynchronous accept, the listener takes the connections that wait already, up to 64, without waiting for others, so that a queue is emptied in a few turns.

--- a/src/libs/asyncnet/framelink.cpp
+++ b/src/libs/asyncnet/framelink.cpp
@@ -180,15 +180,22 @@
                 co_await pause(acceptRetryDelay);
                 continue;
             }
-            socket.set_option(Tcp::no_delay(true), error);
-            auto connection = std::make_shared<FrameWriter>(loop, std::move(socket));
             std::erase_if(connections, [](const auto &item) { return item.expired(); });
-            connections.push_back(connection);
-            AsyncNet::start(
-                loop, "frame connection", serve(std::move(connection)), shared_from_this());
+            take(std::move(socket));
+            for (auto &waiting : acceptWaiting(acceptor))
+                take(std::move(waiting));
         }
     }
 
+    auto take(TcpSocket socket) -> void
+    {
+        boost::system::error_code error;
+        socket.set_option(Tcp::no_delay(true), error);
+        auto connection = std::make_shared<FrameWriter>(loop, std::move(socket));
+        connections.push_back(connection);
+        AsyncNet::start(loop, "frame connection", serve(std::move(connection)), shared_from_this());
+    }
+
     auto serve(std::shared_ptr<FrameWriter> connection) -> Task<void>
     {
         FrameReader reader(connection->socket());
--- a/src/libs/asyncnet/httplistener.cpp
+++ b/src/libs/asyncnet/httplistener.cpp
@@ -83,6 +83,7 @@
     {}
 
     auto accept() -> Task<void>;
+    auto take(TcpSocket socket) -> void;
     auto serve(std::shared_ptr<Connection> connection) -> Task<void>;
     auto makeRoom() -> bool;
     auto serveRequests(Connection &connection) -> Task<void>;
@@ -114,20 +115,27 @@
             co_await pause(acceptRetryDelay);
             continue;
         }
-        if (!makeRoom()) {
-            Utils::Log::warning(
-                "http",
-                "closed a new connection because the limit is reached and none is idle",
-                {{"listener", name}, {"connections", busy.size()}});
-            continue;
-        }
-        socket.set_option(Tcp::no_delay(true), error);
-        auto connection = std::make_shared<Connection>(std::move(socket));
-        connection->position = busy.insert(busy.end(), connection);
-        AsyncNet::start(loop, name, serve(std::move(connection)), shared_from_this());
+        take(std::move(socket));
+        for (auto &waiting : acceptWaiting(acceptor))
+            take(std::move(waiting));
     }
 }
 
+auto HttpListener::Private::take(TcpSocket socket) -> void
+{
+    if (!makeRoom()) {
+        Utils::Log::warning("http",
+                            "closed a new connection because the limit is reached and none is idle",
+                            {{"listener", name}, {"connections", busy.size()}});
+        return;
+    }
+    boost::system::error_code error;
+    socket.set_option(Tcp::no_delay(true), error);
+    auto connection = std::make_shared<Connection>(std::move(socket));
+    connection->position = busy.insert(busy.end(), connection);
+    AsyncNet::start(loop, name, serve(std::move(connection)), shared_from_this());
+}
+
 // Closes the connection that has been idle the longest if the limit is reached. Returns false if
 // all connections are busy.
 auto HttpListener::Private::makeRoom() -> bool
--- a/src/libs/asyncnet/tcpaddress.cpp
+++ b/src/libs/asyncnet/tcpaddress.cpp
@@ -6,6 +6,10 @@
 
 using Tcp = asio::ip::tcp;
 
+// Connections that are accepted in one turn of the event loop at most, so that it does other work
+// between them.
+constexpr std::size_t maximumAccepted = 64;
+
 auto parseTcpAddress(const std::string &address) -> Utils::Result<Tcp::endpoint>
 {
     BOOST_OUTCOME_TRY(parsed, Utils::parseAddress(address));
@@ -27,10 +31,25 @@
         acceptor.bind(endpoint, error);
     if (!error)
         acceptor.listen(asio::socket_base::max_listen_connections, error);
+    // acceptWaiting() must not wait.
+    if (!error)
+        acceptor.non_blocking(true, error);
     if (error)
         return Utils::failure(
             Utils::ErrorType::IoFailure, "cannot listen on " + address, error.message());
     return Utils::success();
 }
 
+auto acceptWaiting(TcpAcceptor &acceptor) -> std::vector<TcpSocket>
+{
+    std::vector<TcpSocket> sockets;
+    boost::system::error_code error;
+    while (!error && sockets.size() < maximumAccepted) {
+        auto socket = acceptor.accept(error);
+        if (!error)
+            sockets.push_back(std::move(socket));
+    }
+    return sockets;
+}
+
 } // namespace AsyncNet
--- a/tests/auto/asyncnet/tst_framelink.cpp
+++ b/tests/auto/asyncnet/tst_framelink.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -10,6 +11,7 @@
 #include <thrift/transport/TBufferTransports.h>
 
 #include <array>
+#include <thread>
 
 namespace {
 
@@ -181,4 +183,32 @@
     EXPECT_TRUE(m_jobIds.empty());
 }
 
+// A loop that accepts one connection in each of its turns needs as many turns as there are clients.
+TEST_F(FrameLinkTest, ConnectionsThatArriveTogetherDoNotWaitForOneTurnOfABusyLoopEach)
+{
+    constexpr std::size_t clients = 200;
+    constexpr Milliseconds turn{5};
+    const auto sendOne = [&](TcpSocket &socket) -> Task<void> {
+        co_await connect(socket);
+        co_await send(socket, frameOf(request("job", 1)));
+    };
+    std::vector<TcpSocket> sockets;
+    for (std::size_t client = 0; client < clients; ++client)
+        sockets.emplace_back(m_loop);
+    std::size_t turns = 0;
+    const auto calls = [&]() -> Task<void> {
+        for (auto &socket : sockets)
+            AsyncNet::start(m_loop, "call", sendOne(socket));
+        const auto executor = co_await asio::this_coro::executor;
+        while (m_jobIds.size() < clients) {
+            std::this_thread::sleep_for(turn);
+            ++turns;
+            co_await asio::post(executor, useAwaitable);
+        }
+    };
+    run(calls());
+    EXPECT_EQ(m_jobIds.size(), clients);
+    EXPECT_LT(turns, clients / 4);
+}
+
 } // namespace
--- a/tests/auto/asyncnet/tst_http.cpp
+++ b/tests/auto/asyncnet/tst_http.cpp
@@ -6,9 +6,12 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
+#include <thread>
+
 namespace {
 
 using namespace AsyncNet;
@@ -212,6 +215,36 @@
     EXPECT_EQ(answered, servers);
 }
 
+// A loop that accepts one connection in each of its turns needs as many turns as there are clients.
+TEST_F(HttpTest, ConnectionsThatArriveTogetherDoNotWaitForOneTurnOfABusyLoopEach)
+{
+    constexpr std::size_t clients = 200;
+    constexpr Milliseconds turn{5};
+    const auto address =
+        listen([](HttpRequest) -> Task<HttpResponse> { co_return HttpResponse(); });
+    std::size_t answered = 0;
+    const auto callOne = [&]() -> Task<void> {
+        std::string received;
+        co_await exchangeRaw(
+            address, "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", received);
+        answered += received.starts_with("HTTP/1.1 200") ? 1 : 0;
+    };
+    std::size_t turns = 0;
+    const auto calls = [&]() -> Task<void> {
+        for (std::size_t client = 0; client < clients; ++client)
+            AsyncNet::start(m_loop, "call", callOne());
+        const auto executor = co_await asio::this_coro::executor;
+        while (answered < clients) {
+            std::this_thread::sleep_for(turn);
+            ++turns;
+            co_await asio::post(executor, useAwaitable);
+        }
+    };
+    run(calls());
+    EXPECT_EQ(answered, clients);
+    EXPECT_LT(turns, clients / 4);
+}
+
 TEST_F(HttpTest, FullListenerClosesLongestIdleConnection)
 {
     const auto address =
