Let tests of stops begin after the time in which an earlier leader may have stopped runs

Runs that a first list of a term holds count as unavailable for the time of a stop since the last but one change of the ledger (RunThatAFormerLeaderMayHaveStoppedCountsAsUnavailable).

--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -580,7 +580,7 @@
     std::vector<Jobs::TaskId> gone;
     if (m_gone.empty())
         return gone;
-    if (now - m_beganAt > longestLateStart)
+    if (now - m_beganAt > longestLateOrder)
         m_formerStarts.clear();
     const auto late = tasksOfLateStarts();
     std::erase_if(m_gone, [&](const Jobs::TaskId &task) {
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -10,6 +10,8 @@
 
 constexpr Utils::Milliseconds longerThanAnyLease{6300};
 constexpr Utils::Milliseconds longerThanAStopRetry{750};
+// Runs that an earlier leader may have stopped count as unavailable for this time.
+constexpr Utils::Milliseconds longerThanAStop{600};
 constexpr std::size_t waitingJobs = 50;
 
 auto readyTask(const LedgerFixture &fixture, std::int64_t index)
@@ -43,6 +45,8 @@
     fixture.addEndpoint("b");
     fixture.addJob("job", longRunningStep(2, 1));
     fixture.begin();
+    fixture.pollAll();
+    fixture.advance(longerThanAStop);
     fixture.poll("a", readyTask(fixture, 0));
     fixture.poll("b", readyTask(fixture, 1));
 }
@@ -531,6 +535,8 @@
     fixture.addEndpoint("b");
     fixture.addJob("job", longRunningStep(4, 2));
     fixture.begin();
+    fixture.pollAll();
+    fixture.advance(longerThanAStop);
     fixture.poll(
         "a", {{fixture.task("job", 0), 1, "", 100, 0}, {fixture.task("job", 1), 1, "", 100, 0}});
     fixture.poll("b", {{fixture.task("job", 2), 1, "", 100, 0}});
