Tell runs apart in the cases that look for starts after an end

The stand-ins marked an end as taken note of by its task alone. The ends are told apart by run now; what counts is as strict as before: a start after an earlier end of the task that was taken note of.

--- a/review/stand-ins/standins.cpp
+++ b/review/stand-ins/standins.cpp
@@ -731,7 +731,7 @@
     ++m_ends[how];
     --m_running;
     if (how == "done")
-        m_done.try_emplace(task, Done{recorder.nowMs(), false});
+        m_done[task].try_emplace(run, Done{recorder.nowMs(), false});
     if (gangSize > 0) {
         auto &gang = m_gangs[stepOf(task) + '/' + std::to_string(run)];
         if (gang.endedMs < 0)
@@ -748,7 +748,7 @@
     const std::scoped_lock lock(m_mutex);
     ++m_seen[how];
     if (how == "done")
-        m_done[task].seen = true;
+        m_done[task][run].seen = true;
     recorder.write("worker " + worker + ": the end of " + task + " run " + std::to_string(run) + " ("
                    + how + ") is taken note of");
 }
@@ -771,7 +771,13 @@
     std::vector<std::string> tasks;
     for (const auto &start : m_starts) {
         const auto done = m_done.find(start.task);
-        if (done != m_done.end() && done->second.seen && start.atMs > done->second.atMs)
+        if (done == m_done.end())
+            continue;
+        // Only the run whose end was taken note of counts; another one of the task may have been lost.
+        const auto startsAgain = std::ranges::any_of(done->second, [&start](const auto &item) {
+            return item.second.seen && start.atMs > item.second.atMs;
+        });
+        if (startsAgain)
             tasks.push_back(start.task);
     }
     return tasks;
--- a/review/stand-ins/standins.h
+++ b/review/stand-ins/standins.h
@@ -327,7 +327,7 @@
         std::int64_t atMs = 0;
         bool seen = false;
     };
-    std::map<std::string, Done> m_done;
+    std::map<std::string, std::map<std::int64_t, Done>> m_done; //!< By task and run.
     std::map<std::string, int> m_ends;
     std::map<std::string, int> m_seen;
     std::map<std::string, Gang> m_gangs;
