--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -110,6 +110,7 @@
     while (lastCheckpoint != m_checkpoints.end() && lastCheckpoint->first.job == job->first)
         ++lastCheckpoint;
     m_checkpoints.erase(firstCheckpoint, lastCheckpoint);
+    std::erase_if(m_takenGone, [&](const Jobs::TaskId &task) { return task.job == job->first; });
     return m_jobs.erase(job);
 }
 
