--- a/src/libs/execution/leaderlog.cpp
+++ b/src/libs/execution/leaderlog.cpp
@@ -3,6 +3,7 @@
 
 #include "utils/log.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -304,8 +305,11 @@
 auto LeaderSession::reportWaitingTask(const WaitingTask &waiting, Utils::Milliseconds waited)
     -> void
 {
-    if (!m_waitLines.allow(m_parts.clock.now()))
+    const auto now = m_parts.clock.now();
+    if (!m_waitLines.allow(now))
         return;
+    const auto heldMs =
+        waiting.heldUntil ? std::max<std::int64_t>(0, (*waiting.heldUntil - now).count()) : 0;
     Utils::Log::info("execution",
                      "a long-running task waits",
                      {{"job", waiting.task.job},
@@ -314,6 +318,7 @@
                       {"pool", waiting.pool},
                       {"reason", nameOf(waiting.reason)},
                       {"endpoint", waiting.endpoint},
+                      {"held_ms", heldMs},
                       {"open", waiting.openEndpoints},
                       {"needs_millicores", waiting.demand.cpuMillicores},
                       {"needs_memory_mb", waiting.demand.memoryMb},
--- a/src/libs/execution/waitingtasks.cpp
+++ b/src/libs/execution/waitingtasks.cpp
@@ -18,6 +18,7 @@
 {
     WaitReason reason = WaitReason::EarlierRun;
     std::string endpoint;
+    std::optional<Utils::Instant> heldUntil;
 };
 
 using PendingRuns = std::map<Jobs::TaskId, PendingRun>;
@@ -45,12 +46,12 @@
         if (!run.longRunning)
             continue;
         if (const auto reason = reasonOf(endpoint, run))
-            pending[task] = {*reason, id};
+            pending[task] = {*reason, id, endpoint.leaseEnd};
         else
             atWork.insert(task);
     }
     for (const auto &task : endpoint.inherited)
-        pending[task] = {WaitReason::EarlierRun, id};
+        pending[task] = {WaitReason::EarlierRun, id, endpoint.leaseEnd};
 }
 
 } // namespace
@@ -90,9 +91,9 @@
         addRuns(endpoint, atWork, pending);
     for (const auto &[id, outliving] : m_outliving) {
         for (const auto &run : outliving.runs)
-            pending[run.task] = {WaitReason::EarlierRun, id};
+            pending[run.task] = {WaitReason::EarlierRun, id, outliving.leaseEnd};
         for (const auto &task : outliving.inherited)
-            pending[task] = {WaitReason::EarlierRun, id};
+            pending[task] = {WaitReason::EarlierRun, id, outliving.leaseEnd};
     }
     std::vector<WaitingTask> waiting;
     for (const auto &task : unfinishedLongRunningTasks()) {
@@ -107,6 +108,7 @@
         if (run != pending.end()) {
             entry.reason = run->second.reason;
             entry.endpoint = run->second.endpoint;
+            entry.heldUntil = run->second.heldUntil;
         } else if (m_jobs.at(task.job).state(task) == TaskState::Booked) {
             entry.reason = WaitReason::EarlierRun;
         }
--- a/src/libs/execution/waitingtasks.h
+++ b/src/libs/execution/waitingtasks.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "jobs/jobtypes.h"
+#include "utils/clock.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,6 +35,8 @@
     //! The largest free amount of each resource among the open endpoints of the pool.
     Jobs::Resources mostFree;
     std::int64_t openEndpoints = 0; //!< Endpoints of the pool that accept tasks.
+    //! Time by which the run that it waits for has ended, if there is one.
+    std::optional<Utils::Instant> heldUntil;
 };
 
 /*! \brief Returns the reason as it appears in the log. */
