Play the same random faults on x86-64 and arm64

Cause of the difference: two faults drew random numbers in two arguments of one call, whose order depends on the machine.

--- a/tests/auto/execution/modelfleet.cpp
+++ b/tests/auto/execution/modelfleet.cpp
@@ -203,9 +203,11 @@
 
 auto ModelFleet::leave(std::size_t host) -> void
 {
+    // Drawn by itself: the order in which arguments are evaluated depends on the machine.
+    const auto drainUs = m_random.between(2 * seconds, 5 * seconds);
     m_hosts.leave(
         host,
-        m_random.between(2 * seconds, 5 * seconds),
+        drainUs,
         {m_random.between(2 * seconds, 4 * seconds), false, m_random.chance(evenPercent)});
 }
 
--- a/tests/auto/execution/modelwaits.cpp
+++ b/tests/auto/execution/modelwaits.cpp
@@ -323,9 +323,11 @@
 {
     if (m_departed.contains(host))
         return;
+    // Drawn by itself: the order in which arguments are evaluated depends on the machine.
+    const auto drainUs = drawDrainUs();
     m_hosts.leave(
         host,
-        drawDrainUs(),
+        drainUs,
         {m_random.between(1 * seconds, 4 * seconds), false, m_random.chance(evenPercent)});
 }
 
