Give start orders of long-running tasks a lease of 2.5 s

What callers saw: after a start without an answer, a long-running task was without a run for 5.0 s more while its step could miss no other one, although its endpoint answered polls.

Why this works: an endpoint refuses an order whose lease is over, so the next list settles it. Polls renew the lease of whatever runs.

--- a/src/app/platformcommands.cpp
+++ b/src/app/platformcommands.cpp
@@ -182,6 +182,7 @@
     timing.maximumLease = Utils::Milliseconds(settings.maximumLeaseMs);
     timing.longestStop = Utils::Milliseconds(settings.longestStopMs);
     timing.lease = std::min(timing.lease, timing.maximumLease);
+    timing.startLease = std::min(timing.startLease, timing.lease);
     return timing;
 }
 
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -25,7 +25,10 @@
 {
     //! Maximum length of a lease; endpoints shorten longer leases to this length.
     Utils::Milliseconds maximumLease{6000};
-    Utils::Milliseconds lease{5000}; //!< Lease requested with each start order and poll.
+    //! Lease requested with each poll, and with the start of a short task.
+    Utils::Milliseconds lease{5000};
+    //! Lease requested with the start of a long-running task; polls renew it.
+    Utils::Milliseconds startLease{2500};
     //! Maximum time from the reply to a stop until the run has ended.
     Utils::Milliseconds longestStop{400};
     Utils::Milliseconds pollWait{1500}; //!< Maximum time for which a poll waits for a task end.
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -593,8 +593,9 @@
     const auto &spec = job.spec().steps[std::size_t(task.step)];
     auto run = makeRun(spec, task, number);
     run.orderedAt = now;
-    run.leaseEndMs = endpoint.clockAtLeast(now) + m_timing.lease.count();
-    endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestLocalTime(m_timing.lease));
+    const auto lease = spec.longRunning ? m_timing.startLease : m_timing.lease;
+    run.leaseEndMs = endpoint.clockAtLeast(now) + lease.count();
+    endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestLocalTime(lease));
     if (spec.fills && endpoint.servesUsers())
         endpoint.backfillPercent = std::min(endpoint.backfillPercent, initialBackfillPercent);
     const auto checkpoint = m_checkpoints.find(task);
--- a/src/libs/execution/waitingtasks.cpp
+++ b/src/libs/execution/waitingtasks.cpp
@@ -37,16 +37,28 @@
     return std::nullopt;
 }
 
+// Returns when the run has ended at the latest. A start without a reply is not carried out after its own
+// lease, unless the next incarnation may carry it out.
+auto heldUntil(const EndpointEntry &endpoint, const Run &run, const LedgerTiming &timing)
+    -> Utils::Instant
+{
+    if (run.state == RunState::Uncertain && run.leaseEndMs != INT64_MAX)
+        return run.orderedAt + longestLocalTime(timing.startLease);
+    return endpoint.leaseEnd;
+}
+
 // Sorts what is booked on the endpoint, except for short tasks, by whether it is at work.
-auto addRuns(const EndpointEntry &endpoint, std::set<Jobs::TaskId> &atWork, PendingRuns &pending)
-    -> void
+auto addRuns(const EndpointEntry &endpoint,
+             const LedgerTiming &timing,
+             std::set<Jobs::TaskId> &atWork,
+             PendingRuns &pending) -> void
 {
     const auto &id = endpoint.record.incarnation.id;
     for (const auto &[task, run] : endpoint.runs) {
         if (!run.longRunning)
             continue;
         if (const auto reason = reasonOf(endpoint, run))
-            pending[task] = {*reason, id, endpoint.leaseEnd};
+            pending[task] = {*reason, id, heldUntil(endpoint, run, timing)};
         else
             atWork.insert(task);
     }
@@ -88,7 +100,7 @@
     std::set<Jobs::TaskId> atWork;
     PendingRuns pending;
     for (const auto &[id, endpoint] : m_endpoints)
-        addRuns(endpoint, atWork, pending);
+        addRuns(endpoint, m_timing, atWork, pending);
     for (const auto &[id, outliving] : m_outliving) {
         for (const auto &run : outliving.runs)
             pending[run.task] = {WaitReason::EarlierRun, id, outliving.leaseEnd};
