--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 // A leader takes an endpoint for silent that has not replied this long after the beginning of the term.
-constexpr Utils::Milliseconds firstReply{250};
+constexpr Utils::Milliseconds firstReply{600};
 // Releases beyond this number between two calls of takeReleases() are not reported.
 constexpr std::size_t maximumReleases = 1000;
 
