Tell restarted processes how long leases that are not renewed go on

Cause: the time of a record is that at which a process applies it. The process that was killed first led next.

RestoredProcessKnowsHowLongLeasesThatAreNotRenewedGoOn has no time to check without this change.

Each leader repeats the record of its predecessor for endpoints that are still silent, with the time that is left by then. Older builds skip both.

--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -4,6 +4,7 @@
 #include "utils/log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace Control {
 
@@ -216,6 +217,39 @@
     state.removedEndpoints[incarnation.id] = *state.appliedAt;
 }
 
+// Appends what a restored process has to know of leases: the term in which they were recorded, and how
+// long each goes on from now. Older builds skip these records.
+auto saveLeases(const State &state, Utils::Instant now, std::vector<RecordStarts> &saved) -> void
+{
+    for (const auto &[id, endpoint] : state.endpoints) {
+        if (!endpoint.endingLease)
+            continue;
+        const auto left = std::max(endpoint.endingLease->endsBy - now, Utils::Milliseconds(0));
+        Command command;
+        command.recordLease = RecordLease{endpoint.record.incarnation, left.count()};
+        encodeLeases(command);
+        saved.push_back(*command.recordStarts);
+    }
+    if (saved.empty())
+        return;
+    RecordStarts term;
+    term.term = std::int64_t(state.term);
+    saved.push_back(std::move(term));
+}
+
+auto restoreStart(State &state, const RecordStarts &saved) -> void
+{
+    Command command;
+    command.recordStarts = saved;
+    decodeLeases(command);
+    if (command.beginTerm)
+        state.term = std::uint64_t(saved.term);
+    if (command.recordLease)
+        apply(state, *command.recordLease);
+    if (command.recordStarts)
+        apply(state, *command.recordStarts);
+}
+
 auto apply(State &state, const FinishWaveHost &finish) -> void
 {
     const auto found = state.waves.find(finish.wave);
@@ -346,6 +380,7 @@
         snapshot.endpoints.push_back(endpoint);
     for (const auto &[number, wave] : m_state.waves)
         snapshot.waves.push_back(wave);
+    saveLeases(m_state, m_clock.now(), snapshot.starts);
     for (const auto &[job, starts] : m_state.startedTasks) {
         for (const auto &[task, start] : starts)
             snapshot.starts.push_back({start.incarnation, {task}, start.term});
@@ -382,7 +417,7 @@
     for (auto &wave : snapshot.waves)
         state.waves[wave.number] = std::move(wave);
     for (const auto &start : snapshot.starts)
-        Control::apply(state, start);
+        restoreStart(state, start);
     {
         const std::unique_lock lock(m_mutex);
         m_state = std::move(state);
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -33,9 +33,10 @@
 
 /*! \brief What the log tells about the lease of an endpoint. */
 enum class LeaseRecord {
-    Renewed,  //!< Polls may renew it at any time.
-    Ending,   //!< It is over at a recorded time, and not renewed.
-    Renewing, //!< As before, and the record that it may be renewed is being committed.
+    Renewed,   //!< Polls may renew it at any time.
+    Ending,    //!< It is over at a recorded time, and not renewed.
+    Inherited, //!< As before, by the record of an earlier leader.
+    Renewing,  //!< As before, and the record that it may be renewed is being committed.
 };
 
 /*! \brief Whether the start order of an earlier leader may still be carried out. */
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -63,7 +63,7 @@
         endpoint.leaseEnd = known.endingLease ? known.endingLease->endsBy
                                               : now + longestLocalTime(endpoint.longestFormerLease);
         if (known.endingLease)
-            endpoint.leaseRecord = LeaseRecord::Ending;
+            endpoint.leaseRecord = LeaseRecord::Inherited;
         endpoint.draining = known.record.draining;
         endpoint.backfillPercent = initialBackfillPercent;
         endpoint.lastReplyAt = now;
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -231,7 +231,11 @@
     for (auto &[id, endpoint] : m_endpoints) {
         const auto silent = endpoint.polled ? !endpoint.answers : now - m_beganAt >= firstReply;
         const auto ends = (silent || endpoint.leaving) && endpoint.possibleRuns() > 0;
-        if (!ends || !endpoint.mayRenewLease())
+        // The record of an earlier leader is repeated: a process that has started since then knows of no
+        // time before its start.
+        const auto isRecorded =
+            !endpoint.mayRenewLease() && endpoint.leaseRecord != LeaseRecord::Inherited;
+        if (!ends || isRecorded)
             continue;
         endpoint.leaseRecord = LeaseRecord::Ending;
         const auto left = std::max(endpoint.leaseEnd - now, Utils::Milliseconds(0));
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -98,6 +98,11 @@
                          Replication::EntryKind::Command});
     }
     auto advance(Utils::Milliseconds by) -> void { m_clock.advance(by); }
+    /*! \brief Restores a snapshot that the process of \a other takes now. */
+    auto restore(const LeaseFixture &other) -> void
+    {
+        ASSERT_TRUE(m_replica.restore(other.m_replica.snapshot(), other.m_revision));
+    }
     auto now() const -> Utils::Instant { return m_clock.now(); }
     auto endingLease() const -> std::optional<Control::EndingLease>
     {
@@ -143,6 +148,25 @@
     EXPECT_FALSE(fixture.endingLease());
 }
 
+// Guards against LOST: a process that had been restarted led next, and held all tasks of silent endpoints anew.
+TEST(ControlState, RestoredProcessKnowsHowLongLeasesThatAreNotRenewedGoOn)
+{
+    LeaseFixture fixture;
+    fixture.apply(1, {beginsTerm()});
+    fixture.apply(1, {ofLease(3000)});
+    fixture.advance(Utils::Milliseconds(1000));
+    LeaseFixture restored;
+    restored.advance(Utils::Milliseconds(50));
+    restored.restore(fixture);
+    ASSERT_TRUE(restored.endingLease());
+    EXPECT_EQ(restored.endingLease()->endsBy, restored.now() + Utils::Milliseconds(2000));
+    // The term goes on; what follows does not begin it.
+    restored.apply(1, {Control::Command()});
+    EXPECT_TRUE(restored.endingLease());
+    restored.apply(2, {Control::Command()});
+    EXPECT_FALSE(restored.endingLease());
+}
+
 /*! \brief A command as builds without leases in the log read it. */
 struct OlderCommand
 {
--- a/tests/auto/execution/tst_leaderchanges.cpp
+++ b/tests/auto/execution/tst_leaderchanges.cpp
@@ -370,6 +370,20 @@
     EXPECT_FALSE(ledger.isEnding(leases.front()));
 }
 
+// Guards against LOST: a process that starts during a silence knows of no time before its start.
+TEST(LeaderChanges, NextLeaderRecordsAnewHowLongALeaseGoesOn)
+{
+    LostEndpointFixture fixture;
+    fixture.beSilentFor(Utils::Milliseconds(2000));
+    fixture.changeLeader();
+    fixture.ledger().failPoll("lost");
+    fixture.ledger().advance(Utils::Milliseconds(700));
+    const auto leases = fixture.ledger().ledger.takeEndingLeases(fixture.ledger().now());
+    ASSERT_EQ(leases.size(), 1U);
+    EXPECT_LT(leases.front().leftMs, 3500);
+    EXPECT_TRUE(fixture.ledger().ledger.takeEndingLeases(fixture.ledger().now()).empty());
+}
+
 // Guards against TWICE: a leader that hears an endpoint again may renew its lease until its term ends.
 TEST(LeaderChanges, TaskOfAnEndpointThatAnsweredAgainIsHeldFromTheBeginningOfTheNextTerm)
 {
