--- a/src/libs/control/controlcommands.h
+++ b/src/libs/control/controlcommands.h
@@ -88,7 +88,7 @@
         leftMs; //!< Longest time until the lease is over; none if it is renewed.
 };
 
-/*! \brief The first command of each term of a leader that records which leases it does not renew. */
+/*! \brief What a leader that records leases commits before it renews any in its term. */
 struct BeginTerm
 {};
 
--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -186,8 +186,11 @@
     if (known.record == record)
         return;
     if (!same) {
+        const auto replaces = !known.record.incarnation.id.empty()
+                              || state.removedEndpoints.contains(record.incarnation.id);
         known = {};
-        known.knownSince = state.appliedAt;
+        if (replaces)
+            known.replacedAt = state.appliedAt.value_or(Utils::Instant::max());
     }
     known.record = std::move(record);
     known.changedIn = ++state.endpointsVersion;
@@ -209,12 +212,17 @@
     const auto found = state.endpoints.find(incarnation.id);
     if (found == state.endpoints.end() || found->second.record.incarnation != incarnation)
         return;
+    const auto lease = found->second.endingLease;
     state.endpoints.erase(found);
     if (!state.appliedAt)
         return;
     const auto oldest = *state.appliedAt - removalRetention;
-    std::erase_if(state.removedEndpoints, [&](const auto &item) { return item.second < oldest; });
-    state.removedEndpoints[incarnation.id] = *state.appliedAt;
+    std::erase_if(state.removedEndpoints,
+                  [&](const auto &item) { return item.second.removedAt < oldest; });
+    auto &removed = state.removedEndpoints[incarnation.id];
+    removed = {*state.appliedAt, std::nullopt};
+    if (lease)
+        removed.leaseEndsBy = lease->endsBy;
 }
 
 // Appends what a restored process has to know of leases: the term in which they were recorded, and how
@@ -230,6 +238,8 @@
         encodeLeases(command);
         saved.push_back(*command.recordStarts);
     }
+    if (!state.recordsLeases)
+        saved.clear();
     if (saved.empty())
         return;
     RecordStarts term;
@@ -242,8 +252,10 @@
     Command command;
     command.recordStarts = saved;
     decodeLeases(command);
-    if (command.beginTerm)
+    if (command.beginTerm) {
         state.term = std::uint64_t(saved.term);
+        state.recordsLeases = true;
+    }
     if (command.recordLease)
         apply(state, *command.recordLease);
     if (command.recordStarts)
@@ -294,6 +306,7 @@
         Control::apply(*this, *command.addEndpoint);
     if (command.recordLease)
         Control::apply(*this, *command.recordLease);
+    recordsLeases = recordsLeases || command.beginTerm || command.recordLease;
     if (command.removeEndpoint)
         Control::removeEndpoint(*this, *command.removeEndpoint);
     if (command.startWave)
@@ -302,9 +315,9 @@
         Control::apply(*this, *command.finishWaveHost);
 }
 
-auto State::setTerm(std::uint64_t newTerm, bool recordsLeases) -> void
+auto State::setTerm(std::uint64_t newTerm) -> void
 {
-    if (std::exchange(term, newTerm) == newTerm || recordsLeases)
+    if (std::exchange(term, newTerm) == newTerm || std::exchange(recordsLeases, false))
         return;
     for (auto &[id, endpoint] : endpoints)
         endpoint.endingLease.reset();
@@ -352,9 +365,8 @@
     }
     {
         const std::unique_lock lock(m_mutex);
-        const auto &commands = batch.value().commands;
         m_state.appliedAt = m_clock.now();
-        m_state.setTerm(entry.term, !commands.empty() && commands.front().beginTerm);
+        m_state.setTerm(entry.term);
         m_state.apply(batch.value());
     }
     if (m_changed)
@@ -411,7 +423,7 @@
         read([](const State &current) { return current.endpointsVersion + 1; });
     for (auto &endpoint : snapshot.endpoints) {
         endpoint.changedIn = state.endpointsVersion;
-        endpoint.knownSince = state.appliedAt;
+        endpoint.replacedAt = state.appliedAt;
         state.endpoints[endpoint.record.incarnation.id] = std::move(endpoint);
     }
     for (auto &wave : snapshot.waves)
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -27,11 +27,19 @@
     EndpointRecord record;
     std::int64_t recordedEnds = 0; //!< Number of the last end that is durably recorded.
     std::uint64_t changedIn = 0;   //!< State::endpointsVersion since which the record is as it is.
-    //! Time at which this process learnt of the incarnation; not replicated.
-    std::optional<Utils::Instant> knownSince;
+    //! When this process learnt that the incarnation replaced another one under its id, if it did, or may
+    //! have; not replicated.
+    std::optional<Utils::Instant> replacedAt;
     std::optional<EndingLease> endingLease; //!< None if the lease may be renewed; not replicated.
 };
 
+/*! \brief An endpoint that was removed, on this process's clock. */
+struct RemovedEndpoint
+{
+    Utils::Instant removedAt;
+    std::optional<Utils::Instant> leaseEndsBy; //!< See EndingLease; none if it was not recorded.
+};
+
 /*! \brief Where a task was last ordered to start, and in which term. */
 struct RecordedStart
 {
@@ -57,17 +65,18 @@
     std::map<std::string, std::map<Jobs::TaskId, RecordedStart>> startedTasks;
     //! This process's time at which it applies commands, if it is known; not replicated.
     std::optional<Utils::Instant> appliedAt;
-    //! When this process learnt that an id has no endpoint any more, for a while; not replicated.
-    std::map<std::string, Utils::Instant> removedEndpoints;
-    std::uint64_t term = 0; //!< Term of the last entry that was applied; not replicated.
+    //! Endpoints by id that were removed in the last minute; not replicated.
+    std::map<std::string, RemovedEndpoint> removedEndpoints;
+    std::uint64_t term = 0;     //!< Term of the last entry that was applied; not replicated.
+    bool recordsLeases = false; //!< The leader of that term records which leases it renews.
 
     /*!
         \brief Takes note of the term of the entry that is applied next.
 
         Leaders of older builds renew leases without a record, so what was recorded before such a term
-        is forgotten: \a recordsLeases is false if the entry does not begin with BeginTerm.
+        is forgotten once the next one begins.
     */
-    auto setTerm(std::uint64_t newTerm, bool recordsLeases) -> void;
+    auto setTerm(std::uint64_t newTerm) -> void;
     auto apply(const CommandBatch &batch) -> void;
     auto apply(const Command &command, std::int64_t nowMs) -> void;
 };
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -33,10 +33,10 @@
 
 /*! \brief What the log tells about the lease of an endpoint. */
 enum class LeaseRecord {
-    Renewed,   //!< Polls may renew it at any time.
-    Ending,    //!< It is over at a recorded time, and not renewed.
-    Inherited, //!< As before, by the record of an earlier leader.
-    Renewing,  //!< As before, and the record that it may be renewed is being committed.
+    Renewed,  //!< Polls may renew it at any time.
+    Ending,   //!< It is over at a recorded time, and not renewed.
+    Outdated, //!< As before, by the record of an earlier leader or by one to be replaced.
+    Renewing, //!< As before, and the record that it may be renewed is being committed.
 };
 
 /*! \brief Whether the start order of an earlier leader may still be carried out. */
@@ -149,6 +149,7 @@
 struct EndpointEntry
 {
     Control::EndpointRecord record;
+    bool tried = false;   //!< The outcome of a poll in this term is known, whatever it was.
     bool polled = false;  //!< The endpoint has replied to a poll in this term.
     bool answers = false; //!< The endpoint has replied to the last poll.
     bool draining = false;
@@ -160,8 +161,11 @@
     bool endOrdered = false;
     bool leaving = false; //!< The endpoint has announced its shutdown.
     LeaseRecord leaseRecord = LeaseRecord::Renewed;
-    //! Longest lease that orders of earlier leaders, or for former incarnations, may still set here.
-    Utils::Milliseconds longestFormerLease{0};
+    std::int64_t recordedLeaseMs = 0; //!< Time left in the last record that the lease ends.
+    bool leaseRenewed = false;        //!< The endpoint has replied to a poll that renews the lease.
+    //! When the incarnation replaced another one under its id, if it did: orders for that one may be late.
+    std::optional<Utils::Instant> replacedAt;
+    Utils::Instant addedAt;      //!< Time from which on the endpoint is polled in this term.
     Utils::Instant firstReplyAt; //!< Time of the first reply to a poll in this term.
     Utils::Instant lastReplyAt;  //!< Time of the last reply to a poll, or beginning of the term.
     std::int64_t clockMs = 0;    //!< Time on the endpoint's clock at clockAt.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -38,6 +38,7 @@
     m_endpointsByPool.clear();
     m_outliving.clear();
     m_lateStarts.clear();
+    m_ended.clear();
     m_forgettingPolls.clear();
     m_blockingStops.clear();
     m_jobs.clear();
@@ -59,15 +60,18 @@
         auto &endpoint = m_endpoints[id];
         endpoint.recordedEnds = known.recordedEnds;
         endpoint.processedEnds = known.recordedEnds;
-        endpoint.longestFormerLease = longestFormerLease(known, now);
-        endpoint.leaseEnd = known.endingLease ? known.endingLease->endsBy
-                                              : now + longestLocalTime(endpoint.longestFormerLease);
+        endpoint.replacedAt = known.replacedAt;
+        endpoint.leaseEnd = known.endingLease
+                                ? known.endingLease->endsBy
+                                : now + longestLocalTime(longestFormerLease(endpoint, now));
         if (known.endingLease)
-            endpoint.leaseRecord = LeaseRecord::Inherited;
+            endpoint.leaseRecord = LeaseRecord::Outdated;
         endpoint.draining = known.record.draining;
         endpoint.backfillPercent = initialBackfillPercent;
         endpoint.lastReplyAt = now;
     }
+    for (const auto &[id, removed] : state.removedEndpoints)
+        m_ended[id] = removed.removedAt;
     syncJobs(state);
     inheritStarts(state, now);
 }
@@ -111,7 +115,7 @@
     else if (endpoint != state.endpoints.end() && endpoint->second.endingLease)
         since = endpoint->second.endingLease->recordedAt;
     else if (endpoint == state.endpoints.end() && removed != state.removedEndpoints.end())
-        since = removed->second;
+        since = removed->second.removedAt;
     if (since)
         m_formerWaits[task] = *since;
 }
@@ -125,28 +129,34 @@
 {
     const auto &id = start.incarnation.id;
     const auto settled = start.knownSince && now - *start.knownSince > longestLateRun(m_timing);
-    const auto kind = settled ? FormerStart::Settled : FormerStart::MayBeLate;
     if (const auto endpoint = m_endpoints.find(id); endpoint != m_endpoints.end()) {
-        endpoint->second.inherited[task] = kind;
+        endpoint->second.inherited[task] = settled ? FormerStart::Settled : FormerStart::MayBeLate;
         return true;
     }
     if (settled)
         return false;
     const auto removed = state.removedEndpoints.find(id);
-    const auto removedAt = removed != state.removedEndpoints.end() ? removed->second : now;
+    const auto known = removed != state.removedEndpoints.end();
+    const auto longest =
+        (known ? removed->second.removedAt : now) + longestLocalTime(m_timing.maximumLease);
     auto &outliving = m_outliving[id];
-    outliving.inherited[task] = kind;
-    outliving.leaseEnd = removedAt + longestLocalTime(m_timing.maximumLease);
+    outliving.inherited[task] = FormerStart::MayBeLate;
+    outliving.leaseEnd = known ? removed->second.leaseEndsBy.value_or(longest) : longest;
     return true;
 }
 
-// A late order for a former incarnation may set any lease, since its times are of another clock.
-auto RunLedger::longestFormerLease(const Control::KnownEndpoint &endpoint, Utils::Instant now) const
+// Returns true if an order for a former incarnation under the endpoint's id may still be carried out here.
+auto RunLedger::mayGetLateOrders(const EndpointEntry &endpoint, Utils::Instant now) const -> bool
+{
+    return endpoint.replacedAt && now - *endpoint.replacedAt <= longestLateRun(m_timing);
+}
+
+// Returns the longest lease that orders of earlier leaders set. Late orders for a former incarnation may
+// set any lease, since their times are of another clock.
+auto RunLedger::longestFormerLease(const EndpointEntry &endpoint, Utils::Instant now) const
     -> Utils::Milliseconds
 {
-    const auto settled =
-        endpoint.knownSince && now - *endpoint.knownSince > longestLateRun(m_timing);
-    return settled ? m_timing.lease : m_timing.maximumLease;
+    return mayGetLateOrders(endpoint, now) ? m_timing.maximumLease : m_timing.lease;
 }
 
 auto RunLedger::addEndpoint(const Control::EndpointRecord &record, Utils::Instant now) -> void
@@ -156,10 +166,14 @@
         return;
     m_endpointsByPool.clear();
     if (endpoint.record.incarnation != record.incarnation) {
+        const auto &id = record.incarnation.id;
+        const auto replaces = !endpoint.record.incarnation.id.empty() || m_ended.contains(id);
         keepOutlivingRuns(endpoint);
         endpoint = {};
         endpoint.leaseEnd = now;
-        endpoint.longestFormerLease = m_timing.maximumLease;
+        endpoint.addedAt = now;
+        if (replaces)
+            endpoint.replacedAt = now;
         endpoint.record = record;
         takeOutlivingRuns(endpoint);
         forgetLateOrders(now);
@@ -286,6 +300,7 @@
     if (found == m_endpoints.end() || found->second.record.incarnation != incarnation)
         return;
     keepOutlivingRuns(found->second);
+    m_ended[incarnation.id] = std::nullopt;
     m_endpointsByPool.clear();
     m_endpoints.erase(found);
 }
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -271,7 +271,8 @@
     auto noteFormerWait(const Control::State &state,
                         const Jobs::TaskId &task,
                         const Control::RecordedStart &start) -> void;
-    auto longestFormerLease(const Control::KnownEndpoint &endpoint, Utils::Instant now) const
+    auto mayGetLateOrders(const EndpointEntry &endpoint, Utils::Instant now) const -> bool;
+    auto longestFormerLease(const EndpointEntry &endpoint, Utils::Instant now) const
         -> Utils::Milliseconds;
     auto releaseInherited(const FormerStarts &starts, const std::string &id, ReleaseReason reason)
         -> void;
@@ -339,6 +340,9 @@
     //! By the id of an endpoint.
     std::map<std::string, std::vector<ForgettingPoll>> m_forgettingPolls;
     std::vector<StopOrder> m_blockingStops; //!< Sent with the next orders.
+    //! When incarnations have ended, by id, for as long as orders for them may be late. None if it was
+    //! since the last call of expireLeases().
+    std::map<std::string, std::optional<Utils::Instant>> m_ended;
     std::map<std::string, OutlivingRuns>
         m_outliving; //!< By the id of an endpoint that is not known.
     //! Endpoints by pool; empty until it is computed again after a change of m_endpoints.
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -68,8 +68,13 @@
     if (const auto outliving = m_outliving.find(former.id); outliving != m_outliving.end())
         outliving->second.leaseEnd = std::max(outliving->second.leaseEnd, leaseEnd);
     const auto next = m_endpoints.find(former.id);
-    if (next != m_endpoints.end() && next->second.record.incarnation != former)
-        next->second.leaseEnd = std::max(next->second.leaseEnd, leaseEnd);
+    if (next == m_endpoints.end() || next->second.record.incarnation == former)
+        return;
+    auto &endpoint = next->second;
+    endpoint.leaseEnd = std::max(endpoint.leaseEnd, leaseEnd);
+    // What is recorded of its lease is not true any more, and is replaced.
+    if (endpoint.leaseRecord == LeaseRecord::Ending)
+        endpoint.leaseRecord = LeaseRecord::Outdated;
 }
 
 // Removes the run of a start order that will not be carried out.
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -58,6 +58,7 @@
     if (found == m_endpoints.end() || found->second.record.incarnation != order.target.incarnation)
         return effects;
     auto &endpoint = found->second;
+    endpoint.tried = true;
     effects.fenced = reply.result == PollResult::Fenced;
     effects.incarnationOver =
         reply.result == PollResult::OtherIncarnation
@@ -72,6 +73,7 @@
     endpoint.clockMs = reply.clockMs;
     endpoint.clockAt = now;
     endpoint.loadUpdated = true;
+    endpoint.leaseRenewed = endpoint.leaseRenewed || order.leaseEndMs > 0;
     effects.renewable = !endpoint.mayRenewLease() && !endpoint.leaving;
     if (effects.renewable)
         endpoint.leaseRecord = LeaseRecord::Renewing;
@@ -212,7 +214,7 @@
     adopted.pacePercent = unknownPercent;
     endpoint.inherited.erase(row.task);
     endpoint.leaseEnd =
-        std::max(endpoint.leaseEnd, now + longestLocalTime(endpoint.longestFormerLease));
+        std::max(endpoint.leaseEnd, now + longestLocalTime(longestFormerLease(endpoint, now)));
     if (job == nullptr)
         adopted.requestStop(StopReason::NotWanted);
     else if (isBooked(row.task))
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -9,6 +9,8 @@
 
 // A leader takes an endpoint for silent that has not replied this long after the beginning of the term.
 constexpr Utils::Milliseconds firstReply{600};
+// The outcome of the first poll of an endpoint is known by then.
+constexpr Utils::Milliseconds longestFirstPoll{1500};
 // Releases beyond this number between two calls of takeReleases() are not reported.
 constexpr std::size_t maximumReleases = 1000;
 
@@ -113,7 +115,7 @@
                                  ReleaseReason reason) -> void
 {
     for (const auto &[task, kind] : starts) {
-        if (kind == FormerStart::MayBeLate)
+        if (kind != FormerStart::Settled)
             m_formerStarts.insert(task);
         release({task, 0, id, reason});
     }
@@ -135,7 +137,7 @@
     for (const auto &run : kept.runs)
         endpoint.runs.erase(run.task);
     for (const auto &[task, kind] : endpoint.inherited) {
-        if (kind == FormerStart::MayBeLate)
+        if (kind != FormerStart::Settled)
             kept.inherited[task] = kind;
     }
     std::erase_if(endpoint.inherited,
@@ -207,6 +209,10 @@
         });
     }
     std::erase_if(m_forgettingPolls, [](const auto &item) { return item.second.empty(); });
+    for (auto &[id, endedAt] : m_ended)
+        endedAt = endedAt.value_or(now);
+    std::erase_if(m_ended,
+                  [&](const auto &item) { return now - *item.second > longestLateRun(m_timing); });
 }
 
 auto RunLedger::expireOutlivingRuns(Utils::Instant now) -> void
@@ -229,17 +235,19 @@
 {
     std::vector<Control::RecordLease> records;
     for (auto &[id, endpoint] : m_endpoints) {
-        const auto silent = endpoint.polled ? !endpoint.answers : now - m_beganAt >= firstReply;
+        const auto silent =
+            endpoint.polled ? !endpoint.answers : now - endpoint.addedAt >= firstReply;
         const auto ends = (silent || endpoint.leaving) && endpoint.possibleRuns() > 0;
         // The record of an earlier leader is repeated: a process that has started since then knows of no
         // time before its start.
         const auto isRecorded =
-            !endpoint.mayRenewLease() && endpoint.leaseRecord != LeaseRecord::Inherited;
+            !endpoint.mayRenewLease() && endpoint.leaseRecord != LeaseRecord::Outdated;
         if (!ends || isRecorded)
             continue;
         endpoint.leaseRecord = LeaseRecord::Ending;
         const auto left = std::max(endpoint.leaseEnd - now, Utils::Milliseconds(0));
-        records.push_back({endpoint.record.incarnation, longestLocalTime(left).count()});
+        endpoint.recordedLeaseMs = longestLocalTime(left).count();
+        records.push_back({endpoint.record.incarnation, endpoint.recordedLeaseMs});
     }
     return records;
 }
@@ -248,13 +256,16 @@
 {
     const auto found = m_endpoints.find(lease.incarnation.id);
     return found != m_endpoints.end() && found->second.record.incarnation == lease.incarnation
-           && found->second.leaseRecord == LeaseRecord::Ending;
+           && found->second.leaseRecord == LeaseRecord::Ending
+           && lease.leftMs == found->second.recordedLeaseMs;
 }
 
 auto RunLedger::leaseRenewable(const Control::EndpointIncarnation &incarnation) -> void
 {
     const auto found = m_endpoints.find(incarnation.id);
-    if (found != m_endpoints.end() && found->second.record.incarnation == incarnation)
+    // It may have been removed, announced again and recorded as silent since.
+    if (found != m_endpoints.end() && found->second.record.incarnation == incarnation
+        && found->second.leaseRecord == LeaseRecord::Renewing)
         found->second.leaseRecord = LeaseRecord::Renewed;
 }
 
@@ -264,7 +275,9 @@
     expireOutlivingRuns(now);
     forgetLateOrders(now);
     for (auto &[id, endpoint] : m_endpoints) {
-        if (now <= endpoint.leaseEnd)
+        // An endpoint that this leader reaches tells itself what it runs, so it is asked first.
+        const auto isAsked = endpoint.tried || now - endpoint.addedAt > longestFirstPoll;
+        if (now <= endpoint.leaseEnd || !isAsked)
             continue;
         releaseRuns(endpoint, ReleaseReason::LeaseExpired);
         // The next leader does not know which endpoints have announced their shutdown.
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -164,9 +164,29 @@
     restored.apply(1, {Control::Command()});
     EXPECT_TRUE(restored.endingLease());
     restored.apply(2, {Control::Command()});
+    restored.apply(3, {beginsTerm()});
     EXPECT_FALSE(restored.endingLease());
 }
 
+// Guards against LOST: the committer puts commands that an earlier session of this process has queued before BeginTerm, into
+// the same entry or an earlier one of the term. No leader of an older build has led.
+TEST(ControlState, LeaseIsKnownToEndIfOtherCommandsPrecedeTheBeginningOfTheTermInItsEntry)
+{
+    LeaseFixture fixture;
+    fixture.apply(1, {ofLease(3000)});
+    fixture.apply(2, {Control::Command(), beginsTerm()});
+    EXPECT_TRUE(fixture.endingLease());
+}
+
+TEST(ControlState, LeaseIsKnownToEndIfAnEntryPrecedesThatOfTheBeginningOfTheTerm)
+{
+    LeaseFixture fixture;
+    fixture.apply(1, {ofLease(3000)});
+    fixture.apply(2, {Control::Command()});
+    fixture.apply(2, {beginsTerm()});
+    EXPECT_TRUE(fixture.endingLease());
+}
+
 /*! \brief A command as builds without leases in the log read it. */
 struct OlderCommand
 {
--- a/tests/auto/execution/tst_leaderchanges.cpp
+++ b/tests/auto/execution/tst_leaderchanges.cpp
@@ -497,4 +497,167 @@
     EXPECT_TRUE(done || repeated > 0);
 }
 
+/*! \brief A start in flight as its endpoint crashes; the next incarnation is announced 3.5 s later. */
+class LateStartFixture
+{
+public:
+    LateStartFixture()
+    {
+        const auto first = m_ledger.addEndpoint("a");
+        m_ledger.addJob(lastingJob, longRunningStep(1, 1));
+        m_ledger.begin();
+        m_ledger.ledger.setClosed("a", true);
+        for (auto poll = 0; poll < 20; ++poll) {
+            m_ledger.poll("a");
+            m_ledger.schedule();
+            m_ledger.advance(Utils::Milliseconds(1000));
+        }
+        m_ledger.ledger.setClosed("a", false);
+        m_ledger.addEndpoint("b");
+        m_ledger.ledger.setClosed("b", true);
+        m_ledger.poll("b");
+        m_order = startOnA();
+        m_ledger.failPoll("a");
+        m_ledger.schedule();
+        m_ledger.advance(Utils::Milliseconds(3500));
+        m_ledger.ledger.addEndpoint(m_ledger.restart(first), m_ledger.now());
+        m_ledger.ledger.setClosed("b", false);
+        m_ledger.schedule();
+        m_ledger.advance(Utils::Milliseconds(100));
+    }
+
+    auto ledger() -> LedgerFixture & { return m_ledger; }
+    auto order() const -> const Execution::StartOrder & { return m_order; }
+    /*! \brief Begins a term 2 s later, and returns its starts before "a" has replied to its first poll. */
+    auto startsOfTheNextLeader() -> std::size_t
+    {
+        m_ledger.advance(Utils::Milliseconds(2000));
+        m_ledger.begin();
+        m_ledger.poll("b");
+        return m_ledger.schedule().starts.size();
+    }
+
+private:
+    auto startOnA() -> Execution::StartOrder
+    {
+        m_ledger.poll("a");
+        const auto starts = m_ledger.schedule().starts;
+        EXPECT_EQ(starts.size(), 1U);
+        EXPECT_EQ(starts.at(0).target.incarnation.id, "a");
+        m_ledger.recordStart("a", starts.at(0).task);
+        EXPECT_TRUE(m_ledger.ledger.confirmStart(starts.at(0)));
+        return starts.at(0);
+    }
+
+    LedgerFixture m_ledger;
+    Execution::StartOrder m_order;
+};
+
+// Guards against TWICE: the next incarnation has carried the order out just before its reply, so its lease goes
+// on for the longest time, after less has been recorded.
+TEST(LeaderChanges, RunThatTheNextIncarnationConfirmedAfterTheRecordIsNotRepeatedByTheNextLeader)
+{
+    LateStartFixture fixture;
+    fixture.ledger().confirmAt(fixture.order(), 50);
+    EXPECT_EQ(fixture.startsOfTheNextLeader(), 0U);
+}
+
+// Guards against TWICE: the list shows that the next incarnation has carried the order out, and that its lease goes
+// on for the longest time; the leader is lost before it has committed that it renews the lease.
+TEST(LeaderChanges, RunThatTheNextIncarnationListedAfterTheRecordIsNotRepeatedByTheNextLeader)
+{
+    LateStartFixture fixture;
+    auto &ledger = fixture.ledger().ledger;
+    const auto now = fixture.ledger().now();
+    const auto order = ledger.pollOrder("a", now);
+    ASSERT_TRUE(order);
+    Execution::PollReply reply;
+    reply.result = Execution::PollResult::Seen;
+    reply.bornMs = order->target.incarnation.bornMs;
+    reply.clockMs = 50;
+    reply.running = {{fixture.order().task, fixture.order().run, "", 100, 0}};
+    ledger.pollAnswered(*order, reply, now, now);
+    EXPECT_EQ(fixture.startsOfTheNextLeader(), 0U);
+}
+
+// Guards against TWICE: the first attempt to record the end of a lease is repeated after the endpoint was heard, renewed
+// and lost again, and replaces the record of the second silence by one whose time is over too early.
+TEST(LeaderChanges, RecordOfAnEarlierSilenceIsNotRepeatedWhileALaterOneIsRecorded)
+{
+    LostEndpointFixture fixture;
+    auto &ledger = fixture.ledger().ledger;
+    const auto order = ledger.pollOrder("lost", fixture.ledger().now());
+    fixture.ledger().advance(Utils::Milliseconds(2700));
+    ledger.pollAnswered(*order, {}, fixture.ledger().now(), fixture.ledger().now());
+    const auto first = ledger.takeEndingLeases(fixture.ledger().now());
+    ASSERT_EQ(first.size(), 1U);
+    fixture.answer();
+    fixture.answer();
+    fixture.ledger().failPoll("lost");
+    const auto second = ledger.takeEndingLeases(fixture.ledger().now());
+    ASSERT_EQ(second.size(), 1U);
+    ASSERT_LT(*first.front().leftMs, *second.front().leftMs);
+    EXPECT_FALSE(ledger.isEnding(first.front()));
+    EXPECT_TRUE(ledger.isEnding(second.front()));
+}
+
+// Guards against TWICE: the commit of a renewal may be confirmed after the endpoint was removed, announced again and
+// recorded as silent.
+TEST(LeaderChanges, LateRenewalDoesNotRenewALeaseThatIsRecordedToEnd)
+{
+    LostEndpointFixture fixture;
+    fixture.beSilentFor(Utils::Milliseconds(1000));
+    auto &ledger = fixture.ledger().ledger;
+    ledger.leaseRenewable(ledger.endpoints().at("lost").record.incarnation);
+    EXPECT_FALSE(ledger.endpoints().at("lost").mayRenewLease());
+}
+
+// Guards against LOST and TWICE: an endpoint that was announced a moment ago counts as silent at the next tick, since the
+// time for its first reply is counted from the beginning of the term. It gets no tasks before two more commits.
+TEST(LeaderChanges, EndpointThatHasJustBeenAnnouncedDoesNotCountAsSilentBeforeItsFirstReplyIsDue)
+{
+    LedgerFixture fixture;
+    const auto first = fixture.addEndpoint("a");
+    fixture.addJob(lastingJob, longRunningStep(1, 1));
+    fixture.begin();
+    fixture.advance(Utils::Milliseconds(10'000));
+    fixture.poll("a");
+    const auto starts = fixture.schedule().starts;
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_TRUE(fixture.ledger.confirmStart(starts.front()));
+    fixture.ledger.addEndpoint(fixture.restart(first), fixture.now());
+    fixture.advance(Utils::Milliseconds(20));
+    EXPECT_TRUE(fixture.ledger.takeEndingLeases(fixture.now()).empty());
+}
+
+// Guards against LOST: the removal of an endpoint holds a task for 6.2 s from then on under the next leader, although the
+// former one had recorded an earlier end of the lease and was about to start the task.
+TEST(LeaderChanges, RemovalOfASilentEndpointDoesNotHoldItsTasksLongerUnderTheNextLeader)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("silent");
+    fixture.addEndpoint("other");
+    fixture.addJob(lastingJob, longRunningStep(1, 1));
+    fixture.recordStart("silent", fixture.task(lastingJob));
+    fixture.begin();
+    const auto beganAt = fixture.now();
+    const auto passUntil = [&](Utils::Milliseconds end) {
+        std::size_t starts = 0;
+        while (starts == 0 && fixture.now() - beganAt < end) {
+            fixture.poll("other");
+            starts += fixture.schedule().starts.size();
+            fixture.advance(Utils::Milliseconds(100));
+        }
+        return starts;
+    };
+    EXPECT_EQ(passUntil(Utils::Milliseconds(4000)), 0U);
+    ASSERT_TRUE(fixture.state.endpoints.at("silent").endingLease);
+    const auto endsBy = fixture.state.endpoints.at("silent").endingLease->endsBy;
+    fixture.removeEndpoint("silent");
+    EXPECT_EQ(passUntil(Utils::Milliseconds(4500)), 0U);
+    fixture.begin();
+    EXPECT_EQ(passUntil(Utils::Milliseconds(20'000)), 1U);
+    EXPECT_LT(fixture.now() - endsBy, Utils::Milliseconds(500));
+}
+
 } // namespace
--- a/tests/auto/execution/tst_randomwaits.cpp
+++ b/tests/auto/execution/tst_randomwaits.cpp
@@ -14,6 +14,9 @@
 constexpr std::int64_t defaultSeeds = 120;
 constexpr std::array<std::uint64_t, 4> seedsOfLostEndpoints{32, 312, 381, 525};
 constexpr std::uint64_t seedOfAMaintainedHost = 1312;
+constexpr std::array<std::uint64_t, 7> seedsOfRemovedEndpoints{
+    2221, 3818, 4201, 4463, 5989, 6808, 7338};
+constexpr std::uint64_t seedOfAYoungEndpoint = 7151;
 constexpr std::array<std::int64_t, 12> seedsOfSilentEndpoints{
     5, 18, 19, 33, 40, 50, 70, 78, 79, 88, 114, 117};
 constexpr LongestTask severalSeconds{3000, 7000};
@@ -105,6 +108,28 @@
     EXPECT_EQ(result.late, "") << "it waited for:\n" << result.waits;
 }
 
+// Guards against LOST: an endpoint is removed before or as its recorded lease is over, and the next leader holds its task from
+// the removal on.
+TEST(RandomWaits, TaskOfARemovedEndpointWaitsNotLongThroughSeveralLeaders)
+{
+    WaitOptions options;
+    options.leadersChange = true;
+    for (const auto seed : seedsOfRemovedEndpoints) {
+        const auto result = ModelWaits(seed, options).play();
+        EXPECT_EQ(result.late, "") << "seed " << seed << ", it waited for:\n" << result.waits;
+    }
+}
+
+// Guards against LOST: the leader is lost before it takes an endpoint that has started 6 s before for silent, and the next one
+// holds the task for the longest lease that endpoints accept.
+TEST(RandomWaits, TaskOfAYoungEndpointWaitsNotLongThroughTwoLeaders)
+{
+    WaitOptions options;
+    options.leadersChange = true;
+    const auto result = ModelWaits(seedOfAYoungEndpoint, options).play();
+    EXPECT_EQ(result.late, "") << "it waited for:\n" << result.waits;
+}
+
 // Guards against LOST: a task waits for the lease of a lost endpoint, and only then claims room.
 TEST(RandomWaits, TaskOfALostEndpointWaitsNotLongBehindTasksOfSeveralSeconds)
 {
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -89,7 +89,8 @@
     ASSERT_EQ(first.size(), 1U);
     EXPECT_EQ(first.front().task.index, 1);
     EXPECT_TRUE(fixture.ledger.hasStarted("job"));
-    fixture.advance(Utils::Milliseconds(5900));
+    // Leaders order leases of 5 s, and the clock of the endpoint may be 2 % slow.
+    fixture.advance(Utils::Milliseconds(5000));
     fixture.poll("a", {{first.front().task, first.front().run, "", 100, 0}});
     EXPECT_TRUE(fixture.schedule().starts.empty());
     fixture.advance(Utils::Milliseconds(400));
@@ -100,6 +101,24 @@
     EXPECT_EQ(second.front().target.incarnation.id, "a");
 }
 
+// Guards against TWICE: an order for the former incarnation sets the longest lease on the next one.
+TEST(RunLedger, DoesNotRestartInheritedTaskBeforeTheLongestLeaseOfAnEndpointThatStartedAgainExpires)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    const auto former = fixture.addEndpoint("silent");
+    fixture.addJob("job", plainStep(1));
+    fixture.recordStart("silent", fixture.task("job", 0));
+    fixture.ledger.addEndpoint(fixture.restart(former), fixture.now());
+    fixture.begin();
+    fixture.advance(Utils::Milliseconds(5900));
+    fixture.poll("a");
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    fixture.advance(Utils::Milliseconds(400));
+    fixture.poll("a");
+    ASSERT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
 TEST(RunLedger, RestartsInheritedTaskOnceItsEndpointDoesNotListIt)
 {
     LedgerFixture fixture;
--- a/tests/auto/service/tst_committer.cpp
+++ b/tests/auto/service/tst_committer.cpp
@@ -25,6 +25,7 @@
     {
         Replication::Entry entry;
         entry.revision = Replication::Revision(++entries);
+        entry.term = term;
         entry.payload = std::move(payload);
         m_state.apply(entry);
         return Replication::SubmitReply{entry.revision, {}};
@@ -36,6 +37,7 @@
     auto status() const -> Replication::LogStatus override { return {}; }
 
     std::atomic<int> entries = 0;
+    std::atomic<std::uint64_t> term = 1; //!< Term of the entries that are submitted next.
 
 private:
     Control::StateReplica &m_state;
@@ -81,4 +83,44 @@
               std::size_t(commands));
 }
 
+// Guards against LOST: a command that an earlier session of the process has queued while it had no majority shares the first
+// entry of the next term, so that the state takes that for one of an older build and forgets all ends of leases.
+TEST(Committer, CommandThatIsQueuedAsATermBeginsLeavesTheEndsOfLeasesKnown)
+{
+    AsyncNet::asio::io_context loop;
+    Utils::SystemClock clock;
+    Control::StateReplica state{clock};
+    CountingLog log(state);
+    Service::Committer committer(loop, log, state, clock);
+    auto committed = 0;
+    const auto commit = [&](std::vector<Control::Command> commands) -> AsyncNet::Task<void> {
+        const auto result = co_await committer.commit(std::move(commands));
+        committed += result == Execution::CommitResult::Committed ? 1 : 0;
+    };
+    const auto runUntilCommitted = [&](int number) {
+        loop.restart();
+        const auto startTime = clock.now();
+        while (committed < number && clock.now() - startTime < longestTest)
+            loop.run_for(pauseBetweenCommands);
+    };
+    auto silent = endpointCommand(1);
+    silent.emplace_back().recordLease = Control::RecordLease{{"endpoint-1", 1}, 3000};
+    AsyncNet::start(loop, "silent endpoint", commit(std::move(silent)));
+    runUntilCommitted(1);
+    const auto endIsKnown = [&] {
+        return state.read([](const Control::State &seen) {
+            return seen.endpoints.at("endpoint-1").endingLease.has_value();
+        });
+    };
+    ASSERT_TRUE(endIsKnown());
+    log.term = 2;
+    AsyncNet::start(loop, "queued before", commit(endpointCommand(2)));
+    std::vector<Control::Command> beginTerm(1);
+    beginTerm.front().beginTerm.emplace();
+    AsyncNet::start(loop, "beginning of the term", commit(std::move(beginTerm)));
+    runUntilCommitted(3);
+    ASSERT_EQ(committed, 3);
+    EXPECT_TRUE(endIsKnown());
+}
+
 } // namespace
