Let long-running starts on new endpoints outlive one lost poll, and drop starts whose lease is over

Why this works: until a poll has renewed the lease, starts carry the one of a poll. A start whose lease is over by the last clock of its endpoint is decided anew instead of sent.

--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -28,7 +28,8 @@
     const auto *run = findRun(order.target, order.task, order.run);
     if (run == nullptr || run->state != RunState::Ordered)
         return false;
-    if (!run->stopReason && findUnfinished(order.task) != nullptr)
+    const auto isOver = run->leaseEndMs <= m_endpoints.at(order.target.incarnation.id).clockMs;
+    if (!run->stopReason && !isOver && findUnfinished(order.task) != nullptr)
         return true;
     m_endpoints.at(order.target.incarnation.id).runs.erase(order.task);
     reopen(order.task);
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -593,7 +593,9 @@
     const auto &spec = job.spec().steps[std::size_t(task.step)];
     auto run = makeRun(spec, task, number);
     run.orderedAt = now;
-    const auto lease = spec.longRunning ? m_timing.startLease : m_timing.lease;
+    // Until a poll has renewed the lease, the run has to outlive that one poll is lost.
+    const auto isShort = spec.longRunning && endpoint.leaseRenewed;
+    const auto lease = isShort ? m_timing.startLease : m_timing.lease;
     run.leaseEndMs = endpoint.clockAtLeast(now) + lease.count();
     endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestLocalTime(lease));
     if (spec.fills && endpoint.servesUsers())
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -595,6 +595,8 @@
     fixture.addJob("job", longRunningStep(2, 1));
     fixture.begin();
     fixture.poll("a");
+    // The second poll is the first one that renews the lease.
+    fixture.poll("a");
     const auto starts = fixture.schedule().starts;
     ASSERT_EQ(starts.size(), 2U);
     fixture.ledger.startAnswered(starts[0], {}, fixture.now());
@@ -612,4 +614,45 @@
     EXPECT_LE(startedAt - orderedAt, Utils::Milliseconds(3500));
 }
 
+// Guards against LOST: a commit whose outcome was not known for 2.5 s is repeated, and the order that follows it is
+// refused as too late. The endpoint then gets no task for a second.
+TEST(LongRunningTasks, StartWhoseLeaseIsOverOnceItIsRecordedIsNotSent)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", longRunningStep(1, 1));
+    fixture.begin();
+    fixture.poll("a");
+    const auto order = fixture.schedule().starts.front();
+    constexpr Utils::Milliseconds commitTimeout{2500};
+    constexpr Utils::Milliseconds commitRetry{100};
+    fixture.advance(commitTimeout + commitRetry);
+    fixture.poll("a");
+    const auto sent = fixture.ledger.confirmStart(order);
+    EXPECT_TRUE(!sent || order.leaseEndMs > fixture.clockMs());
+}
+
+// Guards against AVAIL and LOST: no earlier poll has renewed the lease of a new endpoint, so the lease in the order has to
+// last until the poll after one that is lost.
+TEST(LongRunningTasks, RunOnANewEndpointOutlivesThatOnePollIsLost)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", longRunningStep(1, 1));
+    fixture.begin();
+    fixture.poll("a");
+    // The poll is sent at once and does not arrive.
+    const auto sentAt = fixture.now();
+    const auto poll = fixture.ledger.pollOrder("a", sentAt);
+    ASSERT_GT(poll->leaseEndMs, 0);
+    const auto order = fixture.schedule().starts.front();
+    EXPECT_TRUE(fixture.ledger.confirmStart(order));
+    fixture.confirm(order);
+    // The time-out of a poll without its waiting time, and the pause before the next poll.
+    constexpr Utils::Milliseconds replyTimeout{1200};
+    constexpr Utils::Milliseconds pollRetry{250};
+    fixture.advance(replyTimeout + Utils::Milliseconds(poll->waitMs) + pollRetry);
+    EXPECT_GT(order.leaseEndMs, fixture.clockMs());
+}
+
 } // namespace
