--- /dev/null
+++ b/src/libs/execution/runroom.cpp
@@ -0,0 +1,125 @@
+// Implements the part of RunLedger that keeps endpoints free for tasks that wait.
+#include "runledger.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace Execution {
+
+// Keeps room free for tasks whose lease is awaited: short tasks may take longer to leave it.
+auto RunLedger::keepFreeForLost(std::map<std::string, PoolPlacement> &pools, Utils::Instant now)
+    -> void
+{
+    std::vector<std::int64_t> tasksOfStep;
+    std::optional<Jobs::TaskId> step;
+    for (const auto &task : lostTasks(now)) {
+        const auto &job = m_jobs.at(task.job);
+        auto &pool = placementOf(pools, job.spec().pool, now);
+        const Jobs::TaskId first{task.job, task.occurrence, task.step, 0};
+        if (std::exchange(step, first) != first)
+            tasksOfStep = countTasksOfStep(job, first, pool);
+        keepFree(*job.specOf(task), tasksOfStep, pool);
+    }
+}
+
+// Returns the long-running tasks that are booked where nothing answers; gangs start together only.
+auto RunLedger::lostTasks(Utils::Instant now) -> std::set<Jobs::TaskId>
+{
+    std::set<Jobs::TaskId> tasks;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (now - endpoint.lastReplyAt < m_timing.maximumPollAge)
+            continue;
+        for (const auto &[task, run] : endpoint.runs)
+            tasks.insert(task);
+        for (const auto &[task, kind] : endpoint.inherited)
+            tasks.insert(task);
+    }
+    for (const auto &[id, outliving] : m_outliving) {
+        for (const auto &run : outliving.runs)
+            tasks.insert(run.task);
+        for (const auto &[task, kind] : outliving.inherited)
+            tasks.insert(task);
+    }
+    std::erase_if(tasks, [this](const Jobs::TaskId &task) {
+        const auto *job = findUnfinished(task);
+        if (job == nullptr || job->state(task) != TaskState::Booked)
+            return true;
+        const auto &spec = *job->specOf(task);
+        return !spec.longRunning || spec.gang;
+    });
+    return tasks;
+}
+
+auto RunLedger::hasRoom(PoolPlacement &pool, const Jobs::Resources &demand) -> bool
+{
+    const auto refused = [&demand](const auto &tooLarge) { return tooLarge.fitsInto(demand); };
+    if (std::ranges::any_of(pool.tooLarge, refused))
+        return false;
+    ++m_searches;
+    if (Scheduling::hasRoom(pool.views, demand))
+        return true;
+    pool.tooLarge.push_back(demand);
+    return false;
+}
+
+// Gives a long-running task the room that becomes free on an endpoint, so that tasks that need less
+// do not take it piece by piece. Returns false if no endpoint could run the task.
+auto RunLedger::keepFree(const Jobs::StepSpec &step,
+                         std::vector<std::int64_t> &tasksOfStep,
+                         PoolPlacement &pool) -> bool
+{
+    const auto chosen = Scheduling::chooseEndpointToKeepFree(pool.views, {&step, tasksOfStep});
+    if (!chosen)
+        return false;
+    auto &view = pool.views[*chosen];
+    const auto demand = Scheduling::occupiedBy(step);
+    view.free -= demand;
+    view.freeOnceShortTasksEnd -= demand;
+    ++tasksOfStep[*chosen];
+    m_keptFree.insert(pool.endpoints[*chosen]->record.incarnation.id);
+    return true;
+}
+
+// Keeps room free for all members of a long-running gang, or counts them as unplaced.
+auto RunLedger::keepFreeForGang(const JobProgress &job,
+                                const Jobs::StepSpec &step,
+                                PoolPlacement &pool) -> void
+{
+    const auto savedViews = pool.views;
+    const auto savedKeptFree = m_keptFree;
+    std::vector<std::int64_t> tasksOfStep(pool.endpoints.size(), 0);
+    for (std::int64_t member = 0; member < step.count; ++member) {
+        if (keepFree(step, tasksOfStep, pool))
+            continue;
+        pool.views = savedViews;
+        m_keptFree = savedKeptFree;
+        addUnplaced(job, step, step.count - member, pool);
+        return;
+    }
+}
+
+// Counts the hosts that could run \a count tasks of the step. Hosts that lack the label or are too small
+// would not help.
+auto RunLedger::addUnplaced(const JobProgress &job,
+                            const Jobs::StepSpec &step,
+                            std::int64_t count,
+                            const PoolPlacement &pool) -> void
+{
+    if (!step.requiredLabel.empty())
+        return;
+    std::int64_t tasks = 0;
+    for (const auto &[id, endpoint] : m_endpoints)
+        tasks = std::max(tasks, Scheduling::tasksPerHost(step, endpoint.record.capacity));
+    if (tasks == 0)
+        return;
+    auto &unplaced = m_unplaced[job.spec().pool];
+    unplaced.hosts += double(count) / double(tasks);
+    unplaced.openEndpoints = std::ranges::count(pool.views, true, &Scheduling::EndpointView::open);
+}
+
+auto RunLedger::isKeptFree(const std::string &endpoint) const -> bool
+{
+    return m_keptFree.contains(endpoint);
+}
+
+} // namespace Execution
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -12,45 +12,20 @@
 
 // Run numbers are term * startsPerTerm + counter, so that they increase across leaders.
 constexpr std::int64_t startsPerTerm = 1'000'000;
-// A stop is repeated after this time if the run is not settled.
-constexpr Utils::Milliseconds stopRetry{700};
 // Interval at which runs are checked for stops that become due by the passage of time alone.
 constexpr Utils::Milliseconds stopCheckInterval{100};
-// Interval at which the speed of backfill tasks is adapted to the load figures that polls report.
-constexpr Utils::Milliseconds paceCheckInterval{50};
 // Occurrences that are due within this time count as demand, so that hosts moved now arrive in
 // time.
 constexpr std::int64_t soonDueMs = 2000;
-// A start without a reply is stopped after this time at the earliest, unless a poll lists the run.
-constexpr Utils::Milliseconds uncertainGrace{600};
 // After this many consecutive failed task ends, an endpoint gets no new tasks for avoidTime.
 constexpr std::int64_t failuresToAvoid = 3;
 constexpr Utils::Milliseconds avoidTime{2500};
 // At most 1/3 of the endpoints of a pool (rounded down) are avoided, or one in a pool of two.
 constexpr std::size_t avoidedDivisor = 3;
 
-// Backfill tasks are slowed down when a tail latency exceeds this percentage of its target.
-constexpr std::int64_t slowBackfillAbove = 80;
-// Backfill tasks are sped up again when all tail latencies are below this percentage.
-constexpr std::int64_t speedUpBackfillBelow = 55;
-constexpr std::int64_t fullPercent = 100;
-constexpr std::int64_t minimumBackfillPercent =
-    10; // Backfill tasks pause instead of running slower than this.
-constexpr std::int64_t backfillIncrease = 15;
-
 // Ranks jobs with long-running tasks before all others.
 constexpr std::int64_t longRunningPriority = -1;
 
-auto highestLoadPercent(const EndpointEntry &endpoint) -> std::int64_t
-{
-    std::int64_t highest = 0;
-    for (const auto &[task, run] : endpoint.runs) {
-        if (run.latencyTargetMs > 0)
-            highest = std::max(highest, run.load * fullPercent / run.latencyTargetMs);
-    }
-    return highest;
-}
-
 // Returns how many endpoints of a pool may be avoided at the same time.
 auto maximumAvoided(std::size_t endpoints) -> std::size_t
 {
@@ -172,70 +147,6 @@
         terms, job.chainMs(), job.spec().dueMs(number), job.remainingMs(number), wallMs);
 }
 
-auto RunLedger::stopUnwanted(Utils::Instant now, Orders &orders) -> void
-{
-    m_stopsDue = false;
-    m_stopsCheckedAt = now;
-    for (auto &[id, endpoint] : m_endpoints) {
-        for (auto &[task, run] : endpoint.runs) {
-            const auto job = m_jobs.find(task.job);
-            if (job == m_jobs.end() || job->second.state(task) == TaskState::Done)
-                run.requestStop(StopReason::NotWanted);
-            const auto unsettled =
-                run.state == RunState::Uncertain && now - run.orderedAt > uncertainGrace;
-            if (run.state == RunState::Ordered || !(run.stopReason || unsettled))
-                continue;
-            if (run.stopSentAt != Utils::Instant() && now - run.stopSentAt < stopRetry)
-                continue;
-            if (!mayStopNow(run))
-                continue;
-            run.stopSentAt = now;
-            orders.stops.push_back(stopOrder(endpoint, run));
-        }
-    }
-}
-
-auto RunLedger::stopOrder(const EndpointEntry &endpoint, const Run &run) const -> StopOrder
-{
-    StopOrder order{target(endpoint), run.task, run.number};
-    order.reason = run.stopReason.value_or(StopReason::StartUnanswered);
-    const auto *spec = specOf(run.task);
-    if (run.longRunning && spec != nullptr) {
-        order.othersUnavailable = unavailableTasks(run.task, {});
-        order.mayMiss = spec->mayMiss;
-    }
-    return order;
-}
-
-auto RunLedger::paceBackfill(Utils::Instant now, Orders &orders) -> void
-{
-    if (now - m_pacesCheckedAt < paceCheckInterval)
-        return;
-    m_pacesCheckedAt = now;
-    for (auto &[id, endpoint] : m_endpoints) {
-        if (!endpoint.runs.holdsBackfill())
-            continue;
-        const auto serves = endpoint.servesUsers();
-        if (!serves)
-            endpoint.backfillPercent = fullPercent;
-        else if (std::exchange(endpoint.loadUpdated, false)) {
-            const auto load = highestLoadPercent(endpoint);
-            auto &percent = endpoint.backfillPercent;
-            if (load > slowBackfillAbove)
-                percent = percent / 2 < minimumBackfillPercent ? 0 : percent / 2;
-            else if (load < speedUpBackfillBelow)
-                percent = std::min(fullPercent, percent + backfillIncrease);
-        }
-        for (auto &[task, run] : endpoint.runs) {
-            const auto settled = run.state == RunState::Running && !run.paceInFlight;
-            if (!run.fills || !settled || run.pacePercent == endpoint.backfillPercent)
-                continue;
-            run.paceInFlight = true;
-            orders.paces.push_back({target(endpoint), task, run.number, endpoint.backfillPercent});
-        }
-    }
-}
-
 auto RunLedger::endpointsOfPool(const std::string &pool) -> const std::vector<EndpointEntry *> &
 {
     if (m_endpointsByPool.empty()) {
@@ -340,50 +251,6 @@
     }
 }
 
-// Keeps room free for tasks whose lease is awaited: short tasks may take longer to leave it.
-auto RunLedger::keepFreeForLost(std::map<std::string, PoolPlacement> &pools, Utils::Instant now)
-    -> void
-{
-    std::vector<std::int64_t> tasksOfStep;
-    std::optional<Jobs::TaskId> step;
-    for (const auto &task : lostTasks(now)) {
-        const auto &job = m_jobs.at(task.job);
-        auto &pool = placementOf(pools, job.spec().pool, now);
-        const Jobs::TaskId first{task.job, task.occurrence, task.step, 0};
-        if (std::exchange(step, first) != first)
-            tasksOfStep = countTasksOfStep(job, first, pool);
-        keepFree(*job.specOf(task), tasksOfStep, pool);
-    }
-}
-
-// Returns the long-running tasks that are booked where nothing answers; gangs start together only.
-auto RunLedger::lostTasks(Utils::Instant now) -> std::set<Jobs::TaskId>
-{
-    std::set<Jobs::TaskId> tasks;
-    for (const auto &[id, endpoint] : m_endpoints) {
-        if (now - endpoint.lastReplyAt < m_timing.maximumPollAge)
-            continue;
-        for (const auto &[task, run] : endpoint.runs)
-            tasks.insert(task);
-        for (const auto &[task, kind] : endpoint.inherited)
-            tasks.insert(task);
-    }
-    for (const auto &[id, outliving] : m_outliving) {
-        for (const auto &run : outliving.runs)
-            tasks.insert(run.task);
-        for (const auto &[task, kind] : outliving.inherited)
-            tasks.insert(task);
-    }
-    std::erase_if(tasks, [this](const Jobs::TaskId &task) {
-        const auto *job = findUnfinished(task);
-        if (job == nullptr || job->state(task) != TaskState::Booked)
-            return true;
-        const auto &spec = *job->specOf(task);
-        return !spec.longRunning || spec.gang;
-    });
-    return tasks;
-}
-
 auto RunLedger::placementOf(std::map<std::string, PoolPlacement> &pools,
                             const std::string &pool,
                             Utils::Instant now) -> PoolPlacement &
@@ -474,78 +341,6 @@
         addUnplaced(job, spec, unplaced, pool);
 }
 
-auto RunLedger::hasRoom(PoolPlacement &pool, const Jobs::Resources &demand) -> bool
-{
-    const auto refused = [&demand](const auto &tooLarge) { return tooLarge.fitsInto(demand); };
-    if (std::ranges::any_of(pool.tooLarge, refused))
-        return false;
-    ++m_searches;
-    if (Scheduling::hasRoom(pool.views, demand))
-        return true;
-    pool.tooLarge.push_back(demand);
-    return false;
-}
-
-// Gives a long-running task the room that becomes free on an endpoint, so that tasks that need less
-// do not take it piece by piece. Returns false if no endpoint could run the task.
-auto RunLedger::keepFree(const Jobs::StepSpec &step,
-                         std::vector<std::int64_t> &tasksOfStep,
-                         PoolPlacement &pool) -> bool
-{
-    const auto chosen = Scheduling::chooseEndpointToKeepFree(pool.views, {&step, tasksOfStep});
-    if (!chosen)
-        return false;
-    auto &view = pool.views[*chosen];
-    const auto demand = Scheduling::occupiedBy(step);
-    view.free -= demand;
-    view.freeOnceShortTasksEnd -= demand;
-    ++tasksOfStep[*chosen];
-    m_keptFree.insert(pool.endpoints[*chosen]->record.incarnation.id);
-    return true;
-}
-
-// Keeps room free for all members of a long-running gang, or counts them as unplaced.
-auto RunLedger::keepFreeForGang(const JobProgress &job,
-                                const Jobs::StepSpec &step,
-                                PoolPlacement &pool) -> void
-{
-    const auto savedViews = pool.views;
-    const auto savedKeptFree = m_keptFree;
-    std::vector<std::int64_t> tasksOfStep(pool.endpoints.size(), 0);
-    for (std::int64_t member = 0; member < step.count; ++member) {
-        if (keepFree(step, tasksOfStep, pool))
-            continue;
-        pool.views = savedViews;
-        m_keptFree = savedKeptFree;
-        addUnplaced(job, step, step.count - member, pool);
-        return;
-    }
-}
-
-// Counts the hosts that could run \a count tasks of the step. Hosts that lack the label or are too small
-// would not help.
-auto RunLedger::addUnplaced(const JobProgress &job,
-                            const Jobs::StepSpec &step,
-                            std::int64_t count,
-                            const PoolPlacement &pool) -> void
-{
-    if (!step.requiredLabel.empty())
-        return;
-    std::int64_t tasks = 0;
-    for (const auto &[id, endpoint] : m_endpoints)
-        tasks = std::max(tasks, Scheduling::tasksPerHost(step, endpoint.record.capacity));
-    if (tasks == 0)
-        return;
-    auto &unplaced = m_unplaced[job.spec().pool];
-    unplaced.hosts += double(count) / double(tasks);
-    unplaced.openEndpoints = std::ranges::count(pool.views, true, &Scheduling::EndpointView::open);
-}
-
-auto RunLedger::isKeptFree(const std::string &endpoint) const -> bool
-{
-    return m_keptFree.contains(endpoint);
-}
-
 // Starts all members of a gang under one run number, or none of them.
 auto RunLedger::startGang(JobProgress &job,
                           const Jobs::TaskId &first,
