--- a/src/libs/utils/fields.h
+++ b/src/libs/utils/fields.h
@@ -64,17 +64,24 @@
     return "unknown";
 }
 
-/*! \brief Returns the enumerator with the stable name \a name, or std::nullopt. */
+/*! \brief Returns the enumerator that \a names call \a name, or std::nullopt. */
 template <typename E>
-auto valueOf(std::string_view name) -> std::optional<E>
+auto valueOf(std::span<const EnumName<E>> names, std::string_view name) -> std::optional<E>
 {
-    for (const auto &entry : enumNames(E{})) {
+    for (const auto &entry : names) {
         if (entry.name == name)
             return entry.value;
     }
     return std::nullopt;
 }
 
+/*! \brief Returns the enumerator with the stable name \a name, or std::nullopt. */
+template <typename E>
+auto valueOf(std::string_view name) -> std::optional<E>
+{
+    return valueOf<E>(enumNames(E{}), name);
+}
+
 template <typename E>
 concept NamedEnum = std::is_enum_v<E> && requires(E value)
 {
