Keep the endpoint of an unanswered move closed until the order is settled

Cause: a move whose order got no reply counted as over after 4 s. Its endpoint was opened again and got tasks, while the order may be carried out for 13 s.

Evidence: the test EndpointStaysClosedWhileAnUnansweredMoveMayStillBeCarriedOut fails before this change: lists requested 5 s to 12 s after the order open the endpoint.

Why it works: such an order is repeated 1.5 s later and on, while nothing runs there: the provider accepts what it has done, and then a late first copy changes nothing. Until a reply, or for 13 s, the endpoint stays closed; a refusal of a repeated order tells nothing of the first one. Hosts without an endpoint are repeated as well, so that they are not held up for longer.

The two of unanswered moves of hosts with an endpoint failed on the code before; the third new one was not run there.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -20,6 +20,18 @@
 constexpr Utils::Milliseconds parkAfter{1200};
 // Maximum time from a move order until the moved host announces its endpoint.
 constexpr Utils::Milliseconds maximumMoveTime{4000};
+// Pause before an order that got no reply is repeated.
+constexpr Utils::Milliseconds moveRetry{1500};
+
+// Returns true if nothing is known to run on the incarnation, or if there is none.
+auto isEmpty(const RunLedger &ledger, const Control::EndpointIncarnation &incarnation) -> bool
+{
+    if (incarnation.id.empty())
+        return true;
+    const auto found = ledger.endpoints().find(incarnation.id);
+    return found != ledger.endpoints().end() && found->second.record.incarnation == incarnation
+           && found->second.possibleRuns() == 0;
+}
 
 } // namespace
 
@@ -188,6 +200,7 @@
     HostMoves moves;
     if (!hosts.complete || !mayMove(ledger, hosts, now))
         return moves;
+    moves.steps = repeatUnanswered(ledger, hosts, maximumMoves, now);
     const HostOccupancy occupancy(ledger, hosts);
     auto plan = Scheduling::planTransfers(loads(configuration, ledger, occupancy, hosts, now));
     for (auto transfer : plan.transfers) {
@@ -203,6 +216,31 @@
     return moves;
 }
 
+// Repeats orders that got no reply: the provider accepts what it has done, and then the first copy changes
+// nothing any more.
+auto HostMovePlan::repeatUnanswered(const RunLedger &ledger,
+                                    const HostList &hosts,
+                                    std::int64_t maximumMoves,
+                                    Utils::Instant now) -> std::vector<MoveStep>
+{
+    std::vector<MoveStep> steps;
+    for (auto &[name, moving] : m_moving) {
+        if (std::int64_t(steps.size()) >= maximumMoves)
+            break;
+        if (!moving.uncertainUntil || moving.inFlight || now - moving.at < moveRetry)
+            continue;
+        const auto &step = moving.step;
+        const auto host = std::ranges::find(hosts.hosts, name, &HostInfo::name);
+        if (host == hosts.hosts.end() || host->state != HostState::Up || host->pool != step.from
+            || host->endpoint != step.incarnation.id || !isEmpty(ledger, step.incarnation))
+            continue;
+        moving.at = now;
+        moving.inFlight = true;
+        steps.push_back(step);
+    }
+    return steps;
+}
+
 // Closes as many endpoints as each pool is to release, and reopens closed endpoints that the pool
 // may keep.
 auto HostMovePlan::releaseHosts(std::span<const Scheduling::Release> releases,
@@ -266,7 +304,7 @@
         if (const auto endpoint = ledger.endpoints().find(host->endpoint);
             endpoint != ledger.endpoints().end())
             step.incarnation = endpoint->second.record.incarnation;
-        m_moving[host->name] = {step, now};
+        m_moving[host->name] = {step, now, {}, true};
         m_releasing.erase(host->endpoint);
         steps.push_back(std::move(step));
     }
@@ -275,10 +313,17 @@
 
 auto HostMovePlan::ordered(const MoveStep &step, HostOrderResult result, Utils::Instant now) -> bool
 {
-    if (result == HostOrderResult::Accepted || result == HostOrderResult::Unknown) {
-        m_moving[step.host].at = now;
+    auto &moving = m_moving[step.host];
+    moving.step = step;
+    moving.at = now;
+    moving.inFlight = false;
+    if (result == HostOrderResult::Accepted)
+        moving.uncertainUntil.reset();
+    else if (result == HostOrderResult::Unknown)
+        moving.uncertainUntil = now + longestLateOrder;
+    const auto mayBeCarriedOut = moving.uncertainUntil && now < *moving.uncertainUntil;
+    if (result == HostOrderResult::Accepted || mayBeCarriedOut)
         return false;
-    }
     m_moving.erase(step.host);
     m_refused[step.host] = now;
     return !step.incarnation.id.empty();
@@ -295,7 +340,8 @@
         const auto listed = host != hosts.hosts.end() && listedAt > order.at;
         const auto arrived = listed && host->state == HostState::Up && host->pool == order.step.to
                              && host->endpoint != order.step.incarnation.id;
-        const auto overdue = listedAt - order.at > maximumMoveTime;
+        const auto mayBeCarriedOut = order.uncertainUntil && listedAt < *order.uncertainUntil;
+        const auto overdue = listedAt - order.at > maximumMoveTime && !mayBeCarriedOut;
         if (overdue && listed && host->pool == order.step.from
             && !order.step.incarnation.id.empty())
             unmoved.push_back(order.step.incarnation.id);
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -7,6 +7,7 @@
 #include "scheduling/poolsizing.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -80,6 +81,9 @@
     {
         MoveStep step;
         Utils::Instant at;
+        //! Set if an order got no reply; it may be carried out before this time.
+        std::optional<Utils::Instant> uncertainUntil;
+        bool inFlight = false; //!< The reply to an order is still to come.
     };
 
     auto updateIdleSince(const RunLedger &ledger, Utils::Instant now) -> void;
@@ -97,6 +101,10 @@
     auto mayMove(const RunLedger &ledger, const HostList &hosts, Utils::Instant now) const -> bool;
     auto isIdle(const RunLedger &ledger, const HostOccupancy &occupancy, const HostInfo &host) const
         -> bool;
+    auto repeatUnanswered(const RunLedger &ledger,
+                          const HostList &hosts,
+                          std::int64_t maximumMoves,
+                          Utils::Instant now) -> std::vector<MoveStep>;
     auto releaseHosts(std::span<const Scheduling::Release> releases,
                       const Control::Configuration &configuration,
                       const RunLedger &ledger,
--- a/tests/auto/execution/tst_hostmoveplan.cpp
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -55,6 +55,10 @@
     {
         m_plan.ordered(step, Execution::HostOrderResult::Busy, at(elapsedMs));
     }
+    auto leaveUnanswered(const Execution::MoveStep &step, std::int64_t elapsedMs) -> void
+    {
+        m_plan.ordered(step, Execution::HostOrderResult::Unknown, at(elapsedMs));
+    }
     /*! \brief Hands the plan a list of hosts that was requested at \a elapsedMs. */
     auto listAgain(std::int64_t elapsedMs) -> void { m_plan.takeUnmoved(m_list, at(elapsedMs)); }
 
@@ -201,6 +205,15 @@
             ledger.ledger.setClosed(id, false);
         return moves;
     }
+    auto answer(const Execution::MoveStep &step, Execution::HostOrderResult result) -> bool
+    {
+        return m_plan.ordered(step, result, ledger.now());
+    }
+    /*! \brief Hands the plan a new list of hosts, and returns the endpoints to be opened again. */
+    auto listAgain() -> std::vector<std::string>
+    {
+        return m_plan.takeUnmoved(m_list, ledger.now());
+    }
     /*! \brief Returns the least number of hosts of the first pool. */
     auto leastHosts() -> std::int64_t
     {
@@ -302,6 +315,72 @@
     EXPECT_EQ(fixture.next(1).steps.size(), 1U);
 }
 
+/*! \brief A move of an idle host with an endpoint, whose order gets no reply. */
+class UnansweredMoveFixture : public PoolsFixture
+{
+public:
+    UnansweredMoveFixture()
+        : PoolsFixture({"lacking"})
+    {
+        addHosts("pool", {"a1", "a2", "a3", "a4"});
+        addHosts("lacking", {"c1"});
+        addApart("lacking", 2);
+        begin();
+        const auto steps = next(hostsOff).steps;
+        EXPECT_EQ(steps.size(), 1U);
+        step = steps.at(0);
+        EXPECT_FALSE(answer(step, Execution::HostOrderResult::Unknown));
+    }
+    auto isRepeated() -> bool
+    {
+        const auto steps = next(hostsOff).steps;
+        return std::ranges::find(steps, step.host, &Execution::MoveStep::host) != steps.end();
+    }
+
+    Execution::MoveStep step;
+};
+
+// Guards against AVAIL: the order was carried out after 4 s, when tasks had started there again.
+TEST(HostMovePlan, EndpointStaysClosedWhileAnUnansweredMoveMayStillBeCarriedOut)
+{
+    UnansweredMoveFixture fixture;
+    for (auto second = 1; second < 13; ++second) {
+        fixture.ledger.advance(Utils::Milliseconds(1000));
+        EXPECT_TRUE(fixture.listAgain().empty()) << second;
+    }
+    fixture.ledger.advance(Utils::Milliseconds(1000));
+    EXPECT_EQ(fixture.listAgain(), std::vector<std::string>{fixture.step.incarnation.id});
+}
+
+TEST(HostMovePlan, UnansweredMoveIsRepeatedSoThatItsHostIsNotHeldForLong)
+{
+    UnansweredMoveFixture fixture;
+    EXPECT_FALSE(fixture.isRepeated());
+    fixture.ledger.advance(Utils::Milliseconds(1500));
+    EXPECT_TRUE(fixture.isRepeated());
+    // The first copy may still be carried out after a refusal of the second one.
+    EXPECT_FALSE(fixture.answer(fixture.step, Execution::HostOrderResult::Busy));
+    EXPECT_FALSE(fixture.isRepeated());
+    fixture.ledger.advance(Utils::Milliseconds(1500));
+    EXPECT_TRUE(fixture.isRepeated());
+    EXPECT_FALSE(fixture.answer(fixture.step, Execution::HostOrderResult::Accepted));
+    fixture.ledger.advance(Utils::Milliseconds(1500));
+    EXPECT_FALSE(fixture.isRepeated());
+}
+
+TEST(HostMovePlan, UnansweredMoveOfAHostWithoutAnEndpointIsRepeated)
+{
+    TakeOverFixture fixture;
+    fixture.poll(hostsUp);
+    const auto steps = fixture.stepsAt(0);
+    ASSERT_FALSE(steps.empty());
+    for (const auto &step : steps) {
+        ASSERT_TRUE(step.incarnation.id.empty());
+        fixture.leaveUnanswered(step, 50);
+    }
+    EXPECT_GE(fixture.stepsAt(1600).size(), steps.size());
+}
+
 TEST(HostMovePlan, HostThatHasArrivedIsNotAskedForAgainBeforeAPassUsesIt)
 {
     PoolsFixture fixture({});
