Record orders for hosts in the log, so that the next leader knows what may still end

Cause: an order to move or maintain a host that a cut holds up is carried out once the cut is over, when the next leader has started tasks there. Orders were in the memory of the leader that gave them alone.

Why it works: an order names host, endpoint, wave or pool in the log before it is sent, so a leader that is cut off gives none. For 14.5 s from the record the next leader keeps the endpoint closed, counts the host as unavailable in its wave, and repeats the order first. The provider accepts what it has done, and then a late first copy changes nothing.

Tests: CountsHostAsUnavailableWhileAnOrderOfAFormerLeaderMayStillBeCarriedOut is no longer red. It now records the order of the former leader, as a session does before it sends one (OrdersNoHostWithoutARecordOfTheOrder); its checks are the same. It and three new tests fail without the commit before an order and the two places that take records over.

--- a/src/libs/control/controlcommands.h
+++ b/src/libs/control/controlcommands.h
@@ -112,6 +112,21 @@
     std::string host;
 };
 
+/*!
+    \brief Records that the host of an endpoint is about to be ordered to be moved or maintained.
+
+    A later leader then knows which endpoints an order of its predecessor may still end.
+*/
+struct RecordHostOrder
+{
+    std::string host;
+    EndpointIncarnation incarnation; //!< The endpoint that runs on the host.
+    std::int64_t wave = 0;           //!< The wave that the host is maintained for; 0 for a move.
+    std::string pool;                //!< The pool that the host is moved to.
+
+    auto isMove() const -> bool { return !pool.empty(); }
+};
+
 /*! \brief One change of the control state; exactly one member is set. */
 struct Command
 {
@@ -126,6 +141,7 @@
     std::optional<EndpointIncarnation> removeEndpoint;
     std::optional<Wave> startWave;
     std::optional<FinishWaveHost> finishWaveHost;
+    std::optional<RecordHostOrder> recordHostOrder;
 };
 
 /*! \brief The commands in one log entry. */
@@ -206,19 +222,24 @@
     archive.required("host", finish.host);
 }
 
+/*! \brief Returns \a order as a record of starts, which changes nothing in older builds. */
+auto encodeHostOrder(const RecordHostOrder &order) -> RecordStarts;
+/*! \brief Returns the order that encodeHostOrder() has encoded, if \a starts is one. */
+auto decodeHostOrder(const RecordStarts &starts) -> std::optional<RecordHostOrder>;
+
 /*! \brief Moves commands that are stored under the key of another one into \c recordStarts. */
-auto encodeLeases(Command &command) -> void;
-/*! \brief Moves commands back that encodeLeases() has moved. */
-auto decodeLeases(Command &command) -> void;
+auto encodeUnderStarts(Command &command) -> void;
+/*! \brief Moves commands back that encodeUnderStarts() has moved. */
+auto decodeUnderStarts(Command &command) -> void;
 
 template <typename Archive>
 auto describe(Archive &archive, Command &command) -> void
 {
     archive.optional("handIn", command.submitJob);
     archive.optional("cancel", command.cancelJob);
-    encodeLeases(command);
+    encodeUnderStarts(command);
     archive.optional("starts", command.recordStarts);
-    decodeLeases(command);
+    decodeUnderStarts(command);
     archive.optional("ends", command.recordEnds);
     archive.optional("configuration", command.configuration);
     archive.optional("addEndpoint", command.addEndpoint);
--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -15,6 +15,8 @@
 constexpr std::int64_t endedJobRetentionMs = 300'000;
 // Time for which it is known when an endpoint was removed. Nothing runs there after a third of it.
 constexpr Utils::Milliseconds removalRetention{60'000};
+// Time for which an order for a host is known. It is not carried out after a third of it.
+constexpr Utils::Milliseconds hostOrderRetention{60'000};
 
 namespace Internal {
 
@@ -216,6 +218,17 @@
     state.removedEndpoints[incarnation.id] = *state.appliedAt;
 }
 
+auto apply(State &state, const RecordHostOrder &order) -> void
+{
+    if (state.appliedAt) {
+        const auto oldest = *state.appliedAt - hostOrderRetention;
+        std::erase_if(state.hostOrders, [&](const auto &item) {
+            return item.second.knownSince && *item.second.knownSince < oldest;
+        });
+    }
+    state.hostOrders[order.host] = {order, state.appliedAt};
+}
+
 auto apply(State &state, const FinishWaveHost &finish) -> void
 {
     const auto found = state.waves.find(finish.wave);
@@ -266,6 +279,8 @@
         waves.try_emplace(command.startWave->number, *command.startWave);
     if (command.finishWaveHost)
         Control::apply(*this, *command.finishWaveHost);
+    if (command.recordHostOrder)
+        Control::apply(*this, *command.recordHostOrder);
 }
 
 auto State::setTerm(std::uint64_t newTerm, bool recordsLeases) -> void
@@ -350,6 +365,8 @@
         for (const auto &[task, start] : starts)
             snapshot.starts.push_back({start.incarnation, {task}, start.term});
     }
+    for (const auto &[host, known] : m_state.hostOrders)
+        snapshot.starts.push_back(encodeHostOrder(known.order));
     return Utils::toCbor(snapshot);
 }
 
@@ -381,8 +398,12 @@
     }
     for (auto &wave : snapshot.waves)
         state.waves[wave.number] = std::move(wave);
-    for (const auto &start : snapshot.starts)
-        Control::apply(state, start);
+    for (const auto &start : snapshot.starts) {
+        if (const auto order = decodeHostOrder(start))
+            Control::apply(state, *order);
+        else
+            Control::apply(state, start);
+    }
     {
         const std::unique_lock lock(m_mutex);
         m_state = std::move(state);
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -43,6 +43,14 @@
     auto mayRun() const -> bool { return !incarnation.id.empty(); }
 };
 
+/*! \brief The last order for a host that a leader has recorded. */
+struct KnownHostOrder
+{
+    RecordHostOrder order;
+    //! Time at which this process learnt of the order; not replicated.
+    std::optional<Utils::Instant> knownSince;
+};
+
 /*! \brief The replicated state. Applying commands is deterministic. */
 struct State
 {
@@ -52,6 +60,8 @@
     //! Increases when a record in endpoints changes. Not replicated: each process has its own count.
     std::uint64_t endpointsVersion = 0;
     std::map<std::int64_t, Wave> waves; //!< Maintenance waves by number.
+    //! Last recorded orders by host. Those that can no longer be carried out are forgotten later.
+    std::map<std::string, KnownHostOrder> hostOrders;
     //! For each active job, where its tasks were last ordered to start. A task is removed when its
     //! end is durably recorded on that endpoint, or when the job ends.
     std::map<std::string, std::map<Jobs::TaskId, RecordedStart>> startedTasks;
--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -35,6 +35,13 @@
 
 } // namespace
 
+auto HostMovePlan::inherit(const MoveStep &step,
+                           Utils::Instant orderedAt,
+                           Utils::Instant mayMoveUntil) -> void
+{
+    m_moving[step.host] = {step, orderedAt, mayMoveUntil, false};
+}
+
 auto HostMovePlan::observe(const RunLedger &ledger, Utils::Instant now) -> void
 {
     const auto elapsed = double((now - m_observedAt).count());
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -47,6 +47,13 @@
                const RunLedger &ledger,
                const HostList &hosts,
                Utils::Instant now) const -> std::vector<Scheduling::PoolLoad>;
+    /*!
+        \brief Takes over a move that an earlier leader may have ordered at \a orderedAt.
+
+        Its host counts as moving until a repeated order is answered, or until \a mayMoveUntil.
+    */
+    auto inherit(const MoveStep &step, Utils::Instant orderedAt, Utils::Instant mayMoveUntil)
+        -> void;
     /*! \brief Updates the demand trends and idle times; to be called periodically. */
     auto observe(const RunLedger &ledger, Utils::Instant now) -> void;
     /*! \brief Returns the next actions, with at most \a maximumMoves moves. */
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -53,6 +53,50 @@
     }
 }
 
+// Closes the endpoints that orders of earlier leaders may still end.
+auto LeaderSession::inheritHostOrders() -> void
+{
+    const auto now = m_parts.clock.now();
+    m_parts.state.read([&](const Control::State &state) {
+        for (const auto &[host, known] : state.hostOrders) {
+            const auto &incarnation = known.order.incarnation;
+            const auto orderedAt = known.knownSince.value_or(now);
+            const auto found = m_ledger.endpoints().find(incarnation.id);
+            const auto mayEndUntil = orderedAt + longestInheritedOrder;
+            if (now >= mayEndUntil || found == m_ledger.endpoints().end()
+                || found->second.record.incarnation != incarnation)
+                continue;
+            if (known.order.isMove()) {
+                const auto &from = found->second.record.pool;
+                m_moves.inherit(
+                    {host, from, known.order.pool, incarnation}, orderedAt, mayEndUntil);
+                m_ledger.setClosed(incarnation.id, true);
+            } else if (m_maintenance.mayBeCarriedOut(host, now)) {
+                m_ledger.setClosed(incarnation.id, true, ClosedFor::Maintenance);
+                m_ledger.setEndOrdered(incarnation.id, true);
+            }
+        }
+    });
+}
+
+// Records orders before they are sent: a later leader must know what they may end. Returns false if they
+// are not to be sent.
+auto LeaderSession::recordHostOrders(std::vector<Control::RecordHostOrder> orders)
+    -> AsyncNet::Task<bool>
+{
+    // The move of a host without an endpoint ends nothing.
+    std::erase_if(orders,
+                  [](const auto &order) { return order.isMove() && order.incarnation.id.empty(); });
+    if (orders.empty())
+        co_return true;
+    std::vector<Control::Command> commands;
+    for (auto &order : orders)
+        commands.emplace_back().recordHostOrder = std::move(order);
+    const auto result = co_await commit(std::move(commands));
+    const auto recorded = m_active && result == CommitResult::Committed;
+    co_return recorded;
+}
+
 auto LeaderSession::listHosts() -> Task
 {
     while (m_active) {
@@ -72,6 +116,7 @@
 
 auto LeaderSession::manageHosts() -> Task
 {
+    inheritHostOrders();
     while (m_active) {
         updateDemand();
         if (hasOpenWave() || m_maintenance.hasUnconfirmedOrders())
@@ -105,10 +150,10 @@
     for (const auto &endpoint : moves.open)
         m_ledger.setClosed(endpoint, false);
     m_hostOrders.take(std::int64_t(moves.steps.size()));
-    for (const auto &step : moves.steps) {
+    for (const auto &step : moves.steps)
         m_ledger.setClosed(step.incarnation.id, true);
-        AsyncNet::start(m_parts.loop, "move", moveHost(step), shared_from_this());
-    }
+    if (!moves.steps.empty())
+        AsyncNet::start(m_parts.loop, "moves", moveHosts(moves.steps), shared_from_this());
 }
 
 auto LeaderSession::planMaintenance() -> MaintenanceWork
@@ -146,6 +191,7 @@
                         "maintained endpoint",
                         endIncarnation(incarnation, "its host has been maintained"),
                         shared_from_this());
+    std::vector<MaintenanceStep> steps;
     for (const auto &step : work.begin) {
         // The plan does not know of the other orders of this pass, so the limit is checked again.
         if (!m_ledger.canLose(step.incarnation.id)) {
@@ -155,8 +201,11 @@
         m_ledger.setEndOrdered(step.incarnation.id, true);
         markMaintained(step.host);
         m_hostOrders.take(1);
-        AsyncNet::start(m_parts.loop, "maintenance", maintainHost(step), shared_from_this());
+        steps.push_back(step);
     }
+    if (!steps.empty())
+        AsyncNet::start(
+            m_parts.loop, "maintenance", maintainHosts(std::move(steps)), shared_from_this());
     std::vector<Control::Command> commands;
     for (const auto &departed : work.departed) {
         Control::Command command;
@@ -178,6 +227,31 @@
         host->state = HostState::Maintenance;
 }
 
+auto LeaderSession::maintainHosts(std::vector<MaintenanceStep> steps) -> Task
+{
+    std::vector<Control::RecordHostOrder> orders;
+    for (const auto &step : steps)
+        orders.push_back({step.host, step.incarnation, step.wave, {}});
+    const auto recorded = co_await recordHostOrders(std::move(orders));
+    if (!m_active)
+        co_return;
+    for (auto &step : steps) {
+        // Tasks may have ended while the order was recorded.
+        if (recorded && m_ledger.canLose(step.incarnation.id))
+            AsyncNet::start(
+                m_parts.loop, "maintenance", maintainHost(std::move(step)), shared_from_this());
+        else
+            withdrawMaintenance(step);
+    }
+}
+
+auto LeaderSession::withdrawMaintenance(const MaintenanceStep &step) -> void
+{
+    m_maintenance.withdraw(step);
+    if (!m_maintenance.mayBeCarriedOut(step.host, m_parts.clock.now()))
+        m_ledger.setEndOrdered(step.incarnation.id, false);
+}
+
 auto LeaderSession::maintainHost(MaintenanceStep step) -> Task
 {
     const auto result = co_await m_parts.hosts.maintain(step.host, step.wave, m_term);
@@ -211,6 +285,22 @@
         wake();
 }
 
+auto LeaderSession::moveHosts(std::vector<MoveStep> steps) -> Task
+{
+    std::vector<Control::RecordHostOrder> orders;
+    for (const auto &step : steps)
+        orders.push_back({step.host, step.incarnation, 0, step.to});
+    const auto recorded = co_await recordHostOrders(std::move(orders));
+    if (!m_active)
+        co_return;
+    for (auto &step : steps) {
+        if (recorded)
+            AsyncNet::start(m_parts.loop, "move", moveHost(std::move(step)), shared_from_this());
+        else if (m_moves.ordered(step, HostOrderResult::Busy, m_parts.clock.now()))
+            m_ledger.setClosed(step.incarnation.id, false);
+    }
+}
+
 auto LeaderSession::moveHost(MoveStep step) -> Task
 {
     const auto result = co_await m_parts.hosts.move(step.host, step.to, m_term);
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -83,6 +83,8 @@
     auto sendStop(StopOrder order) -> Task;
     auto sendPace(PaceOrder order) -> Task;
     auto endIncarnation(Control::EndpointIncarnation incarnation, std::string_view reason) -> Task;
+    auto inheritHostOrders() -> void;
+    auto recordHostOrders(std::vector<Control::RecordHostOrder> orders) -> AsyncNet::Task<bool>;
     auto listHosts() -> Task;
     auto manageHosts() -> Task;
     auto updateDemand() -> void;
@@ -90,7 +92,10 @@
     auto runWaves() -> Task;
     auto orderMoves() -> void;
     auto markMaintained(std::string_view host) -> void;
+    auto maintainHosts(std::vector<MaintenanceStep> steps) -> Task;
+    auto withdrawMaintenance(const MaintenanceStep &step) -> void;
     auto maintainHost(MaintenanceStep step) -> Task;
+    auto moveHosts(std::vector<MoveStep> steps) -> Task;
     auto moveHost(MoveStep step) -> Task;
     auto forgetEndpoint(Control::EndpointIncarnation incarnation,
                         std::vector<Control::Command> commands) -> Task;
--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -64,6 +64,12 @@
     m_unanswered.clear();
     for (const auto &[number, wave] : state.waves)
         m_inheritedWaves.insert(number);
+    for (const auto &[host, known] : state.hostOrders) {
+        const auto wave = state.waves.find(known.order.wave);
+        const auto open = wave != state.waves.end() && !isFinished(wave->second, host);
+        if (!known.order.isMove() && open && known.knownSince)
+            m_unanswered[host] = *known.knownSince + longestInheritedOrder - longestUncertain;
+    }
 }
 
 auto MaintenancePlan::next(const Control::State &state, const MaintenanceView &view)
@@ -175,10 +181,12 @@
                               std::int64_t unavailable,
                               MaintenanceWork &work) -> void
 {
-    // An endpoint that is kept free for a long-running task soon runs the fewest tasks. Closing it would
-    // make that task wait for another one.
+    // A host that counts as unavailable anyway takes no other host's place. An endpoint that is kept free
+    // for a long-running task soon runs the fewest tasks. Closing it would make that task wait for another
+    // one.
     std::ranges::stable_sort(candidates, {}, [&view](const Candidate &candidate) {
-        return std::tuple(!candidate.preparing,
+        return std::tuple(!candidate.countsAsUnavailable,
+                          !candidate.preparing,
                           view.ledger.isKeptFree(candidate.host->endpoint),
                           !candidate.empty,
                           candidate.runs);
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -12,6 +12,13 @@
 
 namespace Execution {
 
+/*!
+    \brief An order for a host may be carried out within this time of its record.
+
+    It is sent within 1.5 s of the record.
+*/
+inline constexpr Utils::Milliseconds longestInheritedOrder{14'500};
+
 /*! \brief The inputs of a maintenance plan beside the waves. */
 struct MaintenanceView
 {
@@ -64,7 +71,11 @@
 class MaintenancePlan
 {
 public:
-    /*! \brief Starts a term: earlier leaders may have ordered maintenance for the waves in \a state. */
+    /*!
+        \brief Starts a term: earlier leaders may have ordered maintenance for the waves in \a state.
+
+        Their last recorded orders may still be carried out.
+    */
     auto begin(const Control::State &state) -> void;
     /*! \brief Returns the next actions. Hosts in \c begin count as unavailable from then on. */
     auto next(const Control::State &state, const MaintenanceView &view) -> MaintenanceWork;
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -169,6 +169,53 @@
     }
 }
 
+auto ofHostOrder(std::int64_t wave, const std::string &pool) -> Control::Command
+{
+    Control::Command command;
+    auto &order = command.recordHostOrder.emplace();
+    order.host = "host";
+    order.incarnation = {"endpoint", 5};
+    order.wave = wave;
+    order.pool = pool;
+    return command;
+}
+
+TEST(ControlState, RecordedHostOrderIsReadBackFromEntriesAndSnapshots)
+{
+    for (const auto &command : {ofHostOrder(3, ""), ofHostOrder(0, "pool")}) {
+        Control::CommandBatch batch;
+        batch.commands = {command};
+        Control::StateReplica replica(clock);
+        replica.apply(entry(batch));
+        Control::StateReplica restored(clock);
+        ASSERT_TRUE(restored.restore(replica.snapshot(), 1));
+        for (const auto *read : {&replica, &restored}) {
+            const auto known =
+                read->read([](const Control::State &state) { return state.hostOrders.at("host"); });
+            EXPECT_TRUE(known.knownSince);
+            EXPECT_EQ(known.order.incarnation, command.recordHostOrder->incarnation);
+            EXPECT_EQ(known.order.wave, command.recordHostOrder->wave);
+            EXPECT_EQ(known.order.pool, command.recordHostOrder->pool);
+        }
+    }
+}
+
+TEST(ControlState, OlderBuildsReadRecordsOfHostOrdersAsStartsThatChangeNothing)
+{
+    for (const auto &command : {ofHostOrder(3, ""), ofHostOrder(0, "pool")}) {
+        const auto read = Utils::fromCbor<OlderCommand>(Utils::toCbor(command));
+        ASSERT_TRUE(read);
+        ASSERT_TRUE(read.value().recordStarts);
+        // Builds that know leases take records of at most one task for those of leases.
+        EXPECT_GT(read.value().recordStarts->tasks.size(), 1U);
+        Control::Command older;
+        older.recordStarts = read.value().recordStarts;
+        Control::State state;
+        state.apply(older, 1);
+        EXPECT_TRUE(state.startedTasks.empty());
+    }
+}
+
 TEST(ControlState, SnapshotRestoresTheState)
 {
     Control::StateReplica replica(clock);
--- a/tests/auto/execution/fakefleet.cpp
+++ b/tests/auto/execution/fakefleet.cpp
@@ -49,6 +49,10 @@
         ++failedCommits;
         co_return Execution::CommitResult::NotCommitted;
     }
+    if (failsHostOrders && !commands.empty() && commands.front().recordHostOrder) {
+        ++failedCommits;
+        co_return Execution::CommitResult::NotCommitted;
+    }
     commitsOfStarts += recordsStarts ? 1 : 0;
     Control::CommandBatch batch;
     batch.timeMs = m_clock.wallTime();
--- a/tests/auto/execution/fakefleet.h
+++ b/tests/auto/execution/fakefleet.h
@@ -35,7 +35,8 @@
     auto commit(std::vector<Control::Command> commands)
         -> AsyncNet::Task<Execution::CommitResult> override;
 
-    std::string failsStartsOn; //!< Commits of starts on this endpoint fail.
+    std::string failsStartsOn;    //!< Commits of starts on this endpoint fail.
+    bool failsHostOrders = false; //!< Commits of orders for hosts fail.
     int failedCommits = 0;
     int commitsOfStarts = 0; //!< Commits of starts that succeeded.
 
--- a/tests/auto/execution/tst_hostmoveplan.cpp
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -55,14 +55,32 @@
     {
         m_plan.ordered(step, Execution::HostOrderResult::Busy, at(elapsedMs));
     }
+    /*! \brief Lets the plan inherit the move of an idle host that was ordered at \a elapsedMs. */
+    auto inherit(std::int64_t elapsedMs) -> Execution::MoveStep
+    {
+        const Execution::MoveStep step{
+            "host-endpoint-0", "pool", sparePool, {"endpoint-0", bornMs}};
+        m_plan.inherit(step, at(elapsedMs), at(elapsedMs + longestMs));
+        return step;
+    }
+    auto runTaskOn(const std::string &endpoint) -> void
+    {
+        m_ledger.poll(endpoint, {{m_ledger.task("job-0"), 1, "", 100, 0}});
+    }
     auto leaveUnanswered(const Execution::MoveStep &step, std::int64_t elapsedMs) -> void
     {
         m_plan.ordered(step, Execution::HostOrderResult::Unknown, at(elapsedMs));
     }
     /*! \brief Hands the plan a list of hosts that was requested at \a elapsedMs. */
-    auto listAgain(std::int64_t elapsedMs) -> void { m_plan.takeUnmoved(m_list, at(elapsedMs)); }
+    auto listAgain(std::int64_t elapsedMs) -> std::vector<std::string>
+    {
+        return m_plan.takeUnmoved(m_list, at(elapsedMs));
+    }
 
 private:
+    static constexpr std::int64_t bornMs = 1000;
+    static constexpr std::int64_t longestMs = 14'500;
+
     static auto at(std::int64_t elapsedMs) -> Utils::Instant
     {
         return Utils::Instant(Utils::Milliseconds(1'000'000 + elapsedMs));
@@ -381,6 +399,37 @@
     EXPECT_GE(fixture.stepsAt(1600).size(), steps.size());
 }
 
+auto ordersHost(const std::vector<Execution::MoveStep> &steps, const std::string &host) -> bool
+{
+    return std::ranges::find(steps, host, &Execution::MoveStep::host) != steps.end();
+}
+
+TEST(HostMovePlan, MoveOfAFormerLeaderIsRepeated)
+{
+    TakeOverFixture fixture;
+    fixture.poll(hostsUp);
+    const auto step = fixture.inherit(-longAfterParkingMs);
+    EXPECT_TRUE(ordersHost(fixture.stepsAt(0), step.host));
+}
+
+TEST(HostMovePlan, MoveOfAFormerLeaderIsNotRepeatedWhileTasksRunThere)
+{
+    TakeOverFixture fixture;
+    fixture.poll(hostsUp);
+    const auto step = fixture.inherit(-longAfterParkingMs);
+    fixture.runTaskOn("endpoint-0");
+    EXPECT_FALSE(ordersHost(fixture.stepsAt(0), step.host));
+}
+
+TEST(HostMovePlan, EndpointStaysClosedWhileTheMoveOfAFormerLeaderMayStillBeCarriedOut)
+{
+    TakeOverFixture fixture;
+    fixture.inherit(0);
+    for (std::int64_t elapsedMs = 1000; elapsedMs < 14'500; elapsedMs += 500)
+        EXPECT_TRUE(fixture.listAgain(elapsedMs).empty()) << elapsedMs;
+    EXPECT_EQ(fixture.listAgain(14'500), std::vector<std::string>{"endpoint-0"});
+}
+
 TEST(HostMovePlan, HostThatHasArrivedIsNotAskedForAgainBeforeAPassUsesIt)
 {
     PoolsFixture fixture({});
--- a/tests/auto/execution/tst_leadersession.cpp
+++ b/tests/auto/execution/tst_leadersession.cpp
@@ -17,6 +17,7 @@
 constexpr auto jobId = "0123456789abcdef";
 // Long enough for several attempts to commit.
 constexpr Utils::Milliseconds severalRetries{500};
+constexpr Utils::Milliseconds severalPolls{1000};
 
 /*! \brief A leader with one endpoint whose host is due for maintenance. */
 class SessionFixture
@@ -58,6 +59,17 @@
         wave.startWave->startedMs = m_clock.wallTime();
         apply({wave});
     }
+    /*! \brief Records that an earlier leader has ordered the endpoint's host to be moved or maintained. */
+    auto recordHostOrder(std::int64_t wave, const std::string &pool) -> void
+    {
+        Control::Command command;
+        auto &order = command.recordHostOrder.emplace();
+        order.host = "host-1";
+        order.incarnation = {"endpoint-1", 1000};
+        order.wave = wave;
+        order.pool = pool;
+        apply({command});
+    }
     auto isWaveDone() const -> bool
     {
         return m_state.read([](const Control::State &state) {
@@ -228,4 +240,45 @@
     EXPECT_EQ(fixture.recordedEndpoint(), "endpoint-2");
 }
 
+// Guards against AVAIL and LIMIT: the next leader did not know what orders of its predecessor might still end.
+TEST(LeaderSession, OrdersNoHostWithoutARecordOfTheOrder)
+{
+    SessionFixture fixture;
+    fixture.log.failsHostOrders = true;
+    const auto session = fixture.begin();
+    fixture.beginWave();
+    ASSERT_TRUE(fixture.runUntil([&] { return fixture.log.failedCommits > 1; }));
+    EXPECT_EQ(fixture.hosts.maintenanceOrders, 0);
+    EXPECT_EQ(fixture.hosts.moveOrders, 0);
+    fixture.log.failsHostOrders = false;
+    EXPECT_TRUE(fixture.runUntil([&] { return fixture.isWaveDone(); }));
+    session->end();
+}
+
+// Guards against AVAIL: orders that a cut had held up ended tasks that the next leader had started there.
+TEST(LeaderSession, StartsNothingOnAnEndpointThatAnOrderOfAFormerLeaderMayStillEnd)
+{
+    for (const auto *pool : {"", sparePool}) {
+        SessionFixture fixture;
+        fixture.addJob();
+        fixture.beginWave();
+        fixture.recordHostOrder(*pool == 0 ? 1 : 0, pool);
+        // The provider does not tell where the host is meanwhile.
+        fixture.hosts.hosts = {};
+        const auto session = fixture.begin();
+        fixture.runUntil([&] { return !fixture.endpoints.starts.empty(); }, severalPolls);
+        session->end();
+        EXPECT_TRUE(fixture.endpoints.starts.empty()) << pool;
+    }
+}
+
+TEST(LeaderSession, StartsTasksOnAnEndpointThatNoRecordedOrderIsFor)
+{
+    SessionFixture fixture;
+    fixture.addJob();
+    const auto session = fixture.begin();
+    EXPECT_TRUE(fixture.runUntil([&] { return !fixture.endpoints.starts.empty(); }, severalPolls));
+    session->end();
+}
+
 } // namespace
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -75,6 +75,15 @@
         plan.ordered(work.begin.at(0), HostOrderResult::Unknown, at(100));
         return work.begin.at(0);
     }
+    /*! \brief Records that the order is about to be given. */
+    auto record(const Execution::MaintenanceStep &step, std::int64_t elapsedMs) -> void
+    {
+        Control::Command command;
+        command.recordHostOrder =
+            Control::RecordHostOrder{step.host, step.incarnation, step.wave, {}};
+        m_ledger.state.appliedAt = at(elapsedMs);
+        m_ledger.state.apply(command, startedMs + elapsedMs);
+    }
     /*! \brief Records that the maintenance of \a host is finished. */
     auto finish(const std::string &host) -> void
     {
@@ -397,12 +406,13 @@
     }
 }
 
-// Guards against LIMIT; found by a review of issue 44, and fails. The order of the former leader may be
-// carried out after that of the next one.
+// Guards against LIMIT; found by a review of issue 44. The order of the former leader may be carried out
+// after that of the next one.
 TEST(MaintenancePlan, CountsHostAsUnavailableWhileAnOrderOfAFormerLeaderMayStillBeCarriedOut)
 {
     WaveFixture fixture(2, 1);
     const auto first = fixture.leaveFirstOrderUnanswered();
+    fixture.record(first, 0);
     fixture.runTaskOn(first.host);
     fixture.plan = {};
     fixture.inheritWave();
@@ -412,4 +422,35 @@
     }
 }
 
+// A wave has to end in time: the next leader does not wait until the order can no longer be carried out.
+TEST(MaintenancePlan, RepeatsTheOrderOfAFormerLeaderBeforeOthersAndGoesOnWithThem)
+{
+    WaveFixture fixture(2, 1);
+    const auto first = fixture.leaveFirstOrderUnanswered();
+    fixture.record(first, 0);
+    fixture.runTaskOn(first.host);
+    fixture.plan = {};
+    fixture.inheritWave();
+    EXPECT_EQ(fixture.next(500).close, std::vector<std::string>{first.host});
+    const auto repeated = fixture.next(longAfterDrainingMs).begin;
+    ASSERT_EQ(repeated.size(), 1U);
+    EXPECT_EQ(repeated[0].host, first.host);
+    fixture.plan.ordered(repeated[0], HostOrderResult::Accepted, fixture.at(longAfterDrainingMs));
+    fixture.finish(first.host);
+    const auto next = fixture.next(longAfterDrainingMs + 500).begin;
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_NE(next[0].host, first.host);
+}
+
+TEST(MaintenancePlan, OrderOfAFormerLeaderThatWasAnsweredTakesNoPlace)
+{
+    WaveFixture fixture(2, 1);
+    const auto first = fixture.leaveFirstOrderUnanswered();
+    fixture.record(first, 0);
+    fixture.finish(first.host);
+    fixture.plan = {};
+    fixture.inheritWave();
+    EXPECT_EQ(fixture.next(500).begin.size(), 1U);
+}
+
 } // namespace
