--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -16,6 +16,8 @@
 constexpr std::int64_t endedJobRetentionMs = 300'000;
 // Time for which it is known when an endpoint was removed. Nothing runs there after a third of it.
 constexpr Utils::Milliseconds removalRetention{60'000};
+// Time for which an order for a host is known. It is not carried out after a third of it.
+constexpr Utils::Milliseconds hostOrderRetention{60'000};
 
 namespace Internal {
 
@@ -235,7 +237,7 @@
         const auto left = std::max(endpoint.endingLease->endsBy - now, Utils::Milliseconds(0));
         Command command;
         command.recordLease = RecordLease{endpoint.record.incarnation, left.count()};
-        encodeLeases(command);
+        encodeUnderStarts(command);
         saved.push_back(*command.recordStarts);
     }
     if (!state.recordsLeases)
@@ -247,17 +249,30 @@
     saved.push_back(std::move(term));
 }
 
+auto apply(State &state, const RecordHostOrder &order) -> void
+{
+    if (state.appliedAt) {
+        const auto oldest = *state.appliedAt - hostOrderRetention;
+        std::erase_if(state.hostOrders, [&](const auto &item) {
+            return item.second.knownSince && *item.second.knownSince < oldest;
+        });
+    }
+    state.hostOrders[order.host] = {order, state.appliedAt};
+}
+
 auto restoreStart(State &state, const RecordStarts &saved) -> void
 {
     Command command;
     command.recordStarts = saved;
-    decodeLeases(command);
+    decodeUnderStarts(command);
     if (command.beginTerm) {
         state.term = std::uint64_t(saved.term);
         state.recordsLeases = true;
     }
     if (command.recordLease)
         apply(state, *command.recordLease);
+    if (command.recordHostOrder)
+        apply(state, *command.recordHostOrder);
     if (command.recordStarts)
         apply(state, *command.recordStarts);
 }
@@ -313,6 +328,8 @@
         waves.try_emplace(command.startWave->number, *command.startWave);
     if (command.finishWaveHost)
         Control::apply(*this, *command.finishWaveHost);
+    if (command.recordHostOrder)
+        Control::apply(*this, *command.recordHostOrder);
 }
 
 auto State::setTerm(std::uint64_t newTerm) -> void
@@ -397,6 +414,8 @@
         for (const auto &[task, start] : starts)
             snapshot.starts.push_back({start.incarnation, {task}, start.term});
     }
+    for (const auto &[host, known] : m_state.hostOrders)
+        snapshot.starts.push_back(encodeHostOrder(known.order));
     return Utils::toCbor(snapshot);
 }
 
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -7,6 +7,7 @@
 #include "scheduling/poolsizing.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -46,6 +47,13 @@
                const RunLedger &ledger,
                const HostList &hosts,
                Utils::Instant now) const -> std::vector<Scheduling::PoolLoad>;
+    /*!
+        \brief Takes over a move that an earlier leader may have ordered at \a orderedAt.
+
+        Its host counts as moving until a repeated order is answered, or until \a mayMoveUntil.
+    */
+    auto inherit(const MoveStep &step, Utils::Instant orderedAt, Utils::Instant mayMoveUntil)
+        -> void;
     /*! \brief Updates the demand trends and idle times; to be called periodically. */
     auto observe(const RunLedger &ledger, Utils::Instant now) -> void;
     /*! \brief Returns the next actions, with at most \a maximumMoves moves. */
@@ -80,6 +88,9 @@
     {
         MoveStep step;
         Utils::Instant at;
+        //! Set if an order got no reply; it may be carried out before this time.
+        std::optional<Utils::Instant> uncertainUntil;
+        bool inFlight = false; //!< The reply to an order is still to come.
     };
 
     auto updateIdleSince(const RunLedger &ledger, Utils::Instant now) -> void;
@@ -97,6 +108,10 @@
     auto mayMove(const RunLedger &ledger, const HostList &hosts, Utils::Instant now) const -> bool;
     auto isIdle(const RunLedger &ledger, const HostOccupancy &occupancy, const HostInfo &host) const
         -> bool;
+    auto repeatUnanswered(const RunLedger &ledger,
+                          const HostList &hosts,
+                          std::int64_t maximumMoves,
+                          Utils::Instant now) -> std::vector<MoveStep>;
     auto releaseHosts(std::span<const Scheduling::Release> releases,
                       const Control::Configuration &configuration,
                       const RunLedger &ledger,
--- a/tests/auto/execution/tst_hostmoveplan.cpp
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -55,10 +55,32 @@
     {
         m_plan.ordered(step, Execution::HostOrderResult::Busy, at(elapsedMs));
     }
+    /*! \brief Lets the plan inherit the move of an idle host that was ordered at \a elapsedMs. */
+    auto inherit(std::int64_t elapsedMs) -> Execution::MoveStep
+    {
+        const Execution::MoveStep step{
+            "host-endpoint-0", "pool", sparePool, {"endpoint-0", bornMs}};
+        m_plan.inherit(step, at(elapsedMs), at(elapsedMs + longestMs));
+        return step;
+    }
+    auto runTaskOn(const std::string &endpoint) -> void
+    {
+        m_ledger.poll(endpoint, {{m_ledger.task("job-0"), 1, "", 100, 0}});
+    }
+    auto leaveUnanswered(const Execution::MoveStep &step, std::int64_t elapsedMs) -> void
+    {
+        m_plan.ordered(step, Execution::HostOrderResult::Unknown, at(elapsedMs));
+    }
     /*! \brief Hands the plan a list of hosts that was requested at \a elapsedMs. */
-    auto listAgain(std::int64_t elapsedMs) -> void { m_plan.takeUnmoved(m_list, at(elapsedMs)); }
+    auto listAgain(std::int64_t elapsedMs) -> std::vector<std::string>
+    {
+        return m_plan.takeUnmoved(m_list, at(elapsedMs));
+    }
 
 private:
+    static constexpr std::int64_t bornMs = 1000;
+    static constexpr std::int64_t longestMs = 14'500;
+
     static auto at(std::int64_t elapsedMs) -> Utils::Instant
     {
         return Utils::Instant(Utils::Milliseconds(1'000'000 + elapsedMs));
@@ -201,6 +223,15 @@
             ledger.ledger.setClosed(id, false);
         return moves;
     }
+    auto answer(const Execution::MoveStep &step, Execution::HostOrderResult result) -> bool
+    {
+        return m_plan.ordered(step, result, ledger.now());
+    }
+    /*! \brief Hands the plan a new list of hosts, and returns the endpoints to be opened again. */
+    auto listAgain() -> std::vector<std::string>
+    {
+        return m_plan.takeUnmoved(m_list, ledger.now());
+    }
     /*! \brief Returns the least number of hosts of the first pool. */
     auto leastHosts() -> std::int64_t
     {
@@ -302,6 +333,103 @@
     EXPECT_EQ(fixture.next(1).steps.size(), 1U);
 }
 
+/*! \brief A move of an idle host with an endpoint, whose order gets no reply. */
+class UnansweredMoveFixture : public PoolsFixture
+{
+public:
+    UnansweredMoveFixture()
+        : PoolsFixture({"lacking"})
+    {
+        addHosts("pool", {"a1", "a2", "a3", "a4"});
+        addHosts("lacking", {"c1"});
+        addApart("lacking", 2);
+        begin();
+        const auto steps = next(hostsOff).steps;
+        EXPECT_EQ(steps.size(), 1U);
+        step = steps.at(0);
+        EXPECT_FALSE(answer(step, Execution::HostOrderResult::Unknown));
+    }
+    auto isRepeated() -> bool
+    {
+        const auto steps = next(hostsOff).steps;
+        return std::ranges::find(steps, step.host, &Execution::MoveStep::host) != steps.end();
+    }
+
+    Execution::MoveStep step;
+};
+
+// Guards against AVAIL: the order was carried out after 4 s, when tasks had started there again.
+TEST(HostMovePlan, EndpointStaysClosedWhileAnUnansweredMoveMayStillBeCarriedOut)
+{
+    UnansweredMoveFixture fixture;
+    for (auto second = 1; second < 13; ++second) {
+        fixture.ledger.advance(Utils::Milliseconds(1000));
+        EXPECT_TRUE(fixture.listAgain().empty()) << second;
+    }
+    fixture.ledger.advance(Utils::Milliseconds(1000));
+    EXPECT_EQ(fixture.listAgain(), std::vector<std::string>{fixture.step.incarnation.id});
+}
+
+TEST(HostMovePlan, UnansweredMoveIsRepeatedSoThatItsHostIsNotHeldForLong)
+{
+    UnansweredMoveFixture fixture;
+    EXPECT_FALSE(fixture.isRepeated());
+    fixture.ledger.advance(Utils::Milliseconds(1500));
+    EXPECT_TRUE(fixture.isRepeated());
+    // The first copy may still be carried out after a refusal of the second one.
+    EXPECT_FALSE(fixture.answer(fixture.step, Execution::HostOrderResult::Busy));
+    EXPECT_FALSE(fixture.isRepeated());
+    fixture.ledger.advance(Utils::Milliseconds(1500));
+    EXPECT_TRUE(fixture.isRepeated());
+    EXPECT_FALSE(fixture.answer(fixture.step, Execution::HostOrderResult::Accepted));
+    fixture.ledger.advance(Utils::Milliseconds(1500));
+    EXPECT_FALSE(fixture.isRepeated());
+}
+
+TEST(HostMovePlan, UnansweredMoveOfAHostWithoutAnEndpointIsRepeated)
+{
+    TakeOverFixture fixture;
+    fixture.poll(hostsUp);
+    const auto steps = fixture.stepsAt(0);
+    ASSERT_FALSE(steps.empty());
+    for (const auto &step : steps) {
+        ASSERT_TRUE(step.incarnation.id.empty());
+        fixture.leaveUnanswered(step, 50);
+    }
+    EXPECT_GE(fixture.stepsAt(1600).size(), steps.size());
+}
+
+auto ordersHost(const std::vector<Execution::MoveStep> &steps, const std::string &host) -> bool
+{
+    return std::ranges::find(steps, host, &Execution::MoveStep::host) != steps.end();
+}
+
+TEST(HostMovePlan, MoveOfAFormerLeaderIsRepeated)
+{
+    TakeOverFixture fixture;
+    fixture.poll(hostsUp);
+    const auto step = fixture.inherit(-longAfterParkingMs);
+    EXPECT_TRUE(ordersHost(fixture.stepsAt(0), step.host));
+}
+
+TEST(HostMovePlan, MoveOfAFormerLeaderIsNotRepeatedWhileTasksRunThere)
+{
+    TakeOverFixture fixture;
+    fixture.poll(hostsUp);
+    const auto step = fixture.inherit(-longAfterParkingMs);
+    fixture.runTaskOn("endpoint-0");
+    EXPECT_FALSE(ordersHost(fixture.stepsAt(0), step.host));
+}
+
+TEST(HostMovePlan, EndpointStaysClosedWhileTheMoveOfAFormerLeaderMayStillBeCarriedOut)
+{
+    TakeOverFixture fixture;
+    fixture.inherit(0);
+    for (std::int64_t elapsedMs = 1000; elapsedMs < 14'500; elapsedMs += 500)
+        EXPECT_TRUE(fixture.listAgain(elapsedMs).empty()) << elapsedMs;
+    EXPECT_EQ(fixture.listAgain(14'500), std::vector<std::string>{"endpoint-0"});
+}
+
 TEST(HostMovePlan, HostThatHasArrivedIsNotAskedForAgainBeforeAPassUsesIt)
 {
     PoolsFixture fixture({});
