Keep a task from starting again beside an earlier run of it that a poll lists

What callers would see: TWICE.

Cause: a listed run with a lower number than the booked one was ignored. The booked run was then released as not listed, refused, stopped or not sent, and its task started again beside the run at work.

Why this works: the booked run may still be carried out, so it stays booked and is stopped as a second run. Once it is settled, the listed run takes its place, and its start is recorded where it was found. A list without the earlier run ends this, and so does the end of the incarnation.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -68,6 +68,9 @@
     std::int64_t pacePercent = 100;
     bool paceInFlight = false; //!< An order that changes pacePercent is waiting for its reply.
     bool listed = false;       //!< The poll reply that is being processed lists the run.
+    //! An earlier run of the task that the last list holds; it counts once this one is gone. Or 0.
+    std::int64_t earlierRun = 0;
+    bool earlierListed = false; //!< The poll reply that is being processed lists the earlier run.
     //! The last complete list is that of a poll sent after the start, and does not hold the run.
     bool unlisted = false;
     Utils::Instant unlistedAt;            //!< Time of the reply from which on the run is unlisted.
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -240,6 +240,8 @@
     auto acceptsTasks(const EndpointEntry &endpoint, Utils::Instant now) const -> bool;
     auto updateRun(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> void;
     auto adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> Run &;
+    auto noteEarlierRun(EndpointEntry &endpoint, Run &run, std::int64_t earlier) -> void;
+    auto removeRun(EndpointEntry &endpoint, const Jobs::TaskId &task) -> void;
     auto findUnfinished(const Jobs::TaskId &task) -> JobProgress *;
     auto processEnd(EndpointEntry &endpoint,
                     const EndedTask &end,
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -30,7 +30,7 @@
         return false;
     if (!run->stopReason && findUnfinished(order.task) != nullptr)
         return true;
-    m_endpoints.at(order.target.incarnation.id).runs.erase(order.task);
+    removeRun(m_endpoints.at(order.target.incarnation.id), order.task);
     reopen(order.task);
     return false;
 }
@@ -77,7 +77,7 @@
 {
     const auto &id = order.target.incarnation.id;
     if (const auto endpoint = m_endpoints.find(id); endpoint != m_endpoints.end())
-        endpoint->second.runs.erase(order.task);
+        removeRun(endpoint->second, order.task);
     if (const auto outliving = m_outliving.find(id); outliving != m_outliving.end())
         outliving->second.erase(order.task);
     release({order.task, order.run, id, ReleaseReason::Refused});
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -181,10 +181,16 @@
     -> void
 {
     auto *run = endpoint.runs.find(row.task);
-    if (run != nullptr && run->number > row.run)
+    if (run != nullptr && run->number > row.run) {
+        noteEarlierRun(endpoint, *run, row.run);
         return;
-    if (run == nullptr || run->number < row.run)
+    }
+    if (run == nullptr || run->number < row.run) {
+        const auto earlier = run != nullptr && run->listed ? run->number : 0;
         run = &adopt(endpoint, row, now);
+        if (earlier != 0)
+            noteEarlierRun(endpoint, *run, earlier);
+    }
     if (run->state != RunState::Running) {
         run->state = RunState::Running;
         run->confirmedAt = now;
@@ -198,6 +204,29 @@
         m_checkpoints[row.task] = row.checkpoint;
 }
 
+// Two orders for the task may be carried out, so one has to be stopped. The earlier run is at work, while
+// the booked one may still be on its way.
+auto RunLedger::noteEarlierRun(EndpointEntry &endpoint, Run &run, std::int64_t earlier) -> void
+{
+    run.earlierRun = earlier;
+    run.earlierListed = true;
+    run.requestStop(StopReason::SecondRun);
+    m_stopsDue = true;
+    endpoint.leaseEnd = std::max(
+        endpoint.leaseEnd, endpoint.lastReplyAt + longestLocalTime(endpoint.longestFormerLease));
+}
+
+// Removes a run that is gone. If the last list holds an earlier run of its task, that one is the run of the
+// task from now on.
+auto RunLedger::removeRun(EndpointEntry &endpoint, const Jobs::TaskId &task) -> void
+{
+    const auto *run = endpoint.runs.find(task);
+    const auto earlier = run != nullptr ? run->earlierRun : 0;
+    endpoint.runs.erase(task);
+    if (earlier != 0)
+        adopt(endpoint, {task, earlier, {}, 0, 0}, endpoint.lastReplyAt).carriedOut = true;
+}
+
 // Adds a run that a poll reply lists and that this leader does not know, or of which it knows only an
 // earlier run.
 auto RunLedger::adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> Run &
@@ -243,6 +272,8 @@
     for (auto &item : endpoint.runs) {
         auto &run = item.second;
         const auto listed = std::exchange(run.listed, false);
+        if (!std::exchange(run.earlierListed, false) && !reply.truncated)
+            run.earlierRun = 0;
         if (listed)
             run.unlisted = false;
         if (listed || reply.truncated)
@@ -277,7 +308,7 @@
                         stopped ? ReleaseReason::Stopped : unlisted});
     }
     for (auto &run : gone) {
-        endpoint.runs.erase(run.task);
+        removeRun(endpoint, run.task);
         release(std::move(run));
     }
 }
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -128,6 +128,7 @@
         if (!run.mayOutliveIncarnation())
             continue;
         kept.runs.push_back(run);
+        kept.runs.back().earlierRun = 0;
         // The next incarnation may have carried the order out just before the reply.
         kept.leaseEnd =
             std::max(kept.leaseEnd, run.confirmedAt + longestLocalTime(m_timing.maximumLease));
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -14,6 +14,7 @@
 constexpr std::int64_t clockOfRestartedMs = 20;
 // An order without an answer is carried out within this time.
 constexpr Utils::Milliseconds latestOrder{12'500};
+constexpr std::int64_t earlierNumber = 6'000'028;
 
 /*! \brief The rules by which an endpoint carries orders out, for one incarnation. */
 class FakeIncarnation
@@ -81,6 +82,22 @@
         return {{m_order.task, m_order.run, "", 100, 0}};
     }
 
+    // A run of the same task that an earlier leader had ordered, carried out late.
+    auto earlierRun() const -> std::vector<Execution::RunningTask>
+    {
+        return {{m_order.task, earlierNumber, "", 100, 0}};
+    }
+    auto countsEarlierRun() -> bool
+    {
+        const auto *run = m_fixture.ledger.endpoints().at("a").runs.find(m_order.task);
+        return run != nullptr && run->number == earlierNumber && !run->stopReason;
+    }
+    auto pollWithEarlierRun() -> void
+    {
+        m_fixture.advance(Utils::Milliseconds(450));
+        m_fixture.poll("a", earlierRun());
+    }
+
     // Sends the next orders and a poll to the next incarnation of "a", and returns whether that one
     // then carries the first start out.
     auto nextIncarnationAccepts() -> bool
@@ -301,6 +318,80 @@
     EXPECT_LE(repeated + (accepted ? 1U : 0U), 1U);
 }
 
+// Guards against TWICE: a run that is not listed is released beside a listed one with a lower number.
+TEST_F(StartInFlight, IsNotRepeatedWhileTheNextIncarnationListsAnEarlierRunOfItsTask)
+{
+    send();
+    m_fixture.confirmAt(m_order, m_fixture.clockMs());
+    replace();
+    pollWithEarlierRun();
+    const auto orders = m_fixture.schedule();
+    EXPECT_TRUE(orders.starts.empty());
+    EXPECT_TRUE(countsEarlierRun());
+    pollWithEarlierRun();
+    EXPECT_EQ(starts(), 0U);
+    m_fixture.advance(Utils::Milliseconds(450));
+    m_fixture.poll("a");
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST_F(StartInFlight, IsNotRepeatedIfItIsRefusedBesideAnEarlierRunOfItsTask)
+{
+    send();
+    replace();
+    pollWithEarlierRun();
+    EXPECT_EQ(starts(), 0U);
+    m_fixture.refuse(m_order);
+    const auto orders = m_fixture.schedule();
+    EXPECT_TRUE(orders.starts.empty());
+    ASSERT_EQ(orders.found.size(), 1U);
+    EXPECT_EQ(orders.found.front().run, earlierNumber);
+    EXPECT_TRUE(countsEarlierRun());
+}
+
+TEST_F(StartInFlight, IsNotRepeatedIfItIsNotSentBesideAnEarlierRunOfItsTask)
+{
+    replace();
+    m_fixture.poll("a");
+    const auto order = m_fixture.schedule().starts.front();
+    m_fixture.poll(order.target.incarnation.id, earlierRun());
+    EXPECT_FALSE(m_fixture.ledger.confirmStart(order));
+    EXPECT_EQ(starts(), 0U);
+}
+
+TEST_F(StartInFlight, IsStoppedIfItGotNoReplyBesideAnEarlierRunOfItsTask)
+{
+    send();
+    m_fixture.ledger.startAnswered(m_order, {}, m_fixture.now());
+    replace();
+    m_fixture.poll("a", earlierRun());
+    const auto orders = m_fixture.schedule();
+    EXPECT_TRUE(orders.starts.empty());
+    ASSERT_EQ(orders.stops.size(), 1U);
+    EXPECT_EQ(orders.stops.front().run, m_order.run);
+    m_fixture.acceptStop(orders.stops.front());
+    pollWithEarlierRun();
+    pollWithEarlierRun();
+    EXPECT_EQ(starts(), 0U);
+    EXPECT_TRUE(countsEarlierRun());
+}
+
+TEST_F(StartInFlight, IsStoppedIfItIsListedBesideAnEarlierRunOfItsTask)
+{
+    send();
+    replace();
+    auto both = earlierRun();
+    both.push_back(listedRun().front());
+    m_fixture.poll("a", both);
+    const auto stops = m_fixture.schedule().stops;
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops.front().run, m_order.run);
+    m_fixture.poll(
+        "a", earlierRun(), {{1, m_order.task, m_order.run, Execution::EndKind::Stopped, ""}});
+    EXPECT_EQ(starts(), 0U);
+    EXPECT_TRUE(countsEarlierRun());
+}
+
 // Guards against LOST: each of two such runs keeps the other one from being stopped, without end.
 TEST(RestartedEndpoint, StartsWithoutReplyAreStoppedAlthoughTheirStepMissesTooManyTasks)
 {
