Hold a late start that a poll lists until the stop that blocks it is over

What callers would see: TWICE for up to 0.4 s. A start that was settled without a reply is blocked on the next incarnation by a stop. If a poll found its run before that stop arrived, the run counted as gone with the first list without it, although a run that is being stopped need not be listed and may work on for 0.4 s.

Cause: the ledger remembers a stop with the booked run, and the blocking stop is sent before there is one.

Evidence: StartInFlight.IsNotRepeatedBeforeAStopThatBlocksItIsOver fails before and passes now.

Why this works: a run found under the number of a late start counts as one whose stop may be in flight, so that two lists further apart than a stop takes, or an accepted stop, settle it.

--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -239,6 +239,9 @@
     adopted.confirmedAt = now;
     adopted.adopted = true;
     adopted.pacePercent = unknownPercent;
+    // The stop that blocks it may be in flight, and a run that is being stopped need not be listed.
+    if (isLateStart(endpoint.record.incarnation.id, row))
+        adopted.stopSentAt = now;
     endpoint.inherited.erase(row.task);
     endpoint.leaseEnd =
         std::max(endpoint.leaseEnd, now + longestLocalTime(endpoint.longestFormerLease));
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -184,6 +184,15 @@
     }
 }
 
+auto RunLedger::isLateStart(const std::string &endpoint, const RunningTask &row) const -> bool
+{
+    const auto found = m_lateStarts.find(endpoint);
+    return found != m_lateStarts.end()
+           && std::ranges::any_of(found->second, [&row](const LateStart &start) {
+                  return start.task == row.task && start.run == row.run;
+              });
+}
+
 auto RunLedger::tasksOfLateStarts() const -> std::set<Jobs::TaskId>
 {
     std::set<Jobs::TaskId> tasks;
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -392,6 +392,26 @@
     EXPECT_TRUE(countsEarlierRun());
 }
 
+// Guards against TWICE: the run works on for a while, although a stop has arrived and it is not listed.
+TEST_F(StartInFlight, IsNotRepeatedBeforeAStopThatBlocksItIsOver)
+{
+    send();
+    m_fixture.ledger.endIncarnation(m_first.incarnation);
+    m_fixture.ledger.startAnswered(m_order, {}, m_fixture.now());
+    m_fixture.ledger.setClosed("b", true);
+    m_fixture.advance(longerThanAnyLease);
+    EXPECT_EQ(starts(), 0U);
+    replace();
+    ASSERT_EQ(m_fixture.schedule().stops.size(), 1U);
+    m_fixture.poll("a", listedRun());
+    m_fixture.advance(Utils::Milliseconds(1));
+    m_fixture.pollAll();
+    EXPECT_EQ(starts(), 0U);
+    m_fixture.advance(Utils::Milliseconds(450));
+    m_fixture.pollAll();
+    EXPECT_EQ(starts(), 1U);
+}
+
 // Guards against LOST: each of two such runs keeps the other one from being stopped, without end.
 TEST(RestartedEndpoint, StartsWithoutReplyAreStoppedAlthoughTheirStepMissesTooManyTasks)
 {
