Keep a leaving endpoint recorded while the next leader would hold its tasks anew

What callers would see: a long-running task of an endpoint that left is without a run for 9 s and more while leaders change (LOST). Its lease is over under one leader, it finds no room within the 0.3 to 0.7 s that this leader has left, and the next one holds it for 6.2 s more.

Cause: once the lease is over, a leaving endpoint is removed. A start that is known for less than 19.2 s is not recorded as gone, and without the record of the lease the next leader counts from the removal.

Why this works: the endpoint stays recorded until the task has started elsewhere or may be recorded as gone, at most 13 s of a term. The record tells when its lease was over, so that the next leader goes by the same evidence as this one. It is closed for tasks meanwhile. Short tasks do not hold it.

--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -264,6 +264,18 @@
         found->second.leaseRecord = LeaseRecord::Renewed;
 }
 
+// Returns true if a long-running task waits whose start there may be late, so that it is not recorded as gone.
+// The next leader would hold it from the removal of the endpoint on, but knows when its lease was over.
+auto RunLedger::holdsForNextLeader(const std::string &endpoint) const -> bool
+{
+    const auto late = tasksOfLateStarts();
+    return std::ranges::any_of(m_gone, [&](const Jobs::TaskId &task) {
+        return isOpen(task) && specOf(task)->longRunning
+               && (late.contains(task) || m_formerStarts.contains(task))
+               && m_jobs.at(task.job).endpoints().contains(endpoint);
+    });
+}
+
 auto RunLedger::expireLeases(Utils::Instant now) -> std::vector<Control::EndpointIncarnation>
 {
     std::vector<Control::EndpointIncarnation> expired;
@@ -274,7 +286,7 @@
             continue;
         releaseRuns(endpoint, ReleaseReason::LeaseExpired);
         // The next leader does not know which endpoints have announced their shutdown.
-        if (endpoint.leaving || endpoint.draining)
+        if ((endpoint.leaving || endpoint.draining) && !holdsForNextLeader(id))
             expired.push_back(endpoint.record.incarnation);
     }
     return expired;
--- a/tests/auto/execution/tst_randomwaits.cpp
+++ b/tests/auto/execution/tst_randomwaits.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint64_t seedOfAMaintainedHost = 1312;
 constexpr std::array<std::int64_t, 12> seedsOfSilentEndpoints{
     5, 18, 19, 33, 40, 50, 70, 78, 79, 88, 114, 117};
+constexpr std::array<std::uint64_t, 2> seedsOfLeavingEndpoints{1273, 2221};
 constexpr LongestTask severalSeconds{3000, 7000};
 
 auto numberFrom(const char *variable, std::int64_t otherwise) -> std::int64_t
@@ -95,6 +96,17 @@
     }
 }
 
+// Guards against LOST: an endpoint is removed once its lease is over, and each next leader waits anew.
+TEST(RandomWaits, TaskOfALeavingEndpointWaitsNotLongThroughSeveralLeaders)
+{
+    WaitOptions options;
+    options.leadersChange = true;
+    for (const auto seed : seedsOfLeavingEndpoints) {
+        const auto result = ModelWaits(seed, options).play();
+        EXPECT_EQ(result.late, "") << "seed " << seed << ", it waited for:\n" << result.waits;
+    }
+}
+
 // Guards against LOST: the leader changes as a host is maintained, and each next one waits anew.
 TEST(RandomWaits, TaskOfAMaintainedHostWaitsNotLongThroughSeveralLeaders)
 {
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -775,6 +775,32 @@
     EXPECT_EQ(fixture.schedule().starts.size(), 1U);
 }
 
+// Guards against LOST: each next leader holds the task from the removal of its endpoint on.
+TEST(RunLedger, TaskOfALeavingEndpointThatFindsNoRoomIsNotHeldAgainByTheNextLeader)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.state.endpoints.at("a").record.draining = true;
+    fixture.addJob("job", longRunningStep(1, 0));
+    fixture.recordStart("a", fixture.task("job"));
+    fixture.begin();
+    fixture.ledger.setClosed("b", true);
+    for (auto second = 0; second < 7; ++second) {
+        fixture.advance(Utils::Milliseconds(1000));
+        fixture.poll("b");
+        EXPECT_TRUE(fixture.schedule().starts.empty());
+    }
+    for (const auto &expired : fixture.ledger.expireLeases(fixture.now()))
+        fixture.removeEndpoint(expired.id);
+    fixture.begin();
+    fixture.poll("b");
+    ASSERT_EQ(fixture.schedule().starts.size(), 1U);
+    const auto expired = fixture.ledger.expireLeases(fixture.now());
+    ASSERT_EQ(expired.size(), 1U);
+    EXPECT_EQ(expired.front().id, "a");
+}
+
 // Guards against late jobs of a high priority: smaller tasks take the room that becomes free in pieces.
 TEST(RunLedger, LargeTaskOfAHigherPriorityStartsAmidABacklog)
 {
