Play short terms, and leaders that crash after their endpoints, against LOST

The sum of waits was judged with terms of 1 to 6 s alone, and leaders did not crash because endpoints did.

The courses of all other plays are the same.

--- a/tests/auto/execution/modelwaits.cpp
+++ b/tests/auto/execution/modelwaits.cpp
@@ -29,6 +29,11 @@
 constexpr std::int64_t forgetRetryUs = 300 * ms;
 constexpr std::int64_t latestFirstChangeUs = 20 * seconds;
 constexpr std::int64_t mostLeaderChanges = 8;
+constexpr std::int64_t shortestTermUs = 400 * ms;
+constexpr std::int64_t longestShortTermUs = 1500 * ms;
+constexpr std::int64_t leastShortTerms = 8;
+constexpr std::int64_t mostShortTerms = 25;
+constexpr std::int64_t latestCrashOfLeaderUs = 3 * seconds;
 constexpr std::int64_t neverUs = 1000 * seconds;
 
 constexpr std::int64_t hostCpu = 4000;
@@ -120,6 +125,8 @@
             m_kinds.insert(m_kinds.end(), std::size_t(m_random.between(1, 3)), Fault(kind));
     }
     m_kinds.push_back(Fault(m_random.between(first, last)));
+    if (m_options.leadersEndAfterEndpoints)
+        m_kinds.insert(m_kinds.end(), {Fault::CrashForGood, Fault::CutOrders, Fault::CutReplies});
 }
 
 auto ModelWaits::play() -> WaitResult
@@ -228,6 +235,12 @@
 // Plans one restart of the leader, or a series of them a few seconds apart.
 auto ModelWaits::planLeaderChanges() -> void
 {
+    if (m_options.shortTerms) {
+        const auto times = m_random.between(leastShortTerms, mostShortTerms);
+        m_time.after(m_random.between(firstFaultUs, latestFirstChangeUs),
+                     [this, times] { changeLeaderSoon(times); });
+        return;
+    }
     const auto times = m_random.chance(evenPercent) ? 1 : m_random.between(2, mostLeaderChanges);
     const auto gapUs = m_random.between(1 * seconds, 6 * seconds);
     m_time.after(m_random.between(firstFaultUs, latestFirstChangeUs),
@@ -238,13 +251,45 @@
 {
     if (times == 0)
         return;
+    changeLeader();
+    m_time.after(gapUs, [this, gapUs, times] { changeLeaderEvery(gapUs, times - 1); });
+}
+
+auto ModelWaits::changeLeaderSoon(std::int64_t times) -> void
+{
+    if (times == 0)
+        return;
+    const auto nextUs = changeLeader();
+    m_time.after(nextUs + m_random.between(shortestTermUs, longestShortTermUs),
+                 [this, times] { changeLeaderSoon(times - 1); });
+}
+
+// Returns after how long the next leader begins.
+auto ModelWaits::changeLeader() -> std::int64_t
+{
     m_watch.noteEndpoint({}, "the leader of term " + std::to_string(m_term) + " ends");
     m_leader->end();
     m_leader = nullptr;
     m_membership.use(nullptr);
     m_log.loseLeader();
-    m_time.after(m_random.between(20 * ms, 300 * ms), [this] { startLeader(); });
-    m_time.after(gapUs, [this, gapUs, times] { changeLeaderEvery(gapUs, times - 1); });
+    const auto nextUs = m_random.between(20 * ms, 300 * ms);
+    m_time.after(nextUs, [this] { startLeader(); });
+    return nextUs;
+}
+
+// Ends the leader soon after a fault that takes an endpoint away, which is a fault by itself.
+auto ModelWaits::crashLeaderAfter(Fault fault) -> void
+{
+    const auto lost = fault == Fault::CrashForGood || fault == Fault::Replace
+                      || fault == Fault::CutOrders || fault == Fault::CutReplies;
+    if (!lost)
+        return;
+    m_time.after(m_random.between(0, latestCrashOfLeaderUs), [this] {
+        if (!m_leader)
+            return;
+        m_disturbedUntilUs = std::max(m_disturbedUntilUs, m_time.nowUs());
+        changeLeader();
+    });
 }
 
 auto ModelWaits::nextFault() -> void
@@ -261,6 +306,8 @@
     const auto host = std::size_t(m_random.between(0, std::int64_t(m_hosts.size()) - 1));
     if (m_departed.contains(host))
         return;
+    if (m_options.leadersEndAfterEndpoints)
+        crashLeaderAfter(fault);
     switch (fault) {
     case Fault::Restart:
         m_hosts.crash(host, {m_random.between(20 * ms, 2 * seconds), true, true});
@@ -298,6 +345,9 @@
     case Fault::LostReplies:
         loseReplies();
         break;
+    case Fault::CrashForGood:
+        crashForGood(host);
+        break;
     }
 }
 
@@ -343,6 +393,14 @@
     m_departed.insert(host);
 }
 
+auto ModelWaits::crashForGood(std::size_t host) -> void
+{
+    if (!m_hosts.isUp(host) || m_departed.size() >= m_hosts.size() / 2)
+        return;
+    m_hosts.crash(host, {neverUs, false, false});
+    m_departed.insert(host);
+}
+
 // Closes and evacuates the endpoint, and then reopens it or has its host maintained.
 auto ModelWaits::maintain(std::size_t host, bool reopen) -> void
 {
--- a/tests/auto/execution/modelwaits.h
+++ b/tests/auto/execution/modelwaits.h
@@ -43,6 +43,9 @@
     //! Planned restarts change the leader, in the calm stretch as well: they do not end the calm.
     bool leadersChange = false;
     bool plannedOnly = false; //!< Endpoints leave or are maintained, and nothing else happens.
+    bool shortTerms = false;  //!< Long series of leaders that last 0.4 to 1.5 s each.
+    //! Endpoints crash for good, too, and the leader crashes soon after one has been lost or cut off.
+    bool leadersEndAfterEndpoints = false;
     std::optional<Jobs::TaskId> trace; //!< Task whose events are kept.
 };
 
@@ -74,6 +77,7 @@
         CutOrders,
         CutReplies,
         LostReplies,
+        CrashForGood, //!< Only if leadersEndAfterEndpoints is set.
     };
     /*! \brief How long a long-running task has been missing, and what it waited for. */
     struct Wait
@@ -94,6 +98,9 @@
     auto startLeader() -> void;
     auto planLeaderChanges() -> void;
     auto changeLeaderEvery(std::int64_t gapUs, std::int64_t times) -> void;
+    auto changeLeaderSoon(std::int64_t times) -> void;
+    auto changeLeader() -> std::int64_t;
+    auto crashLeaderAfter(Fault fault) -> void;
 
     auto nextFault() -> void;
     auto strike(Fault fault) -> void;
@@ -101,6 +108,7 @@
     auto drawDrainUs() -> std::int64_t;
     auto leave(std::size_t host) -> void;
     auto depart(std::size_t host) -> void;
+    auto crashForGood(std::size_t host) -> void;
     auto maintain(std::size_t host, bool reopen) -> void;
     auto evacuate(const Control::EndpointIncarnation &incarnation) -> void;
     auto endMaintenance(std::size_t host,
--- a/tests/auto/execution/tst_randomwaits.cpp
+++ b/tests/auto/execution/tst_randomwaits.cpp
@@ -85,6 +85,23 @@
     playSeeds(options);
 }
 
+// Guards against LOST: waits under leaders of 0.4 to 1.5 s add up.
+TEST(RandomWaits, NoLongRunningTaskWaitsLongThroughShortTerms)
+{
+    WaitOptions options;
+    options.leadersChange = true;
+    options.shortTerms = true;
+    playSeeds(options);
+}
+
+// Guards against LOST: an endpoint is lost, and up to 3 s later the leader that knew it.
+TEST(RandomWaits, NoLongRunningTaskWaitsLongIfTheLeaderCrashesAfterItsEndpoint)
+{
+    WaitOptions options;
+    options.leadersEndAfterEndpoints = true;
+    playSeeds(options);
+}
+
 // Guards against LOST: each leader waits for the lease of a silent endpoint from its own beginning.
 TEST(RandomWaits, TaskOfASilentEndpointWaitsNotLongThroughSeveralLeaders)
 {
