Keep room for the tasks of endpoints that were silent before the term

What callers would see: while leaders last less than 2.8 s, the task of a lost endpoint finds no room once its lease is over, and waits for short tasks to end besides (LOST).

Cause: room is kept free for the tasks of an endpoint that has not replied for 2.8 s, which each leader counted from the beginning of its term, although the log tells since when the endpoint has been silent.

Evidence: RunLedger.EachLeaderKeepsRoomForTheTaskOfAnEndpointThatWasSilentBeforeItsTerm fails before and passes now.

Why this works: a recorded end of a lease tells when the silence was recorded, and every process applies it.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -165,9 +165,10 @@
     //! Longest lease that orders of earlier leaders, or for former incarnations, may still set here.
     Utils::Milliseconds longestFormerLease{0};
     Utils::Instant firstReplyAt; //!< Time of the first reply to a poll in this term.
-    Utils::Instant lastReplyAt;  //!< Time of the last reply to a poll, or beginning of the term.
-    std::int64_t clockMs = 0;    //!< Time on the endpoint's clock at clockAt.
-    Utils::Instant clockAt;      //!< Local time of the poll reply that carried clockMs.
+    //! Time of the last reply to a poll, or beginning of the term, or of the silence before it.
+    Utils::Instant lastReplyAt;
+    std::int64_t clockMs = 0; //!< Time on the endpoint's clock at clockAt.
+    Utils::Instant clockAt;   //!< Local time of the poll reply that carried clockMs.
     //! Time by which all tasks there have ended, unless the lease is renewed.
     Utils::Instant leaseEnd;
     std::int64_t recordedEnds = 0;  //!< Number of the last task end that is durably recorded.
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -66,7 +66,8 @@
             endpoint.leaseRecord = LeaseRecord::Ending;
         endpoint.draining = known.record.draining;
         endpoint.backfillPercent = initialBackfillPercent;
-        endpoint.lastReplyAt = now;
+        // Room is kept free for the tasks of an endpoint that has been silent under earlier leaders.
+        endpoint.lastReplyAt = known.endingLease ? known.endingLease->recordedAt : now;
     }
     syncJobs(state);
     inheritStarts(state, now);
--- a/tests/auto/execution/tst_runledger.cpp
+++ b/tests/auto/execution/tst_runledger.cpp
@@ -801,6 +801,27 @@
     EXPECT_EQ(expired.front().id, "a");
 }
 
+// Guards against LOST: no leader of a series of short terms keeps room for the task of a lost endpoint.
+TEST(RunLedger, EachLeaderKeepsRoomForTheTaskOfAnEndpointThatWasSilentBeforeItsTerm)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", longRunningStep(1, 0));
+    fixture.recordStart("a", fixture.task("job"));
+    for (auto term = 0; term < 4; ++term) {
+        fixture.begin();
+        for (auto pass = 0; pass < 2; ++pass) {
+            fixture.advance(Utils::Milliseconds(400));
+            fixture.poll("b");
+            EXPECT_TRUE(fixture.schedule().starts.empty());
+        }
+    }
+    fixture.addJob("short", wholeEndpointStep());
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    EXPECT_TRUE(fixture.ledger.isKeptFree("b"));
+}
+
 // Guards against late jobs of a high priority: smaller tasks take the room that becomes free in pieces.
 TEST(RunLedger, LargeTaskOfAHigherPriorityStartsAmidABacklog)
 {
