Play seeds that show the known faults of starts in flight again

The seeds of two red tests of RandomFleet passed since the courses of its plays changed, which mended nothing.

--- a/tests/auto/execution/tst_randomfleet.cpp
+++ b/tests/auto/execution/tst_randomfleet.cpp
@@ -16,8 +16,8 @@
 constexpr std::size_t shortList = 3;
 constexpr std::array<std::int64_t, 3> seedsOfPollsInFlight{52, 65, 329};
 // Played by tests that are listed in KNOWN-RED.txt.
-constexpr std::array<std::int64_t, 2> seedsOfLateStarts{363, 2025};
-constexpr std::array<std::int64_t, 2> seedsOfStartsAndPollsInFlight{4148, 4353};
+constexpr std::array<std::int64_t, 2> seedsOfLateStarts{11035, 12765};
+constexpr std::array<std::int64_t, 2> seedsOfStartsAndPollsInFlight{4334, 6191};
 
 auto numberFrom(const char *variable, std::int64_t otherwise) -> std::int64_t
 {
--- a/tests/auto/execution/tst_randomwaits.cpp
+++ b/tests/auto/execution/tst_randomwaits.cpp
@@ -17,6 +17,8 @@
 constexpr std::array<std::int64_t, 12> seedsOfSilentEndpoints{
     5, 18, 19, 33, 40, 50, 70, 78, 79, 88, 114, 117};
 constexpr std::array<std::uint64_t, 2> seedsOfLeavingEndpoints{1273, 2221};
+// Played by a test that is listed in KNOWN-RED.txt.
+constexpr std::uint64_t seedOfAReplacedEndpoint = 2927;
 constexpr LongestTask severalSeconds{3000, 7000};
 
 auto numberFrom(const char *variable, std::int64_t otherwise) -> std::int64_t
@@ -124,6 +126,16 @@
     }
 }
 
+// Guards against LOST: a task that is held until 6.2 s after the removal of its endpoint finds no room then.
+TEST(RandomWaits, TaskOfAReplacedEndpointFindsRoomThroughShortTerms)
+{
+    WaitOptions options;
+    options.leadersChange = true;
+    options.shortTerms = true;
+    const auto result = ModelWaits(seedOfAReplacedEndpoint, options).play();
+    EXPECT_EQ(result.late, "") << "it waited for:\n" << result.waits;
+}
+
 // Guards against LOST: the leader changes as a host is maintained, and each next one waits anew.
 TEST(RandomWaits, TaskOfAMaintainedHostWaitsNotLongThroughSeveralLeaders)
 {
