Settle a start without a reply that lists over 13 s later do not hold

What callers would see: a start that got no reply and that the next incarnation under its endpoint's id may carry out holds its task for as long as that one answers polls but no stop (LOST).

Cause: the times in the order are of the former incarnation's clock, so only a stop settled such a start.

Why this works: no order is late by more than 13 s, so a list asked for later holds the run, or the run is being stopped or never began. A run that is being stopped has ended 0.4 s after that list, so a second one settles it.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -73,7 +73,10 @@
     bool earlierListed = false; //!< The poll reply that is being processed lists the earlier run.
     //! The last complete list is that of a poll sent after the start, and does not hold the run.
     bool unlisted = false;
-    Utils::Instant unlistedAt;            //!< Time of the reply from which on the run is unlisted.
+    Utils::Instant unlistedAt;   //!< Time of the reply from which on the run is unlisted.
+    Utils::Instant unansweredAt; //!< Time at which the wait for a reply to the start has ended.
+    //! Time of the first list without the run that was asked for when the start could not be late any more.
+    Utils::Instant notStartedAt;
     std::optional<StopReason> stopReason; //!< Set if the run is to be stopped.
     Utils::Instant stopSentAt;            //!< Time of the last stop order; zero if there was none.
     Utils::Instant stopAnsweredAt; //!< Time of the first accepted stop; zero if there was none.
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -102,6 +102,7 @@
     }
     if (reply.result == StartResult::Unknown) {
         run->state = RunState::Uncertain;
+        run->unansweredAt = now;
         m_lateStarts[order.target.incarnation.id].push_back(
             {order.task, order.run, order.target.incarnation.bornMs, now});
         return;
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -266,6 +266,19 @@
     return endpoint.runs.add(adopted);
 }
 
+// Takes in that a list asked for at \a sentAt does not hold the run. Returns true if its start got no reply
+// and will not be carried out: no order is later than the first of two lists. The second one follows
+// because a run that is being stopped need not be listed.
+auto RunLedger::isNeverCarriedOut(Run &run, Utils::Instant now, Utils::Instant sentAt) const -> bool
+{
+    const auto lateBy = std::max(run.orderedAt, run.unansweredAt) + longestLateOrder;
+    if (run.state != RunState::Uncertain || lateBy >= sentAt)
+        return false;
+    if (run.notStartedAt == Utils::Instant())
+        run.notStartedAt = now;
+    return run.notStartedAt + m_timing.longestStop < sentAt;
+}
+
 // Removes the runs that are gone according to a poll reply: listed neither as running nor as ended. A
 // truncated list proves no run to be gone, since its end may follow in a later list.
 auto RunLedger::reconcile(EndpointEntry &endpoint, const PollReply &reply, Utils::Instant sentAt)
@@ -300,9 +313,10 @@
         // answered, so the run is over after the time that a stop takes.
         const auto ended =
             vanished && unlistedBefore && run.unlistedAt + m_timing.longestStop < sentAt;
-        if (stopping && !leaseOver && !ended)
+        const auto neverStarts = isNeverCarriedOut(run, endpoint.lastReplyAt, sentAt);
+        if (stopping && !leaseOver && !ended && !neverStarts)
             continue;
-        if (!stopped && !vanished && !leaseOver)
+        if (!stopped && !vanished && !leaseOver && !neverStarts)
             continue;
         const auto unlisted = vanished ? ReleaseReason::NotListed : ReleaseReason::LeaseOver;
         gone.push_back({run.task,
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -160,6 +160,7 @@
         run.stopSentAt = {};
         run.stopAnsweredAt = {};
         run.unlisted = false;
+        run.notStartedAt = {};
         endpoint.runs.add(run);
     }
     m_outliving.erase(found);
