--- a/tests/auto/execution/tst_randomwaits.cpp
+++ b/tests/auto/execution/tst_randomwaits.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdlib>
 #include <iostream>
+#include <span>
 
 using namespace ExecutionTest;
 
@@ -17,7 +18,7 @@
 constexpr std::array<std::uint64_t, 7> seedsOfRemovedEndpoints{
     2221, 3818, 4201, 4463, 5989, 6808, 7338};
 constexpr std::uint64_t seedOfAYoungEndpoint = 7151;
-constexpr std::array<std::int64_t, 12> seedsOfSilentEndpoints{
+constexpr std::array<std::uint64_t, 12> seedsOfSilentEndpoints{
     5, 18, 19, 33, 40, 50, 70, 78, 79, 88, 114, 117};
 constexpr std::array<std::uint64_t, 2> seedsOfLeavingEndpoints{1273, 2221};
 constexpr std::uint64_t seedOfAReplacedEndpoint = 2927;
@@ -67,6 +68,14 @@
               << longestMissingUs / usPerMs << " ms at most (seed " << longestSeed << ")\n";
 }
 
+auto expectNoneLate(std::span<const std::uint64_t> seeds, const WaitOptions &options) -> void
+{
+    for (const auto seed : seeds) {
+        const auto result = ModelWaits(seed, options).play();
+        EXPECT_EQ(result.late, "") << "seed " << seed << ", it waited for:\n" << result.waits;
+    }
+}
+
 TEST(RandomWaits, NoLongRunningTaskWaitsLongBehindABacklog)
 {
     playSeeds({});
@@ -111,10 +120,7 @@
 {
     WaitOptions options;
     options.leadersChange = true;
-    for (const auto seed : seedsOfSilentEndpoints) {
-        const auto result = ModelWaits(std::uint64_t(seed), options).play();
-        EXPECT_EQ(result.late, "") << "seed " << seed << ", it waited for:\n" << result.waits;
-    }
+    expectNoneLate(seedsOfSilentEndpoints, options);
 }
 
 // Guards against LOST: an endpoint is removed once its lease is over, and each next leader waits anew.
@@ -122,10 +128,7 @@
 {
     WaitOptions options;
     options.leadersChange = true;
-    for (const auto seed : seedsOfLeavingEndpoints) {
-        const auto result = ModelWaits(seed, options).play();
-        EXPECT_EQ(result.late, "") << "seed " << seed << ", it waited for:\n" << result.waits;
-    }
+    expectNoneLate(seedsOfLeavingEndpoints, options);
 }
 
 // Guards against LOST: a task that is held until 6.2 s after the removal of its endpoint finds no room then.
@@ -134,8 +137,7 @@
     WaitOptions options;
     options.leadersChange = true;
     options.shortTerms = true;
-    const auto result = ModelWaits(seedOfAReplacedEndpoint, options).play();
-    EXPECT_EQ(result.late, "") << "it waited for:\n" << result.waits;
+    expectNoneLate({&seedOfAReplacedEndpoint, 1}, options);
 }
 
 // Guards against LOST: the leader changes as a host is maintained, and each next one waits anew.
@@ -144,8 +146,7 @@
     WaitOptions options;
     options.leadersChange = true;
     options.plannedOnly = true;
-    const auto result = ModelWaits(seedOfAMaintainedHost, options).play();
-    EXPECT_EQ(result.late, "") << "it waited for:\n" << result.waits;
+    expectNoneLate({&seedOfAMaintainedHost, 1}, options);
 }
 
 // Guards against LOST: an endpoint is removed before or as its recorded lease is over, and the next leader holds its task from
@@ -154,10 +155,7 @@
 {
     WaitOptions options;
     options.leadersChange = true;
-    for (const auto seed : seedsOfRemovedEndpoints) {
-        const auto result = ModelWaits(seed, options).play();
-        EXPECT_EQ(result.late, "") << "seed " << seed << ", it waited for:\n" << result.waits;
-    }
+    expectNoneLate(seedsOfRemovedEndpoints, options);
 }
 
 // Guards against LOST: the leader is lost before it takes an endpoint that has started 6 s before for silent, and the next one
@@ -166,8 +164,7 @@
 {
     WaitOptions options;
     options.leadersChange = true;
-    const auto result = ModelWaits(seedOfAYoungEndpoint, options).play();
-    EXPECT_EQ(result.late, "") << "it waited for:\n" << result.waits;
+    expectNoneLate({&seedOfAYoungEndpoint, 1}, options);
 }
 
 // Guards against LOST: a task waits for the lease of a lost endpoint, and only then claims room.
@@ -175,10 +172,7 @@
 {
     WaitOptions options;
     options.longest = severalSeconds;
-    for (const auto seed : seedsOfLostEndpoints) {
-        const auto result = ModelWaits(seed, options).play();
-        EXPECT_EQ(result.late, "") << "seed " << seed << ", it waited for:\n" << result.waits;
-    }
+    expectNoneLate(seedsOfLostEndpoints, options);
 }
 
 } // namespace
