--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -7,7 +7,7 @@
 namespace Execution {
 namespace {
 
-// A leader takes an endpoint for silent that has not replied this long after the beginning of the term.
+// A leader takes an endpoint for silent that has not replied this long after it became known to it.
 constexpr Utils::Milliseconds firstReply{500};
 // Releases beyond this number between two calls of takeReleases() are not reported.
 constexpr std::size_t maximumReleases = 1000;
