--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -157,12 +157,21 @@
         state.startedTasks.erase(job);
 }
 
+// Returns the endpoint if its known incarnation is this one, or nullptr.
+auto findEndpoint(State &state, const EndpointIncarnation &incarnation) -> KnownEndpoint *
+{
+    const auto found = state.endpoints.find(incarnation.id);
+    const auto isKnown =
+        found != state.endpoints.end() && found->second.record.incarnation == incarnation;
+    return isKnown ? &found->second : nullptr;
+}
+
 auto apply(State &state, const RecordEnds &record, std::int64_t nowMs) -> void
 {
-    const auto found = state.endpoints.find(record.incarnation.id);
-    if (found == state.endpoints.end() || found->second.record.incarnation != record.incarnation)
+    auto *endpoint = findEndpoint(state, record.incarnation);
+    if (endpoint == nullptr)
         return;
-    auto &recorded = found->second.recordedEnds;
+    auto &recorded = endpoint->recordedEnds;
     for (const auto &end : record.ends) {
         // Ends may be submitted twice if the outcome of the first submission was unknown.
         if (end.number <= recorded)
@@ -200,24 +209,24 @@
 
 auto apply(State &state, const RecordLease &lease) -> void
 {
-    const auto found = state.endpoints.find(lease.incarnation.id);
-    if (found == state.endpoints.end() || found->second.record.incarnation != lease.incarnation)
+    auto *endpoint = findEndpoint(state, lease.incarnation);
+    if (endpoint == nullptr)
         return;
-    const auto earlier = std::exchange(found->second.endingLease, std::nullopt);
+    const auto earlier = std::exchange(endpoint->endingLease, std::nullopt);
     if (!lease.leftMs || !state.appliedAt)
         return;
     const auto now = *state.appliedAt;
-    found->second.endingLease = {earlier ? earlier->recordedAt : now,
-                                 now + Utils::Milliseconds(*lease.leftMs)};
+    endpoint->endingLease = {earlier ? earlier->recordedAt : now,
+                             now + Utils::Milliseconds(*lease.leftMs)};
 }
 
 auto removeEndpoint(State &state, const EndpointIncarnation &incarnation) -> void
 {
-    const auto found = state.endpoints.find(incarnation.id);
-    if (found == state.endpoints.end() || found->second.record.incarnation != incarnation)
+    const auto *endpoint = findEndpoint(state, incarnation);
+    if (endpoint == nullptr)
         return;
-    const auto lease = found->second.endingLease;
-    state.endpoints.erase(found);
+    const auto lease = endpoint->endingLease;
+    state.endpoints.erase(incarnation.id);
     if (!state.appliedAt)
         return;
     const auto oldest = *state.appliedAt - removalRetention;
@@ -233,6 +242,8 @@
 // long each goes on from now. Older builds skip these records.
 auto saveLeases(const State &state, Utils::Instant now, std::vector<RecordStarts> &saved) -> void
 {
+    if (!state.recordsLeases)
+        return;
     for (const auto &[id, endpoint] : state.endpoints) {
         if (!endpoint.endingLease)
             continue;
@@ -242,8 +253,6 @@
         encodeUnderStarts(command);
         saved.push_back(*command.recordStarts);
     }
-    if (!state.recordsLeases)
-        saved.clear();
     if (saved.empty())
         return;
     RecordStarts term;
@@ -267,16 +276,10 @@
     Command command;
     command.recordStarts = saved;
     decodeUnderStarts(command);
-    if (command.beginTerm) {
+    if (command.beginTerm)
         state.term = std::uint64_t(saved.term);
-        state.recordsLeases = true;
-    }
-    if (command.recordLease)
-        apply(state, *command.recordLease);
-    if (command.recordHostOrder)
-        apply(state, *command.recordHostOrder);
-    if (command.recordStarts)
-        apply(state, *command.recordStarts);
+    const std::int64_t noTime = 0; // Of use for the ends of jobs alone.
+    state.apply(command, noTime);
 }
 
 auto apply(State &state, const FinishWaveHost &finish) -> void
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -198,12 +198,12 @@
 
 auto RunLedger::leave(const Control::EndpointIncarnation &incarnation, Utils::Instant now) -> void
 {
-    const auto found = m_endpoints.find(incarnation.id);
-    if (found == m_endpoints.end() || found->second.record.incarnation != incarnation)
+    auto *endpoint = findEndpoint(incarnation);
+    if (endpoint == nullptr)
         return;
     // The endpoint ends soon after its announcement; the maximum lease is the upper bound.
-    found->second.leaving = true;
-    found->second.leaseEnd = std::min(found->second.leaseEnd, now + m_timing.maximumLease);
+    endpoint->leaving = true;
+    endpoint->leaseEnd = std::min(endpoint->leaseEnd, now + m_timing.maximumLease);
 }
 
 auto RunLedger::setClosed(const std::string &endpoint, bool closed, ClosedFor orders) -> void
@@ -306,6 +306,15 @@
     m_endpoints.erase(found);
 }
 
+// Returns the endpoint if its known incarnation is this one, or nullptr.
+auto RunLedger::findEndpoint(const Control::EndpointIncarnation &incarnation) -> EndpointEntry *
+{
+    const auto found = m_endpoints.find(incarnation.id);
+    const auto isKnown =
+        found != m_endpoints.end() && found->second.record.incarnation == incarnation;
+    return isKnown ? &found->second : nullptr;
+}
+
 auto RunLedger::target(const EndpointEntry &endpoint) const -> OrderTarget
 {
     return {endpoint.record.incarnation, endpoint.record.address, m_term, endpoint.record.zone};
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -163,7 +163,7 @@
 
         It would replace the record that the endpoint answers again.
     */
-    auto isEnding(const Control::RecordLease &lease) const -> bool;
+    auto isEnding(const Control::RecordLease &lease) -> bool;
     /*! \brief Lets polls renew the lease again; that they do is durable now. */
     auto leaseRenewable(const Control::EndpointIncarnation &incarnation) -> void;
     /*! \brief Lets the endpoint forget task ends up to \a number, which are durable now. */
@@ -324,6 +324,7 @@
     auto addDemand(JobProgress &job, std::int64_t wallMs) -> void;
     auto unfinishedLongRunningTasks() -> std::vector<Jobs::TaskId>;
     auto explainPlacement(WaitingTask &waiting, Utils::Instant now) -> void;
+    auto findEndpoint(const Control::EndpointIncarnation &incarnation) -> EndpointEntry *;
     auto findRun(const OrderTarget &target, const Jobs::TaskId &task, std::int64_t number) -> Run *;
     auto findStarted(const StartOrder &order) -> Run *;
     auto extendLeaseOfNextIncarnation(const Control::EndpointIncarnation &former,
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -15,11 +15,10 @@
 auto RunLedger::findRun(const OrderTarget &target, const Jobs::TaskId &task, std::int64_t number)
     -> Run *
 {
-    const auto endpoint = m_endpoints.find(target.incarnation.id);
-    if (endpoint == m_endpoints.end() || endpoint->second.record.incarnation != target.incarnation
-        || target.fencingToken != m_term)
+    auto *endpoint = findEndpoint(target.incarnation);
+    if (endpoint == nullptr || target.fencingToken != m_term)
         return nullptr;
-    auto *run = endpoint->second.runs.find(task);
+    auto *run = endpoint->runs.find(task);
     return run != nullptr && run->number == number ? run : nullptr;
 }
 
@@ -127,10 +126,10 @@
 // Counts starts without a reply of the incarnation that they were for. Any reply ends the count.
 auto RunLedger::countUnanswered(const OrderTarget &target, StartResult result) -> void
 {
-    const auto found = m_endpoints.find(target.incarnation.id);
-    if (found == m_endpoints.end() || found->second.record.incarnation != target.incarnation)
+    auto *endpoint = findEndpoint(target.incarnation);
+    if (endpoint == nullptr)
         return;
-    auto &unanswered = found->second.unansweredStarts;
+    auto &unanswered = endpoint->unansweredStarts;
     unanswered = result == StartResult::Unknown ? unanswered + 1 : 0;
 }
 
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -54,10 +54,10 @@
     PollEffects effects;
     effects.record.incarnation = order.target.incarnation;
     settleForgettingPoll(order, reply.result, now);
-    const auto found = m_endpoints.find(order.target.incarnation.id);
-    if (found == m_endpoints.end() || found->second.record.incarnation != order.target.incarnation)
+    auto *known = findEndpoint(order.target.incarnation);
+    if (known == nullptr)
         return effects;
-    auto &endpoint = found->second;
+    auto &endpoint = *known;
     endpoint.tried = true;
     effects.fenced = reply.result == PollResult::Fenced;
     effects.incarnationOver =
@@ -336,12 +336,11 @@
 
 auto RunLedger::endsRecorded(const Control::RecordEnds &record, std::int64_t number) -> void
 {
-    const auto found = m_endpoints.find(record.incarnation.id);
-    if (found == m_endpoints.end() || found->second.record.incarnation != record.incarnation)
+    auto *endpoint = findEndpoint(record.incarnation);
+    if (endpoint == nullptr)
         return;
-    auto &endpoint = found->second;
-    endpoint.recordedEnds = std::max(endpoint.recordedEnds, number);
-    for (const auto &task : std::exchange(endpoint.reopenWhenRecorded, {}))
+    endpoint->recordedEnds = std::max(endpoint->recordedEnds, number);
+    for (const auto &task : std::exchange(endpoint->reopenWhenRecorded, {}))
         reopen(task);
 }
 
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -261,21 +261,19 @@
     return records;
 }
 
-auto RunLedger::isEnding(const Control::RecordLease &lease) const -> bool
+auto RunLedger::isEnding(const Control::RecordLease &lease) -> bool
 {
-    const auto found = m_endpoints.find(lease.incarnation.id);
-    return found != m_endpoints.end() && found->second.record.incarnation == lease.incarnation
-           && found->second.leaseRecord == LeaseRecord::Ending
-           && lease.leftMs == found->second.recordedLeaseMs;
+    const auto *endpoint = findEndpoint(lease.incarnation);
+    return endpoint != nullptr && endpoint->leaseRecord == LeaseRecord::Ending
+           && lease.leftMs == endpoint->recordedLeaseMs;
 }
 
 auto RunLedger::leaseRenewable(const Control::EndpointIncarnation &incarnation) -> void
 {
-    const auto found = m_endpoints.find(incarnation.id);
+    auto *endpoint = findEndpoint(incarnation);
     // It may have been removed, announced again and recorded as silent since.
-    if (found != m_endpoints.end() && found->second.record.incarnation == incarnation
-        && found->second.leaseRecord == LeaseRecord::Renewing)
-        found->second.leaseRecord = LeaseRecord::Renewed;
+    if (endpoint != nullptr && endpoint->leaseRecord == LeaseRecord::Renewing)
+        endpoint->leaseRecord = LeaseRecord::Renewed;
 }
 
 auto RunLedger::expireLeases(Utils::Instant now) -> std::vector<Control::EndpointIncarnation>
