Derive how long an unanswered start is held from the lease of its own order

Cause: the line took the lease of 2.5 s for all starts, while such orders carry 5 s. The run knows its own.

Nothing but the line uses the figure.

--- a/src/libs/execution/waitingtasks.cpp
+++ b/src/libs/execution/waitingtasks.cpp
@@ -39,17 +39,16 @@
 
 // Returns when the run has ended at the latest. A start without a reply is not carried out after its own
 // lease, unless the next incarnation may carry it out.
-auto heldUntil(const EndpointEntry &endpoint, const Run &run, const LedgerTiming &timing)
-    -> Utils::Instant
+auto heldUntil(const EndpointEntry &endpoint, const Run &run, Utils::Instant now) -> Utils::Instant
 {
-    if (run.state == RunState::Uncertain && run.leaseEndMs != INT64_MAX)
-        return run.orderedAt + longestLocalTime(timing.startLease);
-    return endpoint.leaseEnd;
+    if (run.state != RunState::Uncertain || run.leaseEndMs == INT64_MAX)
+        return endpoint.leaseEnd;
+    return now + longestLocalTime(Utils::Milliseconds(run.leaseEndMs - endpoint.clockAtLeast(now)));
 }
 
 // Sorts what is booked on the endpoint, except for short tasks, by whether it is at work.
 auto addRuns(const EndpointEntry &endpoint,
-             const LedgerTiming &timing,
+             Utils::Instant now,
              std::set<Jobs::TaskId> &atWork,
              PendingRuns &pending) -> void
 {
@@ -58,7 +57,7 @@
         if (!run.longRunning)
             continue;
         if (const auto reason = reasonOf(endpoint, run))
-            pending[task] = {*reason, id, heldUntil(endpoint, run, timing)};
+            pending[task] = {*reason, id, heldUntil(endpoint, run, now)};
         else
             atWork.insert(task);
     }
@@ -100,7 +99,7 @@
     std::set<Jobs::TaskId> atWork;
     PendingRuns pending;
     for (const auto &[id, endpoint] : m_endpoints)
-        addRuns(endpoint, m_timing, atWork, pending);
+        addRuns(endpoint, now, atWork, pending);
     for (const auto &[id, outliving] : m_outliving) {
         for (const auto &run : outliving.runs)
             pending[run.task] = {WaitReason::EarlierRun, id, outliving.leaseEnd};
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -655,4 +655,21 @@
     EXPECT_GT(order.leaseEndMs, fixture.clockMs());
 }
 
+// The line that tells how long the task is held said 2.5 s where the order carried a lease of 5 s.
+TEST(LongRunningTasks, StartWithoutAnswerOnANewEndpointIsShownAsHeldForItsLease)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", longRunningStep(1, 1));
+    fixture.begin();
+    fixture.poll("a");
+    const auto order = fixture.schedule().starts.at(0);
+    fixture.ledger.startAnswered(order, {}, fixture.now());
+    const auto waiting = fixture.ledger.waitingLongRunningTasks(fixture.now());
+    ASSERT_EQ(waiting.size(), 1U);
+    ASSERT_TRUE(waiting.front().heldUntil);
+    const auto leaseLeft = Utils::Milliseconds(order.leaseEndMs - fixture.clockMs());
+    EXPECT_GE(*waiting.front().heldUntil - fixture.now(), leaseLeft);
+}
+
 } // namespace
