Stop a long-running task for maintenance only once another endpoint has room for it

Cause: evacuate() stopped the long-running tasks of a closed endpoint as far as their steps could miss them, and did not ask where they could go. While one task of the host could not be missed, the host was neither maintained nor opened again; those that had been stopped waited, and the room that they had left was closed to them.

Evidence: seven tests of tst_evacuation.cpp fail on (TaskWithoutAnotherPlaceIsNotStopped and the six after it).

Why this works: the scheduling pass itself looks for the other place, with the room that it has already given away counted, and takes it for as long as the stop is on its way. A task without a place claims room like one that waits, and asks for a host, while it runs on. If no place is found, the host is maintained as before once its steps can do without all of its tasks.

WaitForARunThatIsNotListedIsExplained evacuated the only endpoint; it has a second one now, and expects the same.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -163,6 +163,7 @@
     bool closedForMove = false;
     //! The endpoint gets no new tasks, because its host is to be maintained.
     bool closedForMaintenance = false;
+    bool evacuating = false; //!< Its long-running tasks are to move elsewhere.
     //! An order that ends all tasks here has been issued and was not refused.
     bool endOrdered = false;
     bool leaving = false; //!< The endpoint has announced its shutdown.
@@ -197,7 +198,7 @@
     /*! \brief Returns the number of runs, including those an earlier leader may have started. */
     auto possibleRuns() const -> std::size_t { return runs.size() + inherited.size(); }
     /*! \brief Returns true if the endpoint gets no new tasks because of orders for its host. */
-    auto isClosed() const -> bool { return closedForMove || closedForMaintenance; }
+    auto isClosed() const -> bool { return closedForMove || closedForMaintenance || evacuating; }
     auto freeResources() const -> Jobs::Resources;
     /*! \brief Returns what is free once all tasks have ended, except for the long-running ones. */
     auto freeOnceShortTasksEnd() const -> Jobs::Resources;
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -214,18 +214,14 @@
     auto &entry = found->second;
     auto &flag = orders == ClosedFor::Move ? entry.closedForMove : entry.closedForMaintenance;
     flag = closed;
+    entry.evacuating = entry.evacuating && (entry.closedForMove || entry.closedForMaintenance);
 }
 
 auto RunLedger::evacuate(const std::string &endpoint) -> void
 {
     const auto found = m_endpoints.find(endpoint);
-    if (found == m_endpoints.end())
-        return;
-    for (auto &[task, run] : found->second.runs) {
-        if (run.longRunning && !run.stopReason && mayMiss(task, {}))
-            run.requestStop(StopReason::Maintenance);
-    }
-    m_stopsDue = true;
+    if (found != m_endpoints.end())
+        found->second.evacuating = true;
 }
 
 auto RunLedger::setEndOrdered(const std::string &endpoint, bool ordered) -> void
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -126,10 +126,10 @@
     auto setClosed(const std::string &endpoint, bool closed, ClosedFor orders = ClosedFor::Move)
         -> void;
     /*!
-        \brief Stops long-running tasks on a closed endpoint, as far as their steps allow it.
+        \brief Has the long-running tasks of an endpoint moved elsewhere, until it is opened again.
 
-        The tasks start again elsewhere. No stop makes more tasks of a step unavailable at once than
-        the step allows.
+        A task is stopped once another endpoint has room for it. No stop makes more tasks of a step
+        unavailable at once than the step allows. The endpoint gets no new tasks.
     */
     auto evacuate(const std::string &endpoint) -> void;
     /*! \brief Sets whether an order that ends all tasks on the endpoint is in progress. */
@@ -307,6 +307,11 @@
                   PoolPlacement &pool) -> bool;
     auto keepFreeForLost(std::map<std::string, PoolPlacement> &pools, Utils::Instant now) -> void;
     auto lostTasks(Utils::Instant now) -> std::set<Jobs::TaskId>;
+    auto evacuateEndpoints(std::map<std::string, PoolPlacement> &pools, Utils::Instant now) -> void;
+    auto moveAway(Run &run, std::vector<std::int64_t> &tasksOfStep, PoolPlacement &pool) -> void;
+    static auto takeRoom(const Jobs::StepSpec &step,
+                         std::vector<std::int64_t> &tasksOfStep,
+                         PoolPlacement &pool) -> bool;
     auto keepFreeForGang(const JobProgress &job, const Jobs::StepSpec &step, PoolPlacement &pool)
         -> void;
     auto addUnplaced(const JobProgress &job,
--- a/src/libs/execution/runroom.cpp
+++ b/src/libs/execution/runroom.cpp
@@ -50,6 +50,64 @@
     return tasks;
 }
 
+// Moves long-running tasks away from the endpoints that are to be evacuated.
+auto RunLedger::evacuateEndpoints(std::map<std::string, PoolPlacement> &pools, Utils::Instant now)
+    -> void
+{
+    std::map<Jobs::TaskId, std::vector<std::int64_t>> tasksOfSteps;
+    for (auto &[id, endpoint] : m_endpoints) {
+        if (!endpoint.evacuating)
+            continue;
+        for (auto &[task, run] : endpoint.runs) {
+            const auto *job = findUnfinished(task);
+            if (!run.longRunning || job == nullptr)
+                continue;
+            auto &pool = placementOf(pools, job->spec().pool, now);
+            const Jobs::TaskId first{task.job, task.occurrence, task.step, 0};
+            const auto [counts, added] = tasksOfSteps.try_emplace(first);
+            if (added)
+                counts->second = countTasksOfStep(*job, first, pool);
+            moveAway(run, counts->second, pool);
+        }
+    }
+}
+
+// Stops the task once another endpoint has room for it, and takes that room until it runs there. Until
+// then it claims room like a task that waits. A task that is stopped without another place waits for as long
+// as the pool is full, and the room that it leaves is closed to it.
+auto RunLedger::moveAway(Run &run, std::vector<std::int64_t> &tasksOfStep, PoolPlacement &pool)
+    -> void
+{
+    const auto &job = m_jobs.at(run.task.job);
+    const auto &spec = *job.specOf(run.task);
+    if (!run.stopReason && !mayMiss(run.task, {}))
+        return;
+    // The members of a gang start together, so that no single place is looked for.
+    if (spec.gang || takeRoom(spec, tasksOfStep, pool)) {
+        m_stopsDue = m_stopsDue || !run.stopReason;
+        run.requestStop(StopReason::Maintenance);
+        return;
+    }
+    if (!keepFree(spec, tasksOfStep, pool))
+        addUnplaced(job, spec, 1, pool);
+}
+
+// Takes room for a long-running task on an endpoint that can run it now. Returns false if there is none.
+auto RunLedger::takeRoom(const Jobs::StepSpec &step,
+                         std::vector<std::int64_t> &tasksOfStep,
+                         PoolPlacement &pool) -> bool
+{
+    const auto chosen = Scheduling::chooseEndpoint(pool.views, {&step, tasksOfStep});
+    if (!chosen)
+        return false;
+    auto &view = pool.views[*chosen];
+    const auto demand = Scheduling::occupiedBy(step);
+    view.free -= demand;
+    view.freeOnceShortTasksEnd -= demand;
+    ++tasksOfStep[*chosen];
+    return true;
+}
+
 auto RunLedger::hasRoom(PoolPlacement &pool, const Jobs::Resources &demand) -> bool
 {
     const auto refused = [&demand](const auto &tooLarge) { return tooLarge.fitsInto(demand); };
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -46,6 +46,9 @@
         stopUnwanted(now, orders);
     paceBackfill(now, orders);
     startTasks(now, wallMs, orders);
+    // The pass has found another place for tasks that are to move.
+    if (m_stopsDue)
+        stopUnwanted(now, orders);
     orders.gone = takeGone(state, now);
     orders.found = takeFound(state);
     return orders;
@@ -242,13 +245,17 @@
         candidates.push_back({rankOf(job, wallMs), &job, &pool});
     }
     std::ranges::sort(candidates, std::less<>(), &Candidate::rank);
-    auto keepsForLost = false;
-    for (const auto &candidate : candidates) {
-        // Long-running tasks come first.
-        if (!candidate.job->isLongRunning() && !std::exchange(keepsForLost, true))
-            keepFreeForLost(pools, now);
-        startJob(*candidate.job, *candidate.pool, wallMs, orders);
-    }
+    // Long-running tasks come first: those that wait, those that may be lost, and those that are to move.
+    const auto isLongRunning = [](const auto &candidate) { return candidate.job->isLongRunning(); };
+    const auto firstShort = std::ranges::find_if_not(candidates, isLongRunning);
+    const auto startAll = [&](auto first, auto last) {
+        for (auto candidate = first; candidate != last; ++candidate)
+            startJob(*candidate->job, *candidate->pool, wallMs, orders);
+    };
+    startAll(candidates.begin(), firstShort);
+    keepFreeForLost(pools, now);
+    evacuateEndpoints(pools, now);
+    startAll(firstShort, candidates.end());
 }
 
 auto RunLedger::placementOf(std::map<std::string, PoolPlacement> &pools,
--- /dev/null
+++ b/tests/auto/execution/tst_evacuation.cpp
@@ -0,0 +1,203 @@
+// Long-running tasks that move away because their host is to be maintained or to move to another pool.
+#include "ledgerfixture.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+using namespace ExecutionTest;
+using Execution::ClosedFor;
+
+namespace {
+
+constexpr std::int64_t wallMs = 1'700'000'000'000;
+// A stop of a former leader is over after this time.
+constexpr Utils::Milliseconds longerThanAStop{600};
+
+auto lastingStep(std::int64_t count, Jobs::Resources demand) -> Jobs::StepSpec
+{
+    auto step = longRunningStep(count, 1);
+    step.demand = demand;
+    return step;
+}
+
+/*! \brief Endpoints that report the runs that the test puts there. */
+class EvacuationFixture
+{
+public:
+    auto addEndpoint(const std::string &id, const std::string &pool = LedgerFixture::defaultPool)
+        -> void
+    {
+        ledger.addEndpoint(id, pool);
+        m_runs[id];
+    }
+    /*! \brief Lets the task run on the endpoint, ready since before the first poll. */
+    auto run(const std::string &endpoint, const Jobs::TaskId &task) -> void
+    {
+        m_runs[endpoint].push_back({task, ++m_lastRun, "", 100, 0});
+    }
+    auto begin() -> void
+    {
+        ledger.begin();
+        pollAll();
+        ledger.advance(longerThanAStop);
+        pollAll();
+        ledger.schedule();
+    }
+    auto pollAll() -> void
+    {
+        for (const auto &[endpoint, runs] : m_runs)
+            ledger.poll(endpoint, runs);
+    }
+    /*! \brief Lets the newest run on the endpoint end as done. */
+    auto endNewest(const std::string &endpoint) -> void
+    {
+        auto &runs = m_runs.at(endpoint);
+        const auto ended = runs.back();
+        runs.pop_back();
+        ledger.advance(Utils::Milliseconds(100));
+        ledger.record(ledger.poll(
+            endpoint,
+            runs,
+            {{++m_ends[endpoint], ended.task, ended.run, Execution::EndKind::Done, ""}}));
+    }
+    /*! \brief Closes the endpoint and has it evacuated for the maintenance of its host. */
+    auto evacuate(const std::string &endpoint) -> void
+    {
+        ledger.ledger.setClosed(endpoint, true, ClosedFor::Maintenance);
+        ledger.ledger.evacuate(endpoint);
+    }
+    auto stops() -> std::vector<Execution::StopOrder> { return ledger.schedule().stops; }
+    auto unplacedHosts() -> double
+    {
+        ledger.schedule();
+        ledger.ledger.updateDemand(wallMs);
+        return ledger.ledger.demand().at(LedgerFixture::defaultPool).unplaced.hosts;
+    }
+
+    LedgerFixture ledger;
+
+private:
+    std::map<std::string, std::vector<Execution::RunningTask>> m_runs; //!< By endpoint.
+    std::map<std::string, std::int64_t> m_ends;
+    std::int64_t m_lastRun = 0;
+};
+
+/*! \brief Two endpoints, each of which runs one task of a step that leaves too little room for another. */
+class TwoFullEndpoints : public EvacuationFixture
+{
+public:
+    TwoFullEndpoints()
+    {
+        addEndpoint("a");
+        addEndpoint("b");
+        ledger.addJob("job", lastingStep(2, {3000, 100, 0}));
+        run("a", ledger.task("job", 0));
+        run("b", ledger.task("job", 1));
+        begin();
+    }
+};
+
+// Guards against LOST: the leader stops a task for which no other endpoint has room.
+TEST(Evacuation, TaskWithoutAnotherPlaceIsNotStopped)
+{
+    TwoFullEndpoints fixture;
+    fixture.evacuate("a");
+    EXPECT_TRUE(fixture.stops().empty());
+    fixture.addEndpoint("c");
+    fixture.pollAll();
+    EXPECT_EQ(fixture.stops().size(), 1U);
+}
+
+// Guards against LOST: the endpoints that have room run as many tasks of the step as one may.
+TEST(Evacuation, TaskThatNoOtherEndpointMayRunIsNotStopped)
+{
+    EvacuationFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    auto step = lastingStep(2, {1000, 100, 0});
+    step.maximumPerHost = 1;
+    fixture.ledger.addJob("job", step);
+    fixture.run("a", fixture.ledger.task("job", 0));
+    fixture.run("b", fixture.ledger.task("job", 1));
+    fixture.begin();
+    fixture.evacuate("a");
+    EXPECT_TRUE(fixture.stops().empty());
+}
+
+// Guards against LOST: each of two tasks finds the same room.
+TEST(Evacuation, RoomForOneTaskLetsOnlyOneBeStopped)
+{
+    EvacuationFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    for (const auto *job : {"first", "second", "third"})
+        fixture.ledger.addJob(job, lastingStep(1, {2000, 100, 0}));
+    fixture.run("a", fixture.ledger.task("first"));
+    fixture.run("a", fixture.ledger.task("second"));
+    fixture.run("b", fixture.ledger.task("third"));
+    fixture.begin();
+    fixture.evacuate("a");
+    EXPECT_EQ(fixture.stops().size(), 1U);
+    EXPECT_TRUE(fixture.stops().empty());
+}
+
+// Guards against LOST: short tasks take the room for a task between its stop and its next start.
+TEST(Evacuation, ShortTasksDoNotTakeTheRoomOfATaskThatIsBeingStopped)
+{
+    EvacuationFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.ledger.addJob("job", lastingStep(1, {3000, 100, 0}));
+    fixture.run("a", fixture.ledger.task("job"));
+    fixture.begin();
+    fixture.evacuate("a");
+    ASSERT_EQ(fixture.stops().size(), 1U);
+    fixture.ledger.addJob("short", plainStep(4));
+    EXPECT_EQ(fixture.ledger.schedule().starts.size(), 1U);
+}
+
+TEST(Evacuation, RoomThatShortTasksLeaveGoesToATaskThatIsToMove)
+{
+    EvacuationFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.ledger.addJob("job", lastingStep(1, {3000, 100, 0}));
+    fixture.ledger.addJob("short", plainStep(4));
+    fixture.run("a", fixture.ledger.task("job"));
+    for (std::int64_t task = 0; task < 4; ++task)
+        fixture.run("b", fixture.ledger.task("short", task));
+    fixture.begin();
+    fixture.ledger.addJob("backlog", plainStep(20));
+    fixture.evacuate("a");
+    for (auto end = 0; end < 3; ++end) {
+        const auto orders = fixture.ledger.schedule();
+        EXPECT_TRUE(orders.starts.empty());
+        EXPECT_TRUE(orders.stops.empty());
+        fixture.endNewest("b");
+    }
+    const auto orders = fixture.ledger.schedule();
+    EXPECT_TRUE(orders.starts.empty());
+    EXPECT_EQ(orders.stops.size(), 1U);
+}
+
+TEST(Evacuation, TaskWithoutAnotherPlaceAsksForAHost)
+{
+    TwoFullEndpoints fixture;
+    EXPECT_EQ(fixture.unplacedHosts(), 0);
+    fixture.evacuate("a");
+    EXPECT_EQ(fixture.unplacedHosts(), 1);
+}
+
+TEST(Evacuation, TaskStaysOnceItsEndpointIsOpenedAgain)
+{
+    TwoFullEndpoints fixture;
+    fixture.evacuate("a");
+    EXPECT_TRUE(fixture.stops().empty());
+    fixture.ledger.ledger.setClosed("a", false, ClosedFor::Maintenance);
+    fixture.addEndpoint("c");
+    fixture.pollAll();
+    EXPECT_TRUE(fixture.stops().empty());
+}
+
+} // namespace
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -547,6 +547,8 @@
     fixture.ledger.poll("a");
     const auto order = fixture.ledger.schedule().starts.at(0);
     fixture.ledger.confirm(order);
+    fixture.ledger.addEndpoint("b");
+    fixture.ledger.poll("b");
     fixture.ledger.ledger.evacuate("a");
     ASSERT_EQ(fixture.ledger.schedule().stops.size(), 1U);
     EXPECT_TRUE(fixture.waits().empty());
