Release hosts whose long-running tasks have another place to pools that have no room for theirs

What callers saw: after most hosts of a pool crashed for good, some of its long-running tasks did not run for 25 to 30 s, in calm and under one leader, although other pools had more hosts than their own long-running tasks need.

Cause: a host that runs a long-running task counts as fixed in its pool, and such tasks are spread over all hosts of a pool. In a shortage such a pool released nothing.

Why this works: a pool that lacks hosts for its long-running tasks, after all hosts without such tasks are counted, gets them one by one from the pool with the most hosts beyond what its own long-running tasks need. Their endpoints are closed, and their tasks move within the pool, each once there is room and its step can miss it; what finds no room stays.

The line "pools release hosts" is new: which hosts were closed was in no line.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -134,6 +134,8 @@
     }
     auto servesUsers() const -> bool { return m_withTarget > 0; }
     auto holdsLongRunning() const -> bool { return m_longRunning > 0; }
+    /*! \brief Returns the number of runs of long-running tasks. */
+    auto longRunning() const -> int { return m_longRunning; }
     auto holdsBackfill() const -> bool { return m_backfill > 0; }
     /*! \brief Returns the runs that belong to the same step and occurrence as \a task. */
     auto ofStep(const Jobs::TaskId &task) const -> Part;
--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -257,33 +257,53 @@
 {
     std::erase_if(m_releasing, [&](const auto &id) { return !ledger.endpoints().contains(id); });
     for (const auto &pool : configuration.pools) {
-        std::int64_t wanted = 0;
-        for (const auto &release : releases)
-            wanted += release.pool == pool.name ? release.count : 0;
-        std::vector<const EndpointEntry *> open;
-        for (const auto &[id, endpoint] : ledger.endpoints()) {
-            if (endpoint.record.pool != pool.name)
+        Scheduling::Release wanted{pool.name};
+        for (const auto &release : releases) {
+            wanted.count += release.pool == pool.name ? release.count : 0;
+            wanted.evacuated += release.pool == pool.name ? release.evacuated : 0;
+        }
+        releaseHostsOf(wanted, ledger, moves);
+    }
+}
+
+auto HostMovePlan::releaseHostsOf(Scheduling::Release wanted,
+                                  const RunLedger &ledger,
+                                  HostMoves &moves) -> void
+{
+    std::vector<const EndpointEntry *> open;
+    for (const auto &[id, endpoint] : ledger.endpoints()) {
+        if (endpoint.record.pool != wanted.pool)
+            continue;
+        if (m_releasing.contains(id)) {
+            // Its host may have crashed, so that there is nothing to move.
+            if (!endpoint.answers)
+                continue;
+            // Closing it may have changed of which kind the pool is to release.
+            auto &left = wanted.count > 0 ? wanted.count : wanted.evacuated;
+            if (left-- > 0) {
+                if (endpoint.holdsLongRunning())
+                    moves.evacuate.push_back(id);
                 continue;
-            if (m_releasing.contains(id)) {
-                // Its host may have crashed, so that there is nothing to move.
-                if (!endpoint.answers)
-                    continue;
-                if (wanted-- > 0)
-                    continue;
-                m_releasing.erase(id);
-                moves.open.push_back(id);
-            } else if (endpoint.answers && !endpoint.isClosed() && !endpoint.draining
-                       && !endpoint.holdsLongRunning() && !ledger.isKeptFree(id)) {
-                open.push_back(&endpoint);
             }
+            m_releasing.erase(id);
+            moves.open.push_back(id);
+        } else if (endpoint.answers && !endpoint.isClosed() && !endpoint.draining
+                   && !ledger.isKeptFree(id)) {
+            open.push_back(&endpoint);
         }
-        std::ranges::stable_sort(open, {}, [](const auto *entry) { return entry->runs.size(); });
-        for (const auto *endpoint : open) {
-            if (wanted-- <= 0)
-                break;
-            m_releasing.insert(endpoint->record.incarnation.id);
-            moves.close.push_back(endpoint->record.incarnation.id);
-        }
+    }
+    std::ranges::stable_sort(open, {}, [](const auto *endpoint) {
+        return std::pair(endpoint->runs.longRunning(), endpoint->runs.size());
+    });
+    for (const auto *endpoint : open) {
+        const auto &id = endpoint->record.incarnation.id;
+        auto &left = endpoint->holdsLongRunning() ? wanted.evacuated : wanted.count;
+        if (left-- <= 0)
+            continue;
+        m_releasing.insert(id);
+        moves.close.push_back(id);
+        if (endpoint->holdsLongRunning())
+            moves.evacuate.push_back(id);
     }
 }
 
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -31,6 +31,8 @@
     std::vector<MoveStep> steps;
     //! Endpoints to close for new tasks, so that their hosts can move.
     std::vector<std::string> close;
+    //! Closed endpoints whose long-running tasks are to move elsewhere.
+    std::vector<std::string> evacuate;
     std::vector<std::string> open; //!< Endpoints to open for new tasks again.
 };
 
@@ -116,6 +118,8 @@
                       const Control::Configuration &configuration,
                       const RunLedger &ledger,
                       HostMoves &moves) -> void;
+    auto releaseHostsOf(Scheduling::Release wanted, const RunLedger &ledger, HostMoves &moves)
+        -> void;
     auto chooseHosts(const Scheduling::Transfer &transfer,
                      const RunLedger &ledger,
                      const HostOccupancy &occupancy,
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -145,8 +145,11 @@
         return m_moves.next(state.configuration, m_ledger, m_hosts, available, now);
     });
     m_movesWait = std::int64_t(moves.steps.size()) >= available;
+    reportReleasedHosts(moves);
     for (const auto &endpoint : moves.close)
         m_ledger.setClosed(endpoint, true);
+    for (const auto &endpoint : moves.evacuate)
+        m_ledger.evacuate(endpoint);
     for (const auto &endpoint : moves.open)
         m_ledger.setClosed(endpoint, false);
     m_hostOrders.take(std::int64_t(moves.steps.size()));
@@ -156,6 +159,19 @@
         AsyncNet::start(m_parts.loop, "moves", moveHosts(moves.steps), shared_from_this());
 }
 
+// Logs for how many hosts pools begin or cease to wait, so that they can move.
+auto LeaderSession::reportReleasedHosts(const HostMoves &moves) const -> void
+{
+    if (moves.close.empty() && moves.open.empty())
+        return;
+    Utils::Log::info("execution",
+                     "pools release hosts",
+                     {{"closed", moves.close.size()},
+                      {"opened", moves.open.size()},
+                      {"evacuated", moves.evacuate.size()},
+                      {"moved", moves.steps.size()}});
+}
+
 auto LeaderSession::planMaintenance() -> MaintenanceWork
 {
     const LeaderLoad::Timer timer(m_load, LeaderWork::Hosts);
--- a/src/libs/execution/leaderlog.cpp
+++ b/src/libs/execution/leaderlog.cpp
@@ -54,6 +54,8 @@
         return "its endpoint drains";
     case StopReason::Maintenance:
         return "its host is due for maintenance";
+    case StopReason::HostMove:
+        return "its host is to move to another pool";
     case StopReason::SecondRun:
         return "the task runs elsewhere too";
     case StopReason::StartUnanswered:
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -101,6 +101,7 @@
                         std::vector<Control::Command> commands) -> Task;
     auto hasOpenWave() const -> bool;
     auto reportPools() -> void;
+    auto reportReleasedHosts(const HostMoves &moves) const -> void;
     auto reportLoad() -> void;
     auto logEnds(const PollOrder &order, const PollReply &reply) -> void;
     auto logEndedJobs(const Control::RecordEnds &record) -> void;
--- a/src/libs/execution/orders.h
+++ b/src/libs/execution/orders.h
@@ -52,6 +52,7 @@
     NotWanted,       //!< The job has ended or is not known, or the task is done.
     Draining,        //!< The endpoint is draining.
     Maintenance,     //!< The host is due for maintenance.
+    HostMove,        //!< The host is to move to another pool.
     SecondRun,       //!< The task already runs elsewhere.
     StartUnanswered, //!< The start order got no reply, so the task may or may not run.
 };
@@ -59,7 +60,8 @@
 /*! \brief Returns true if the stop may be delayed until the step can do without the task. */
 constexpr auto canWait(StopReason reason) -> bool
 {
-    return reason == StopReason::Maintenance || reason == StopReason::StartUnanswered;
+    return reason == StopReason::Maintenance || reason == StopReason::HostMove
+           || reason == StopReason::StartUnanswered;
 }
 
 struct StopOrder
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -308,7 +308,10 @@
     auto keepFreeForLost(std::map<std::string, PoolPlacement> &pools, Utils::Instant now) -> void;
     auto lostTasks(Utils::Instant now) -> std::set<Jobs::TaskId>;
     auto evacuateEndpoints(std::map<std::string, PoolPlacement> &pools, Utils::Instant now) -> void;
-    auto moveAway(Run &run, std::vector<std::int64_t> &tasksOfStep, PoolPlacement &pool) -> void;
+    auto moveAway(EndpointEntry &endpoint,
+                  Run &run,
+                  std::vector<std::int64_t> &tasksOfStep,
+                  PoolPlacement &pool) -> void;
     static auto takeRoom(const Jobs::StepSpec &step,
                          std::vector<std::int64_t> &tasksOfStep,
                          PoolPlacement &pool) -> bool;
--- a/src/libs/execution/runroom.cpp
+++ b/src/libs/execution/runroom.cpp
@@ -67,7 +67,7 @@
             const auto [counts, added] = tasksOfSteps.try_emplace(first);
             if (added)
                 counts->second = countTasksOfStep(*job, first, pool);
-            moveAway(run, counts->second, pool);
+            moveAway(endpoint, run, counts->second, pool);
         }
     }
 }
@@ -75,20 +75,25 @@
 // Stops the task once another endpoint has room for it, and takes that room until it runs there. Until
 // then it claims room like a task that waits. A task that is stopped without another place waits for as long
 // as the pool is full, and the room that it leaves is closed to it.
-auto RunLedger::moveAway(Run &run, std::vector<std::int64_t> &tasksOfStep, PoolPlacement &pool)
-    -> void
+auto RunLedger::moveAway(EndpointEntry &endpoint,
+                         Run &run,
+                         std::vector<std::int64_t> &tasksOfStep,
+                         PoolPlacement &pool) -> void
 {
     const auto &job = m_jobs.at(run.task.job);
     const auto &spec = *job.specOf(run.task);
     if (!run.stopReason && !mayMiss(run.task, {}))
         return;
+    const auto isMaintained = endpoint.closedForMaintenance || !endpoint.closedForMove;
     // The members of a gang start together, so that no single place is looked for.
     if (spec.gang || takeRoom(spec, tasksOfStep, pool)) {
         m_stopsDue = m_stopsDue || !run.stopReason;
-        run.requestStop(StopReason::Maintenance);
+        run.requestStop(isMaintained ? StopReason::Maintenance : StopReason::HostMove);
         return;
     }
-    if (!keepFree(spec, tasksOfStep, pool))
+    const auto kept = keepFree(spec, tasksOfStep, pool);
+    // A host that is released to another pool is not replaced by a further one.
+    if (!kept && isMaintained)
         addUnplaced(job, spec, 1, pool);
 }
 
--- a/src/libs/scheduling/poolsizing.cpp
+++ b/src/libs/scheduling/poolsizing.cpp
@@ -84,6 +84,43 @@
     return lacking;
 }
 
+// Returns how many more hosts the long-running tasks of the pools need than they have or are released.
+auto missingForLongRunning(std::span<const Balance> balances, std::span<const Release> releases)
+    -> std::int64_t
+{
+    std::int64_t missing = 0;
+    for (const auto &balance : balances)
+        missing += std::max<std::int64_t>(0, leastHosts(*balance.pool) - balance.hosts);
+    for (const auto &release : releases)
+        missing -= release.count;
+    return missing;
+}
+
+// Adds hosts with long-running tasks to the releases, one by one from the pool that has the most hosts
+// beyond what its own long-running tasks need.
+auto evacuateHosts(std::span<const Balance> balances, std::vector<Release> &releases) -> void
+{
+    std::vector<std::int64_t> surplus;
+    for (const auto &balance : balances) {
+        auto hosts = balance.pool->spare ? 0 : balance.hosts - leastHosts(*balance.pool);
+        for (const auto &release : releases)
+            hosts -= release.pool == balance.pool->name ? release.count : 0;
+        surplus.push_back(hosts);
+    }
+    for (auto missing = missingForLongRunning(balances, releases); missing > 0; --missing) {
+        const auto most = std::ranges::max_element(surplus);
+        if (most == surplus.end() || *most <= 0)
+            return;
+        --*most;
+        const auto &pool = balances[std::size_t(most - surplus.begin())].pool->name;
+        const auto known = std::ranges::find(releases, pool, &Release::pool);
+        if (known != releases.end())
+            ++known->evacuated;
+        else
+            releases.push_back({pool, 0, 1});
+    }
+}
+
 auto turnOff(std::vector<Balance> &balances, std::vector<Transfer> &transfers) -> void
 {
     const auto spare = std::ranges::find_if(balances, [](const auto &b) { return b.pool->spare; });
@@ -149,6 +186,7 @@
         plan.releases.push_back({from.pool->name, count});
         missing -= count;
     }
+    evacuateHosts(balances, plan.releases);
     turnOff(balances, plan.transfers);
     return plan;
 }
--- a/src/libs/scheduling/poolsizing.h
+++ b/src/libs/scheduling/poolsizing.h
@@ -41,7 +41,9 @@
 struct Release
 {
     std::string pool;
-    std::int64_t count = 0;
+    std::int64_t count = 0; //!< Hosts without long-running tasks.
+    //! Further hosts, whose long-running tasks move to other hosts of the pool.
+    std::int64_t evacuated = 0;
 };
 
 struct TransferPlan
@@ -63,7 +65,9 @@
     that are turned off, and then hosts that are idle in other pools, move to pools that lack hosts.
     Idle hosts that no pool needs are turned off once keeping them has cost more than moving them
     twice. When all pools together need more hosts than there are, each pool gets those of its
-    long-running tasks and a share of the others, and pools with more than that release hosts.
+    long-running tasks and a share of the others, and pools with more than that release hosts. If a
+    pool still lacks hosts for its long-running tasks, pools whose own ones need fewer hosts than
+    they lie on release some of these.
 */
 auto planTransfers(std::span<const PoolLoad> pools) -> TransferPlan;
 
--- a/tests/auto/execution/tst_evacuation.cpp
+++ b/tests/auto/execution/tst_evacuation.cpp
@@ -1,18 +1,24 @@
 // Long-running tasks that move away because their host is to be maintained or to move to another pool.
 #include "ledgerfixture.h"
 
+#include "execution/hostmoveplan.h"
+
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace ExecutionTest;
 using Execution::ClosedFor;
+using Execution::HostState;
 
 namespace {
 
 constexpr std::int64_t wallMs = 1'700'000'000'000;
+constexpr auto otherPool = "other";
 // A stop of a former leader is over after this time.
 constexpr Utils::Milliseconds longerThanAStop{600};
+constexpr std::int64_t mostMoves = 10;
 
 auto lastingStep(std::int64_t count, Jobs::Resources demand) -> Jobs::StepSpec
 {
@@ -30,6 +36,8 @@
     {
         ledger.addEndpoint(id, pool);
         m_runs[id];
+        m_hosts.hosts.push_back({"host-" + id, pool, HostState::Up, id});
+        m_hosts.complete = true;
     }
     /*! \brief Lets the task run on the endpoint, ready since before the first poll. */
     auto run(const std::string &endpoint, const Jobs::TaskId &task) -> void
@@ -74,6 +82,21 @@
         ledger.ledger.updateDemand(wallMs);
         return ledger.ledger.demand().at(LedgerFixture::defaultPool).unplaced.hosts;
     }
+    /*! \brief Plans moves, and carries out what concerns the ledger. */
+    auto planMoves() -> Execution::HostMoves
+    {
+        ledger.ledger.updateDemand(wallMs);
+        m_plan.observe(ledger.ledger, ledger.now());
+        auto moves = m_plan.next(
+            ledger.state.configuration, ledger.ledger, m_hosts, mostMoves, ledger.now());
+        for (const auto &endpoint : moves.close)
+            ledger.ledger.setClosed(endpoint, true);
+        for (const auto &endpoint : moves.evacuate)
+            ledger.ledger.evacuate(endpoint);
+        for (const auto &endpoint : moves.open)
+            ledger.ledger.setClosed(endpoint, false);
+        return moves;
+    }
 
     LedgerFixture ledger;
 
@@ -81,6 +104,8 @@
     std::map<std::string, std::vector<Execution::RunningTask>> m_runs; //!< By endpoint.
     std::map<std::string, std::int64_t> m_ends;
     std::int64_t m_lastRun = 0;
+    Execution::HostList m_hosts;
+    Execution::HostMovePlan m_plan;
 };
 
 /*! \brief Two endpoints, each of which runs one task of a step that leaves too little room for another. */
@@ -200,4 +225,74 @@
     EXPECT_TRUE(fixture.stops().empty());
 }
 
+/*!
+    \brief A pool whose few long-running tasks lie on all of its hosts, and another one with one host that is too
+    small for its long-running tasks.
+*/
+class SpreadTasks : public EvacuationFixture
+{
+public:
+    static constexpr std::int64_t spreadHosts = 6;
+
+    SpreadTasks()
+    {
+        ledger.state.configuration.pools.push_back({otherPool, true, false});
+        ledger.addJob("spread", lastingStep(spreadHosts, {1000, 100, 0}), otherPool);
+        for (std::int64_t host = 0; host < spreadHosts; ++host) {
+            const auto id = "spread-" + std::to_string(host);
+            addEndpoint(id, otherPool);
+            run(id, ledger.task("spread", host));
+        }
+        addEndpoint("full");
+        ledger.addJob("job", lastingStep(2, {3000, 100, 0}));
+        run("full", ledger.task("job", 0));
+        begin();
+    }
+};
+
+// Guards against LOST: a pool releases no host as long as each one runs a long-running task.
+TEST(Evacuation, PoolReleasesAHostWhoseTasksHaveAnotherPlaceToAPoolWithoutRoom)
+{
+    SpreadTasks fixture;
+    const auto moves = fixture.planMoves();
+    ASSERT_EQ(moves.close.size(), 1U);
+    const auto stops = fixture.stops();
+    ASSERT_EQ(stops.size(), 1U);
+    EXPECT_EQ(stops.front().target.incarnation.id, moves.close.front());
+    EXPECT_EQ(stops.front().task.job, "spread");
+}
+
+// Guards against LOST: an endpoint is closed and opened in turn, and never empty.
+TEST(Evacuation, EndpointThatIsBeingEvacuatedStaysClosed)
+{
+    SpreadTasks fixture;
+    ASSERT_EQ(fixture.planMoves().close.size(), 1U);
+    fixture.ledger.schedule();
+    const auto again = fixture.planMoves();
+    EXPECT_TRUE(again.open.empty());
+    EXPECT_TRUE(again.close.empty());
+    EXPECT_EQ(again.evacuate.size(), 1U);
+}
+
+TEST(Evacuation, PoolKeepsTheHostsThatItsOwnLongRunningTasksNeed)
+{
+    SpreadTasks fixture;
+    auto step = lastingStep(SpreadTasks::spreadHosts, {100, 100, 0});
+    step.maximumPerHost = 1;
+    fixture.ledger.addJob("apart", step, otherPool);
+    fixture.ledger.schedule();
+    EXPECT_TRUE(fixture.planMoves().close.empty());
+}
+
+TEST(Evacuation, ReleasedHostIsOpenedAgainOnceThePoolHasRoom)
+{
+    SpreadTasks fixture;
+    const auto closed = fixture.planMoves().close;
+    ASSERT_EQ(closed.size(), 1U);
+    fixture.addEndpoint("added");
+    fixture.pollAll();
+    fixture.ledger.schedule();
+    EXPECT_EQ(fixture.planMoves().open, closed);
+}
+
 } // namespace
