Ask for hosts for long-running tasks before the lease of their silent endpoint is over

What callers saw: tasks of lost endpoints waited for the lease, and then as long again until a host had moved to their pool.

Cause: a task that is booked on a silent endpoint claimed room, but asked for no host before its lease was over.

Why this works: 2.8 s after the last reply the task counts for the size of its pool if no open endpoint could take it, as a task that waits does. The move takes about as long as the rest of the lease. Endpoints that answer again in time can have made hosts move for nothing; only those for which the whole pool has no room do.

--- a/src/libs/execution/runroom.cpp
+++ b/src/libs/execution/runroom.cpp
@@ -18,7 +18,9 @@
         const Jobs::TaskId first{task.job, task.occurrence, task.step, 0};
         if (std::exchange(step, first) != first)
             tasksOfStep = countTasksOfStep(job, first, pool);
-        keepFree(*job.specOf(task), tasksOfStep, pool);
+        // A host takes about as long to move as the rest of the lease.
+        if (!keepFree(*job.specOf(task), tasksOfStep, pool))
+            addUnplaced(job, *job.specOf(task), 1, pool);
     }
 }
 
--- a/tests/auto/execution/tst_evacuation.cpp
+++ b/tests/auto/execution/tst_evacuation.cpp
@@ -225,6 +225,16 @@
     EXPECT_TRUE(fixture.stops().empty());
 }
 
+// Guards against LOST: a host is asked for once the lease of a silent endpoint is over, and then takes as long to move.
+TEST(Evacuation, HostForATaskOfASilentEndpointIsAskedForBeforeItsLeaseIsOver)
+{
+    TwoFullEndpoints fixture;
+    fixture.ledger.failPoll("a");
+    fixture.ledger.advance(Utils::Milliseconds(2900));
+    fixture.ledger.poll("b", {{fixture.ledger.task("job", 1), 2, "", 100, 0}});
+    EXPECT_EQ(fixture.unplacedHosts(), 1);
+}
+
 /*!
     \brief A pool whose few long-running tasks lie on all of its hosts, and another one with one host that is too
     small for its long-running tasks.
