--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -29,6 +29,8 @@
     Utils::Milliseconds lease{5000};
     //! Lease requested with the start of a long-running task; polls renew it.
     Utils::Milliseconds startLease{2500};
+    //! Like startLease, where no poll has renewed the lease yet: outlives that one poll is lost.
+    Utils::Milliseconds firstStartLease{3200};
     //! Maximum time from the reply to a stop until the run has ended.
     Utils::Milliseconds longestStop{400};
     Utils::Milliseconds pollWait{1500}; //!< Maximum time for which a poll waits for a task end.
@@ -328,6 +330,8 @@
               const Jobs::TaskId &task,
               std::int64_t number,
               Utils::Instant now) -> StartOrder;
+    auto startLeaseOf(const Jobs::StepSpec &step, const EndpointEntry &endpoint) const
+        -> Utils::Milliseconds;
     auto updateAvoided(PoolPlacement &pool) -> void;
     auto addDemand(JobProgress &job, std::int64_t wallMs) -> void;
     auto unfinishedLongRunningTasks() -> std::vector<Jobs::TaskId>;
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -395,9 +395,7 @@
     const auto &spec = job.spec().steps[std::size_t(task.step)];
     auto run = makeRun(spec, task, number);
     run.orderedAt = now;
-    // Until a poll has renewed the lease, the run has to outlive that one poll is lost.
-    const auto isShort = spec.longRunning && endpoint.leaseRenewed;
-    const auto lease = isShort ? m_timing.startLease : m_timing.lease;
+    const auto lease = startLeaseOf(spec, endpoint);
     run.leaseEndMs = endpoint.clockAtLeast(now) + lease.count();
     endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestLocalTime(lease));
     if (spec.fills && endpoint.servesUsers())
@@ -418,6 +416,14 @@
     return order;
 }
 
+auto RunLedger::startLeaseOf(const Jobs::StepSpec &step, const EndpointEntry &endpoint) const
+    -> Utils::Milliseconds
+{
+    if (!step.longRunning)
+        return m_timing.lease;
+    return endpoint.leaseRenewed ? m_timing.startLease : m_timing.firstStartLease;
+}
+
 auto RunLedger::nextNumber() -> std::int64_t
 {
     return m_term * startsPerTerm + ++m_starts;
--- a/tests/auto/execution/tst_longrunningtasks.cpp
+++ b/tests/auto/execution/tst_longrunningtasks.cpp
@@ -616,6 +616,38 @@
     EXPECT_LE(startedAt - orderedAt, Utils::Milliseconds(3500));
 }
 
+// Guards against LOST: a start without an answer on an endpoint that is new in its pool was held for 5.2 s.
+TEST(LongRunningTasks, StartWithoutAnswerOnANewEndpointIsSettledAboutAsSoonAsElsewhere)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    auto step = longRunningStep(2, 1);
+    step.maximumPerHost = 1;
+    fixture.addJob("job", step);
+    fixture.begin();
+    fixture.pollAll();
+    const auto starts = fixture.schedule().starts;
+    ASSERT_EQ(starts.size(), 2U);
+    const auto orderedAt = fixture.now();
+    const auto &unanswered = starts[0];
+    fixture.ledger.confirmStart(unanswered);
+    fixture.ledger.startAnswered(unanswered, {}, fixture.now());
+    fixture.confirm(starts[1]);
+    auto startedAt = Utils::Instant::max();
+    for (auto poll = 0; poll < 60 && startedAt == Utils::Instant::max(); ++poll) {
+        fixture.advance(Utils::Milliseconds(100));
+        fixture.poll(unanswered.target.incarnation.id);
+        // The other task is not ready, so that the step can miss no stop.
+        fixture.poll(starts[1].target.incarnation.id, {{starts[1].task, starts[1].run, "", 50, 0}});
+        const auto orders = fixture.schedule();
+        EXPECT_TRUE(orders.stops.empty());
+        if (!orders.starts.empty())
+            startedAt = fixture.now();
+    }
+    EXPECT_LE(startedAt - orderedAt, Utils::Milliseconds(3600));
+}
+
 // Guards against LOST: a commit whose outcome was not known for 2.5 s is repeated, and the order that follows it is
 // refused as too late. The endpoint then gets no task for a second.
 TEST(LongRunningTasks, StartWhoseLeaseIsOverOnceItIsRecordedIsNotSent)
