Count a host as departed from a wave only if all lists for 3 s lack it

Cause: one list of hosts without the host was enough. Entries that cannot be read are left out of a list that counts as complete.

Evidence: HostThatOneListLeavesOutStaysInTheWave and HostWhoseEntryCannotBeReadStaysInTheWave fail without the change.

Why this works: lists come once a second, so that a host that a list leaves out is in the next one. While a list holds an entry that cannot be read, which may be that of the host, 10 s are needed. A wave whose last host has left ends by as much later.

--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -17,6 +17,10 @@
 constexpr Utils::Milliseconds orderRetry{1500};
 // Time to drain a host, maintain it and see it in service again.
 constexpr std::int64_t hostCycleMs = 8000;
+// A host has left the fleet if all lists of this time lack it. An entry that cannot be read may be that of
+// the host.
+constexpr Utils::Milliseconds departedAfter{3000};
+constexpr Utils::Milliseconds departedAfterWithUnreadable{10'000};
 // Reserve at the end of a wave for leader changes and host failures.
 constexpr std::int64_t reserveMs = 8000;
 
@@ -136,6 +140,14 @@
     return found != m_preparing.end() && found->second.endpoint == host.endpoint;
 }
 
+// One list may leave out a host that is still there.
+auto MaintenancePlan::hasDeparted(const std::string &host, const MaintenanceView &view) -> bool
+{
+    const auto since = m_missingSince.try_emplace(host, view.listedAt).first->second;
+    const auto least = view.hosts.hasUnreadable ? departedAfterWithUnreadable : departedAfter;
+    return view.listedAt - since >= least;
+}
+
 auto MaintenancePlan::planWave(const Control::Wave &wave,
                                const MaintenanceView &view,
                                const HostOccupancy &occupancy,
@@ -148,10 +160,11 @@
         const auto finished = isFinished(wave, name);
         const auto found = hosts.find(name);
         if (found == hosts.end()) {
-            if (!finished)
+            if (!finished && hasDeparted(name, view))
                 work.departed.push_back({wave.number, name});
             continue;
         }
+        m_missingSince.erase(name);
         const auto &host = *found->second;
         const auto order = m_orders.find(name);
         const auto ordered = order != m_orders.end();
--- a/src/libs/execution/maintenanceplan.h
+++ b/src/libs/execution/maintenanceplan.h
@@ -132,6 +132,7 @@
     auto confirmOrders(const MaintenanceView &view, const HostsByName &hosts, MaintenanceWork &work)
         -> void;
     auto isPreparing(const HostInfo &host) const -> bool;
+    auto hasDeparted(const std::string &host, const MaintenanceView &view) -> bool;
     auto waitsForNewerList(const std::string &host, const MaintenanceView &view) const -> bool;
 
     std::set<std::int64_t> m_inheritedWaves;            //!< Waves that began in an earlier term.
@@ -142,6 +143,8 @@
     std::set<std::pair<std::int64_t, std::string>> m_maybeMaintained;
     std::map<std::string, Unconfirmed> m_unconfirmed; //!< Accepted orders by host.
     std::map<std::string, Utils::Instant> m_refused;  //!< Time of the last refusal by host.
+    //! Time of the first of the lists in a row that lack a host, by host.
+    std::map<std::string, Utils::Instant> m_missingSince;
 };
 
 } // namespace Execution
--- a/src/libs/execution/ports.h
+++ b/src/libs/execution/ports.h
@@ -50,6 +50,7 @@
 {
     //! False if the provider did not return the whole list.
     bool complete = false;
+    bool hasUnreadable = false; //!< True if an entry could not be read, and is left out.
     std::vector<HostInfo> hosts;
 };
 
--- a/tests/auto/execution/tst_maintenanceplan.cpp
+++ b/tests/auto/execution/tst_maintenanceplan.cpp
@@ -442,6 +442,32 @@
     EXPECT_NE(next[0].host, first.host);
 }
 
+// Guards against MIXED: a wave was done although a host that one list left out had not been maintained.
+TEST(MaintenancePlan, HostThatOneListLeavesOutStaysInTheWave)
+{
+    WaveFixture fixture(1, 1);
+    const auto host = fixture.list.hosts.back();
+    fixture.list.hosts.clear();
+    EXPECT_TRUE(fixture.next(0).departed.empty());
+    EXPECT_TRUE(fixture.next(2500).departed.empty());
+    fixture.list.hosts.push_back(host);
+    EXPECT_EQ(fixture.next(2600).begin.size(), 1U);
+    fixture.list.hosts.clear();
+    EXPECT_TRUE(fixture.next(3600).departed.empty());
+    EXPECT_EQ(fixture.next(6600).departed.size(), 1U);
+}
+
+// Guards against MIXED: the entry of a host could not be read, so that the list lacked the host.
+TEST(MaintenancePlan, HostWhoseEntryCannotBeReadStaysInTheWave)
+{
+    WaveFixture fixture(1, 1);
+    fixture.list.hosts.clear();
+    fixture.list.hasUnreadable = true;
+    EXPECT_TRUE(fixture.next(0).departed.empty());
+    EXPECT_TRUE(fixture.next(longAfterDrainingMs).departed.empty());
+    EXPECT_EQ(fixture.next(2 * longAfterDrainingMs).departed.size(), 1U);
+}
+
 TEST(MaintenancePlan, OrderOfAFormerLeaderThatWasAnsweredTakesNoPlace)
 {
     WaveFixture fixture(2, 1);
--- a/tests/auto/platform/tst_hostclient.cpp
+++ b/tests/auto/platform/tst_hostclient.cpp
@@ -78,6 +78,7 @@
         return R"({"machines":[{"machine":"m3","state":"up"}]})";
     });
     EXPECT_TRUE(hosts.complete);
+    EXPECT_TRUE(hosts.hasUnreadable);
     ASSERT_EQ(hosts.hosts.size(), 2U);
     EXPECT_EQ(hosts.hosts[0].name, "m1");
     EXPECT_EQ(hosts.hosts[1].name, "m3");
@@ -99,6 +100,7 @@
         return R"({"machines":[{"machine":"m1","state":"up"}],"next_token":"more"})";
     });
     EXPECT_FALSE(hosts.complete);
+    EXPECT_FALSE(hosts.hasUnreadable);
 }
 
 } // namespace
