--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -217,4 +217,11 @@
     return step;
 }
 
+auto lastingStep(std::int64_t count, Jobs::Resources demand) -> Jobs::StepSpec
+{
+    auto step = longRunningStep(count, 1);
+    step.demand = demand;
+    return step;
+}
+
 } // namespace ExecutionTest
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -86,4 +86,7 @@
 /*! \brief Returns a step of \a count long-running tasks, \a mayMiss of which may be unavailable. */
 auto longRunningStep(std::int64_t count, std::int64_t mayMiss) -> Jobs::StepSpec;
 
+/*! \brief Returns a step of \a count long-running tasks that need \a demand each; one may be unavailable. */
+auto lastingStep(std::int64_t count, Jobs::Resources demand) -> Jobs::StepSpec;
+
 } // namespace ExecutionTest
--- a/tests/auto/execution/tst_evacuation.cpp
+++ b/tests/auto/execution/tst_evacuation.cpp
@@ -20,13 +20,6 @@
 constexpr Utils::Milliseconds longerThanAStop{600};
 constexpr std::int64_t mostMoves = 10;
 
-auto lastingStep(std::int64_t count, Jobs::Resources demand) -> Jobs::StepSpec
-{
-    auto step = longRunningStep(count, 1);
-    step.demand = demand;
-    return step;
-}
-
 /*! \brief Endpoints that report the runs that the test puts there. */
 class EvacuationFixture
 {
