Keep the places of tasks that are being stopped, and start waiting tasks on endpoints that cannot be maintained

Causes: (1) A task was stopped for a place that another evacuated endpoint, a new job or short tasks took before it started there. (2) A stop was repeated although its place was gone, and was sent although the endpoint was open again. (3) A task waited for room that only an endpoint closed for maintenance had, while that endpoint could not be maintained because the step of its own task missed the waiting one. (4) Lost tasks of an evacuated endpoint asked for two hosts.

Why this works: a pass first takes the places of tasks whose stop is on its way, those of draining endpoints, too, and sends stops last, so that it knows whether their place is still there. Claims of a step count for its limit per host in the whole pass. A waiting task that no endpoint could ever run as things are starts on an endpoint whose maintenance is held up by long-running tasks. Tasks that need more than the pool could free are not looked for one by one.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -79,7 +79,9 @@
     //! Time of the first list without the run that was asked for when the start could not be late any more.
     Utils::Instant notStartedAt;
     std::optional<StopReason> stopReason; //!< Set if the run is to be stopped.
-    Utils::Instant stopSentAt;            //!< Time of the last stop order; zero if there was none.
+    bool hasNoPlace =
+        false; //!< The task is to move, and no endpoint could run it in the last pass.
+    Utils::Instant stopSentAt;     //!< Time of the last stop order; zero if there was none.
     Utils::Instant stopAnsweredAt; //!< Time of the first accepted stop; zero if there was none.
 
     /*! \brief Returns true if the next incarnation under the endpoint's id may carry the order out. */
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -214,14 +214,8 @@
     auto &entry = found->second;
     auto &flag = orders == ClosedFor::Move ? entry.closedForMove : entry.closedForMaintenance;
     flag = closed;
-    entry.evacuating = entry.evacuating && (entry.closedForMove || entry.closedForMaintenance);
-}
-
-auto RunLedger::evacuate(const std::string &endpoint) -> void
-{
-    const auto found = m_endpoints.find(endpoint);
-    if (found != m_endpoints.end())
-        found->second.evacuating = true;
+    if (entry.evacuating && !entry.closedForMove && !entry.closedForMaintenance)
+        endEvacuation(entry);
 }
 
 auto RunLedger::setEndOrdered(const std::string &endpoint, bool ordered) -> void
@@ -261,7 +255,7 @@
     const auto mayStillStart = run.state == RunState::Uncertain && run.leaseEndMs != INT64_MAX;
     // Other runs that are not listed are not ready, and only a reply to a stop settles them soon.
     const auto gone = run.unlisted && !mayStillStart;
-    return !canWait(reason) || gone || mayMiss(run.task, {});
+    return !canWait(reason) || gone || (!run.hasNoPlace && mayMiss(run.task, {}));
 }
 
 // Returns the number of other tasks of the step that are not ready, or would not be ready without
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -11,9 +11,11 @@
 #include "scheduling/placement.h"
 #include "utils/clock.h"
 
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_set>
 #include <vector>
@@ -134,6 +136,15 @@
         unavailable at once than the step allows. The endpoint gets no new tasks.
     */
     auto evacuate(const std::string &endpoint) -> void;
+    /*!
+        \brief Returns the first of \a candidates whose long-running tasks have places elsewhere.
+
+        The candidates are endpoints of \a pool, and \a count of them at most are to be evacuated together.
+    */
+    auto evacuable(const std::string &pool,
+                   std::span<const EndpointEntry *const> candidates,
+                   std::int64_t count,
+                   Utils::Instant now) -> std::vector<std::string>;
     /*! \brief Sets whether an order that ends all tasks on the endpoint is in progress. */
     auto setEndOrdered(const std::string &endpoint, bool ordered) -> void;
     /*! \brief Returns true if all steps stay within their limits if the endpoint ends now. */
@@ -229,8 +240,14 @@
         std::vector<Scheduling::EndpointView> views;
         Utils::Instant now;
         Jobs::Resources mostFree; //!< Upper bound of the free resources of each open endpoint.
+        //! The same, once short tasks have ended there.
+        Jobs::Resources mostOnceShortTasksEnd;
         std::vector<Jobs::Resources> tooLarge; //!< Demands that no open endpoint has room for.
+        //! Tasks of a step on each endpoint, with claims, by the first task of the step.
+        std::map<Jobs::TaskId, std::vector<std::int64_t>> tasksOfSteps;
     };
+    using PoolPlacements = std::map<std::string, PoolPlacement>;
+    using TaskVisitor = std::function<void(EndpointEntry &, Run &, PoolPlacement &)>;
     struct Candidate
     {
         Scheduling::JobRank rank;
@@ -239,6 +256,8 @@
     };
 
     auto placementFor(const std::string &pool, Utils::Instant now) -> PoolPlacement;
+    static auto waitsForMaintenance(const EndpointEntry &endpoint) -> bool;
+    auto isUsable(const EndpointEntry &endpoint, Utils::Instant now) const -> bool;
     auto acceptsTasks(const EndpointEntry &endpoint, Utils::Instant now) const -> bool;
     auto updateRun(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> void;
     auto adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> Run &;
@@ -298,27 +317,35 @@
     static auto countTasksOfStep(const JobProgress &job,
                                  const Jobs::TaskId &first,
                                  const PoolPlacement &pool) -> std::vector<std::int64_t>;
-    auto placementOf(std::map<std::string, PoolPlacement> &pools,
-                     const std::string &pool,
-                     Utils::Instant now) -> PoolPlacement &;
+    static auto tasksOfStep(const JobProgress &job, const Jobs::TaskId &task, PoolPlacement &pool)
+        -> std::vector<std::int64_t> &;
+    auto placementOf(PoolPlacements &pools, const std::string &pool, Utils::Instant now)
+        -> PoolPlacement &;
     auto startStep(JobProgress &job, const Jobs::TaskId &first, PoolPlacement &pool, Orders &orders)
         -> void;
     auto hasRoom(PoolPlacement &pool, const Jobs::Resources &demand) -> bool;
     auto keepFree(const Jobs::StepSpec &step,
                   std::vector<std::int64_t> &tasksOfStep,
                   PoolPlacement &pool) -> bool;
-    auto keepFreeForLost(std::map<std::string, PoolPlacement> &pools, Utils::Instant now) -> void;
+    auto keepFreeForLost(PoolPlacements &pools, Utils::Instant now) -> void;
     auto lostTasks(Utils::Instant now) -> std::set<Jobs::TaskId>;
-    auto evacuateEndpoints(std::map<std::string, PoolPlacement> &pools, Utils::Instant now) -> void;
-    auto moveAway(EndpointEntry &endpoint,
-                  Run &run,
+    auto claim(std::size_t endpoint,
+               const Jobs::StepSpec &step,
+               std::vector<std::int64_t> &tasksOfStep,
+               PoolPlacement &pool) -> void;
+    auto endEvacuation(EndpointEntry &endpoint) -> void;
+    auto visitTasksToMove(PoolPlacements &pools, Utils::Instant now, const TaskVisitor &visit)
+        -> void;
+    auto reserveForStopped(PoolPlacements &pools, Utils::Instant now) -> void;
+    auto evacuateEndpoints(PoolPlacements &pools, Utils::Instant now) -> void;
+    auto moveAway(const EndpointEntry &endpoint, Run &run, PoolPlacement &pool) -> void;
+    auto takeRoom(const Jobs::StepSpec &step,
                   std::vector<std::int64_t> &tasksOfStep,
-                  PoolPlacement &pool) -> void;
-    static auto takeRoom(const Jobs::StepSpec &step,
-                         std::vector<std::int64_t> &tasksOfStep,
-                         PoolPlacement &pool) -> bool;
+                  PoolPlacement &pool) -> bool;
+    auto claimPlacesElsewhere(const EndpointEntry &endpoint, PoolPlacement &pool) -> bool;
     auto keepFreeForGang(const JobProgress &job, const Jobs::StepSpec &step, PoolPlacement &pool)
         -> void;
+    auto capacities() -> const std::vector<Jobs::Resources> &;
     auto addUnplaced(const JobProgress &job,
                      const Jobs::StepSpec &step,
                      std::int64_t count,
@@ -388,6 +415,8 @@
     //! Endpoints that the last pass kept free for long-running tasks.
     std::set<std::string> m_keptFree;
     std::map<std::string, UnplacedTasks> m_unplaced; //!< By pool, at the last pass.
+    std::vector<Jobs::Resources>
+        m_capacities; //!< Of all endpoints, each once; empty until computed in a pass.
     std::size_t m_waitingTasks = 0;
     std::size_t m_searches = 0;
 };
--- a/src/libs/execution/runroom.cpp
+++ b/src/libs/execution/runroom.cpp
@@ -7,20 +7,22 @@
 namespace Execution {
 
 // Keeps room free for tasks whose lease is awaited: short tasks may take longer to leave it.
-auto RunLedger::keepFreeForLost(std::map<std::string, PoolPlacement> &pools, Utils::Instant now)
-    -> void
+auto RunLedger::keepFreeForLost(PoolPlacements &pools, Utils::Instant now) -> void
 {
-    std::vector<std::int64_t> tasksOfStep;
-    std::optional<Jobs::TaskId> step;
+    std::map<Jobs::TaskId, std::int64_t> unplaced; // Tasks without room by step.
     for (const auto &task : lostTasks(now)) {
         const auto &job = m_jobs.at(task.job);
         auto &pool = placementOf(pools, job.spec().pool, now);
-        const Jobs::TaskId first{task.job, task.occurrence, task.step, 0};
-        if (std::exchange(step, first) != first)
-            tasksOfStep = countTasksOfStep(job, first, pool);
-        // A host takes about as long to move as the rest of the lease.
-        if (!keepFree(*job.specOf(task), tasksOfStep, pool))
-            addUnplaced(job, *job.specOf(task), 1, pool);
+        const auto first = Jobs::firstOfStep(task);
+        // If one task of a step has no room, the others have none, either.
+        if (unplaced.contains(first)
+            || !keepFree(*job.specOf(task), tasksOfStep(job, task, pool), pool))
+            ++unplaced[first];
+    }
+    // A host takes about as long to move as the rest of the lease.
+    for (const auto &[first, count] : unplaced) {
+        const auto &job = m_jobs.at(first.job);
+        addUnplaced(job, *job.specOf(first), count, pools.at(job.spec().pool));
     }
 }
 
@@ -52,69 +54,6 @@
     return tasks;
 }
 
-// Moves long-running tasks away from the endpoints that are to be evacuated.
-auto RunLedger::evacuateEndpoints(std::map<std::string, PoolPlacement> &pools, Utils::Instant now)
-    -> void
-{
-    std::map<Jobs::TaskId, std::vector<std::int64_t>> tasksOfSteps;
-    for (auto &[id, endpoint] : m_endpoints) {
-        if (!endpoint.evacuating)
-            continue;
-        for (auto &[task, run] : endpoint.runs) {
-            const auto *job = findUnfinished(task);
-            if (!run.longRunning || job == nullptr)
-                continue;
-            auto &pool = placementOf(pools, job->spec().pool, now);
-            const Jobs::TaskId first{task.job, task.occurrence, task.step, 0};
-            const auto [counts, added] = tasksOfSteps.try_emplace(first);
-            if (added)
-                counts->second = countTasksOfStep(*job, first, pool);
-            moveAway(endpoint, run, counts->second, pool);
-        }
-    }
-}
-
-// Stops the task once another endpoint has room for it, and takes that room until it runs there. Until
-// then it claims room like a task that waits. A task that is stopped without another place waits for as long
-// as the pool is full, and the room that it leaves is closed to it.
-auto RunLedger::moveAway(EndpointEntry &endpoint,
-                         Run &run,
-                         std::vector<std::int64_t> &tasksOfStep,
-                         PoolPlacement &pool) -> void
-{
-    const auto &job = m_jobs.at(run.task.job);
-    const auto &spec = *job.specOf(run.task);
-    if (!run.stopReason && !mayMiss(run.task, {}))
-        return;
-    const auto isMaintained = endpoint.closedForMaintenance || !endpoint.closedForMove;
-    // The members of a gang start together, so that no single place is looked for.
-    if (spec.gang || takeRoom(spec, tasksOfStep, pool)) {
-        m_stopsDue = m_stopsDue || !run.stopReason;
-        run.requestStop(isMaintained ? StopReason::Maintenance : StopReason::HostMove);
-        return;
-    }
-    const auto kept = keepFree(spec, tasksOfStep, pool);
-    // A host that is released to another pool is not replaced by a further one.
-    if (!kept && isMaintained)
-        addUnplaced(job, spec, 1, pool);
-}
-
-// Takes room for a long-running task on an endpoint that can run it now. Returns false if there is none.
-auto RunLedger::takeRoom(const Jobs::StepSpec &step,
-                         std::vector<std::int64_t> &tasksOfStep,
-                         PoolPlacement &pool) -> bool
-{
-    const auto chosen = Scheduling::chooseEndpoint(pool.views, {&step, tasksOfStep});
-    if (!chosen)
-        return false;
-    auto &view = pool.views[*chosen];
-    const auto demand = Scheduling::occupiedBy(step);
-    view.free -= demand;
-    view.freeOnceShortTasksEnd -= demand;
-    ++tasksOfStep[*chosen];
-    return true;
-}
-
 auto RunLedger::hasRoom(PoolPlacement &pool, const Jobs::Resources &demand) -> bool
 {
     const auto refused = [&demand](const auto &tooLarge) { return tooLarge.fitsInto(demand); };
@@ -127,20 +66,31 @@
     return false;
 }
 
+// Keeps room on the endpoint from tasks that are considered later in the pass.
+auto RunLedger::claim(std::size_t endpoint,
+                      const Jobs::StepSpec &step,
+                      std::vector<std::int64_t> &tasksOfStep,
+                      PoolPlacement &pool) -> void
+{
+    auto &view = pool.views[endpoint];
+    const auto demand = Scheduling::occupiedBy(step);
+    view.free -= demand;
+    view.freeOnceShortTasksEnd -= demand;
+    ++tasksOfStep[endpoint];
+}
+
 // Gives a long-running task the room that becomes free on an endpoint, so that tasks that need less
 // do not take it piece by piece. Returns false if no endpoint could run the task.
 auto RunLedger::keepFree(const Jobs::StepSpec &step,
                          std::vector<std::int64_t> &tasksOfStep,
                          PoolPlacement &pool) -> bool
 {
+    if (!Scheduling::occupiedBy(step).fitsInto(pool.mostOnceShortTasksEnd))
+        return false;
     const auto chosen = Scheduling::chooseEndpointToKeepFree(pool.views, {&step, tasksOfStep});
     if (!chosen)
         return false;
-    auto &view = pool.views[*chosen];
-    const auto demand = Scheduling::occupiedBy(step);
-    view.free -= demand;
-    view.freeOnceShortTasksEnd -= demand;
-    ++tasksOfStep[*chosen];
+    claim(*chosen, step, tasksOfStep, pool);
     m_keptFree.insert(pool.endpoints[*chosen]->record.incarnation.id);
     return true;
 }
@@ -163,6 +113,17 @@
     }
 }
 
+auto RunLedger::capacities() -> const std::vector<Jobs::Resources> &
+{
+    if (!m_capacities.empty())
+        return m_capacities;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (std::ranges::find(m_capacities, endpoint.record.capacity) == m_capacities.end())
+            m_capacities.push_back(endpoint.record.capacity);
+    }
+    return m_capacities;
+}
+
 // Counts the hosts that could run \a count tasks of the step. Hosts that lack the label or are too small
 // would not help.
 auto RunLedger::addUnplaced(const JobProgress &job,
@@ -173,8 +134,8 @@
     if (!step.requiredLabel.empty())
         return;
     std::int64_t tasks = 0;
-    for (const auto &[id, endpoint] : m_endpoints)
-        tasks = std::max(tasks, Scheduling::tasksPerHost(step, endpoint.record.capacity));
+    for (const auto &capacity : capacities())
+        tasks = std::max(tasks, Scheduling::tasksPerHost(step, capacity));
     if (tasks == 0)
         return;
     auto &unplaced = m_unplaced[job.spec().pool];
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -42,12 +42,10 @@
     Orders orders;
     orders.stops = std::exchange(m_blockingStops, {});
     syncJobs(state);
-    if (m_stopsDue || now - m_stopsCheckedAt >= stopCheckInterval)
-        stopUnwanted(now, orders);
     paceBackfill(now, orders);
     startTasks(now, wallMs, orders);
-    // The pass has found another place for tasks that are to move.
-    if (m_stopsDue)
+    // Tasks that are to move are stopped if this pass has a place for them.
+    if (m_stopsDue || now - m_stopsCheckedAt >= stopCheckInterval)
         stopUnwanted(now, orders);
     orders.gone = takeGone(state, now);
     orders.found = takeFound(state);
@@ -176,19 +174,35 @@
         // Polls may still get replies where orders do not, so they do not make the endpoint a good choice.
         view.recentFailures = endpoint->failureStreak + endpoint->unansweredStarts;
         view.open = acceptsTasks(*endpoint, now);
+        view.lastResort = waitsForMaintenance(*endpoint) && isUsable(*endpoint, now);
         // Ends of long-running tasks are not recorded, and these start again however they ended.
         view.onlyLongRunning = mayLoseEnds(*endpoint);
-        if (view.open)
-            placement.mostFree = mostOf(placement.mostFree, view.free);
+        if (!view.open)
+            continue;
+        placement.mostFree = mostOf(placement.mostFree, view.free);
+        placement.mostOnceShortTasksEnd =
+            mostOf(placement.mostOnceShortTasksEnd, view.freeOnceShortTasksEnd);
     }
     return placement;
 }
 
+// Returns true if long-running tasks keep the endpoint's host from being maintained.
+auto RunLedger::waitsForMaintenance(const EndpointEntry &endpoint) -> bool
+{
+    return endpoint.evacuating && endpoint.holdsLongRunning() && endpoint.closedForMaintenance
+           && !endpoint.closedForMove && !endpoint.endOrdered;
+}
+
+// Returns true if orders for its host alone may keep the endpoint from getting tasks.
+auto RunLedger::isUsable(const EndpointEntry &endpoint, Utils::Instant now) const -> bool
+{
+    return endpoint.answers && !endpoint.draining && !endpoint.leaving && endpoint.mayRenewLease()
+           && now - endpoint.lastReplyAt < m_timing.maximumPollAge && now >= endpoint.avoidUntil;
+}
+
 auto RunLedger::acceptsTasks(const EndpointEntry &endpoint, Utils::Instant now) const -> bool
 {
-    return endpoint.answers && !endpoint.draining && !endpoint.isClosed() && !endpoint.leaving
-           && endpoint.mayRenewLease() && now - endpoint.lastReplyAt < m_timing.maximumPollAge
-           && now >= endpoint.avoidUntil;
+    return isUsable(endpoint, now) && !endpoint.isClosed();
 }
 
 auto RunLedger::useOf(std::string_view pool, Utils::Instant now) const -> PoolUse
@@ -226,11 +240,12 @@
 auto RunLedger::startTasks(Utils::Instant now, std::int64_t wallMs, Orders &orders) -> void
 {
     std::vector<Candidate> candidates;
-    std::map<std::string, PoolPlacement> pools;
+    PoolPlacements pools;
     m_waitingTasks = 0;
     m_searches = 0;
     m_keptFree.clear();
     m_unplaced.clear();
+    m_capacities.clear();
     for (auto &[id, job] : m_jobs) {
         if (!job.mayStart(wallMs))
             continue;
@@ -245,22 +260,23 @@
         candidates.push_back({rankOf(job, wallMs), &job, &pool});
     }
     std::ranges::sort(candidates, std::less<>(), &Candidate::rank);
-    // Long-running tasks come first: those that wait, those that may be lost, and those that are to move.
+    // Long-running tasks come first: those that are being stopped to start elsewhere, those that wait, those that
+    // may be lost, and those that are to move.
     const auto isLongRunning = [](const auto &candidate) { return candidate.job->isLongRunning(); };
     const auto firstShort = std::ranges::find_if_not(candidates, isLongRunning);
     const auto startAll = [&](auto first, auto last) {
         for (auto candidate = first; candidate != last; ++candidate)
             startJob(*candidate->job, *candidate->pool, wallMs, orders);
     };
+    reserveForStopped(pools, now);
     startAll(candidates.begin(), firstShort);
     keepFreeForLost(pools, now);
     evacuateEndpoints(pools, now);
     startAll(firstShort, candidates.end());
 }
 
-auto RunLedger::placementOf(std::map<std::string, PoolPlacement> &pools,
-                            const std::string &pool,
-                            Utils::Instant now) -> PoolPlacement &
+auto RunLedger::placementOf(PoolPlacements &pools, const std::string &pool, Utils::Instant now)
+    -> PoolPlacement &
 {
     const auto found = pools.find(pool);
     return found != pools.end() ? found->second
@@ -305,6 +321,16 @@
     return counts;
 }
 
+auto RunLedger::tasksOfStep(const JobProgress &job, const Jobs::TaskId &task, PoolPlacement &pool)
+    -> std::vector<std::int64_t> &
+{
+    const auto first = Jobs::firstOfStep(task);
+    const auto [counts, added] = pool.tasksOfSteps.try_emplace(first);
+    if (added)
+        counts->second = countTasksOfStep(job, first, pool);
+    return counts->second;
+}
+
 auto RunLedger::startStep(JobProgress &job,
                           const Jobs::TaskId &first,
                           PoolPlacement &pool,
@@ -315,23 +341,27 @@
     auto roomLeft = hasRoom(pool, demand);
     if (!roomLeft && !spec.longRunning)
         return;
-    std::vector<std::int64_t> tasksOfStep;
-    if (spec.maximumPerHost > 0 || spec.longRunning)
-        tasksOfStep = countTasksOfStep(job, first, pool);
+    std::vector<std::int64_t> notCounted;
+    const auto counts = spec.maximumPerHost > 0 || spec.longRunning;
+    auto &tasksOfStep = counts ? RunLedger::tasksOfStep(job, first, pool) : notCounted;
     std::int64_t unplaced = 0; // Long-running tasks that no endpoint could run.
     auto task = first;
     for (task.index = 0; task.index < spec.count; ++task.index) {
         if (job.state(task) != TaskState::Open)
             continue;
-        const auto chosen =
+        auto chosen =
             roomLeft ? Scheduling::chooseEndpoint(pool.views, {&spec, tasksOfStep}) : std::nullopt;
         // A label or a limit per host may be the cause, so other steps may still have room.
         roomLeft = chosen.has_value();
         if (!chosen && !spec.longRunning)
             return;
+        if (!chosen && unplaced == 0) {
+            if (keepFree(spec, tasksOfStep, pool))
+                continue;
+            chosen = Scheduling::chooseEndpoint(pool.views, {&spec, tasksOfStep, true});
+        }
         if (!chosen) {
-            const auto kept = unplaced == 0 && keepFree(spec, tasksOfStep, pool);
-            unplaced += kept ? 0 : 1;
+            ++unplaced;
             continue;
         }
         auto &view = pool.views[*chosen];
--- a/src/libs/jobs/jobtypes.cpp
+++ b/src/libs/jobs/jobtypes.cpp
@@ -5,6 +5,12 @@
 
 namespace Jobs {
 
+auto firstOfStep(TaskId task) -> TaskId
+{
+    task.index = 0;
+    return task;
+}
+
 auto toText(const TaskId &task) -> std::string
 {
     return task.job + '.' + std::to_string(task.occurrence) + '.' + std::to_string(task.step) + '.'
--- a/src/libs/jobs/jobtypes.h
+++ b/src/libs/jobs/jobtypes.h
@@ -150,6 +150,8 @@
     }
 };
 
+/*! \brief Returns the task with the lowest index of the step and occurrence of \a task. */
+auto firstOfStep(TaskId task) -> TaskId;
 /*! \brief Returns \a task in the form JOB.OCCURRENCE.STEP.INDEX. */
 auto toText(const TaskId &task) -> std::string;
 /*! \brief Parses the form of toText(); returns std::nullopt if \a text has another form. */
--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -9,10 +9,12 @@
 // Returns true if an endpoint with this room can run the task.
 auto canRun(const EndpointView &endpoint,
             const Jobs::Resources &room,
-            const Jobs::StepSpec &step,
+            const PlacementRequest &request,
             std::int64_t tasksOfStep) -> bool
 {
-    if (!endpoint.open || (endpoint.onlyLongRunning && !step.longRunning)
+    const auto &step = *request.step;
+    const auto open = endpoint.open || (request.hasNoOtherPlace && endpoint.lastResort);
+    if (!open || (endpoint.onlyLongRunning && !step.longRunning)
         || !occupiedBy(step).fitsInto(room))
         return false;
     if (step.maximumPerHost > 0 && tasksOfStep >= step.maximumPerHost)
@@ -64,7 +66,7 @@
     std::optional<std::size_t> best;
     for (std::size_t index = 0; index < endpoints.size(); ++index) {
         const auto tasksOfStep = request.tasksOfStep.empty() ? 0 : request.tasksOfStep[index];
-        if (!canRun(endpoints[index], endpoints[index].free, *request.step, tasksOfStep))
+        if (!canRun(endpoints[index], endpoints[index].free, request, tasksOfStep))
             continue;
         if (!best
             || costOf(endpoints[index], *request.step, tasksOfStep)
@@ -85,7 +87,7 @@
     for (std::size_t index = 0; index < endpoints.size(); ++index) {
         const auto &endpoint = endpoints[index];
         const auto tasksOfStep = request.tasksOfStep.empty() ? 0 : request.tasksOfStep[index];
-        if (!canRun(endpoint, endpoint.freeOnceShortTasksEnd, *request.step, tasksOfStep))
+        if (!canRun(endpoint, endpoint.freeOnceShortTasksEnd, request, tasksOfStep))
             continue;
         const auto missing = missingShare(demand, endpoint.free);
         if (best && missing >= leastMissing)
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -17,7 +17,9 @@
     Jobs::Resources free;
     //! Free once all tasks there have ended, except for the long-running ones.
     Jobs::Resources freeOnceShortTasksEnd;
-    bool open = false;             //!< The endpoint accepts new tasks.
+    bool open = false; //!< The endpoint accepts new tasks.
+    //! Closed, but long-running tasks keep its host from being maintained: a task without any other place starts there.
+    bool lastResort = false;
     bool onlyLongRunning = false;  //!< It accepts only long-running ones.
     bool servesUsers = false;      //!< The endpoint runs a task with a latency target.
     bool holdsLongRunning = false; //!< The endpoint runs a long-running task.
@@ -30,6 +32,7 @@
     const Jobs::StepSpec *step = nullptr;
     //! Number of tasks of the same step and occurrence on each endpoint.
     std::span<const std::int64_t> tasksOfStep;
+    bool hasNoOtherPlace = false; //!< The last resorts count as open, too.
 };
 
 /*! \brief Returns the resources that a task of \a step occupies; backfill tasks reserve no CPU. */
