Release hosts only if their tasks have places, for hosts that are really missing

Causes, found by the reviewer: (1) A pool evacuated the host with the fewest long-running tasks and no other, so that one task that fits nowhere else kept all hosts in the pool. (2) Hosts that were too small for what waited were moved without end, 8 hosts and 8 stops in 60 s. (3) A pool without long-running tasks had its minimum of two hosts evacuated from another. (4) A silent host that is listed as up counted as one with room, so that no host moved for its tasks.

Why this works: the ledger tells which endpoints could be evacuated together, beside those that are being evacuated; only hosts of the largest size qualify; what is missing is counted by long-running tasks alone; silent hosts count among those that a pool with unplaced tasks has without room.

--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -60,7 +60,7 @@
     auto observe(const RunLedger &ledger, Utils::Instant now) -> void;
     /*! \brief Returns the next actions, with at most \a maximumMoves moves. */
     auto next(const Control::Configuration &configuration,
-              const RunLedger &ledger,
+              RunLedger &ledger,
               const HostList &hosts,
               std::int64_t maximumMoves,
               Utils::Instant now) -> HostMoves;
@@ -116,10 +116,20 @@
                           Utils::Instant now) -> std::vector<MoveStep>;
     auto releaseHosts(std::span<const Scheduling::Release> releases,
                       const Control::Configuration &configuration,
-                      const RunLedger &ledger,
+                      RunLedger &ledger,
+                      Utils::Instant now,
                       HostMoves &moves) -> void;
-    auto releaseHostsOf(Scheduling::Release wanted, const RunLedger &ledger, HostMoves &moves)
-        -> void;
+    auto releaseHostsOf(Scheduling::Release wanted,
+                        RunLedger &ledger,
+                        Utils::Instant now,
+                        HostMoves &moves) -> void;
+    auto evacuate(const Scheduling::Release &wanted,
+                  std::span<const EndpointEntry *const> evacuating,
+                  std::span<const EndpointEntry *const> open,
+                  RunLedger &ledger,
+                  Utils::Instant now,
+                  HostMoves &moves) -> std::int64_t;
+    auto reopen(const std::string &endpoint, HostMoves &moves) -> void;
     auto chooseHosts(const Scheduling::Transfer &transfer,
                      const RunLedger &ledger,
                      const HostOccupancy &occupancy,
--- a/src/libs/fleetmodel/fleetmodel.cpp
+++ b/src/libs/fleetmodel/fleetmodel.cpp
@@ -358,6 +358,8 @@
             m_state.configuration, m_ledger, hosts, std::int64_t(hosts.hosts.size()), now());
         for (const auto &id : moves.close)
             m_ledger.setClosed(id, true);
+        for (const auto &id : moves.evacuate)
+            m_ledger.evacuate(id);
         for (const auto &id : moves.open)
             m_ledger.setClosed(id, false);
         for (const auto &move : moves.steps) {
--- a/src/libs/scheduling/poolsizing.cpp
+++ b/src/libs/scheduling/poolsizing.cpp
@@ -20,6 +20,17 @@
     return std::int64_t(std::ceil(amount / (double(capacity) * usableShare)));
 }
 
+// Returns how many hosts the long-running tasks of the pool require. Silent hosts count as hosts of the pool,
+// and have no room.
+auto hostsForLongRunning(const PoolLoad &load) -> std::int64_t
+{
+    const auto unplaced = std::int64_t(std::ceil(load.hostsForUnplaced));
+    return std::max({load.minimumHosts,
+                     hostsFor(double(load.longRunningMillicores), load.hostMillicores),
+                     hostsFor(double(load.longRunningMemoryMb), load.hostMemoryMb),
+                     unplaced > 0 ? load.openHosts + load.silentHosts + unplaced : 0});
+}
+
 struct Balance
 {
     const PoolLoad *pool;
@@ -89,8 +100,10 @@
     -> std::int64_t
 {
     std::int64_t missing = 0;
-    for (const auto &balance : balances)
-        missing += std::max<std::int64_t>(0, leastHosts(*balance.pool) - balance.hosts);
+    for (const auto &balance : balances) {
+        const auto needed = balance.pool->spare ? 0 : hostsForLongRunning(*balance.pool);
+        missing += std::max<std::int64_t>(0, needed - balance.hosts);
+    }
     for (const auto &release : releases)
         missing -= release.count;
     return missing;
@@ -140,14 +153,7 @@
 
 auto leastHosts(const PoolLoad &load) -> std::int64_t
 {
-    if (load.spare)
-        return 0;
-    const auto unplaced = std::int64_t(std::ceil(load.hostsForUnplaced));
-    return std::max({minimumPoolHosts,
-                     load.minimumHosts,
-                     hostsFor(double(load.longRunningMillicores), load.hostMillicores),
-                     hostsFor(double(load.longRunningMemoryMb), load.hostMemoryMb),
-                     unplaced > 0 ? load.openHosts + unplaced : 0});
+    return load.spare ? 0 : std::max(minimumPoolHosts, hostsForLongRunning(load));
 }
 
 auto wantedHosts(const PoolLoad &load) -> std::int64_t
--- a/src/libs/scheduling/poolsizing.h
+++ b/src/libs/scheduling/poolsizing.h
@@ -22,7 +22,8 @@
     std::int64_t longRunningMemoryMb = 0;
     //! Hosts for the long-running tasks that fit on none of the openHosts.
     double hostsForUnplaced = 0;
-    std::int64_t openHosts = 0; //!< Hosts that accepted tasks when hostsForUnplaced was counted.
+    std::int64_t openHosts = 0;   //!< Hosts that accepted tasks when hostsForUnplaced was counted.
+    std::int64_t silentHosts = 0; //!< Hosts whose endpoint does not answer.
     //! Capacity for batch work to meet its objectives at the time when a moved host could serve.
     double batchMillicores = 0;
     std::int64_t idleHosts = 0;     //!< Hosts that run no tasks now.
@@ -52,7 +53,7 @@
     std::vector<Release> releases;
 };
 
-/*! \brief Returns the number of hosts that the long-running tasks of the pool require. */
+/*! \brief Returns the number of hosts that the pool has to have, even without short tasks. */
 auto leastHosts(const PoolLoad &load) -> std::int64_t;
 
 /*! \brief Returns the number of hosts that the work of the pool requires. */
