Record ends that the state ignored as their endpoint was replaced meanwhile

A job could stay active under a leader although all of its tasks had ended, and the next leader ran the task again.

Cause: the state ignores ends of an incarnation that it has replaced or removed. If the next incarnation is announced, or the endpoint removed, between a poll and the commit of the ends that it listed, the ledger takes the tasks for done and the state never does.

LeaderSession.RecordsEndsThatTheStateHasIgnored shows the same with the session itself; it fails with the second commit disabled.

Why this works: after the commit the leader looks which tasks that ended as done are still undone in the state, and records their ends once more, in one entry, under an endpoint that exists between two commands of that entry alone. These are commands that older builds take in the same way, so states don't differ during an upgrade. No task runs again, so TWICE can't break by it. Only ends that a poll of that incarnation listed are recorded, and they are true. Failures are left out: if the outcome of the commit was unknown they would count again; their tasks are reopened as before, so an ignored failure still doesn't count for the attempts.

The random fleet's leader doesn't record such ends again yet. A leader that is lost between the two commits still leaves the task undone, and the next one runs it again.

--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -19,6 +19,9 @@
 // Time for which an order for a host is known. It is not carried out after a third of it.
 constexpr Utils::Milliseconds hostOrderRetention{60'000};
 
+// Endpoints of a fleet have no such ids.
+constexpr std::string_view endedPrefix = "ended ";
+
 namespace Internal {
 
 struct OccurrenceSnapshot
@@ -345,6 +348,29 @@
         endpoint.endingLease.reset();
 }
 
+// Older builds have to take the ends in, too, so no command of a new kind is used: an endpoint that exists
+// between two commands alone has ended the tasks. Failures are left out, since these would be counted again
+// if the outcome of the commit was unknown.
+auto recordIgnoredEnds(const State &state, const RecordEnds &record) -> std::vector<Command>
+{
+    EndpointRecord endpoint;
+    endpoint.incarnation = record.incarnation;
+    endpoint.incarnation.id.insert(0, endedPrefix);
+    RecordEnds ends;
+    ends.incarnation = endpoint.incarnation;
+    for (const auto &end : record.ends) {
+        if (end.outcome == Jobs::TaskOutcome::Done && state.jobs.isUndone(end.task))
+            ends.ends.push_back(end);
+    }
+    if (ends.ends.empty())
+        return {};
+    std::vector<Command> commands(3);
+    commands[0].addEndpoint = std::move(endpoint);
+    commands[1].recordEnds = std::move(ends);
+    commands[2].removeEndpoint = commands[1].recordEnds->incarnation;
+    return commands;
+}
+
 StateReplica::StateReplica(const Utils::Clock &clock, std::function<void()> changed)
     : m_clock(clock)
     , m_changed(std::move(changed))
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -92,6 +92,14 @@
     auto apply(const Command &command, std::int64_t nowMs) -> void;
 };
 
+/*!
+    \brief Returns commands that record the successful ends in \a record that \a state has ignored.
+
+    It ignores ends of an incarnation that was replaced or removed before the record was committed. To be
+    committed together, by the leader that was told of the ends.
+*/
+auto recordIgnoredEnds(const State &state, const RecordEnds &record) -> std::vector<Command>;
+
 /*! \brief This process's copy of the state, updated by the replicated log. Thread-safe. */
 class StateReplica final : public Replication::StateMachine
 {
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -203,6 +203,18 @@
     const auto committed = co_await commitUntilDone(std::move(commands), std::move(noGoneTasks));
     if (!committed)
         co_return;
+    auto ignored = m_parts.state.read([&effects](const Control::State &state) {
+        return Control::recordIgnoredEnds(state, effects.record);
+    });
+    if (!ignored.empty()) {
+        Utils::Log::info("execution",
+                         "ends were recorded after their endpoint had been replaced or removed",
+                         {{"endpoint", order.target.incarnation.id}});
+        std::vector<Jobs::TaskId> noTasks;
+        const auto recorded = co_await commitUntilDone(std::move(ignored), std::move(noTasks));
+        if (!recorded)
+            co_return;
+    }
     if (effects.renewable)
         m_ledger.leaseRenewable(order.target.incarnation);
     m_ledger.endsRecorded(effects.record, effects.lastEnd);
--- a/src/libs/jobs/jobtable.cpp
+++ b/src/libs/jobs/jobtable.cpp
@@ -97,6 +97,16 @@
     end(job, JobState::Failed, nowMs);
 }
 
+auto JobTable::isUndone(const TaskId &task) const -> bool
+{
+    const auto *job = find(task.job);
+    if (job == nullptr || job->state != JobState::Active || !hasTask(job->spec, task))
+        return false;
+    const auto occurrence = job->occurrences.find(task.occurrence);
+    return occurrence == job->occurrences.end()
+           || !occurrence->second.steps[std::size_t(task.step)].tasks[std::size_t(task.index)].done;
+}
+
 auto JobTable::end(Job &job, JobState state, std::int64_t nowMs) -> void
 {
     job.state = state;
--- a/src/libs/jobs/jobtable.h
+++ b/src/libs/jobs/jobtable.h
@@ -73,6 +73,8 @@
                    TaskOutcome outcome,
                    std::int64_t maximumAttempts,
                    std::int64_t nowMs) -> void;
+    /*! \brief Returns true if the job of \a task is active and has the task, which is not done. */
+    auto isUndone(const TaskId &task) const -> bool;
     /*! \brief Removes jobs that ended before \a beforeMs. */
     auto forgetEndedBefore(std::int64_t beforeMs) -> void;
 
--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -614,4 +614,87 @@
     EXPECT_EQ(expecting.snapshot(), decoding.snapshot());
 }
 
+// A job of two tasks; the endpoint that ended both of them has been replaced or removed before the record.
+class IgnoredEndsTest : public testing::TestWithParam<bool>
+{
+public:
+    IgnoredEndsTest()
+    {
+        Control::Command job;
+        job.submitJob.emplace();
+        job.submitJob->id = "job";
+        job.submitJob->steps.resize(1);
+        job.submitJob->steps[0].count = 2;
+        state.apply(job, 1);
+        addEndpoint(20);
+        record.incarnation = {"a", 20};
+        record.ends.push_back({4, {"job", 0, 0, 0}, Jobs::TaskOutcome::Done});
+        record.ends.push_back({5, {"job", 0, 0, 1}, Jobs::TaskOutcome::Failed});
+    }
+    auto addEndpoint(std::int64_t bornMs) -> void
+    {
+        Control::Command endpoint;
+        endpoint.addEndpoint.emplace();
+        endpoint.addEndpoint->incarnation = {"a", bornMs};
+        state.apply(endpoint, 1);
+    }
+    auto applyRecord() -> void
+    {
+        Control::Command ends;
+        ends.recordEnds = record;
+        state.apply(ends, 1);
+    }
+
+    Control::State state;
+    Control::RecordEnds record;
+};
+
+TEST_P(IgnoredEndsTest, AreRecordedOnceTheyAreKnownToBeIgnored)
+{
+    Control::Command removed;
+    removed.removeEndpoint = record.incarnation;
+    if (GetParam())
+        state.apply(removed, 1);
+    else
+        addEndpoint(30);
+    const auto endpoints = state.endpoints.size();
+    applyRecord();
+    EXPECT_TRUE(state.jobs.isUndone({"job", 0, 0, 0}));
+    for (const auto &command : Control::recordIgnoredEnds(state, record))
+        state.apply(command, 1);
+    EXPECT_FALSE(state.jobs.isUndone({"job", 0, 0, 0}));
+    EXPECT_TRUE(state.jobs.isUndone({"job", 0, 0, 1}));
+    EXPECT_EQ(state.jobs.find("job")->progress(0).steps[0].tasks[1].failures, 0);
+    EXPECT_EQ(state.endpoints.size(), endpoints);
+    EXPECT_TRUE(GetParam() || state.endpoints.at("a").recordedEnds == 0);
+    EXPECT_TRUE(Control::recordIgnoredEnds(state, record).empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(ReplacedOrRemoved, IgnoredEndsTest, testing::Bool());
+
+TEST(ControlState, EndsThatWereTakenInAreNotRecordedAgain)
+{
+    Control::State state;
+    Control::Command job;
+    job.submitJob.emplace();
+    job.submitJob->id = "job";
+    job.submitJob->steps.resize(1);
+    job.submitJob->steps[0].count = 2;
+    state.apply(job, 1);
+    Control::Command endpoint;
+    endpoint.addEndpoint.emplace();
+    endpoint.addEndpoint->incarnation = {"a", 20};
+    state.apply(endpoint, 1);
+    Control::Command ends;
+    ends.recordEnds.emplace();
+    ends.recordEnds->incarnation = {"a", 20};
+    ends.recordEnds->ends.push_back({4, {"job", 0, 0, 1}, Jobs::TaskOutcome::Done});
+    state.apply(ends, 1);
+    EXPECT_TRUE(Control::recordIgnoredEnds(state, *ends.recordEnds).empty());
+    // Jobs that are not known, and tasks that a job does not have.
+    ends.recordEnds->ends.push_back({5, {"other", 0, 0, 0}, Jobs::TaskOutcome::Done});
+    ends.recordEnds->ends.push_back({6, {"job", 0, 0, 2}, Jobs::TaskOutcome::Done});
+    EXPECT_TRUE(Control::recordIgnoredEnds(state, *ends.recordEnds).empty());
+}
+
 } // namespace
--- a/tests/auto/execution/fakefleet.cpp
+++ b/tests/auto/execution/fakefleet.cpp
@@ -2,6 +2,8 @@
 
 #include "utils/cbor.h"
 
+#include <utility>
+
 namespace ExecutionTest {
 
 FakeEndpoints::FakeEndpoints(const Utils::Clock &clock)
@@ -33,6 +35,12 @@
     reply.result = Execution::PollResult::Seen;
     reply.bornMs = order.target.incarnation.bornMs;
     reply.clockMs = m_clock.now().time_since_epoch().count();
+    for (std::size_t index = 0; finishesTasks && index < starts.size(); ++index)
+        reply.ended.push_back({std::int64_t(index) + 1,
+                               starts[index].task,
+                               starts[index].run,
+                               Execution::EndKind::Done,
+                               {}});
     co_return reply;
 }
 
@@ -53,6 +61,8 @@
         ++failedCommits;
         co_return Execution::CommitResult::NotCommitted;
     }
+    if (beforeEnds && !commands.empty() && commands.front().recordEnds)
+        std::exchange(beforeEnds, {})();
     commitsOfStarts += recordsStarts ? 1 : 0;
     Control::CommandBatch batch;
     batch.timeMs = m_clock.wallTime();
--- a/tests/auto/execution/fakefleet.h
+++ b/tests/auto/execution/fakefleet.h
@@ -3,6 +3,7 @@
 #include "execution/leadersession.h"
 
 #include <deque>
+#include <functional>
 #include <set>
 #include <string>
 #include <vector>
@@ -21,6 +22,7 @@
     auto poll(Execution::PollOrder order) -> AsyncNet::Task<Execution::PollReply> override;
 
     std::vector<Execution::StartOrder> starts; //!< All start orders.
+    bool finishesTasks = false;                //!< Polls list all started tasks as done.
 
 private:
     const Utils::Clock &m_clock;
@@ -38,7 +40,8 @@
     std::string failsStartsOn;    //!< Commits of starts on this endpoint fail.
     bool failsHostOrders = false; //!< Commits of orders for hosts fail.
     int failedCommits = 0;
-    int commitsOfStarts = 0; //!< Commits of starts that succeeded.
+    int commitsOfStarts = 0;          //!< Commits of starts that succeeded.
+    std::function<void()> beforeEnds; //!< Called before the first commit of ends is applied.
 
 private:
     Control::StateReplica &m_state;
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -192,6 +192,9 @@
     Control::Command command;
     command.recordEnds = effects.record;
     apply(command);
+    // As a session does.
+    for (const auto &ignored : Control::recordIgnoredEnds(state, effects.record))
+        apply(ignored);
     ledger.endsRecorded(effects.record, effects.lastEnd);
 }
 
--- a/tests/auto/execution/tst_leadersession.cpp
+++ b/tests/auto/execution/tst_leadersession.cpp
@@ -124,6 +124,24 @@
         session->start();
         return session;
     }
+    auto isJobDone() const -> bool
+    {
+        return m_state.read([](const Control::State &state) {
+            const auto *job = state.jobs.find(jobId);
+            return job != nullptr && job->state == Jobs::JobState::Done;
+        });
+    }
+    /*! \brief Commits the announcement of the endpoint's next incarnation, which no session is told of. */
+    auto announceNextIncarnation() -> void
+    {
+        Control::Command next;
+        next.addEndpoint.emplace();
+        next.addEndpoint->incarnation = {"endpoint-1", 2000};
+        next.addEndpoint->pool = "pool";
+        next.addEndpoint->address = "endpoint-1:1";
+        next.addEndpoint->capacity = {4000, 8000, 0};
+        apply({next});
+    }
     /*! \brief Lets another endpoint take the address of the first one. */
     auto replaceEndpoint(Execution::LeaderSession &session) -> void
     {
@@ -281,4 +299,19 @@
     session->end();
 }
 
+// Guards against LOST: the state ignores ends of an incarnation that it has replaced meanwhile, and the ledger
+// takes their tasks for done.
+TEST(LeaderSession, RecordsEndsThatTheStateHasIgnored)
+{
+    SessionFixture fixture;
+    fixture.addJob();
+    fixture.endpoints.finishesTasks = true;
+    fixture.log.beforeEnds = [&fixture] { fixture.announceNextIncarnation(); };
+    const auto session = fixture.begin();
+    EXPECT_TRUE(fixture.runUntil([&] { return fixture.isJobDone(); }));
+    session->end();
+    EXPECT_FALSE(fixture.log.beforeEnds);
+    EXPECT_EQ(fixture.endpoints.starts.size(), 1U);
+}
+
 } // namespace
