Hold runs of an ended endpoint no longer for a start that was refused without effect

Cause: each reply to a start for the former incarnation lengthened this end to 6.2 s from then on, also a refusal after which nothing can have changed: no connection or not healthy, too late, or another endpoint at the address.

Why this works: only an order that was carried out, or whose lease was taken before it was refused, renews the lease of the next incarnation. Replies that may stand for one, and the absence of a reply, lengthen the end as before, as does each copy of an order that was sent twice.

An end of its own for each run was not chosen: an endpoint has one lease for all of its runs (model endpoint, stand-in endpoint and the meaning of a poll). If the next incarnation runs one of them, a later order renews that one, too, so an end of its own would let it start a second time. StartThatMayHaveRenewedTheLeaseLengthensTheWaitForAnotherOne guards this for the six other results; it passes before and after.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -214,7 +214,8 @@
     \brief What may still run under the id of an endpoint whose incarnation has ended.
 
     Orders name the id of an endpoint and not its incarnation. An order that was on its way when the
-    incarnation ended is carried out by the next one, if that one starts under the same id.
+    incarnation ended is carried out by the next one, if that one starts under the same id. An endpoint
+    has one lease for all of its runs, which each order renews, so they share the time of their end.
 */
 struct OutlivingRuns
 {
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -10,6 +10,14 @@
 constexpr Utils::Milliseconds noRoomPause{250};
 constexpr Utils::Milliseconds unhealthyPause{1000};
 
+// Returns true if an endpoint may have renewed its lease by the order. Refusals for want of room or of an
+// outdated run are decided after the lease.
+auto mayHaveRenewed(StartResult result) -> bool
+{
+    return result != StartResult::Unhealthy && result != StartResult::TooLate
+           && result != StartResult::OtherIncarnation;
+}
+
 } // namespace
 
 auto RunLedger::findRun(const OrderTarget &target, const Jobs::TaskId &task, std::int64_t number)
@@ -60,7 +68,8 @@
 }
 
 // The next incarnation limits the lease in an order to the former one by its maximum alone, since its
-// clock starts anew.
+// clock starts anew. It has one lease for all that it runs, so each order that it may have carried out
+// lengthens the wait for all of them.
 auto RunLedger::extendLeaseOfNextIncarnation(const Control::EndpointIncarnation &former,
                                              Utils::Instant now) -> void
 {
@@ -94,7 +103,8 @@
     auto *run = findStarted(order);
     if (run == nullptr)
         return;
-    extendLeaseOfNextIncarnation(order.target.incarnation, now);
+    if (mayHaveRenewed(reply.result))
+        extendLeaseOfNextIncarnation(order.target.incarnation, now);
     if (run->state == RunState::Running)
         return;
     countUnanswered(order.target, reply.result);
