Let long-running tasks with fewer places choose theirs first

With a label it can wait without a bound: nothing moves the other task any more.

Cause: within a pass, long-running jobs start and claim room in the order of their rank, which does not tell where else they could run.

Evidence: TaskThatOnlyOneEndpointCanRunGetsItsRoomBeforeATaskThatOthersCanRun and TaskWhoseLimitPerHostLeavesOneEndpointGetsItsRoomFirst fail on the commit before: the task with one place has not started once all short tasks have ended.

Why this works: long-running jobs are sorted by the number of open endpoints that could run a task of theirs beside the other long-running ones, and only then by rank, with each pass. All of them have the same priority, so that no priority is passed over. Moving a claim only when a later task finds none was not chosen: the first task would still start in that room once it is free.

Open: tasks whose lease is awaited claim room after those that wait, and in the order of their names.

--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -236,6 +236,7 @@
         Scheduling::JobRank rank;
         JobProgress *job;
         PoolPlacement *pool;
+        std::int64_t places = 0; //!< For long-running tasks, see fewestPlaces().
     };
 
     auto placementFor(const std::string &pool, Utils::Instant now) -> PoolPlacement;
@@ -293,6 +294,7 @@
     auto paceBackfill(Utils::Instant now, Orders &orders) -> void;
     auto startTasks(Utils::Instant now, std::int64_t wallMs, Orders &orders) -> void;
     auto rankOf(JobProgress &job, std::int64_t wallMs) const -> Scheduling::JobRank;
+    static auto fewestPlaces(JobProgress &job, const PoolPlacement &pool) -> std::int64_t;
     auto startJob(JobProgress &job, PoolPlacement &pool, std::int64_t wallMs, Orders &orders)
         -> void;
     static auto countTasksOfStep(const JobProgress &job,
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -248,6 +248,10 @@
     // Long-running tasks come first: those that wait, those that may be lost, and those that are to move.
     const auto isLongRunning = [](const auto &candidate) { return candidate.job->isLongRunning(); };
     const auto firstShort = std::ranges::find_if_not(candidates, isLongRunning);
+    // Tasks with fewer places choose first: nothing moves a task that has taken the only place of another one.
+    for (auto candidate = candidates.begin(); candidate != firstShort; ++candidate)
+        candidate->places = fewestPlaces(*candidate->job, *candidate->pool);
+    std::ranges::stable_sort(candidates.begin(), firstShort, {}, &Candidate::places);
     const auto startAll = [&](auto first, auto last) {
         for (auto candidate = first; candidate != last; ++candidate)
             startJob(*candidate->job, *candidate->pool, wallMs, orders);
@@ -258,6 +262,23 @@
     startAll(firstShort, candidates.end());
 }
 
+// Returns the lowest number of endpoints that could run an open task of a step once short tasks have ended.
+auto RunLedger::fewestPlaces(JobProgress &job, const PoolPlacement &pool) -> std::int64_t
+{
+    const auto number = job.currentOccurrence();
+    const auto &occurrence = job.occurrence(number);
+    auto fewest = std::int64_t(pool.endpoints.size());
+    for (std::size_t index = 0; index < occurrence.size(); ++index) {
+        if (occurrence[index].open == 0 || !job.isReady(occurrence, index))
+            continue;
+        const Jobs::TaskId first{job.spec().id, number, std::int64_t(index), 0};
+        const auto tasksOfStep = countTasksOfStep(job, first, pool);
+        const Scheduling::PlacementRequest request{&job.spec().steps[index], tasksOfStep};
+        fewest = std::min(fewest, Scheduling::countPlaces(pool.views, request));
+    }
+    return fewest;
+}
+
 auto RunLedger::placementOf(std::map<std::string, PoolPlacement> &pools,
                             const std::string &pool,
                             Utils::Instant now) -> PoolPlacement &
--- a/src/libs/scheduling/placement.cpp
+++ b/src/libs/scheduling/placement.cpp
@@ -96,6 +96,18 @@
     return best;
 }
 
+auto countPlaces(std::span<const EndpointView> endpoints, const PlacementRequest &request)
+    -> std::int64_t
+{
+    std::int64_t places = 0;
+    for (std::size_t index = 0; index < endpoints.size(); ++index) {
+        const auto &endpoint = endpoints[index];
+        const auto tasksOfStep = request.tasksOfStep.empty() ? 0 : request.tasksOfStep[index];
+        places += canRun(endpoint, endpoint.freeOnceShortTasksEnd, *request.step, tasksOfStep);
+    }
+    return places;
+}
+
 auto tasksPerHost(const Jobs::StepSpec &step, const Jobs::Resources &capacity) -> std::int64_t
 {
     const auto demand = occupiedBy(step);
--- a/src/libs/scheduling/placement.h
+++ b/src/libs/scheduling/placement.h
@@ -57,6 +57,10 @@
 auto chooseEndpointToKeepFree(std::span<const EndpointView> endpoints,
                               const PlacementRequest &request) -> std::optional<std::size_t>;
 
+/*! \brief Returns how many endpoints could run the task once their short tasks have ended. */
+auto countPlaces(std::span<const EndpointView> endpoints, const PlacementRequest &request)
+    -> std::int64_t;
+
 /*! \brief Returns how many tasks of \a step an otherwise empty host of this \a capacity can run. */
 auto tasksPerHost(const Jobs::StepSpec &step, const Jobs::Resources &capacity) -> std::int64_t;
 
--- a/tests/auto/execution/tst_roomandleases.cpp
+++ b/tests/auto/execution/tst_roomandleases.cpp
@@ -1,9 +1,11 @@
-// Long-running tasks that wait for the leases of others, or for room that others claim.
+// Long-running tasks that wait for the leases of others, or for room that others claim or that is closed to them.
 #include "ledgerfixture.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <map>
+#include <string>
 #include <vector>
 
 using namespace ExecutionTest;
@@ -79,4 +81,122 @@
     }
 }
 
+/*! \brief Two endpoints full of short tasks, with a backlog of further ones; "a" has less to do than "b". */
+class TwoBusyEndpoints
+{
+public:
+    TwoBusyEndpoints()
+    {
+        m_ledger.addEndpoint("a");
+        m_ledger.addEndpoint("b");
+        for (auto &[id, endpoint] : m_ledger.state.endpoints) {
+            if (id == "a") {
+                endpoint.record.labels = {label};
+                m_ledger.ledger.addEndpoint(endpoint.record, m_ledger.now());
+            }
+        }
+        m_ledger.addJob("short", plainStep(coresPerEndpoint * 2));
+        m_ledger.begin();
+        for (std::int64_t core = 0; core < coresPerEndpoint; ++core) {
+            m_runs["a"].push_back({m_ledger.task("short", core), 1, "", 100, 0});
+            m_runs["b"].push_back({m_ledger.task("short", coresPerEndpoint + core), 1, "", 100, 0});
+        }
+        m_ledger.poll("a", m_runs["a"]);
+        m_ledger.poll("b", m_runs["b"]);
+        m_ledger.addJob("backlog", plainStep(coresPerEndpoint * coresPerEndpoint));
+    }
+    auto submit(const std::string &job, const Jobs::StepSpec &step) -> void
+    {
+        m_ledger.addJob(job, step);
+    }
+    /*! \brief Lets an endpoint run a task of a job already. */
+    auto run(const std::string &endpoint, const std::string &job) -> void
+    {
+        EXPECT_TRUE(m_ledger.schedule().starts.empty());
+        m_runs[endpoint].front() = {m_ledger.task(job), 1, "", 100, 0};
+        m_ledger.poll(endpoint, m_runs[endpoint]);
+    }
+    /*! \brief Lets the short tasks end one by one, and returns the long-running ones that have started by then. */
+    auto startsAsShortTasksEnd() -> std::vector<std::string>
+    {
+        std::vector<std::string> started;
+        pass(started);
+        for (std::int64_t end = 0; end < coresPerEndpoint; ++end) {
+            for (const auto *endpoint : {"a", "b"}) {
+                endOne(endpoint);
+                pass(started);
+            }
+        }
+        return started;
+    }
+
+    static constexpr auto label = "disk";
+
+private:
+    static constexpr std::int64_t coresPerEndpoint = 4;
+
+    auto pass(std::vector<std::string> &started) -> void
+    {
+        for (const auto &order : m_ledger.schedule().starts) {
+            EXPECT_TRUE(m_ledger.ledger.confirmStart(order));
+            m_ledger.confirm(order);
+            m_runs[order.target.incarnation.id].push_back({order.task, order.run, "", 100, 0});
+            if (order.task.job != "backlog")
+                started.push_back(order.task.job + " on " + order.target.incarnation.id);
+        }
+    }
+    auto endOne(const std::string &endpoint) -> void
+    {
+        auto &runs = m_runs[endpoint];
+        const auto ended =
+            std::ranges::find_if(runs, [](const auto &run) { return run.task.job == "short"; });
+        if (ended == runs.end())
+            return;
+        const auto run = *ended;
+        runs.erase(ended);
+        m_ledger.advance(Utils::Milliseconds(50));
+        const Execution::EndedTask end{
+            ++m_ends[endpoint], run.task, run.run, Execution::EndKind::Done, ""};
+        m_ledger.record(m_ledger.poll(endpoint, runs, {end}));
+    }
+
+    LedgerFixture m_ledger;
+    std::map<std::string, std::vector<Execution::RunningTask>> m_runs;
+    std::map<std::string, std::int64_t> m_ends;
+};
+
+auto lastingStep(std::int64_t count, std::int64_t millicores) -> Jobs::StepSpec
+{
+    auto step = longRunningStep(count, 1);
+    step.demand.cpuMillicores = millicores;
+    return step;
+}
+
+// Guards against LOST: a task that other endpoints could run takes the only one that has the label of another task.
+TEST(RoomAndLeases, TaskThatOnlyOneEndpointCanRunGetsItsRoomBeforeATaskThatOthersCanRun)
+{
+    TwoBusyEndpoints fixture;
+    fixture.submit("anywhere", lastingStep(1, 3000));
+    auto labelled = lastingStep(1, 3000);
+    labelled.requiredLabel = TwoBusyEndpoints::label;
+    fixture.submit("labelled", labelled);
+    const std::vector<std::string> expected{"labelled on a", "anywhere on b"};
+    EXPECT_EQ(fixture.startsAsShortTasksEnd(), expected);
+}
+
+// Guards against LOST: as above, where the limit per host rules out the other endpoint.
+TEST(RoomAndLeases, TaskWhoseLimitPerHostLeavesOneEndpointGetsItsRoomFirst)
+{
+    TwoBusyEndpoints fixture;
+    auto apart = lastingStep(2, 1000);
+    apart.maximumPerHost = 1;
+    fixture.submit("two-apart", apart);
+    fixture.run("b", "two-apart");
+    fixture.submit("filler", lastingStep(1, 1000));
+    fixture.run("a", "filler");
+    fixture.submit("anywhere", lastingStep(1, 3000));
+    const std::vector<std::string> expected{"two-apart on a", "anywhere on b"};
+    EXPECT_EQ(fixture.startsAsShortTasksEnd(), expected);
+}
+
 } // namespace
