Open an endpoint that is closed for a move to a long-running task that no open one can run

What callers saw: by reading, a waiting long-running task does not get the room of an endpoint of its own pool that is closed so that its host can move to another one, as long as the pool is to release hosts.

Cause: a task without a place asks for a host, after which the pool may take closed endpoints back, in the order of their names and not by what the task needs. A task that requires a label asks for none, so its endpoint stays closed for as long as the other pool has work.

EndpointThatIsClosedForAMoveStaysClosedIfAnOpenOneCanRunTheTask passes either way, and guards against opening too much.

Why this works: the scheduling pass notes closed endpoints that could run a waiting task once their short tasks have ended, if no open one could. The plan of moves opens the first of them that has no order yet, neither moves nor closes such hosts until the next pass, and looks again after that one. Tasks that are to move away, tasks whose lease is awaited, and gangs do not have endpoints opened.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -89,7 +89,7 @@
     const auto endpoint = ledger.endpoints().find(host.endpoint);
     return endpoint != ledger.endpoints().end() && m_idleSince.contains(host.endpoint)
            && endpoint->second.answers && !endpoint->second.draining && !endpoint->second.leaving
-           && !ledger.isKeptFree(host.endpoint)
+           && !ledger.isKeptFree(host.endpoint) && !ledger.isToBeOpened(host.endpoint)
            && (!endpoint->second.isClosed() || m_releasing.contains(host.endpoint));
 }
 
@@ -271,6 +271,8 @@
                                   HostMoves &moves) -> void
 {
     std::vector<const EndpointEntry *> open;
+    // One at a time: the next pass tells whether more are needed.
+    auto mayOpenForTask = true;
     for (const auto &[id, endpoint] : ledger.endpoints()) {
         if (endpoint.record.pool != wanted.pool)
             continue;
@@ -278,6 +280,12 @@
             // Its host may have crashed, so that there is nothing to move.
             if (!endpoint.answers)
                 continue;
+            if (mayOpenForTask && ledger.isToBeOpened(id)) {
+                mayOpenForTask = false;
+                m_releasing.erase(id);
+                moves.open.push_back(id);
+                continue;
+            }
             // Closing it may have changed of which kind the pool is to release.
             auto &left = wanted.count > 0 ? wanted.count : wanted.evacuated;
             if (left-- > 0) {
@@ -288,7 +296,7 @@
             m_releasing.erase(id);
             moves.open.push_back(id);
         } else if (endpoint.answers && !endpoint.isClosed() && !endpoint.draining
-                   && !ledger.isKeptFree(id)) {
+                   && !ledger.isKeptFree(id) && !ledger.isToBeOpened(id)) {
             open.push_back(&endpoint);
         }
     }
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -46,6 +46,7 @@
     m_startedJobs.clear();
     m_demand.clear();
     m_keptFree.clear();
+    m_toBeOpened.clear();
     m_unplaced.clear();
     m_releases.clear();
     m_gone.clear();
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -212,6 +212,11 @@
     auto waitingLongRunningTasks(Utils::Instant now) -> std::vector<WaitingTask>;
     /*! \brief Returns true if the last pass kept the endpoint free for a long-running task. */
     auto isKeptFree(const std::string &endpoint) const -> bool;
+    /*!
+        \brief Returns true if the endpoint is closed, and could run a long-running task of its pool that no
+        open endpoint could run in the last pass.
+    */
+    auto isToBeOpened(const std::string &endpoint) const -> bool;
     /*! \brief Returns the demand of each pool at the last call of updateDemand(). */
     auto demand() const -> const std::map<std::string, PoolDemand> & { return m_demand; }
     /*! \brief Returns for how many steps the last pass looked for room in their pool. */
@@ -241,6 +246,7 @@
 
     auto placementFor(const std::string &pool, Utils::Instant now) -> PoolPlacement;
     auto acceptsTasks(const EndpointEntry &endpoint, Utils::Instant now) const -> bool;
+    auto acceptsTasksIfOpened(const EndpointEntry &endpoint, Utils::Instant now) const -> bool;
     auto updateRun(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> void;
     auto adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> Run &;
     auto noteEarlierRun(EndpointEntry &endpoint, Run &run, std::int64_t earlier) -> void;
@@ -309,6 +315,9 @@
     auto keepFree(const Jobs::StepSpec &step,
                   std::vector<std::int64_t> &tasksOfStep,
                   PoolPlacement &pool) -> bool;
+    auto noteToBeOpened(const Jobs::StepSpec &step,
+                        const std::vector<std::int64_t> &tasksOfStep,
+                        const PoolPlacement &pool) -> void;
     auto keepFreeForLost(std::map<std::string, PoolPlacement> &pools, Utils::Instant now) -> void;
     auto lostTasks(Utils::Instant now) -> std::set<Jobs::TaskId>;
     auto evacuateEndpoints(std::map<std::string, PoolPlacement> &pools, Utils::Instant now) -> void;
@@ -389,6 +398,7 @@
     std::map<std::string, PoolDemand> m_demand;
     //! Endpoints that the last pass kept free for long-running tasks.
     std::set<std::string> m_keptFree;
+    std::set<std::string> m_toBeOpened;              //!< See isToBeOpened().
     std::map<std::string, UnplacedTasks> m_unplaced; //!< By pool, at the last pass.
     std::size_t m_waitingTasks = 0;
     std::size_t m_searches = 0;
--- a/src/libs/execution/runroom.cpp
+++ b/src/libs/execution/runroom.cpp
@@ -2,6 +2,7 @@
 #include "runledger.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 namespace Execution {
@@ -145,6 +146,29 @@
     return true;
 }
 
+// Notes the closed endpoints of the pool that could run the task. The task asks for a host beside that: which of
+// them are being moved already is not known here.
+auto RunLedger::noteToBeOpened(const Jobs::StepSpec &step,
+                               const std::vector<std::int64_t> &tasksOfStep,
+                               const PoolPlacement &pool) -> void
+{
+    for (std::size_t index = 0; index < pool.endpoints.size(); ++index) {
+        const auto &endpoint = *pool.endpoints[index];
+        if (!endpoint.closedForMove || endpoint.closedForMaintenance)
+            continue;
+        auto view = pool.views[index];
+        view.open = acceptsTasksIfOpened(endpoint, pool.now);
+        const std::span tasks(&tasksOfStep[index], 1);
+        if (Scheduling::countPlaces({&view, 1}, {&step, tasks}) > 0)
+            m_toBeOpened.insert(endpoint.record.incarnation.id);
+    }
+}
+
+auto RunLedger::isToBeOpened(const std::string &endpoint) const -> bool
+{
+    return m_toBeOpened.contains(endpoint);
+}
+
 // Keeps room free for all members of a long-running gang, or counts them as unplaced.
 auto RunLedger::keepFreeForGang(const JobProgress &job,
                                 const Jobs::StepSpec &step,
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -186,9 +186,14 @@
 
 auto RunLedger::acceptsTasks(const EndpointEntry &endpoint, Utils::Instant now) const -> bool
 {
-    return endpoint.answers && !endpoint.draining && !endpoint.isClosed() && !endpoint.leaving
-           && endpoint.mayRenewLease() && now - endpoint.lastReplyAt < m_timing.maximumPollAge
-           && now >= endpoint.avoidUntil;
+    return !endpoint.isClosed() && acceptsTasksIfOpened(endpoint, now);
+}
+
+auto RunLedger::acceptsTasksIfOpened(const EndpointEntry &endpoint, Utils::Instant now) const
+    -> bool
+{
+    return endpoint.answers && !endpoint.draining && !endpoint.leaving && endpoint.mayRenewLease()
+           && now - endpoint.lastReplyAt < m_timing.maximumPollAge && now >= endpoint.avoidUntil;
 }
 
 auto RunLedger::useOf(std::string_view pool, Utils::Instant now) const -> PoolUse
@@ -230,6 +235,7 @@
     m_waitingTasks = 0;
     m_searches = 0;
     m_keptFree.clear();
+    m_toBeOpened.clear();
     m_unplaced.clear();
     for (auto &[id, job] : m_jobs) {
         if (!job.mayStart(wallMs))
@@ -352,6 +358,8 @@
             return;
         if (!chosen) {
             const auto kept = unplaced == 0 && keepFree(spec, tasksOfStep, pool);
+            if (!kept && unplaced == 0)
+                noteToBeOpened(spec, tasksOfStep, pool);
             unplaced += kept ? 0 : 1;
             continue;
         }
--- a/tests/auto/execution/tst_roomandleases.cpp
+++ b/tests/auto/execution/tst_roomandleases.cpp
@@ -1,9 +1,12 @@
 // Long-running tasks that wait for the leases of others, or for room that others claim or that is closed to them.
 #include "ledgerfixture.h"
 
+#include "execution/hostmoveplan.h"
+
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <array>
 #include <map>
 #include <string>
 #include <vector>
@@ -199,4 +202,85 @@
     EXPECT_EQ(fixture.startsAsShortTasksEnd(), expected);
 }
 
+/*! \brief A pool that releases hosts to one with a backlog; "a" has a label, and is closed first. */
+class ReleasedHosts
+{
+public:
+    static constexpr auto otherPool = "other";
+    static constexpr std::int64_t backlogTasks = 4000;
+
+    ReleasedHosts()
+    {
+        m_ledger.state.configuration.pools.push_back({otherPool, true, false});
+        m_hosts.complete = true;
+        m_ledger.addJob("short", plainStep(std::ssize(endpoints)));
+        m_ledger.addJob("backlog", plainStep(backlogTasks), otherPool);
+        for (const auto *id : endpoints) {
+            auto record = m_ledger.addEndpoint(id);
+            if (record.incarnation.id == "a")
+                m_ledger.state.endpoints.at(id).record.labels = {TwoBusyEndpoints::label};
+            m_hosts.hosts.push_back({id, LedgerFixture::defaultPool, Execution::HostState::Up, id});
+        }
+        m_ledger.begin();
+        for (std::int64_t index = 0; index < std::ssize(endpoints); ++index)
+            m_ledger.poll(endpoints[std::size_t(index)],
+                          {{m_ledger.task("short", index), 1, "", 100, 0}});
+        m_ledger.schedule();
+    }
+    auto submit(const Jobs::StepSpec &step) -> void { m_ledger.addJob("lasting", step); }
+    auto schedule() -> Execution::Orders { return m_ledger.schedule(); }
+    auto planMoves() -> Execution::HostMoves
+    {
+        m_ledger.ledger.updateDemand(1'700'000'000'000);
+        m_plan.observe(m_ledger.ledger, m_ledger.now());
+        auto moves =
+            m_plan.next(m_ledger.state.configuration, m_ledger.ledger, m_hosts, 1, m_ledger.now());
+        for (const auto &endpoint : moves.close)
+            m_ledger.ledger.setClosed(endpoint, true);
+        for (const auto &endpoint : moves.open)
+            m_ledger.ledger.setClosed(endpoint, false);
+        return moves;
+    }
+    auto closesA() -> bool
+    {
+        const auto closed = planMoves().close;
+        return std::ranges::find(closed, "a") != closed.end();
+    }
+
+    static constexpr std::array endpoints{"a", "b", "c", "d"};
+
+private:
+    LedgerFixture m_ledger;
+    Execution::HostList m_hosts;
+    Execution::HostMovePlan m_plan;
+};
+
+// Guards against LOST: the only endpoint that could run the task is closed so that its host can move to another pool.
+TEST(RoomAndLeases, EndpointThatIsClosedForAMoveIsOpenedForATaskThatNoOpenOneCanRun)
+{
+    ReleasedHosts fixture;
+    const std::vector<std::string> closed{"a", "b"};
+    ASSERT_EQ(fixture.planMoves().close, closed);
+    auto step = lastingStep(1, 1000);
+    step.requiredLabel = TwoBusyEndpoints::label;
+    fixture.submit(step);
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    EXPECT_EQ(fixture.planMoves().open, std::vector<std::string>{"a"});
+    EXPECT_FALSE(fixture.closesA());
+    const auto starts = fixture.schedule().starts;
+    ASSERT_EQ(starts.size(), 1U);
+    EXPECT_EQ(starts.front().target.incarnation.id, "a");
+    EXPECT_FALSE(fixture.closesA());
+}
+
+// A task that an open endpoint can run once its short tasks have ended waits for that one.
+TEST(RoomAndLeases, EndpointThatIsClosedForAMoveStaysClosedIfAnOpenOneCanRunTheTask)
+{
+    ReleasedHosts fixture;
+    ASSERT_EQ(fixture.planMoves().close.size(), 2U);
+    fixture.submit(lastingStep(1, 4000));
+    EXPECT_TRUE(fixture.schedule().starts.empty());
+    EXPECT_TRUE(fixture.planMoves().open.empty());
+}
+
 } // namespace
