Open the endpoint of an overdue move once its host is listed again

What callers saw: by reading, an endpoint stays closed without a bound, and its room is lost to its pool.

Cause: a move that is overdue was forgotten with the next complete list, and its endpoint opened only if that list held the host in its old pool. If that one list left the host out, nothing opened the endpoint any more.

Evidence: EndpointOfAnOverdueMoveIsOpenedOnceItsHostIsListedAgain fails on the commit before.

Why this works: an overdue move of a host with an endpoint is kept until a list holds the host. Until then its order is not repeated, as that needs the host in a list, too.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -377,10 +377,12 @@
                              && host->endpoint != order.step.incarnation.id;
         const auto mayBeCarriedOut = order.uncertainUntil && listedAt < *order.uncertainUntil;
         const auto overdue = listedAt - order.at > maximumMoveTime && !mayBeCarriedOut;
-        if (overdue && listed && host->pool == order.step.from
-            && !order.step.incarnation.id.empty())
+        const auto hasEndpoint = !order.step.incarnation.id.empty();
+        if (overdue && listed && host->pool == order.step.from && hasEndpoint)
             unmoved.push_back(order.step.incarnation.id);
-        moving = arrived || overdue ? m_moving.erase(moving) : std::next(moving);
+        // A list may leave a host out. Its endpoint stays closed until a list tells where the host is.
+        const auto over = arrived || (overdue && (listed || !hasEndpoint));
+        moving = over ? m_moving.erase(moving) : std::next(moving);
     }
     return unmoved;
 }
--- a/tests/auto/execution/tst_roomandleases.cpp
+++ b/tests/auto/execution/tst_roomandleases.cpp
@@ -283,4 +283,21 @@
     EXPECT_TRUE(fixture.planMoves().open.empty());
 }
 
+// Guards against LOST: the endpoint of an overdue move stays closed if the list of that moment leaves its host out.
+TEST(RoomAndLeases, EndpointOfAnOverdueMoveIsOpenedOnceItsHostIsListedAgain)
+{
+    const Execution::MoveStep step{"host", LedgerFixture::defaultPool, "other", {"a", 1000}};
+    const Utils::Instant orderedAt{Utils::Milliseconds(1'000'000)};
+    const auto overdueAt = orderedAt + Utils::Milliseconds(20'000);
+    Execution::HostMovePlan plan;
+    plan.inherit(step, orderedAt, orderedAt + Utils::Milliseconds(14'500));
+    Execution::HostList list;
+    list.complete = true;
+    EXPECT_TRUE(plan.takeUnmoved(list, overdueAt).empty());
+    list.hosts.push_back({step.host, step.from, Execution::HostState::Up, step.incarnation.id});
+    const auto listedAt = overdueAt + Utils::Milliseconds(1000);
+    EXPECT_EQ(plan.takeUnmoved(list, listedAt), std::vector<std::string>{step.incarnation.id});
+    EXPECT_TRUE(plan.movingHosts().empty());
+}
+
 } // namespace
