--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -99,7 +99,7 @@
     const auto endpoint = ledger.endpoints().find(host.endpoint);
     return endpoint != ledger.endpoints().end() && m_idleSince.contains(host.endpoint)
            && endpoint->second.answers && !endpoint->second.draining && !endpoint->second.leaving
-           && !ledger.isKeptFree(host.endpoint)
+           && !ledger.isKeptFree(host.endpoint) && !ledger.isToBeOpened(host.endpoint)
            && (!endpoint->second.isClosed() || m_releasing.contains(host.endpoint));
 }
 
@@ -284,15 +284,23 @@
 {
     std::vector<const EndpointEntry *> evacuating;
     std::vector<const EndpointEntry *> open;
+    // One at a time: the next pass tells whether more are needed.
+    auto mayOpenForTask = true;
     for (const auto &[id, endpoint] : ledger.endpoints()) {
         // A host that has crashed is not there to move.
         if (endpoint.record.pool != wanted.pool || !endpoint.answers)
             continue;
         if (!m_releasing.contains(id)) {
-            if (!endpoint.isClosed() && !endpoint.draining && !ledger.isKeptFree(id))
+            if (!endpoint.isClosed() && !endpoint.draining && !ledger.isKeptFree(id)
+                && !ledger.isToBeOpened(id))
                 open.push_back(&endpoint);
             continue;
         }
+        if (mayOpenForTask && ledger.isToBeOpened(id)) {
+            mayOpenForTask = false;
+            reopen(id, moves);
+            continue;
+        }
         if (endpoint.holdsLongRunning()) {
             evacuating.push_back(&endpoint);
             continue;
@@ -416,10 +424,12 @@
                              && host->endpoint != order.step.incarnation.id;
         const auto mayBeCarriedOut = order.uncertainUntil && listedAt < *order.uncertainUntil;
         const auto overdue = listedAt - order.at > maximumMoveTime && !mayBeCarriedOut;
-        if (overdue && listed && host->pool == order.step.from
-            && !order.step.incarnation.id.empty())
+        const auto hasEndpoint = !order.step.incarnation.id.empty();
+        if (overdue && listed && host->pool == order.step.from && hasEndpoint)
             unmoved.push_back(order.step.incarnation.id);
-        moving = arrived || overdue ? m_moving.erase(moving) : std::next(moving);
+        // A list may leave a host out. Its endpoint stays closed until a list tells where the host is.
+        const auto over = arrived || (overdue && (listed || !hasEndpoint));
+        moving = over ? m_moving.erase(moving) : std::next(moving);
     }
     return unmoved;
 }
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -223,6 +223,11 @@
     auto waitingLongRunningTasks(Utils::Instant now) -> std::vector<WaitingTask>;
     /*! \brief Returns true if the last pass kept the endpoint free for a long-running task. */
     auto isKeptFree(const std::string &endpoint) const -> bool;
+    /*!
+        \brief Returns true if the endpoint is closed, and could run a long-running task of its pool that no
+        open endpoint could run in the last pass.
+    */
+    auto isToBeOpened(const std::string &endpoint) const -> bool;
     /*! \brief Returns the demand of each pool at the last call of updateDemand(). */
     auto demand() const -> const std::map<std::string, PoolDemand> & { return m_demand; }
     /*! \brief Returns for how many steps the last pass looked for room in their pool. */
@@ -253,6 +258,7 @@
         Scheduling::JobRank rank;
         JobProgress *job;
         PoolPlacement *pool;
+        std::int64_t places = 0; //!< For long-running tasks, see fewestPlaces().
     };
 
     auto placementFor(const std::string &pool, Utils::Instant now) -> PoolPlacement;
@@ -312,6 +318,7 @@
     auto paceBackfill(Utils::Instant now, Orders &orders) -> void;
     auto startTasks(Utils::Instant now, std::int64_t wallMs, Orders &orders) -> void;
     auto rankOf(JobProgress &job, std::int64_t wallMs) const -> Scheduling::JobRank;
+    static auto fewestPlaces(JobProgress &job, PoolPlacement &pool) -> std::int64_t;
     auto startJob(JobProgress &job, PoolPlacement &pool, std::int64_t wallMs, Orders &orders)
         -> void;
     static auto countTasksOfStep(const JobProgress &job,
@@ -327,6 +334,9 @@
     auto keepFree(const Jobs::StepSpec &step,
                   std::vector<std::int64_t> &tasksOfStep,
                   PoolPlacement &pool) -> bool;
+    auto noteToBeOpened(const Jobs::StepSpec &step,
+                        const std::vector<std::int64_t> &tasksOfStep,
+                        const PoolPlacement &pool) -> void;
     auto keepFreeForLost(PoolPlacements &pools, Utils::Instant now) -> void;
     auto lostTasks(Utils::Instant now) -> std::set<Jobs::TaskId>;
     auto claim(std::size_t endpoint,
@@ -414,9 +424,10 @@
     std::map<std::string, PoolDemand> m_demand;
     //! Endpoints that the last pass kept free for long-running tasks.
     std::set<std::string> m_keptFree;
+    std::set<std::string> m_toBeOpened;              //!< See isToBeOpened().
     std::map<std::string, UnplacedTasks> m_unplaced; //!< By pool, at the last pass.
-    std::vector<Jobs::Resources>
-        m_capacities; //!< Of all endpoints, each once; empty until computed in a pass.
+    //! Capacities of all endpoints, each once; empty until a pass needs them.
+    std::vector<Jobs::Resources> m_capacities;
     std::size_t m_waitingTasks = 0;
     std::size_t m_searches = 0;
 };
