Do not count hosts that are maintained or still on their way as released

Cause: planTransfers() released hosts - wanted hosts of a pool, whichever these were. A host that is maintained, silent or on its way into the pool cannot be closed, but met the demand, so that no other pool released a host, and none was evacuated.

Evidence: HostThatIsMaintainedDoesNotStandInForOneThatIsReleased fails with the bound releasableOf() left out.

Why this works: such hosts stay in the size of their pool, but are counted as held, and a pool releases only hosts that are neither fixed nor held.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -128,6 +128,7 @@
         return;
     if (moving != m_moving.end()) {
         ++load->hosts;
+        ++load->heldHosts;
         return;
     }
     if (host.state == HostState::Down)
@@ -144,6 +145,9 @@
     const auto fixed =
         known && (endpoint->second.holdsLongRunning() || ledger.isKeptFree(host.endpoint));
     load->fixedHosts += fixed && !leaves && !closed ? 1 : 0;
+    const auto silent = known ? !endpoint->second.answers : !host.endpoint.empty();
+    const auto held = host.state != HostState::Up || silent;
+    load->heldHosts += held && !leaves && !(fixed && !closed) ? 1 : 0;
     if (!isIdle(ledger, occupancy, host))
         return;
     ++load->idleHosts;
--- a/src/libs/scheduling/poolsizing.cpp
+++ b/src/libs/scheduling/poolsizing.cpp
@@ -48,6 +48,12 @@
     return std::min(balance.wanted, std::max(balance.pool->fixedHosts, leastHosts(*balance.pool)));
 }
 
+// Returns how many hosts of the pool can be released, whatever it needs them for.
+auto releasableOf(const Balance &balance) -> std::int64_t
+{
+    return balance.hosts - balance.pool->fixedHosts - balance.pool->heldHosts;
+}
+
 // Limits the wanted hosts of the pools to the number of hosts: each pool gets its minimum, and the
 // same fraction of its remaining demand.
 auto distributeHosts(std::vector<Balance> &balances) -> void
@@ -180,7 +186,7 @@
         missing += std::max<std::int64_t>(0, to->wanted - to->hosts);
     }
     for (auto &from : balances) {
-        const auto count = std::min(missing, from.hosts - from.wanted);
+        const auto count = std::min({missing, from.hosts - from.wanted, releasableOf(from)});
         if (from.pool->spare || count <= 0)
             continue;
         plan.releases.push_back({from.pool->name, count});
--- a/src/libs/scheduling/poolsizing.h
+++ b/src/libs/scheduling/poolsizing.h
@@ -15,6 +15,8 @@
     std::int64_t hosts = 0; //!< Hosts that accept tasks or will soon.
     //! Hosts that long-running tasks keep in the pool: those that run one or are kept free for one.
     std::int64_t fixedHosts = 0;
+    //! Hosts that are not fixed, but have nothing to release now: they move here, are maintained, or are silent.
+    std::int64_t heldHosts = 0;
     std::int64_t minimumHosts = 0;   //!< Hosts needed to respect limits of tasks per host.
     std::int64_t hostMillicores = 0; //!< Capacity of one host.
     std::int64_t hostMemoryMb = 0;
--- a/tests/auto/execution/tst_evacuation.cpp
+++ b/tests/auto/execution/tst_evacuation.cpp
@@ -39,6 +39,10 @@
         m_hosts.hosts.push_back({"host-" + id, pool, HostState::Up, id});
         m_hosts.complete = true;
     }
+    auto addHostInMaintenance(const std::string &pool) -> void
+    {
+        m_hosts.hosts.push_back({"maintained", pool, HostState::Maintenance, ""});
+    }
     /*! \brief Lets the task run on the endpoint, ready since before the first poll. */
     auto run(const std::string &endpoint, const Jobs::TaskId &task) -> void
     {
@@ -272,6 +276,14 @@
     EXPECT_EQ(stops.front().task.job, "spread");
 }
 
+// Guards against LOST: a host that is maintained counts as released, and no other one is.
+TEST(Evacuation, HostThatIsMaintainedDoesNotStandInForOneThatIsReleased)
+{
+    SpreadTasks fixture;
+    fixture.addHostInMaintenance(otherPool);
+    EXPECT_EQ(fixture.planMoves().close.size(), 1U);
+}
+
 // Guards against LOST: an endpoint is closed and opened in turn, and never empty.
 TEST(Evacuation, EndpointThatIsBeingEvacuatedStaysClosed)
 {
