Let a pool that has begun to release hosts for long-running tasks go on

Cause: planTransfers() chose the pools that release hosts anew in each pass, by what their short tasks want at that moment. As that changes several times a second, the release passed from pool to pool; each time the endpoint was opened again, before its short tasks had ended.

Evidence: ReleaseStaysWithThePoolThatHasBegunIt and ReleaseForLongRunningTasksGoesOnAsShortTasksOfThePoolWantMore fail without it.

Releases for short tasks alone still follow what each pool wants.

--- a/src/libs/execution/hostmoveplan.cpp
+++ b/src/libs/execution/hostmoveplan.cpp
@@ -148,6 +148,7 @@
     const auto silent = known ? !endpoint->second.answers : !host.endpoint.empty();
     const auto held = host.state != HostState::Up || silent;
     load->heldHosts += held && !leaves && !(fixed && !closed) ? 1 : 0;
+    load->releasingHosts += closed && !leaves && !held ? 1 : 0;
     if (!isIdle(ledger, occupancy, host))
         return;
     ++load->idleHosts;
--- a/src/libs/scheduling/poolsizing.cpp
+++ b/src/libs/scheduling/poolsizing.cpp
@@ -26,6 +26,7 @@
     std::int64_t wanted;
     std::int64_t hosts;
     std::int64_t idle;
+    std::int64_t releasing;
 };
 
 // Adds a transfer of at most the available hosts and of no more than the target pool lacks.
@@ -40,6 +41,7 @@
     transfers.push_back({from.pool->name, to.pool->name, count});
     from.hosts -= count;
     from.idle -= count;
+    from.releasing -= std::min(from.releasing, count);
     to.hosts += count;
 }
 
@@ -127,6 +129,32 @@
     }
 }
 
+// Releases hosts for \a missing ones, \a forLongRunning of which long-running tasks need. Pools that release hosts
+// already go first, and go on for long-running tasks although their own short tasks want more hosts by now.
+// Otherwise a release would pass from pool to pool as their demand changes, before any host is empty.
+auto releaseHosts(std::span<const Balance> balances,
+                  std::int64_t missing,
+                  std::int64_t forLongRunning,
+                  std::vector<Release> &releases) -> void
+{
+    std::vector<const Balance *> pools;
+    for (const auto &balance : balances) {
+        if (!balance.pool->spare)
+            pools.push_back(&balance);
+    }
+    std::ranges::stable_sort(pools, std::greater<>(), &Balance::releasing);
+    for (const auto *from : pools) {
+        const auto kept = std::min({forLongRunning, from->releasing, from->hosts - leastOf(*from)});
+        const auto surplus = std::min({missing, from->hosts - from->wanted, releasableOf(*from)});
+        const auto count = std::max(kept, surplus);
+        if (count <= 0)
+            continue;
+        releases.push_back({from->pool->name, count});
+        missing -= count;
+        forLongRunning -= std::min(forLongRunning, count);
+    }
+}
+
 auto turnOff(std::vector<Balance> &balances, std::vector<Transfer> &transfers) -> void
 {
     const auto spare = std::ranges::find_if(balances, [](const auto &b) { return b.pool->spare; });
@@ -168,11 +196,15 @@
 {
     std::vector<Balance> balances;
     for (const auto &pool : pools)
-        balances.push_back(
-            {&pool, std::max(pool.fixedHosts, wantedHosts(pool)), pool.hosts, pool.idleHosts});
+        balances.push_back({&pool,
+                            std::max(pool.fixedHosts, wantedHosts(pool)),
+                            pool.hosts,
+                            pool.idleHosts,
+                            pool.releasingHosts});
     distributeHosts(balances);
     TransferPlan plan;
     std::int64_t missing = 0;
+    std::int64_t forLongRunning = 0; // Part of it.
     for (auto *to : poolsLackingHosts(balances)) {
         for (auto &from : balances) {
             if (from.pool->spare)
@@ -184,14 +216,9 @@
                     from, *to, std::min(from.idle, from.hosts - from.wanted), plan.transfers);
         }
         missing += std::max<std::int64_t>(0, to->wanted - to->hosts);
+        forLongRunning += std::max<std::int64_t>(0, leastOf(*to) - to->hosts);
     }
-    for (auto &from : balances) {
-        const auto count = std::min({missing, from.hosts - from.wanted, releasableOf(from)});
-        if (from.pool->spare || count <= 0)
-            continue;
-        plan.releases.push_back({from.pool->name, count});
-        missing -= count;
-    }
+    releaseHosts(balances, missing, forLongRunning, plan.releases);
     evacuateHosts(balances, plan.releases);
     turnOff(balances, plan.transfers);
     return plan;
--- a/src/libs/scheduling/poolsizing.h
+++ b/src/libs/scheduling/poolsizing.h
@@ -17,6 +17,7 @@
     std::int64_t fixedHosts = 0;
     //! Hosts that are not fixed, but have nothing to release now: they move here, are maintained, or are silent.
     std::int64_t heldHosts = 0;
+    std::int64_t releasingHosts = 0; //!< Hosts that are being released: their endpoints are closed.
     std::int64_t minimumHosts = 0;   //!< Hosts needed to respect limits of tasks per host.
     std::int64_t hostMillicores = 0; //!< Capacity of one host.
     std::int64_t hostMemoryMb = 0;
--- a/tests/auto/scheduling/tst_poolsizing.cpp
+++ b/tests/auto/scheduling/tst_poolsizing.cpp
@@ -107,6 +107,38 @@
     EXPECT_EQ(plan.releases[0].count, 6);
 }
 
+// Guards against LOST: a release passes from pool to pool as their demand changes, before any host is empty.
+TEST(PoolSizing, ReleaseStaysWithThePoolThatHasBegunIt)
+{
+    auto lacking = pool("lacking", 3, 0);
+    lacking.minimumHosts = 4;
+    auto former = pool("former", 6, 0);
+    former.fixedHosts = 5;
+    auto latter = pool("latter", 6, 0);
+    latter.fixedHosts = 5;
+    latter.releasingHosts = 1;
+    const auto releases = Scheduling::planTransfers(std::array{lacking, former, latter}).releases;
+    ASSERT_EQ(releases.size(), 1U);
+    EXPECT_EQ(releases[0].pool, "latter");
+    EXPECT_EQ(releases[0].count, 1);
+}
+
+// Guards against LOST: the short tasks of a pool take a host back that it releases for long-running tasks.
+TEST(PoolSizing, ReleaseForLongRunningTasksGoesOnAsShortTasksOfThePoolWantMore)
+{
+    auto lacking = pool("lacking", 3, 0);
+    lacking.minimumHosts = 4;
+    auto releasing = pool("releasing", 6, 0);
+    releasing.fixedHosts = 5;
+    releasing.releasingHosts = 1;
+    releasing.batchMillicores = 70'000;
+    const auto other = pool("other", 6, 0);
+    const auto releases = Scheduling::planTransfers(std::array{lacking, other, releasing}).releases;
+    ASSERT_EQ(releases.size(), 1U);
+    EXPECT_EQ(releases[0].pool, "releasing");
+    EXPECT_EQ(releases[0].count, 1);
+}
+
 TEST(PoolSizing, ReleasesNoHostsIfNoPoolLacksHosts)
 {
     auto working = pool("working", 10, 0);
