--- a/src/libs/execution/maintenanceplan.cpp
+++ b/src/libs/execution/maintenanceplan.cpp
@@ -66,6 +66,7 @@
     m_inheritedWaves.clear();
     m_maybeMaintained.clear();
     m_unanswered.clear();
+    m_missingSince.clear();
     for (const auto &[number, wave] : state.waves)
         m_inheritedWaves.insert(number);
     for (const auto &[host, known] : state.hostOrders) {
