Don't run a task again whose end a former leader recorded after the term had begun

What callers would see: a task starts again after it was recorded as done (TWICE).

Cause: a process that loses its term forwards what it was committing, so ends may be recorded after the next leader has taken over the jobs. That leader doesn't look at the progress of jobs again; if the endpoint is silent or has forgotten the end, it releases the task and starts it.

Evidence: LeaderChanges.EndThatAFormerLeaderRecordsLateIsNotRepeated failed before: the task starts again once the lease is over.

Why this works: before each pass, the few tasks that were released and whose run is not yet recorded as gone are looked up in the state; those that are done there count as done. An end that is recorded after the task has started again is not covered.

--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -42,6 +42,12 @@
     Orders orders;
     orders.stops = std::exchange(m_blockingStops, {});
     syncJobs(state);
+    // A former leader may have recorded their ends late, after this term has begun.
+    for (const auto &task : m_gone) {
+        if (const auto job = m_jobs.find(task.job);
+            job != m_jobs.end() && !state.jobs.isUndone(task))
+            job->second.setState(task, TaskState::Done);
+    }
     if (m_stopsDue || now - m_stopsCheckedAt >= stopCheckInterval)
         stopUnwanted(now, orders);
     paceBackfill(now, orders);
--- a/tests/auto/execution/tst_leaderchanges.cpp
+++ b/tests/auto/execution/tst_leaderchanges.cpp
@@ -497,6 +497,33 @@
     EXPECT_TRUE(done || repeated > 0);
 }
 
+// Guards against TWICE: a process forwards what it was committing as it lost its term, so that ends may be
+// recorded after the next term has begun.
+TEST(LeaderChanges, EndThatAFormerLeaderRecordsLateIsNotRepeated)
+{
+    LedgerFixture fixture;
+    const auto first = fixture.addEndpoint("a");
+    fixture.addEndpoint("b");
+    fixture.addJob("job", plainStep(2));
+    fixture.recordStart("a", fixture.task("job", 0));
+    fixture.begin();
+    fixture.poll("b");
+    Execution::PollEffects late;
+    late.record.incarnation = first.incarnation;
+    late.record.ends.push_back({1, fixture.task("job", 0), Jobs::TaskOutcome::Done});
+    fixture.record(late);
+    std::size_t repeated = 0;
+    for (auto poll = 0; poll < 20; ++poll) {
+        fixture.failPoll("a");
+        fixture.poll("b");
+        for (const auto &order : fixture.schedule().starts)
+            repeated += order.task == fixture.task("job", 0) ? 1U : 0U;
+        fixture.ledger.expireLeases(fixture.now());
+        fixture.advance(Utils::Milliseconds(500));
+    }
+    EXPECT_EQ(repeated, 0U);
+}
+
 /*! \brief A start in flight as its endpoint crashes; the next incarnation is announced 3.5 s later. */
 class LateStartFixture
 {
