Release hosts with short tasks alone before long-running tasks of another pool have to move

Three tasks were stopped three times each within 1.5 s.

Cause: what pools release follows their shares of all hosts, for which those on their way to the spare pool count. If it was too little, all the rest was taken from hosts with long-running tasks.

Why this works: what long-running tasks lack is taken first from hosts beyond those that the pools' own long-running tasks need or lie on, whatever the shares say, and only the rest from hosts that have to be evacuated.

--- a/src/libs/scheduling/poolsizing.cpp
+++ b/src/libs/scheduling/poolsizing.cpp
@@ -117,13 +117,16 @@
     return missing;
 }
 
-// Adds hosts with long-running tasks to the releases, one by one from the pool that has the most hosts
-// beyond what its own long-running tasks need.
-auto evacuateHosts(std::span<const Balance> balances, std::vector<Release> &releases) -> void
+// Adds the hosts that long-running tasks still lack to a part of the releases, one by one from the pool that has the
+// most hosts beyond those that it keeps.
+auto releaseMissing(std::span<const Balance> balances,
+                    std::int64_t (*keptBy)(const PoolLoad &),
+                    std::int64_t Release::*part,
+                    std::vector<Release> &releases) -> void
 {
     std::vector<std::int64_t> surplus;
     for (const auto &balance : balances) {
-        auto hosts = balance.pool->spare ? 0 : balance.hosts - leastHosts(*balance.pool);
+        auto hosts = balance.pool->spare ? 0 : balance.hosts - keptBy(*balance.pool);
         for (const auto &release : releases)
             hosts -= release.pool == balance.pool->name ? release.count : 0;
         surplus.push_back(hosts);
@@ -134,14 +137,19 @@
             return;
         --*most;
         const auto &pool = balances[std::size_t(most - surplus.begin())].pool->name;
-        const auto known = std::ranges::find(releases, pool, &Release::pool);
-        if (known != releases.end())
-            ++known->evacuated;
-        else
-            releases.push_back({pool, 0, 1});
+        auto known = std::ranges::find(releases, pool, &Release::pool);
+        if (known == releases.end())
+            known = releases.insert(known, {pool});
+        ++((*known).*part);
     }
 }
 
+// Returns the hosts that a pool keeps as long as no long-running task of it has to move.
+auto keptForLongRunning(const PoolLoad &load) -> std::int64_t
+{
+    return std::max(leastHosts(load), load.fixedHosts + load.heldHosts);
+}
+
 // Releases hosts for \a missing ones, \a forLongRunning of which long-running tasks need. Pools that release hosts
 // already go first, and go on for long-running tasks although their own short tasks want more hosts by now.
 // Otherwise a release would pass from pool to pool as their demand changes, before any host is empty.
@@ -225,7 +233,9 @@
         forLongRunning += std::max<std::int64_t>(0, leastOf(*to) - to->hosts);
     }
     releaseHosts(balances, missing, forLongRunning, plan.releases);
-    evacuateHosts(balances, plan.releases);
+    // Hosts with short tasks alone go first, whatever share of the hosts their pools have.
+    releaseMissing(balances, keptForLongRunning, &Release::count, plan.releases);
+    releaseMissing(balances, leastHosts, &Release::evacuated, plan.releases);
     turnOff(balances, plan.transfers);
     return plan;
 }
--- a/tests/auto/scheduling/tst_poolsizing.cpp
+++ b/tests/auto/scheduling/tst_poolsizing.cpp
@@ -139,6 +139,26 @@
     EXPECT_EQ(releases[0].count, 1);
 }
 
+// Guards against needless stops: hosts on their way to the spare pool count for the shares of all pools, but help none yet.
+TEST(PoolSizing, HostsWithoutLongRunningTasksAreReleasedBeforeOthersAreEvacuated)
+{
+    auto large = pool("large", 253, 0);
+    large.fixedHosts = 25;
+    large.minimumHosts = 18;
+    large.batchMillicores = 342 * 12'800.0;
+    auto lacking = pool("lacking", 9, 0);
+    lacking.fixedHosts = 5;
+    lacking.minimumHosts = 33;
+    auto arriving = spare(16);
+    arriving.idleHosts = 0;
+    const auto plan = Scheduling::planTransfers(std::array{large, lacking, arriving});
+    EXPECT_TRUE(plan.transfers.empty());
+    ASSERT_EQ(plan.releases.size(), 1U);
+    EXPECT_EQ(plan.releases[0].pool, "large");
+    EXPECT_EQ(plan.releases[0].count, 24);
+    EXPECT_EQ(plan.releases[0].evacuated, 0);
+}
+
 TEST(PoolSizing, ReleasesNoHostsIfNoPoolLacksHosts)
 {
     auto working = pool("working", 10, 0);
