--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -127,4 +127,12 @@
     return clockMs + (now - clockAt).count() * slowestClockPercent / 100;
 }
 
+auto largestCapacity(const EndpointTable &endpoints) -> Jobs::Resources
+{
+    Jobs::Resources largest;
+    for (const auto &[id, endpoint] : endpoints)
+        largest = mostOf(largest, endpoint.record.capacity);
+    return largest;
+}
+
 } // namespace Execution
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -250,4 +250,7 @@
 
 using EndpointTable = std::map<std::string, EndpointEntry>;
 
+/*! \brief Returns the largest amount of each resource that an endpoint has. */
+auto largestCapacity(const EndpointTable &endpoints) -> Jobs::Resources;
+
 } // namespace Execution
