Hold an unanswered start for the lease of an incarnation that may have carried it out

What callers would see: a task runs a second time after it was done, or beside its first run (TWICE).

Cause: an endpoint starts again under its id, carries out a start for its predecessor that gets no answer, and is announced late. The task was held until the lease of the predecessor was over; but the next incarnation counts the lease by its own clock, up to 6.2 s from the order, or from a poll for its predecessor that it answers.

UnansweredStartHoldsItsTaskForTheLeaseOfTheNextIncarnation and PollThatTheNextIncarnationAnswersLengthensTheHold fail before.

Why this works: the end of the wait for a reply counts as the time at which the order may have been carried out, as a confirmation does already; and a reply of another incarnation to a poll that renews the lease lengthens the hold. Tasks that are known to have run on the predecessor are not held for it.

--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -85,6 +85,10 @@
     effects.incarnationOver =
         reply.result == PollResult::OtherIncarnation
         || (reply.bornMs != 0 && reply.bornMs != order.target.incarnation.bornMs);
+    // Another incarnation that replies has taken the new lease for itself, limited by its maximum alone.
+    if (effects.incarnationOver && order.leaseEndMs > 0)
+        endpoint.leaseEnd =
+            std::max(endpoint.leaseEnd, now + longestLocalTime(m_timing.maximumLease));
     endpoint.answers = reply.result == PollResult::Seen;
     if (effects.incarnationOver || !endpoint.answers)
         return effects;
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -129,9 +129,10 @@
             continue;
         kept.runs.push_back(run);
         kept.runs.back().earlierRun = 0;
-        // The next incarnation may have carried the order out just before the reply.
+        // The next incarnation may have carried the order out just before the reply, or the end of the wait for it.
+        const auto carriedOutBy = std::max(run.confirmedAt, run.unansweredAt);
         kept.leaseEnd =
-            std::max(kept.leaseEnd, run.confirmedAt + longestLocalTime(m_timing.maximumLease));
+            std::max(kept.leaseEnd, carriedOutBy + longestLocalTime(m_timing.maximumLease));
     }
     for (const auto &run : kept.runs)
         endpoint.runs.erase(run.task);
--- a/tests/auto/execution/tst_roomandleases.cpp
+++ b/tests/auto/execution/tst_roomandleases.cpp
@@ -84,6 +84,74 @@
     }
 }
 
+/*! \brief A start on "a" that gets no answer, beside a "b" that is closed until "a" has ended. */
+class UnansweredStart
+{
+public:
+    UnansweredStart()
+    {
+        m_first = m_ledger.addEndpoint("a").incarnation;
+        m_ledger.addEndpoint("b");
+        m_ledger.addJob("job", longRunningStep(1, 1));
+        m_ledger.begin();
+        m_ledger.pollAll();
+        m_ledger.ledger.setClosed("b", true);
+        m_order = m_ledger.schedule().starts.at(0);
+        EXPECT_TRUE(m_ledger.ledger.confirmStart(m_order));
+        m_ledger.advance(Utils::Milliseconds(1000));
+        m_ledger.ledger.startAnswered(m_order, {}, m_ledger.now());
+    }
+    auto end() -> void
+    {
+        m_ledger.ledger.endIncarnation(m_first);
+        m_ledger.ledger.setClosed("b", false);
+    }
+    /*! \brief Lets another incarnation under the same id reply to a poll that renews the lease. */
+    auto replyByNextIncarnation() -> void
+    {
+        const auto order = *m_ledger.ledger.pollOrder("a", m_ledger.now());
+        EXPECT_GT(order.leaseEndMs, 0);
+        Execution::PollReply reply;
+        reply.result = Execution::PollResult::Seen;
+        reply.bornMs = m_first.bornMs + 1;
+        const auto effects =
+            m_ledger.ledger.pollAnswered(order, reply, m_ledger.now(), m_ledger.now());
+        EXPECT_TRUE(effects.incarnationOver);
+    }
+    auto startsAfter(Utils::Milliseconds time) -> bool
+    {
+        m_ledger.advance(time);
+        m_ledger.poll("b");
+        m_ledger.ledger.expireLeases(m_ledger.now());
+        return !m_ledger.schedule().starts.empty();
+    }
+
+private:
+    LedgerFixture m_ledger;
+    Control::EndpointIncarnation m_first;
+    Execution::StartOrder m_order;
+};
+
+// Guards against TWICE: the next incarnation has carried the order out, and its lease is counted from its own clock.
+TEST(RoomAndLeases, UnansweredStartHoldsItsTaskForTheLeaseOfTheNextIncarnation)
+{
+    UnansweredStart fixture;
+    fixture.end();
+    EXPECT_FALSE(fixture.startsAfter(Utils::Milliseconds(6000)));
+    EXPECT_TRUE(fixture.startsAfter(Utils::Milliseconds(300)));
+}
+
+// Guards against TWICE: the next incarnation runs the task, and has renewed its lease by a poll for its predecessor.
+TEST(RoomAndLeases, PollThatTheNextIncarnationAnswersLengthensTheHold)
+{
+    UnansweredStart fixture;
+    EXPECT_FALSE(fixture.startsAfter(Utils::Milliseconds(1000)));
+    fixture.replyByNextIncarnation();
+    fixture.end();
+    EXPECT_FALSE(fixture.startsAfter(Utils::Milliseconds(6000)));
+    EXPECT_TRUE(fixture.startsAfter(Utils::Milliseconds(300)));
+}
+
 /*! \brief Two endpoints full of short tasks, with a backlog of further ones; "a" has less to do than "b". */
 class TwoBusyEndpoints
 {
