Settle a held-back stop once its endpoint is open again

Cause: by reading. A stop that got no answer is held back while the task has no other place. If the endpoint was opened again meanwhile, nothing ended that, and the run counted as away for as long as it ran, so that its step could miss no other task.

Evidence: StopThatWasHeldBackIsRepeatedOnceItsEndpointIsOpenedAgain fails without the change.

--- a/src/libs/execution/runevacuation.cpp
+++ b/src/libs/execution/runevacuation.cpp
@@ -23,7 +23,7 @@
         found->second.evacuating = true;
 }
 
-// Stops that are not sent yet are not wanted any more once the endpoint is open again.
+// Stops that are not sent yet are not wanted any more once the endpoint is open again. The others are settled.
 auto RunLedger::endEvacuation(EndpointEntry &endpoint) -> void
 {
     endpoint.evacuating = false;
@@ -31,6 +31,7 @@
         const auto toMove = isStoppedToMove(run) && run.stopReason != StopReason::Draining;
         if (toMove && run.stopSentAt == Utils::Instant())
             run.stopReason.reset();
+        run.hasNoPlace = false;
     }
 }
 
--- a/tests/auto/execution/tst_taskswithoutplace.cpp
+++ b/tests/auto/execution/tst_taskswithoutplace.cpp
@@ -282,6 +282,22 @@
     EXPECT_TRUE(fixture.stops().empty());
 }
 
+// Guards against a run that counts as away for good: its stop was held back as its endpoint was opened again.
+TEST(TasksWithoutPlace, StopThatWasHeldBackIsRepeatedOnceItsEndpointIsOpenedAgain)
+{
+    OnePlaceForTwo fixture;
+    fixture.evacuate("z");
+    ASSERT_EQ(fixture.stops().size(), 1U);
+    fixture.ledger.ledger.setClosed("b", true);
+    fixture.ledger.advance(Utils::Milliseconds(800));
+    fixture.pollAll();
+    EXPECT_TRUE(fixture.stops().empty());
+    fixture.ledger.ledger.setClosed("z", false, ClosedFor::Maintenance);
+    fixture.ledger.advance(passInterval);
+    fixture.pollAll();
+    EXPECT_EQ(fixture.stops().size(), 1U);
+}
+
 // A stop that has not been sent, as the start was in flight, is sent although the endpoint is open again.
 TEST(TasksWithoutPlace, RunWhoseStartWasInFlightStaysOnceItsEndpointIsOpenedAgain)
 {
