--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -353,21 +353,19 @@
 // if the outcome of the commit was unknown.
 auto recordIgnoredEnds(const State &state, const RecordEnds &record) -> std::vector<Command>
 {
-    EndpointRecord endpoint;
-    endpoint.incarnation = record.incarnation;
-    endpoint.incarnation.id.insert(0, endedPrefix);
     RecordEnds ends;
-    ends.incarnation = endpoint.incarnation;
     for (const auto &end : record.ends) {
         if (end.outcome == Jobs::TaskOutcome::Done && state.jobs.isUndone(end.task))
             ends.ends.push_back(end);
     }
     if (ends.ends.empty())
         return {};
+    ends.incarnation = record.incarnation;
+    ends.incarnation.id.insert(0, endedPrefix);
     std::vector<Command> commands(3);
-    commands[0].addEndpoint = std::move(endpoint);
-    commands[1].recordEnds = std::move(ends);
-    commands[2].removeEndpoint = commands[1].recordEnds->incarnation;
+    commands[0].addEndpoint.emplace().incarnation = ends.incarnation;
+    commands[1].recordEnds = ends;
+    commands[2].removeEndpoint = ends.incarnation;
     return commands;
 }
 
--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -63,11 +63,9 @@
 
 auto RunTable::ofStep(const Jobs::TaskId &task) const -> Part
 {
-    auto first = task;
-    first.index = 0;
     auto last = task;
     last.index = INT64_MAX;
-    return {m_runs.lower_bound(first), m_runs.upper_bound(last)};
+    return {m_runs.lower_bound(Jobs::firstOfStep(task)), m_runs.upper_bound(last)};
 }
 
 auto RunTable::countOfStep(const Jobs::TaskId &task) const -> std::int64_t
--- a/src/libs/execution/hostmoveplan.h
+++ b/src/libs/execution/hostmoveplan.h
@@ -36,6 +36,9 @@
     std::vector<std::string> open; //!< Endpoints to open for new tasks again.
 };
 
+/*! \brief Closes, evacuates and opens the endpoints that \a moves names. Its steps are not considered. */
+auto closeAndOpen(const HostMoves &moves, RunLedger &ledger) -> void;
+
 /*!
     \brief Sizes the pools by their work and chooses the hosts that move.
 
--- a/src/libs/execution/hostreleases.cpp
+++ b/src/libs/execution/hostreleases.cpp
@@ -7,6 +7,16 @@
 
 namespace Execution {
 
+auto closeAndOpen(const HostMoves &moves, RunLedger &ledger) -> void
+{
+    for (const auto &endpoint : moves.close)
+        ledger.setClosed(endpoint, true);
+    for (const auto &endpoint : moves.evacuate)
+        ledger.evacuate(endpoint);
+    for (const auto &endpoint : moves.open)
+        ledger.setClosed(endpoint, false);
+}
+
 // Closes as many endpoints as each pool is to release, and reopens closed endpoints that the pool
 // may keep.
 auto HostMovePlan::releaseHosts(std::span<const Scheduling::Release> releases,
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -146,12 +146,7 @@
     });
     m_movesWait = std::int64_t(moves.steps.size()) >= available;
     reportReleasedHosts(moves);
-    for (const auto &endpoint : moves.close)
-        m_ledger.setClosed(endpoint, true);
-    for (const auto &endpoint : moves.evacuate)
-        m_ledger.evacuate(endpoint);
-    for (const auto &endpoint : moves.open)
-        m_ledger.setClosed(endpoint, false);
+    closeAndOpen(moves, m_ledger);
     m_hostOrders.take(std::int64_t(moves.steps.size()));
     for (const auto &step : moves.steps)
         m_ledger.setClosed(step.incarnation.id, true);
--- a/src/libs/execution/runroom.cpp
+++ b/src/libs/execution/runroom.cpp
@@ -67,7 +67,8 @@
     return false;
 }
 
-// Keeps room on the endpoint from tasks that are considered later in the pass.
+// Keeps room on the endpoint from tasks that are considered later in the pass. The tasks of the step are not
+// counted if no limit depends on them.
 auto RunLedger::claim(std::size_t endpoint,
                       const Jobs::StepSpec &step,
                       std::vector<std::int64_t> &tasksOfStep,
@@ -76,8 +77,10 @@
     auto &view = pool.views[endpoint];
     const auto demand = Scheduling::occupiedBy(step);
     view.free -= demand;
-    view.freeOnceShortTasksEnd -= demand;
-    ++tasksOfStep[endpoint];
+    if (step.longRunning)
+        view.freeOnceShortTasksEnd -= demand;
+    if (!tasksOfStep.empty())
+        ++tasksOfStep[endpoint];
 }
 
 // Gives a long-running task the room that becomes free on an endpoint, so that tasks that need less
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -211,8 +211,7 @@
                           Orders &orders) -> void
 {
     const auto &spec = job.spec().steps[std::size_t(first.step)];
-    const auto demand = Scheduling::occupiedBy(spec);
-    auto roomLeft = hasRoom(pool, demand);
+    auto roomLeft = hasRoom(pool, Scheduling::occupiedBy(spec));
     if (!roomLeft && !spec.longRunning)
         return;
     std::vector<std::int64_t> notCounted;
@@ -233,21 +232,17 @@
             if (keepFree(spec, tasksOfStep, pool))
                 continue;
             chosen = Scheduling::chooseEndpoint(pool.views, {&spec, tasksOfStep, true});
+            if (!chosen)
+                noteToBeOpened(spec, tasksOfStep, pool);
         }
         if (!chosen) {
-            if (unplaced == 0)
-                noteToBeOpened(spec, tasksOfStep, pool);
             ++unplaced;
             continue;
         }
+        claim(*chosen, spec, tasksOfStep, pool);
         auto &view = pool.views[*chosen];
-        view.free -= demand;
-        if (spec.longRunning)
-            view.freeOnceShortTasksEnd -= demand;
         view.servesUsers = view.servesUsers || spec.latencyTargetMs > 0;
         view.holdsLongRunning = view.holdsLongRunning || spec.longRunning;
-        if (!tasksOfStep.empty())
-            ++tasksOfStep[*chosen];
         orders.starts.push_back(book(*pool.endpoints[*chosen], job, task, nextNumber(), pool.now));
     }
     if (unplaced > 0)
--- a/src/libs/fleetmodel/fleetmodel.cpp
+++ b/src/libs/fleetmodel/fleetmodel.cpp
@@ -356,12 +356,7 @@
             m_ledger.setClosed(id, false);
         const auto moves = m_moves.next(
             m_state.configuration, m_ledger, hosts, std::int64_t(hosts.hosts.size()), now());
-        for (const auto &id : moves.close)
-            m_ledger.setClosed(id, true);
-        for (const auto &id : moves.evacuate)
-            m_ledger.evacuate(id);
-        for (const auto &id : moves.open)
-            m_ledger.setClosed(id, false);
+        Execution::closeAndOpen(moves, m_ledger);
         for (const auto &move : moves.steps) {
             ++m_result.moves;
             m_moves.ordered(move, Execution::HostOrderResult::Accepted, now());
