Share the fixture of evacuations, the rule LOST and two set-ups between tests

EvacuationFixture stood in two files, the constants of the rule LOST in two models, and set-ups in tst_leadersession.cpp, tst_controlstate.cpp and tst_taskswithoutplace.cpp. All assertions are kept. tst_hostmoveplan.cpp and tst_roomandleases.cpp apply evacuations, too, as the leader does.

--- a/tests/auto/control/tst_controlstate.cpp
+++ b/tests/auto/control/tst_controlstate.cpp
@@ -614,11 +614,11 @@
     EXPECT_EQ(expecting.snapshot(), decoding.snapshot());
 }
 
-// A job of two tasks; the endpoint that ended both of them has been replaced or removed before the record.
-class IgnoredEndsTest : public testing::TestWithParam<bool>
+// A job of two tasks, and an endpoint that has ended both of them; the record is still to be applied.
+class EndsOfTwoTasks
 {
 public:
-    IgnoredEndsTest()
+    EndsOfTwoTasks()
     {
         Control::Command job;
         job.submitJob.emplace();
@@ -649,6 +649,12 @@
     Control::RecordEnds record;
 };
 
+// The endpoint has been replaced or removed before the record.
+class IgnoredEndsTest
+    : public testing::TestWithParam<bool>
+    , public EndsOfTwoTasks
+{};
+
 TEST_P(IgnoredEndsTest, AreRecordedOnceTheyAreKnownToBeIgnored)
 {
     Control::Command removed;
@@ -674,27 +680,14 @@
 
 TEST(ControlState, EndsThatWereTakenInAreNotRecordedAgain)
 {
-    Control::State state;
-    Control::Command job;
-    job.submitJob.emplace();
-    job.submitJob->id = "job";
-    job.submitJob->steps.resize(1);
-    job.submitJob->steps[0].count = 2;
-    state.apply(job, 1);
-    Control::Command endpoint;
-    endpoint.addEndpoint.emplace();
-    endpoint.addEndpoint->incarnation = {"a", 20};
-    state.apply(endpoint, 1);
-    Control::Command ends;
-    ends.recordEnds.emplace();
-    ends.recordEnds->incarnation = {"a", 20};
-    ends.recordEnds->ends.push_back({4, {"job", 0, 0, 1}, Jobs::TaskOutcome::Done});
-    state.apply(ends, 1);
-    EXPECT_TRUE(Control::recordIgnoredEnds(state, *ends.recordEnds).empty());
+    EndsOfTwoTasks fixture;
+    fixture.record.ends = {{4, {"job", 0, 0, 1}, Jobs::TaskOutcome::Done}};
+    fixture.applyRecord();
+    EXPECT_TRUE(Control::recordIgnoredEnds(fixture.state, fixture.record).empty());
     // Jobs that are not known, and tasks that a job does not have.
-    ends.recordEnds->ends.push_back({5, {"other", 0, 0, 0}, Jobs::TaskOutcome::Done});
-    ends.recordEnds->ends.push_back({6, {"job", 0, 0, 2}, Jobs::TaskOutcome::Done});
-    EXPECT_TRUE(Control::recordIgnoredEnds(state, *ends.recordEnds).empty());
+    fixture.record.ends.push_back({5, {"other", 0, 0, 0}, Jobs::TaskOutcome::Done});
+    fixture.record.ends.push_back({6, {"job", 0, 0, 2}, Jobs::TaskOutcome::Done});
+    EXPECT_TRUE(Control::recordIgnoredEnds(fixture.state, fixture.record).empty());
 }
 
 } // namespace
--- a/tests/auto/execution/modelpooljudge.cpp
+++ b/tests/auto/execution/modelpooljudge.cpp
@@ -1,6 +1,7 @@
 // Implements the part of ModelPools that judges a play by the rules.
 #include "modelpools.h"
 
+#include "lostrule.h"
 #include "modelpoolneeds.h"
 
 #include <algorithm>
@@ -12,12 +13,6 @@
 constexpr std::int64_t ms = usPerMs;
 constexpr std::int64_t seconds = 1000 * usPerMs;
 
-// The rule LOST: calm time and time since the last run before a task counts as missing, and how long it has
-// to be missing.
-constexpr std::int64_t calmUs = 4 * seconds;
-constexpr std::int64_t sinceLastRunUs = 6 * seconds;
-constexpr std::int64_t missingUs = 3 * seconds;
-
 // A leader surely knows after this time that the task is not at work: longer than any lease.
 constexpr std::int64_t surelyKnownUs = 7 * seconds;
 // The trend of the demand has a time constant of 0.7 s. A plan that changes its mind no more often than that
@@ -55,10 +50,11 @@
     }
     if (!wait.missingSinceUs)
         wait.missingSinceUs = nowUs;
-    const auto sinceUs =
-        std::max({*wait.missingSinceUs, m_calmSinceUs + calmUs, wait.awaySinceUs + sinceLastRunUs});
+    const auto sinceUs = std::max({*wait.missingSinceUs,
+                                   m_calmSinceUs + LostRule::calmUs,
+                                   wait.awaySinceUs + LostRule::sinceLastRunUs});
     m_result.longestMissingUs = std::max(m_result.longestMissingUs, nowUs - sinceUs);
-    if (nowUs - sinceUs < missingUs || !m_result.late.empty())
+    if (nowUs - sinceUs < LostRule::missingUs || !m_result.late.empty())
         return;
     m_result.task = task;
     m_result.late = "LOST: task " + Jobs::toText(task) + " at " + std::to_string(nowUs / ms)
@@ -121,7 +117,7 @@
         const auto known = m_ledger.endpoints().find(endpoint);
         if (known != m_ledger.endpoints().end() && known->second.holdsLongRunning())
             ++m_result.evacuations;
-        if (m_time.nowUs() < m_calmSinceUs + calmUs)
+        if (m_time.nowUs() < m_calmSinceUs + LostRule::calmUs)
             continue;
         if (++m_closings[endpoint] > mostClosings && m_result.wavering.empty())
             m_result.wavering = endpoint + " is closed for the " + std::to_string(mostClosings + 1)
--- a/tests/auto/execution/modelpoolleader.cpp
+++ b/tests/auto/execution/modelpoolleader.cpp
@@ -143,16 +143,11 @@
                                    m_time.now());
     judgeClosings(moves);
     judgeRest(moves);
-    for (const auto &endpoint : moves.close) {
+    for (const auto &endpoint : moves.close)
         m_watch.noteEndpoint(endpoint, "is closed for a move");
-        m_ledger.setClosed(endpoint, true);
-    }
-    for (const auto &endpoint : moves.evacuate)
-        m_ledger.evacuate(endpoint);
-    for (const auto &endpoint : moves.open) {
+    for (const auto &endpoint : moves.open)
         m_watch.noteEndpoint(endpoint, "is opened again");
-        m_ledger.setClosed(endpoint, false);
-    }
+    Execution::closeAndOpen(moves, m_ledger);
     m_budget.take(std::int64_t(moves.steps.size()));
     for (const auto &step : moves.steps)
         m_ledger.setClosed(step.incarnation.id, true);
--- a/tests/auto/execution/modelwaits.cpp
+++ b/tests/auto/execution/modelwaits.cpp
@@ -1,5 +1,7 @@
 #include "modelwaits.h"
 
+#include "lostrule.h"
+
 #include <algorithm>
 #include <sstream>
 #include <utility>
@@ -12,12 +14,6 @@
 constexpr auto queueName = "queue";
 constexpr double evenPercent = 50;
 
-// The rule LOST: calm time and time since the last run before a task counts as missing, and how long
-// it has to be missing.
-constexpr std::int64_t calmUs = 4 * seconds;
-constexpr std::int64_t sinceLastRunUs = 6 * seconds;
-constexpr std::int64_t missingUs = 3 * seconds;
-
 constexpr std::int64_t observeUs = 20 * ms;
 constexpr std::int64_t firstFaultUs = 1 * seconds;
 constexpr std::int64_t lastFaultUs = 15 * seconds;
@@ -537,14 +533,14 @@
         return;
     }
     const auto nowUs = m_time.nowUs();
-    const auto sinceUs =
-        std::max({wait.missingSinceUs.value_or(nowUs),
-                  m_calmSinceUs + calmUs,
-                  m_watch.lastEndUs(task).value_or(-sinceLastRunUs) + sinceLastRunUs});
+    const auto sinceUs = std::max(
+        {wait.missingSinceUs.value_or(nowUs),
+         m_calmSinceUs + LostRule::calmUs,
+         m_watch.lastEndUs(task).value_or(-LostRule::sinceLastRunUs) + LostRule::sinceLastRunUs});
     if (!wait.missingSinceUs)
         wait.missingSinceUs = nowUs;
     m_result.longestMissingUs = std::max(m_result.longestMissingUs, nowUs - sinceUs);
-    if (nowUs - sinceUs < missingUs || !m_result.late.empty())
+    if (nowUs - sinceUs < LostRule::missingUs || !m_result.late.empty())
         return;
     reportLate(task);
 }
--- a/tests/auto/execution/tst_evacuation.cpp
+++ b/tests/auto/execution/tst_evacuation.cpp
@@ -1,110 +1,13 @@
 // Long-running tasks that move away because their host is to be maintained or to move to another pool.
-#include "ledgerfixture.h"
-
-#include "execution/hostmoveplan.h"
+#include "evacuationfixture.h"
 
 #include <gtest/gtest.h>
 
-#include <algorithm>
-#include <map>
-
 using namespace ExecutionTest;
 using Execution::ClosedFor;
-using Execution::HostState;
 
 namespace {
 
-constexpr std::int64_t wallMs = 1'700'000'000'000;
-constexpr auto otherPool = "other";
-// A stop of a former leader is over after this time.
-constexpr Utils::Milliseconds longerThanAStop{600};
-constexpr std::int64_t mostMoves = 10;
-
-/*! \brief Endpoints that report the runs that the test puts there. */
-class EvacuationFixture
-{
-public:
-    auto addEndpoint(const std::string &id, const std::string &pool = LedgerFixture::defaultPool)
-        -> void
-    {
-        ledger.addEndpoint(id, pool);
-        m_runs[id];
-        m_hosts.hosts.push_back({"host-" + id, pool, HostState::Up, id});
-        m_hosts.complete = true;
-    }
-    auto addHostInMaintenance(const std::string &pool) -> void
-    {
-        m_hosts.hosts.push_back({"maintained", pool, HostState::Maintenance, ""});
-    }
-    /*! \brief Lets the task run on the endpoint, ready since before the first poll. */
-    auto run(const std::string &endpoint, const Jobs::TaskId &task) -> void
-    {
-        m_runs[endpoint].push_back({task, ++m_lastRun, "", 100, 0});
-    }
-    auto begin() -> void
-    {
-        ledger.begin();
-        pollAll();
-        ledger.advance(longerThanAStop);
-        pollAll();
-        ledger.schedule();
-    }
-    auto pollAll() -> void
-    {
-        for (const auto &[endpoint, runs] : m_runs)
-            ledger.poll(endpoint, runs);
-    }
-    /*! \brief Lets the newest run on the endpoint end as done. */
-    auto endNewest(const std::string &endpoint) -> void
-    {
-        auto &runs = m_runs.at(endpoint);
-        const auto ended = runs.back();
-        runs.pop_back();
-        ledger.advance(Utils::Milliseconds(100));
-        ledger.record(ledger.poll(
-            endpoint,
-            runs,
-            {{++m_ends[endpoint], ended.task, ended.run, Execution::EndKind::Done, ""}}));
-    }
-    /*! \brief Closes the endpoint and has it evacuated for the maintenance of its host. */
-    auto evacuate(const std::string &endpoint) -> void
-    {
-        ledger.ledger.setClosed(endpoint, true, ClosedFor::Maintenance);
-        ledger.ledger.evacuate(endpoint);
-    }
-    auto stops() -> std::vector<Execution::StopOrder> { return ledger.schedule().stops; }
-    auto unplacedHosts() -> double
-    {
-        ledger.schedule();
-        ledger.ledger.updateDemand(wallMs);
-        return ledger.ledger.demand().at(LedgerFixture::defaultPool).unplaced.hosts;
-    }
-    /*! \brief Plans moves, and carries out what concerns the ledger. */
-    auto planMoves() -> Execution::HostMoves
-    {
-        ledger.ledger.updateDemand(wallMs);
-        m_plan.observe(ledger.ledger, ledger.now());
-        auto moves = m_plan.next(
-            ledger.state.configuration, ledger.ledger, m_hosts, mostMoves, ledger.now());
-        for (const auto &endpoint : moves.close)
-            ledger.ledger.setClosed(endpoint, true);
-        for (const auto &endpoint : moves.evacuate)
-            ledger.ledger.evacuate(endpoint);
-        for (const auto &endpoint : moves.open)
-            ledger.ledger.setClosed(endpoint, false);
-        return moves;
-    }
-
-    LedgerFixture ledger;
-
-private:
-    std::map<std::string, std::vector<Execution::RunningTask>> m_runs; //!< By endpoint.
-    std::map<std::string, std::int64_t> m_ends;
-    std::int64_t m_lastRun = 0;
-    Execution::HostList m_hosts;
-    Execution::HostMovePlan m_plan;
-};
-
 /*! \brief Two endpoints, each of which runs one task of a step that leaves too little room for another. */
 class TwoFullEndpoints : public EvacuationFixture
 {
@@ -273,7 +176,7 @@
 TEST(Evacuation, HostThatIsMaintainedDoesNotStandInForOneThatIsReleased)
 {
     SpreadTasks fixture;
-    fixture.addHostInMaintenance(otherPool);
+    fixture.addHostInMaintenance(EvacuationFixture::otherPool);
     EXPECT_EQ(fixture.planMoves().close.size(), 1U);
 }
 
@@ -294,7 +197,7 @@
     SpreadTasks fixture;
     auto step = lastingStep(SpreadTasks::spreadHosts, {100, 100, 0});
     step.maximumPerHost = 1;
-    fixture.ledger.addJob("apart", step, otherPool);
+    fixture.ledger.addJob("apart", step, EvacuationFixture::otherPool);
     fixture.ledger.schedule();
     EXPECT_TRUE(fixture.planMoves().close.empty());
 }
--- a/tests/auto/execution/tst_hostmoveplan.cpp
+++ b/tests/auto/execution/tst_hostmoveplan.cpp
@@ -217,10 +217,7 @@
         m_plan.observe(ledger.ledger, ledger.now());
         auto moves = m_plan.next(
             ledger.state.configuration, ledger.ledger, m_list, maximumMoves, ledger.now());
-        for (const auto &id : moves.close)
-            ledger.ledger.setClosed(id, true);
-        for (const auto &id : moves.open)
-            ledger.ledger.setClosed(id, false);
+        Execution::closeAndOpen(moves, ledger.ledger);
         return moves;
     }
     auto answer(const Execution::MoveStep &step, Execution::HostOrderResult result) -> bool
--- a/tests/auto/execution/tst_leadersession.cpp
+++ b/tests/auto/execution/tst_leadersession.cpp
@@ -19,6 +19,18 @@
 constexpr Utils::Milliseconds severalRetries{500};
 constexpr Utils::Milliseconds severalPolls{1000};
 
+/*! \brief Returns the announcement of an incarnation at the address that all of them share. */
+auto announcementOf(const Control::EndpointIncarnation &incarnation) -> Control::Command
+{
+    Control::Command command;
+    auto &record = command.addEndpoint.emplace();
+    record.incarnation = incarnation;
+    record.pool = "pool";
+    record.address = "endpoint-1:1";
+    record.capacity = {4000, 8000, 0};
+    return command;
+}
+
 /*! \brief A leader with one endpoint whose host is due for maintenance. */
 class SessionFixture
 {
@@ -30,13 +42,7 @@
         configuration.configuration->version = 1;
         configuration.configuration->pools.push_back({"pool", true, false});
         configuration.configuration->pools.push_back({sparePool, true, true});
-        Control::Command endpoint;
-        endpoint.addEndpoint.emplace();
-        endpoint.addEndpoint->incarnation = {"endpoint-1", 1000};
-        endpoint.addEndpoint->pool = "pool";
-        endpoint.addEndpoint->address = "endpoint-1:1";
-        endpoint.addEndpoint->capacity = {4000, 8000, 0};
-        apply({configuration, endpoint});
+        apply({configuration, announcementOf({"endpoint-1", 1000})});
         hosts.hosts.complete = true;
         hosts.hosts.hosts.push_back({"host-1", "pool", Execution::HostState::Up, "endpoint-1"});
     }
@@ -132,28 +138,13 @@
         });
     }
     /*! \brief Commits the announcement of the endpoint's next incarnation, which no session is told of. */
-    auto announceNextIncarnation() -> void
-    {
-        Control::Command next;
-        next.addEndpoint.emplace();
-        next.addEndpoint->incarnation = {"endpoint-1", 2000};
-        next.addEndpoint->pool = "pool";
-        next.addEndpoint->address = "endpoint-1:1";
-        next.addEndpoint->capacity = {4000, 8000, 0};
-        apply({next});
-    }
+    auto announceNextIncarnation() -> void { apply({announcementOf({"endpoint-1", 2000})}); }
     /*! \brief Lets another endpoint take the address of the first one. */
     auto replaceEndpoint(Execution::LeaderSession &session) -> void
     {
         Control::Command removed;
         removed.removeEndpoint = Control::EndpointIncarnation{"endpoint-1", 1000};
-        Control::Command added;
-        added.addEndpoint.emplace();
-        added.addEndpoint->incarnation = {"endpoint-2", 2000};
-        added.addEndpoint->pool = "pool";
-        added.addEndpoint->address = "endpoint-1:1";
-        added.addEndpoint->capacity = {4000, 8000, 0};
-        apply({removed, added});
+        apply({removed, announcementOf({"endpoint-2", 2000})});
         session.endpointReplaced(*removed.removeEndpoint);
         session.stateChanged();
     }
--- a/tests/auto/execution/tst_roomandleases.cpp
+++ b/tests/auto/execution/tst_roomandleases.cpp
@@ -303,10 +303,7 @@
         m_plan.observe(m_ledger.ledger, m_ledger.now());
         auto moves =
             m_plan.next(m_ledger.state.configuration, m_ledger.ledger, m_hosts, 1, m_ledger.now());
-        for (const auto &endpoint : moves.close)
-            m_ledger.ledger.setClosed(endpoint, true);
-        for (const auto &endpoint : moves.open)
-            m_ledger.ledger.setClosed(endpoint, false);
+        Execution::closeAndOpen(moves, m_ledger.ledger);
         return moves;
     }
     auto closesA() -> bool
--- a/tests/auto/execution/tst_taskswithoutplace.cpp
+++ b/tests/auto/execution/tst_taskswithoutplace.cpp
@@ -1,8 +1,6 @@
 // Long-running tasks that an order of the leader ends, or keeps away, without another place.
-#include "ledgerfixture.h"
+#include "evacuationfixture.h"
 
-#include "execution/hostmoveplan.h"
-#include "execution/maintenanceplan.h"
 #include "scheduling/poolsizing.h"
 
 #include <gtest/gtest.h>
@@ -13,7 +11,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 using namespace ExecutionTest;
@@ -22,147 +19,11 @@
 
 namespace {
 
-constexpr std::int64_t wallMs = 1'700'000'000'000;
-constexpr auto otherPool = "other";
-constexpr Utils::Milliseconds longerThanAStop{600};
-constexpr Utils::Milliseconds passInterval{100};
-constexpr std::int64_t mostMoves = 10;
-
-/*! \brief Endpoints that report the runs that the test puts there, and their hosts. */
-class OrdersFixture
-{
-public:
-    auto addEndpoint(const std::string &id, const std::string &pool = LedgerFixture::defaultPool)
-        -> void
-    {
-        ledger.addEndpoint(id, pool);
-        m_runs[id];
-        hosts.hosts.push_back({"host-" + id, pool, HostState::Up, id});
-        hosts.complete = true;
-    }
-    auto run(const std::string &endpoint, const Jobs::TaskId &task) -> void
-    {
-        m_runs[endpoint].push_back({task, ++m_lastRun, "", 100, 0});
-    }
-    auto run(const std::string &endpoint, const Jobs::TaskId &task, std::int64_t number) -> void
-    {
-        m_runs[endpoint].push_back({task, number, "", 100, 0});
-    }
-    /*! \brief Lets the stops end their runs that are due. */
-    auto carryOutDue() -> void
-    {
-        std::erase_if(pending, [this](const auto &item) {
-            if (item.first > ledger.now())
-                return false;
-            ledger.acceptStop(item.second);
-            auto &runs = m_runs.at(item.second.target.incarnation.id);
-            std::erase_if(runs, [&](const auto &run) { return run.task == item.second.task; });
-            return true;
-        });
-    }
-    auto begin() -> void
-    {
-        ledger.begin();
-        pollAll();
-        ledger.advance(longerThanAStop);
-        pollAll();
-        ledger.schedule();
-    }
-    auto pollAll() -> void
-    {
-        for (const auto &[endpoint, runs] : m_runs)
-            if (!silent.contains(endpoint))
-                ledger.poll(endpoint, runs);
-    }
-    auto evacuate(const std::string &endpoint) -> void
-    {
-        ledger.ledger.setClosed(endpoint, true, ClosedFor::Maintenance);
-        ledger.ledger.evacuate(endpoint);
-    }
-    auto stops() -> std::vector<Execution::StopOrder> { return ledger.schedule().stops; }
-    /*! \brief Lets the stop end its run. */
-    auto carryOut(const Execution::StopOrder &stop) -> void
-    {
-        ledger.acceptStop(stop);
-        auto &runs = m_runs.at(stop.target.incarnation.id);
-        std::erase_if(runs, [&](const auto &run) { return run.task == stop.task; });
-        ledger.advance(longerThanAStop);
-        pollAll();
-    }
-    auto planMoves() -> Execution::HostMoves
-    {
-        ledger.ledger.updateDemand(wallMs);
-        m_plan.observe(ledger.ledger, ledger.now());
-        auto moves =
-            m_plan.next(ledger.state.configuration, ledger.ledger, hosts, mostMoves, ledger.now());
-        for (const auto &endpoint : moves.close)
-            ledger.ledger.setClosed(endpoint, true);
-        for (const auto &endpoint : moves.evacuate)
-            ledger.ledger.evacuate(endpoint);
-        for (const auto &endpoint : moves.open)
-            ledger.ledger.setClosed(endpoint, false);
-        return moves;
-    }
-    /*! \brief Lets the host join its new pool at once, with another endpoint. */
-    auto move(const Execution::MoveStep &step) -> void
-    {
-        m_plan.ordered(step, Execution::HostOrderResult::Accepted, ledger.now());
-        if (!step.incarnation.id.empty()) {
-            ledger.removeEndpoint(step.incarnation.id);
-            m_runs.erase(step.incarnation.id);
-        }
-        std::erase_if(hosts.hosts, [&](const auto &host) { return host.name == step.host; });
-        const auto id = std::string("moved-").append(std::to_string(100 + ++m_moved));
-        ledger.addEndpoint(id, step.to);
-        m_runs[id];
-        hosts.hosts.push_back({step.host, step.to, HostState::Up, id});
-        ledger.advance(passInterval);
-        m_plan.takeUnmoved(hosts, ledger.now());
-    }
-    auto addWave(std::vector<std::string> names, std::int64_t atOnce) -> void
-    {
-        Control::Wave wave;
-        wave.number = 1;
-        wave.durationMs = 30'000;
-        wave.maximumAtOnce = atOnce;
-        wave.startedMs = wallMs;
-        for (const auto &name : names)
-            wave.hosts.push_back("host-" + name);
-        ledger.state.waves[1] = wave;
-        m_waveBegan = ledger.now();
-    }
-    /*! \brief Plans maintenance, and carries out what concerns the ledger, as the leader does. */
-    auto planMaintenance() -> Execution::MaintenanceWork
-    {
-        const auto elapsed = (ledger.now() - m_waveBegan).count();
-        auto work = m_maintenance.next(
-            ledger.state,
-            {ledger.ledger, hosts, ledger.now(), ledger.now(), wallMs + elapsed, mostMoves, {}});
-        for (const auto &endpoint : work.close)
-            ledger.ledger.setClosed(endpoint, true, ClosedFor::Maintenance);
-        for (const auto &endpoint : work.evacuate)
-            ledger.ledger.evacuate(endpoint);
-        for (const auto &endpoint : work.open)
-            ledger.ledger.setClosed(endpoint, false, ClosedFor::Maintenance);
-        return work;
-    }
-
-    LedgerFixture ledger;
-    Execution::HostList hosts;
-    std::set<std::string> silent;
-    std::vector<std::pair<Utils::Instant, Execution::StopOrder>> pending; //!< Stops on their way.
-
-private:
-    std::map<std::string, std::vector<Execution::RunningTask>> m_runs;
-    std::int64_t m_lastRun = 0;
-    std::int64_t m_moved = 0;
-    Execution::HostMovePlan m_plan;
-    Execution::MaintenancePlan m_maintenance;
-    Utils::Instant m_waveBegan;
-};
+constexpr auto otherPool = EvacuationFixture::otherPool;
+constexpr auto passInterval = EvacuationFixture::passInterval;
 
 /*! \brief Endpoints "a" and "z" run a task each that fills them; "b" has room for one. */
-class OnePlaceForTwo : public OrdersFixture
+class OnePlaceForTwo : public EvacuationFixture
 {
 public:
     OnePlaceForTwo()
@@ -191,7 +52,7 @@
 // What becomes of it where neither host can be maintained, since its step misses a task already (one crashed before).
 auto longestWaitAfterEvacuating(const std::string &firstClosed) -> Utils::Milliseconds
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     for (const auto *id : {"a", "b", "z"})
         fixture.addEndpoint(id);
     fixture.ledger.addJob("first", lastingStep(1, {3000, 100, 0}));
@@ -270,27 +131,31 @@
     EXPECT_TRUE(fixture.ledger.schedule().starts.empty());
 }
 
+/*! \brief The stop of the task on "z" got lost, and "b" is closed by the time at which it would be repeated. */
+class StopWhosePlaceIsGone : public OnePlaceForTwo
+{
+public:
+    StopWhosePlaceIsGone()
+    {
+        evacuate("z");
+        EXPECT_EQ(stops().size(), 1U);
+        ledger.ledger.setClosed("b", true);
+        ledger.advance(Utils::Milliseconds(800));
+        pollAll();
+    }
+};
+
 // A stop that got lost is repeated although the place is gone meanwhile.
 TEST(TasksWithoutPlace, StopIsNotRepeatedOnceThePlaceIsGone)
 {
-    OnePlaceForTwo fixture;
-    fixture.evacuate("z");
-    ASSERT_EQ(fixture.stops().size(), 1U);
-    fixture.ledger.ledger.setClosed("b", true);
-    fixture.ledger.advance(Utils::Milliseconds(800));
-    fixture.pollAll();
+    StopWhosePlaceIsGone fixture;
     EXPECT_TRUE(fixture.stops().empty());
 }
 
 // Guards against a run that counts as away for good: its stop was held back as its endpoint was opened again.
 TEST(TasksWithoutPlace, StopThatWasHeldBackIsRepeatedOnceItsEndpointIsOpenedAgain)
 {
-    OnePlaceForTwo fixture;
-    fixture.evacuate("z");
-    ASSERT_EQ(fixture.stops().size(), 1U);
-    fixture.ledger.ledger.setClosed("b", true);
-    fixture.ledger.advance(Utils::Milliseconds(800));
-    fixture.pollAll();
+    StopWhosePlaceIsGone fixture;
     EXPECT_TRUE(fixture.stops().empty());
     fixture.ledger.ledger.setClosed("z", false, ClosedFor::Maintenance);
     fixture.ledger.advance(passInterval);
@@ -301,7 +166,7 @@
 // A stop that has not been sent, as the start was in flight, is sent although the endpoint is open again.
 TEST(TasksWithoutPlace, RunWhoseStartWasInFlightStaysOnceItsEndpointIsOpenedAgain)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     fixture.addEndpoint("a");
     fixture.begin();
     fixture.ledger.addJob("job", lastingStep(1, {3000, 100, 0}));
@@ -322,7 +187,7 @@
 // The room that a task of a draining endpoint is to move to is given to short tasks until the stop is carried out.
 TEST(TasksWithoutPlace, ShortTasksDoNotTakeTheRoomOfATaskOfADrainingEndpoint)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     fixture.addEndpoint("a");
     fixture.addEndpoint("b");
     fixture.ledger.addJob("job", lastingStep(1, {3000, 100, 0}));
@@ -337,7 +202,7 @@
 // The endpoint of a host that cannot be maintained stays closed to a waiting task of the very step that holds it up.
 TEST(TasksWithoutPlace, TaskThatHoldsUpMaintenanceGetsTheRoomOnTheClosedEndpoint)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     fixture.addEndpoint("a");
     fixture.addEndpoint("b");
     fixture.ledger.addJob("job", lastingStep(2, {1000, 100, 0}));
@@ -370,7 +235,7 @@
 // Tasks that an order of maintenance ends, while their other places are closed for the same wave, wait for the upkeep.
 TEST(TasksWithoutPlace, TaskThatMaintenanceEndsRunsAgainBeforeItCountsAsLost)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     fixture.ledger.addJob("job", lastingStep(3, {1300, 100, 0}));
     std::int64_t index = 0;
     for (const auto *id : {"a", "b", "c"}) {
@@ -413,7 +278,7 @@
 // The same step keeps a host from being maintained, as none of its tasks there has another place.
 TEST(TasksWithoutPlace, WaveEndsThoughTwoTasksOfAStepHaveNoOtherPlace)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     fixture.addEndpoint("a");
     fixture.addEndpoint("b");
     fixture.ledger.addJob("job", lastingStep(4, {1900, 100, 0}));
@@ -435,7 +300,7 @@
 // Both lostTasks() and evacuateEndpoints() claim room for a task of a silent endpoint that is to be evacuated.
 TEST(TasksWithoutPlace, TaskOfASilentEvacuatedEndpointAsksForOneHost)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     fixture.addEndpoint("a");
     fixture.addEndpoint("b");
     fixture.ledger.addJob("job", lastingStep(2, {3000, 100, 0}));
@@ -447,15 +312,13 @@
     fixture.ledger.failPoll("a");
     fixture.ledger.advance(Utils::Milliseconds(2900));
     fixture.pollAll();
-    fixture.ledger.schedule();
-    fixture.ledger.ledger.updateDemand(wallMs);
-    EXPECT_EQ(fixture.ledger.ledger.demand().at(LedgerFixture::defaultPool).unplaced.hosts, 1);
+    EXPECT_EQ(fixture.unplacedHosts(), 1);
 }
 
 // Members of a gang are stopped although the gang cannot start again.
 TEST(TasksWithoutPlace, GangWithoutAnotherPlaceIsNotStopped)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     fixture.addEndpoint("a");
     fixture.addEndpoint("b");
     auto step = lastingStep(2, {3000, 100, 0});
@@ -491,7 +354,7 @@
 // A host is released whose task fits nowhere else, and no other one is tried.
 TEST(TasksWithoutPlace, PoolReleasesAHostWhoseTasksCanMove)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     fixture.ledger.state.configuration.pools.push_back({otherPool, true, false});
     fixture.ledger.addJob("large", lastingStep(1, {3500, 100, 0}), otherPool);
     fixture.ledger.addJob("spread", lastingStep(5, {1000, 100, 0}), otherPool);
@@ -523,7 +386,7 @@
 // The control of the test above: without the large task, a host moves.
 TEST(TasksWithoutPlace, PoolReleasesAHostWhoseTasksAreAllSmall)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     fixture.ledger.state.configuration.pools.push_back({otherPool, true, false});
     fixture.ledger.addJob("spread", lastingStep(6, {1000, 100, 0}), otherPool);
     for (std::int64_t host = 0; host < 6; ++host) {
@@ -549,7 +412,7 @@
 // A host that is listed as up, but whose endpoint is silent, is taken for room, so that no host is asked for.
 auto hostsThatMoveFor(HostState silentHost) -> std::size_t
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     for (const auto *id : {"a", "b", "c"})
         fixture.addEndpoint(id);
     fixture.ledger.addJob("job", lastingStep(3, {3000, 100, 0}));
@@ -586,7 +449,7 @@
 // Hosts move until the other pool has its least, although none of them is large enough for the task that waits.
 TEST(TasksWithoutPlace, HostsThatAreTooSmallDoNotMoveWithoutEnd)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     fixture.ledger.state.configuration.pools.push_back({otherPool, true, false});
     constexpr std::int64_t others = 16;
     fixture.ledger.addJob("spread", lastingStep(others, {300, 100, 0}), otherPool);
@@ -646,7 +509,7 @@
 // Guards against AVAIL: two endpoints with tasks of one step are evacuated in one pass.
 TEST(TasksWithoutPlace, OnePassStopsNoMoreTasksOfAStepThanItMayMiss)
 {
-    OrdersFixture fixture;
+    EvacuationFixture fixture;
     for (const auto *id : {"a", "b", "c", "d"})
         fixture.addEndpoint(id);
     fixture.ledger.addJob("job", lastingStep(2, {1000, 100, 0}));
