Note a start of which a first copy got no reply, whatever became of its run

Cause: the reply to a second copy told the ledger only that the task had started. So the next incarnation got no stop for that number, and the run counted as settled with the incarnation that had listed it.

Change: a reply tells that it is one to a second copy, also through a relay. Such a start is noted as late whatever the reply and whatever became of the run. A run of which a copy may come stays booked until the next incarnation or its lease settles it.

Why it works: the next incarnation refuses a number that was stopped, and the task starts elsewhere only once that stop was accepted and a list lacks the run.

Ruled out: sending no second copy, since each kept connection that a server has closed would then cost a start.

--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -20,6 +20,14 @@
     return run;
 }
 
+auto Run::awaitLateCopy(Utils::Instant unanswered) -> void
+{
+    state = RunState::Uncertain;
+    unansweredAt = unanswered;
+    carriedOut = false;
+    percent = 0;
+}
+
 auto Run::requestStop(StopReason reason) -> void
 {
     if (!stopReason || (canWait(*stopReason) && !canWait(reason)))
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -86,6 +86,8 @@
 
     /*! \brief Returns true if the next incarnation under the endpoint's id may carry the order out. */
     auto mayOutliveIncarnation() const -> bool { return sent && !carriedOut; }
+    /*! \brief Makes it a run of which nothing is known but that its start got no reply until \a unanswered. */
+    auto awaitLateCopy(Utils::Instant unanswered) -> void;
     /*! \brief Marks the run to be stopped. An urgent reason replaces one that canWait(). */
     auto requestStop(StopReason reason) -> void;
 };
@@ -231,7 +233,7 @@
     auto erase(const Jobs::TaskId &task) -> void;
 };
 
-/*! \brief A start order without a reply, which may be carried out long after its run was settled. */
+/*! \brief A start order of which a copy got no reply. That one may be carried out long after the run was settled. */
 struct LateStart
 {
     Jobs::TaskId task;
--- a/src/libs/execution/orders.h
+++ b/src/libs/execution/orders.h
@@ -45,6 +45,8 @@
 {
     StartResult result = StartResult::Unknown;
     std::int64_t clockMs = 0; //!< Time on the endpoint's clock; 0 if it is not in the reply.
+    //! The reply is that to a second copy of the order; the first one may still be carried out.
+    bool repeated = false;
 };
 
 /*! \brief Why a run is stopped. */
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -269,7 +269,10 @@
     auto adopt(EndpointEntry &endpoint, const RunningTask &row, Utils::Instant now) -> Run &;
     auto noteEarlierRun(EndpointEntry &endpoint, Run &run, std::int64_t earlier) -> void;
     auto removeRun(EndpointEntry &endpoint, const Jobs::TaskId &task) -> void;
-    auto isLateStart(const std::string &endpoint, const RunningTask &row) const -> bool;
+    auto noteLateStart(const StartOrder &order, Utils::Instant now) -> void;
+    auto findLateStart(const std::string &endpoint,
+                       const Jobs::TaskId &task,
+                       std::int64_t run) const -> const LateStart *;
     auto findUnfinished(const Jobs::TaskId &task) -> JobProgress *;
     auto processEnd(EndpointEntry &endpoint,
                     const EndedTask &end,
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -97,9 +97,21 @@
     release({order.task, order.run, id, ReleaseReason::Refused});
 }
 
+// Notes that a copy of the start got no reply. Whatever became of the run, the next incarnation may carry
+// that copy out.
+auto RunLedger::noteLateStart(const StartOrder &order, Utils::Instant now) -> void
+{
+    if (order.target.fencingToken != m_term)
+        return;
+    const auto &incarnation = order.target.incarnation;
+    m_lateStarts[incarnation.id].push_back({order.task, order.run, incarnation.bornMs, now});
+}
+
 auto RunLedger::startAnswered(const StartOrder &order, const StartReply &reply, Utils::Instant now)
     -> void
 {
+    if (reply.result == StartResult::Unknown || reply.repeated)
+        noteLateStart(order, now);
     auto *run = findStarted(order);
     if (run == nullptr)
         return;
@@ -118,8 +130,6 @@
     if (reply.result == StartResult::Unknown) {
         run->state = RunState::Uncertain;
         run->unansweredAt = now;
-        m_lateStarts[order.target.incarnation.id].push_back(
-            {order.task, order.run, order.target.incarnation.bornMs, now});
         return;
     }
     if (const auto found = m_endpoints.find(order.target.incarnation.id);
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -270,7 +270,7 @@
     adopted.adopted = true;
     adopted.pacePercent = unknownPercent;
     // The stop that blocks it may be in flight, and a run that is being stopped need not be listed.
-    if (isLateStart(endpoint.record.incarnation.id, row))
+    if (findLateStart(endpoint.record.incarnation.id, row.task, row.run) != nullptr)
         adopted.stopSentAt = now;
     endpoint.inherited.erase(row.task);
     endpoint.leaseEnd =
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -125,10 +125,14 @@
     OutlivingRuns kept;
     kept.leaseEnd = endpoint.leaseEnd;
     for (const auto &[task, run] : endpoint.runs) {
-        if (!run.mayOutliveIncarnation())
+        const auto *late = findLateStart(endpoint.record.incarnation.id, task, run.number);
+        if (!run.mayOutliveIncarnation() && late == nullptr)
             continue;
         kept.runs.push_back(run);
         kept.runs.back().earlierRun = 0;
+        // Of a start that this incarnation has carried out, another copy may be on its way.
+        if (late != nullptr)
+            kept.runs.back().awaitLateCopy(late->unansweredAt);
         // The next incarnation may have carried the order out just before the reply, or the end of the wait for it.
         const auto carriedOutBy = std::max(run.confirmedAt, run.unansweredAt);
         kept.leaseEnd =
@@ -186,13 +190,17 @@
     }
 }
 
-auto RunLedger::isLateStart(const std::string &endpoint, const RunningTask &row) const -> bool
+// Returns the start of the run if a copy of it may be carried out late, or nullptr.
+auto RunLedger::findLateStart(const std::string &endpoint,
+                              const Jobs::TaskId &task,
+                              std::int64_t run) const -> const LateStart *
 {
     const auto found = m_lateStarts.find(endpoint);
-    return found != m_lateStarts.end()
-           && std::ranges::any_of(found->second, [&row](const LateStart &start) {
-                  return start.task == row.task && start.run == row.run;
-              });
+    if (found == m_lateStarts.end())
+        return nullptr;
+    const auto start = std::ranges::find_if(
+        found->second, [&](const LateStart &late) { return late.task == task && late.run == run; });
+    return start != found->second.end() ? &*start : nullptr;
 }
 
 auto RunLedger::tasksOfLateStarts() const -> std::set<Jobs::TaskId>
--- a/src/libs/service/orderconversion.cpp
+++ b/src/libs/service/orderconversion.cpp
@@ -114,6 +114,7 @@
     Wire::EndpointAnswer answer;
     answer.result = std::int32_t(reply.result);
     answer.clockMs = reply.clockMs;
+    answer.repeated = reply.repeated;
     return answer;
 }
 
@@ -152,7 +153,7 @@
 
 auto startReply(const Wire::EndpointAnswer &answer) -> Execution::StartReply
 {
-    return {Execution::StartResult(answer.result), answer.clockMs};
+    return {Execution::StartResult(answer.result), answer.clockMs, answer.repeated};
 }
 
 auto orderResult(const Wire::EndpointAnswer &answer) -> Execution::OrderResult
--- a/src/libs/wire/control.thrift
+++ b/src/libs/wire/control.thrift
@@ -69,6 +69,8 @@
   6: list<EndedRow> ended
   // The lists may lack entries. Older processes do not set it.
   7: bool truncated
+  // Set in the answer to a start: an earlier copy of it may be carried out. Older processes do not set it.
+  8: bool repeated
 }
 
 struct ControlRequest {
--- a/src/libs/wire/gen/control_types.cpp
+++ b/src/libs/wire/gen/control_types.cpp
@@ -921,6 +921,10 @@
 void EndpointAnswer::__set_truncated(const bool val) {
   this->truncated = val;
 }
+
+void EndpointAnswer::__set_repeated(const bool val) {
+  this->repeated = val;
+}
 std::ostream& operator<<(std::ostream& out, const EndpointAnswer& obj)
 {
   obj.printTo(out);
@@ -1029,6 +1033,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->repeated);
+          this->__isset.repeated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1090,6 +1102,10 @@
   xfer += oprot->writeBool(this->truncated);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("repeated", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->repeated);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1104,6 +1120,7 @@
   swap(a.running, b.running);
   swap(a.ended, b.ended);
   swap(a.truncated, b.truncated);
+  swap(a.repeated, b.repeated);
   swap(a.__isset, b.__isset);
 }
 
@@ -1115,6 +1132,7 @@
   running = other25.running;
   ended = other25.ended;
   truncated = other25.truncated;
+  repeated = other25.repeated;
   __isset = other25.__isset;
 }
 EndpointAnswer::EndpointAnswer(EndpointAnswer&& other26) noexcept {
@@ -1125,6 +1143,7 @@
   running = std::move(other26.running);
   ended = std::move(other26.ended);
   truncated = other26.truncated;
+  repeated = other26.repeated;
   __isset = other26.__isset;
 }
 EndpointAnswer& EndpointAnswer::operator=(const EndpointAnswer& other27) {
@@ -1135,6 +1154,7 @@
   running = other27.running;
   ended = other27.ended;
   truncated = other27.truncated;
+  repeated = other27.repeated;
   __isset = other27.__isset;
   return *this;
 }
@@ -1146,6 +1166,7 @@
   running = std::move(other28.running);
   ended = std::move(other28.ended);
   truncated = other28.truncated;
+  repeated = other28.repeated;
   __isset = other28.__isset;
   return *this;
 }
@@ -1159,6 +1180,7 @@
   out << ", " << "running=" << to_string(running);
   out << ", " << "ended=" << to_string(ended);
   out << ", " << "truncated=" << to_string(truncated);
+  out << ", " << "repeated=" << to_string(repeated);
   out << ")";
 }
 
--- a/src/libs/wire/gen/control_types.h
+++ b/src/libs/wire/gen/control_types.h
@@ -370,7 +370,7 @@
 std::ostream& operator<<(std::ostream& out, const EndedRow& obj);
 
 typedef struct _EndpointAnswer__isset {
-  _EndpointAnswer__isset() : number(false), result(false), clockMs(false), bornMs(false), running(false), ended(false), truncated(false) {}
+  _EndpointAnswer__isset() : number(false), result(false), clockMs(false), bornMs(false), running(false), ended(false), truncated(false), repeated(false) {}
   bool number :1;
   bool result :1;
   bool clockMs :1;
@@ -378,6 +378,7 @@
   bool running :1;
   bool ended :1;
   bool truncated :1;
+  bool repeated :1;
 } _EndpointAnswer__isset;
 
 class EndpointAnswer : public virtual ::apache::thrift::TBase {
@@ -392,7 +393,8 @@
                    result(0),
                    clockMs(0),
                    bornMs(0),
-                   truncated(0) {
+                   truncated(0),
+                   repeated(0) {
   }
 
   virtual ~EndpointAnswer() noexcept;
@@ -403,6 +405,7 @@
   std::vector<RunningRow>  running;
   std::vector<EndedRow>  ended;
   bool truncated;
+  bool repeated;
 
   _EndpointAnswer__isset __isset;
 
@@ -420,6 +423,8 @@
 
   void __set_truncated(const bool val);
 
+  void __set_repeated(const bool val);
+
   bool operator == (const EndpointAnswer & rhs) const
   {
     if (!(number == rhs.number))
@@ -436,6 +441,8 @@
       return false;
     if (!(truncated == rhs.truncated))
       return false;
+    if (!(repeated == rhs.repeated))
+      return false;
     return true;
   }
   bool operator != (const EndpointAnswer &rhs) const {
--- a/tests/auto/execution/modelnetwork.cpp
+++ b/tests/auto/execution/modelnetwork.cpp
@@ -156,7 +156,9 @@
         call.done = [done = std::move(call.done)](const StartReply &reply) {
             const auto holds =
                 reply.result == StartResult::Started || reply.result == StartResult::Fenced;
-            done(holds ? reply : StartReply());
+            auto seen = holds ? reply : StartReply();
+            seen.repeated = true;
+            done(seen);
         };
     }
     send(std::move(call));
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -72,6 +72,14 @@
         m_fixture.poll("b");
     }
     auto send() -> void { EXPECT_TRUE(m_fixture.ledger.confirmStart(m_order)); }
+    // The endpoint has begun the task on a second copy of the order, and the first one got no reply.
+    auto confirmSecondCopy() -> void
+    {
+        Execution::StartReply reply;
+        reply.result = Execution::StartResult::Started;
+        reply.repeated = true;
+        m_fixture.ledger.startAnswered(m_order, reply, m_fixture.now());
+    }
     auto replace() -> void
     {
         m_fixture.ledger.addEndpoint(m_fixture.restart(m_first), m_fixture.now());
@@ -318,6 +326,50 @@
     EXPECT_LE(repeated + (accepted ? 1U : 0U), 1U);
 }
 
+// Guards against TWICE: the next incarnation carries the first copy out while the task runs elsewhere.
+TEST_F(StartInFlight, RunsOnceIfTheNextIncarnationGetsAFirstCopyAfterTheSecondOneWasAnswered)
+{
+    send();
+    confirmSecondCopy();
+    m_fixture.advance(Utils::Milliseconds(700));
+    m_fixture.poll("a", listedRun());
+    replace();
+    const auto repeated = starts();
+    const auto accepted = nextIncarnationAccepts();
+    EXPECT_LE(repeated + (accepted ? 1U : 0U), 1U);
+}
+
+// Guards against TWICE: the first copy arrives before a stop for it does.
+TEST_F(StartInFlight, IsNotRepeatedBeforeTheNextIncarnationRefusesItsFirstCopy)
+{
+    send();
+    m_fixture.advance(Utils::Milliseconds(700));
+    m_fixture.poll("a", listedRun());
+    confirmSecondCopy();
+    replace();
+    m_fixture.pollAll();
+    const auto orders = m_fixture.schedule();
+    EXPECT_TRUE(orders.starts.empty());
+    ASSERT_EQ(orders.stops.size(), 1U);
+    m_fixture.acceptStop(orders.stops.front());
+    m_fixture.advance(Utils::Milliseconds(450));
+    m_fixture.pollAll();
+    EXPECT_EQ(starts(), 1U);
+}
+
+// Guards against TWICE: the run has ended when the reply to the second copy arrives.
+TEST_F(StartInFlight, IsBlockedOnTheNextIncarnationIfItEndedBeforeItsSecondCopyWasAnswered)
+{
+    send();
+    m_fixture.advance(Utils::Milliseconds(700));
+    const auto end =
+        Execution::EndedTask{1, m_order.task, m_order.run, Execution::EndKind::Done, ""};
+    m_fixture.record(m_fixture.poll("a", {}, {end}));
+    confirmSecondCopy();
+    replace();
+    EXPECT_FALSE(nextIncarnationAccepts());
+}
+
 // Guards against TWICE: a run that is not listed is released beside a listed one with a lower number.
 TEST_F(StartInFlight, IsNotRepeatedWhileTheNextIncarnationListsAnEarlierRunOfItsTask)
 {
--- a/tests/auto/platform/tst_endpointclient.cpp
+++ b/tests/auto/platform/tst_endpointclient.cpp
@@ -98,19 +98,19 @@
     return order;
 }
 
-/*! \brief Sends a start order for each reaction but those to copies; returns the last result. */
-auto lastStartResult(std::deque<Reaction> reactions, int orders) -> StartResult
+/*! \brief Sends a start order for each reaction but those to copies; returns the last reply. */
+auto lastStartReply(std::deque<Reaction> reactions, int orders) -> Execution::StartReply
 {
     AsyncNet::asio::io_context loop;
     ScriptedEndpoint endpoint(loop, std::move(reactions));
     Platform::EndpointClient client(loop, connectionLimit);
-    auto result = StartResult::Invalid;
+    Execution::StartReply last;
+    last.result = StartResult::Invalid;
     auto finished = false;
     const auto send = [&]() -> Task<void> {
         for (auto order = 0; order < orders; ++order) {
             auto start = startOrder(endpoint.address());
-            const auto reply = co_await client.start(std::move(start));
-            result = reply.result;
+            last = co_await client.start(std::move(start));
         }
         finished = true;
         loop.stop();
@@ -118,7 +118,12 @@
     AsyncNet::start(loop, "test", send());
     loop.run_for(testTimeout);
     EXPECT_TRUE(finished);
-    return result;
+    return last;
+}
+
+auto lastStartResult(std::deque<Reaction> reactions, int orders) -> StartResult
+{
+    return lastStartReply(std::move(reactions), orders).result;
 }
 
 /*! \brief Returns the result of a poll on a kept connection that breaks; a copy of it is answered. */
@@ -168,6 +173,13 @@
               StartResult::Fenced);
 }
 
+// Guards against TWICE: the next incarnation carries out the first copy, of which the leader did not know.
+TEST(EndpointClient, ReplyToASecondCopySaysThatTheFirstOneMayBeCarriedOut)
+{
+    EXPECT_TRUE(lastStartReply({{200}, {0}, {200}}, 2).repeated);
+    EXPECT_FALSE(lastStartReply({{200}, {200}}, 2).repeated);
+}
+
 TEST(EndpointClient, RefusalOfTheOnlyCopySaysThatNothingIsCarriedOut)
 {
     EXPECT_EQ(lastStartResult({{503}}, 1), StartResult::Unhealthy);
--- a/tests/auto/service/tst_relayedendpoints.cpp
+++ b/tests/auto/service/tst_relayedendpoints.cpp
@@ -258,6 +258,15 @@
     EXPECT_FALSE(Service::chooseRelay({}, "endpoint", "z1"));
 }
 
+TEST(OrderConversion, KeepsAllFieldsOfAStartReply)
+{
+    const Execution::StartReply reply{StartResult::NoRoom, 4, true};
+    const auto read = Service::startReply(Service::toWire(reply));
+    EXPECT_EQ(read.result, reply.result);
+    EXPECT_EQ(read.clockMs, 4);
+    EXPECT_TRUE(read.repeated);
+}
+
 TEST(OrderConversion, KeepsAllFieldsOfAPollReply)
 {
     Execution::PollReply reply;
