Keep the number of the last recorded end of an endpoint that is removed while it is up

Cause: the leader removes a draining endpoint whose lease has passed, as it may have ended unseen. The number of its last recorded end was lost with the record, while the incarnation went on with its numbers, so that ends it listed again were counted again. That it drained was lost as well.

Why it works: every process, of older builds too, applies that end alike: it moves the number and counts nothing.

--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -1,5 +1,7 @@
 #include "controlstate.h"
 
+#include "removedendpoints.h"
+
 #include "utils/cbor.h"
 #include "utils/log.h"
 
@@ -228,7 +230,7 @@
     const auto *endpoint = findEndpoint(state, incarnation);
     if (endpoint == nullptr)
         return;
-    const auto lease = endpoint->endingLease;
+    const auto known = *endpoint;
     state.endpoints.erase(incarnation.id);
     if (!state.appliedAt)
         return;
@@ -236,9 +238,13 @@
     std::erase_if(state.removedEndpoints,
                   [&](const auto &item) { return item.second.removedAt < oldest; });
     auto &removed = state.removedEndpoints[incarnation.id];
-    removed = {*state.appliedAt, std::nullopt};
-    if (lease)
-        removed.leaseEndsBy = lease->endsBy;
+    removed = {};
+    removed.removedAt = *state.appliedAt;
+    if (known.endingLease)
+        removed.leaseEndsBy = known.endingLease->endsBy;
+    removed.bornMs = incarnation.bornMs;
+    removed.recordedEnds = known.recordedEnds;
+    removed.draining = known.record.draining;
 }
 
 // Appends what a restored process has to know of leases: the term in which they were recorded, and how
@@ -276,6 +282,8 @@
 
 auto restoreStart(State &state, const RecordStarts &saved) -> void
 {
+    if (Internal::restoreRemoved(state, saved))
+        return;
     Command command;
     command.recordStarts = saved;
     decodeUnderStarts(command);
@@ -445,6 +453,7 @@
     }
     for (const auto &[host, known] : m_state.hostOrders)
         snapshot.starts.push_back(encodeHostOrder(known.order));
+    Internal::saveRemoved(m_state, snapshot.starts);
     return Utils::toCbor(snapshot);
 }
 
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -39,6 +39,9 @@
 {
     Utils::Instant removedAt;
     std::optional<Utils::Instant> leaseEndsBy; //!< See EndingLease; none if it was not recorded.
+    std::int64_t bornMs = 0;                   //!< Birth of the incarnation.
+    std::int64_t recordedEnds = 0;             //!< See KnownEndpoint.
+    bool draining = false;                     //!< See EndpointRecord.
 };
 
 /*! \brief Where a task was last ordered to start, and in which term. */
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -101,23 +101,24 @@
 
 auto LeaderSession::takeOverEndpoints() -> void
 {
-    std::vector<Control::EndpointRecord> changed;
+    std::vector<Control::KnownEndpoint> changed;
     m_parts.state.read([&](const Control::State &state) {
         const auto known = std::exchange(m_endpointsVersion, state.endpointsVersion);
         if (known == state.endpointsVersion)
             return;
         for (const auto &[id, endpoint] : state.endpoints) {
             if (endpoint.changedIn > known)
-                changed.push_back(endpoint.record);
+                changed.push_back(endpoint);
         }
     });
-    for (const auto &record : changed)
-        addEndpoint(record);
+    for (const auto &known : changed)
+        addEndpoint(known);
 }
 
-auto LeaderSession::addEndpoint(const Control::EndpointRecord &record) -> void
+auto LeaderSession::addEndpoint(const Control::KnownEndpoint &known) -> void
 {
-    m_ledger.addEndpoint(record, m_parts.clock.now());
+    const auto &record = known.record;
+    m_ledger.addEndpoint(known, m_parts.clock.now());
     if (record.draining)
         m_ledger.drain(record.incarnation.id);
     if (m_polled.insert(record.incarnation).second)
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -66,7 +66,7 @@
 
     auto takeOverEndpoints() -> void;
     /*! \brief Adds an endpoint that is durably recorded, and starts to poll it. */
-    auto addEndpoint(const Control::EndpointRecord &record) -> void;
+    auto addEndpoint(const Control::KnownEndpoint &known) -> void;
     auto pollEndpoint(Control::EndpointIncarnation incarnation) -> Task;
     auto processPoll(const PollOrder &order, const PollReply &reply, Utils::Instant sentAt) -> Task;
     auto schedulePass() -> Task;
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -57,10 +57,8 @@
     m_beganAt = now;
     m_jobsVersion = 0;
     for (const auto &[id, known] : state.endpoints) {
-        addEndpoint(known.record, now);
+        addEndpoint(known, now);
         auto &endpoint = m_endpoints[id];
-        endpoint.recordedEnds = known.recordedEnds;
-        endpoint.processedEnds = known.recordedEnds;
         endpoint.replacedAt = known.replacedAt;
         endpoint.leaseEnd = known.endingLease
                                 ? known.endingLease->endsBy
@@ -184,6 +182,18 @@
     endpoint.record = record;
 }
 
+// Of an incarnation that is known, ends may be recorded that endsRecorded() has not told of yet.
+auto RunLedger::addEndpoint(const Control::KnownEndpoint &known, Utils::Instant now) -> void
+{
+    const auto isKnown = findEndpoint(known.record.incarnation) != nullptr;
+    addEndpoint(known.record, now);
+    auto *endpoint = findEndpoint(known.record.incarnation);
+    if (isKnown || endpoint == nullptr)
+        return;
+    endpoint->recordedEnds = known.recordedEnds;
+    endpoint->processedEnds = known.recordedEnds;
+}
+
 auto RunLedger::drain(const std::string &endpoint) -> void
 {
     const auto found = m_endpoints.find(endpoint);
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -118,6 +118,8 @@
 
     /*! \brief Adds or updates an endpoint that is durably recorded. */
     auto addEndpoint(const Control::EndpointRecord &record, Utils::Instant now) -> void;
+    /*! \brief Like that, and takes over which of its ends are recorded if the incarnation is not known yet. */
+    auto addEndpoint(const Control::KnownEndpoint &known, Utils::Instant now) -> void;
     /*! \brief Closes an endpoint for new tasks, and moves its long-running tasks elsewhere. */
     auto drain(const std::string &endpoint) -> void;
     /*! \brief Handles an endpoint's announcement that it is shutting down. */
--- a/src/libs/service/controloperations.cpp
+++ b/src/libs/service/controloperations.cpp
@@ -2,6 +2,7 @@
 // configuration and waves.
 #include "controlservice.h"
 
+#include "control/removedendpoints.h"
 #include "utils/log.h"
 
 #include <string_view>
@@ -113,9 +114,9 @@
                       {"pool", record.pool},
                       {"address", record.address},
                       {"draining", record.draining}});
-    Control::Command command;
-    command.addEndpoint = record;
-    const auto result = co_await commit(std::move(command));
+    auto commands = m_parts.state.read(
+        [&](const Control::State &state) { return Control::commandsToAdd(state, record); });
+    const auto result = co_await m_committer.commit(std::move(commands));
     auto *active = session();
     if (active == nullptr || result != Execution::CommitResult::Committed)
         m_sequences.erase(record.incarnation);
--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -1,5 +1,7 @@
 #include "ledgerfixture.h"
 
+#include "control/removedendpoints.h"
+
 namespace ExecutionTest {
 namespace {
 
@@ -37,6 +39,13 @@
     return record;
 }
 
+auto LedgerFixture::announce(const Control::EndpointRecord &record) -> void
+{
+    for (const auto &command : Control::commandsToAdd(state, record))
+        apply(command);
+    ledger.addEndpoint(state.endpoints.at(record.incarnation.id), m_now);
+}
+
 auto LedgerFixture::addJob(const std::string &id,
                            const Jobs::StepSpec &step,
                            const std::string &pool) -> Jobs::JobSpec
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -21,6 +21,8 @@
     auto addEndpoint(const std::string &id,
                      const std::string &pool = defaultPool,
                      const Jobs::Resources &size = capacity) -> Control::EndpointRecord;
+    /*! \brief Adds an endpoint, also one that was removed before, as a leader does. */
+    auto announce(const Control::EndpointRecord &record) -> void;
     auto addJob(const std::string &id,
                 const Jobs::StepSpec &step,
                 const std::string &pool = defaultPool) -> Jobs::JobSpec;
--- a/tests/auto/execution/modelleader.cpp
+++ b/tests/auto/execution/modelleader.cpp
@@ -83,10 +83,11 @@
                              [self = shared_from_this()] { self->schedulePass(); });
 }
 
-auto ModelLeader::addEndpoint(const Control::EndpointRecord &record) -> void
+auto ModelLeader::addEndpoint(const Control::KnownEndpoint &known) -> void
 {
+    const auto &record = known.record;
     m_environment.watch.noteEndpoint(nameOf(record.incarnation), "is known to the ledger");
-    m_ledger.addEndpoint(record, m_environment.time.now());
+    m_ledger.addEndpoint(known, m_environment.time.now());
     if (record.draining)
         m_ledger.drain(record.incarnation.id);
     startPolling(record.incarnation);
--- a/tests/auto/execution/modelleader.h
+++ b/tests/auto/execution/modelleader.h
@@ -45,7 +45,7 @@
     auto waitingLongRunningTasks() -> std::vector<Execution::WaitingTask>;
 
     auto wake() -> void;
-    auto addEndpoint(const Control::EndpointRecord &record) -> void;
+    auto addEndpoint(const Control::KnownEndpoint &known) -> void;
     auto markEndpointLeaving(const Control::EndpointIncarnation &incarnation) -> void;
     auto endpointReplaced(const Control::EndpointIncarnation &incarnation) -> void;
     auto setClosed(const std::string &endpoint, bool closed) -> void;
--- a/tests/auto/execution/modelmembership.cpp
+++ b/tests/auto/execution/modelmembership.cpp
@@ -1,5 +1,7 @@
 #include "modelmembership.h"
 
+#include "control/removedendpoints.h"
+
 #include <algorithm>
 
 namespace ExecutionTest {
@@ -75,16 +77,22 @@
 {
     if (!leads())
         return;
-    Control::Command command;
-    command.addEndpoint = record;
-    m_log.commit({command}, [this, record](bool committed) {
+    m_log.commit(Control::commandsToAdd(m_log.state(), record), [this, record](bool committed) {
         if (committed && leads())
-            m_leader->addEndpoint(record);
+            takeOver(record.incarnation);
         else
             m_sequences.erase(record.incarnation);
     });
 }
 
+// The incarnation may have been removed or replaced since the commit.
+auto ModelMembership::takeOver(const Control::EndpointIncarnation &incarnation) -> void
+{
+    const auto found = m_log.state().endpoints.find(incarnation.id);
+    if (found != m_log.state().endpoints.end() && found->second.record.incarnation == incarnation)
+        m_leader->addEndpoint(found->second);
+}
+
 auto ModelMembership::leave(const Control::EndpointIncarnation &incarnation) -> void
 {
     if (!leads())
--- a/tests/auto/execution/modelmembership.h
+++ b/tests/auto/execution/modelmembership.h
@@ -28,6 +28,7 @@
         -> std::vector<Control::EndpointIncarnation>;
     auto isStaleAtAddress(const Control::EndpointRecord &record) const -> bool;
     auto add(const Control::EndpointRecord &record) -> void;
+    auto takeOver(const Control::EndpointIncarnation &incarnation) -> void;
 
     ModelLog &m_log;
     std::shared_ptr<ModelLeader> m_leader;
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -648,4 +648,22 @@
     EXPECT_GT(next->waitMs, 0);
 }
 
+// Guards against LOST: the ends of an endpoint that had been removed and announced itself again were recorded again.
+TEST(RestartedEndpoint, EndsThatWereRecordedBeforeItsRemovalAreNotRecordedAgain)
+{
+    LedgerFixture fixture;
+    const auto record = fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.begin();
+    fixture.poll("a");
+    const auto order = fixture.schedule().starts.front();
+    EXPECT_TRUE(fixture.ledger.confirmStart(order));
+    const Execution::EndedTask end{1, order.task, order.run, Execution::EndKind::Failed, ""};
+    fixture.record(fixture.poll("a", {}, {end}));
+    fixture.removeEndpoint("a");
+    fixture.announce(record);
+    EXPECT_TRUE(fixture.poll("a", {}, {end}).record.ends.empty());
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
 } // namespace
