Remove no draining endpoint whose lease is over while it answers

Cause: an endpoint that announces itself again has no lease before its second poll. If the leader looked for expired leases between the first and the second one, it removed the endpoint, as it drained, although it had just answered.

Change: an endpoint that drains is removed for its lease only if it does not answer.

Why it works: one that answers is not gone, and its lease is renewed by the next poll. One that stays silent is removed as before.

Evidence: RestartedEndpoint.IsNotRemovedAgainWhileItAnswers fails without the change.

--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -211,7 +211,7 @@
     /*!
         \brief Reopens the tasks of endpoints whose leases have expired.
 
-        Returns the expired incarnations that had announced their shutdown, or that they drain.
+        Returns the expired incarnations that had announced their shutdown, or that they drain and do not answer.
     */
     auto expireLeases(Utils::Instant now) -> std::vector<Control::EndpointIncarnation>;
 
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -296,8 +296,9 @@
         if (now <= endpoint.leaseEnd || !isAsked)
             continue;
         releaseRuns(endpoint, ReleaseReason::LeaseExpired);
-        // The next leader does not know which endpoints have announced their shutdown.
-        if (endpoint.leaving || endpoint.draining)
+        // The next leader does not know which endpoints have announced their shutdown. One that drains
+        // and has come back answers before its lease is renewed.
+        if (endpoint.leaving || (endpoint.draining && !endpoint.answers))
             expired.push_back(endpoint.record.incarnation);
     }
     return expired;
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -648,6 +648,28 @@
     EXPECT_GT(next->waitMs, 0);
 }
 
+// Guards against LOST: an endpoint that had come back was removed once more before its lease could be renewed.
+TEST(RestartedEndpoint, IsNotRemovedAgainWhileItAnswers)
+{
+    LedgerFixture fixture;
+    auto record = fixture.addEndpoint("a");
+    record.draining = true;
+    fixture.announce(record);
+    fixture.begin();
+    fixture.poll("a");
+    fixture.failPoll("a");
+    fixture.advance(longerThanAnyLease);
+    EXPECT_EQ(fixture.ledger.expireLeases(fixture.now()).size(), 1U);
+    fixture.removeEndpoint("a");
+    fixture.announce(record);
+    fixture.ledger.drain("a");
+    fixture.poll("a");
+    EXPECT_TRUE(fixture.ledger.expireLeases(fixture.now()).empty());
+    fixture.failPoll("a");
+    fixture.advance(longerThanAnyLease);
+    EXPECT_EQ(fixture.ledger.expireLeases(fixture.now()).size(), 1U);
+}
+
 // Guards against LOST: the ends of an endpoint that had been removed and announced itself again were recorded again.
 TEST(RestartedEndpoint, EndsThatWereRecordedBeforeItsRemovalAreNotRecordedAgain)
 {
