Count the lease that a next incarnation takes from orders for the former one

Neither run was started late.

Cause: a poll names the end of the lease on the clock of the endpoint. The next incarnation under the id, whose clock starts anew, takes its longest lease from such a poll, 6 s, and the leader went by its own polls, 5.2 s. A reply to a poll for the former incarnation was dropped if the next one was known, and forgotten with the former one otherwise; a poll without a reply was not counted at all.

Change: the end of the lease that such an order may have given is kept by the id, and counts for the next incarnation whenever that one becomes known, for starts it has confirmed before, and in the record for the next leader.

Why it works: an order is carried out before its reply, or before the sender stops waiting, and no lease is longer than the longest one from then on.

Ruled out: a fencing token for each incarnation (decision 066), and holding all tasks of a restarted endpoint for late orders (the postmortem).

Eight of nine tests of CutOffAfterRestart and RandomFleet.EndpointsThatAreCutOffSoonAfterTheyStartAgain... fail without the change.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -86,6 +86,11 @@
 
     /*! \brief Returns true if the next incarnation under the endpoint's id may carry the order out. */
     auto mayOutliveIncarnation() const -> bool { return sent && !carriedOut; }
+    /*! \brief Returns true if an incarnation that is not known yet may have confirmed the start. */
+    auto mayRunOnUnknownIncarnation() const -> bool
+    {
+        return mayOutliveIncarnation() && state == RunState::Running;
+    }
     /*! \brief Makes it a run of which nothing is known but that its start got no reply until \a unanswered. */
     auto awaitLateCopy(Utils::Instant unanswered) -> void;
     /*! \brief Marks the run to be stopped. An urgent reason replaces one that canWait(). */
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -38,6 +38,7 @@
     m_endpointsByPool.clear();
     m_outliving.clear();
     m_lateStarts.clear();
+    m_nextLeases.clear();
     m_ended.clear();
     m_forgettingPolls.clear();
     m_blockingStops.clear();
@@ -170,7 +171,7 @@
         const auto replaces = !endpoint.record.incarnation.id.empty() || m_ended.contains(id);
         keepOutlivingRuns(endpoint);
         endpoint = {};
-        endpoint.leaseEnd = now;
+        endpoint.leaseEnd = leaseEndOfNext(id, now);
         endpoint.addedAt = now;
         if (replaces)
             endpoint.replacedAt = now;
@@ -214,7 +215,8 @@
         return;
     // The endpoint ends soon after its announcement; the maximum lease is the upper bound.
     endpoint->leaving = true;
-    endpoint->leaseEnd = std::min(endpoint->leaseEnd, now + m_timing.maximumLease);
+    endpoint->leaseEnd =
+        std::min(endpoint->leaseEnd, now + longestLocalTime(m_timing.maximumLease));
 }
 
 auto RunLedger::setClosed(const std::string &endpoint, bool closed, ClosedFor orders) -> void
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -286,6 +286,8 @@
         -> Utils::Milliseconds;
     auto isNeverCarriedOut(Run &run, Utils::Instant now, Utils::Instant sentAt) const -> bool;
     auto releaseRuns(EndpointEntry &endpoint, ReleaseReason reason) -> void;
+    auto releaseExpiredRuns(EndpointEntry &endpoint, Utils::Instant now) -> void;
+    auto endOfRuns(const EndpointEntry &endpoint) const -> Utils::Instant;
     auto keepOutlivingRuns(EndpointEntry &endpoint) -> void;
     auto takeOutlivingRuns(EndpointEntry &endpoint) -> void;
     auto expireOutlivingRuns(Utils::Instant now) -> void;
@@ -293,6 +295,8 @@
     auto takeFound(const Control::State &state) -> std::vector<StartOrder>;
     auto tasksOfLateStarts() const -> std::set<Jobs::TaskId>;
     auto forgetLateOrders(Utils::Instant now) -> void;
+    static auto mayHaveReachedNextIncarnation(const PollOrder &order, const PollReply &reply)
+        -> bool;
     auto settleForgettingPoll(const PollOrder &order, PollResult result, Utils::Instant now)
         -> void;
     auto mayLoseEnds(const EndpointEntry &endpoint) const -> bool;
@@ -385,6 +389,8 @@
     auto findStarted(const StartOrder &order) -> Run *;
     auto extendLeaseOfNextIncarnation(const Control::EndpointIncarnation &former,
                                       Utils::Instant now) -> void;
+    auto leaseEndOfNext(const std::string &endpoint, Utils::Instant earliest) const
+        -> Utils::Instant;
     auto dropStart(const StartOrder &order) -> void;
     auto countUnanswered(const OrderTarget &target, StartResult result) -> void;
     auto unavailableTasks(const Jobs::TaskId &task, std::string_view withoutEndpoint) const
@@ -404,6 +410,9 @@
     //! When incarnations have ended, by id, for as long as orders for them may be late. None if it was
     //! since the last call of expireLeases().
     std::map<std::string, std::optional<Utils::Instant>> m_ended;
+    //! By the id of an endpoint, the end of the lease that its next incarnation may have taken from orders for the
+    //! former one.
+    std::map<std::string, Utils::Instant> m_nextLeases;
     std::map<std::string, OutlivingRuns>
         m_outliving; //!< By the id of an endpoint that is not known.
     //! Endpoints by pool; empty until it is computed again after a change of m_endpoints.
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -69,23 +69,33 @@
 
 // The next incarnation limits the lease in an order to the former one by its maximum alone, since its
 // clock starts anew. It has one lease for all that it runs, so each order that it may have carried out
-// lengthens the wait for all of them.
+// lengthens the wait for all of them. It may not be known yet.
 auto RunLedger::extendLeaseOfNextIncarnation(const Control::EndpointIncarnation &former,
                                              Utils::Instant now) -> void
 {
     const auto leaseEnd = now + longestLocalTime(m_timing.maximumLease);
+    m_nextLeases[former.id] = leaseEnd;
     if (const auto outliving = m_outliving.find(former.id); outliving != m_outliving.end())
         outliving->second.leaseEnd = std::max(outliving->second.leaseEnd, leaseEnd);
     const auto next = m_endpoints.find(former.id);
-    if (next == m_endpoints.end() || next->second.record.incarnation == former)
+    if (next == m_endpoints.end())
         return;
     auto &endpoint = next->second;
-    endpoint.leaseEnd = std::max(endpoint.leaseEnd, leaseEnd);
+    if (endpoint.record.incarnation != former)
+        endpoint.leaseEnd = std::max(endpoint.leaseEnd, leaseEnd);
     // What is recorded of its lease is not true any more, and is replaced.
     if (endpoint.leaseRecord == LeaseRecord::Ending)
         endpoint.leaseRecord = LeaseRecord::Outdated;
 }
 
+// Returns the time by which the lease is over that a next incarnation may have taken so far.
+auto RunLedger::leaseEndOfNext(const std::string &endpoint, Utils::Instant earliest) const
+    -> Utils::Instant
+{
+    const auto found = m_nextLeases.find(endpoint);
+    return found != m_nextLeases.end() ? std::max(earliest, found->second) : earliest;
+}
+
 // Removes the run of a start order that will not be carried out.
 auto RunLedger::dropStart(const StartOrder &order) -> void
 {
@@ -101,8 +111,6 @@
 // that copy out.
 auto RunLedger::noteLateStart(const StartOrder &order, Utils::Instant now) -> void
 {
-    if (order.target.fencingToken != m_term)
-        return;
     const auto &incarnation = order.target.incarnation;
     m_lateStarts[incarnation.id].push_back({order.task, order.run, incarnation.bornMs, now});
 }
@@ -110,13 +118,15 @@
 auto RunLedger::startAnswered(const StartOrder &order, const StartReply &reply, Utils::Instant now)
     -> void
 {
+    if (order.target.fencingToken != m_term)
+        return;
     if (reply.result == StartResult::Unknown || reply.repeated)
         noteLateStart(order, now);
+    if (mayHaveRenewed(reply.result))
+        extendLeaseOfNextIncarnation(order.target.incarnation, now);
     auto *run = findStarted(order);
     if (run == nullptr)
         return;
-    if (mayHaveRenewed(reply.result))
-        extendLeaseOfNextIncarnation(order.target.incarnation, now);
     if (run->state == RunState::Running)
         return;
     countUnanswered(order.target, reply.result);
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -76,6 +76,8 @@
     PollEffects effects;
     effects.record.incarnation = order.target.incarnation;
     settleForgettingPoll(order, reply.result, now);
+    if (order.target.fencingToken == m_term && mayHaveReachedNextIncarnation(order, reply))
+        extendLeaseOfNextIncarnation(order.target.incarnation, now);
     auto *known = findEndpoint(order.target.incarnation);
     if (known == nullptr)
         return effects;
@@ -85,10 +87,6 @@
     effects.incarnationOver =
         reply.result == PollResult::OtherIncarnation
         || (reply.bornMs != 0 && reply.bornMs != order.target.incarnation.bornMs);
-    // Another incarnation that replies has taken the new lease for itself, limited by its maximum alone.
-    if (effects.incarnationOver && order.leaseEndMs > 0)
-        endpoint.leaseEnd =
-            std::max(endpoint.leaseEnd, now + longestLocalTime(m_timing.maximumLease));
     endpoint.answers = reply.result == PollResult::Seen;
     if (effects.incarnationOver || !endpoint.answers)
         return effects;
@@ -100,6 +98,10 @@
     endpoint.clockAt = now;
     endpoint.loadUpdated = true;
     endpoint.leaseRenewed = endpoint.leaseRenewed || order.leaseEndMs > 0;
+    // Before it replied, it may have taken its lease from a late order for a former incarnation.
+    if (mayGetLateOrders(endpoint, now))
+        endpoint.leaseEnd =
+            std::max(endpoint.leaseEnd, now + longestLocalTime(m_timing.maximumLease));
     effects.renewable = !endpoint.mayRenewLease() && !endpoint.leaving;
     if (effects.renewable)
         endpoint.leaseRecord = LeaseRecord::Renewing;
@@ -118,6 +120,16 @@
     return effects;
 }
 
+// Returns true if the next incarnation under the endpoint's id may have taken its lease from the poll.
+auto RunLedger::mayHaveReachedNextIncarnation(const PollOrder &order, const PollReply &reply)
+    -> bool
+{
+    if (order.leaseEndMs == 0 || reply.result == PollResult::Refused)
+        return false;
+    const auto isOther = reply.bornMs != 0 && reply.bornMs != order.target.incarnation.bornMs;
+    return reply.result != PollResult::Seen || isOther;
+}
+
 // Any reply proves that the poll will not be carried out later. The polls of an incarnation are sent
 // one after the other, so the last one is meant.
 auto RunLedger::settleForgettingPoll(const PollOrder &order, PollResult result, Utils::Instant now)
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -108,6 +108,32 @@
         reopen(task);
 }
 
+// Returns the time by which all runs have ended that hold a lease, including those that a next incarnation
+// may have begun before it is known.
+auto RunLedger::endOfRuns(const EndpointEntry &endpoint) const -> Utils::Instant
+{
+    const auto mayRunOnNext = std::ranges::any_of(
+        endpoint.runs, [](const auto &item) { return item.second.mayRunOnUnknownIncarnation(); });
+    return mayRunOnNext ? leaseEndOfNext(endpoint.record.incarnation.id, endpoint.leaseEnd)
+                        : endpoint.leaseEnd;
+}
+
+// Releases the runs whose lease is over, except those that a next incarnation may have begun.
+auto RunLedger::releaseExpiredRuns(EndpointEntry &endpoint, Utils::Instant now) -> void
+{
+    std::vector<Run> held;
+    const auto isHeld = now <= endOfRuns(endpoint);
+    for (const auto &[task, run] : endpoint.runs) {
+        if (isHeld && run.mayRunOnUnknownIncarnation())
+            held.push_back(run);
+    }
+    for (const auto &run : held)
+        endpoint.runs.erase(run.task);
+    releaseRuns(endpoint, ReleaseReason::LeaseExpired);
+    for (const auto &run : held)
+        endpoint.runs.add(run);
+}
+
 auto RunLedger::releaseInherited(const FormerStarts &starts,
                                  const std::string &id,
                                  ReleaseReason reason) -> void
@@ -123,7 +149,7 @@
 auto RunLedger::keepOutlivingRuns(EndpointEntry &endpoint) -> void
 {
     OutlivingRuns kept;
-    kept.leaseEnd = endpoint.leaseEnd;
+    kept.leaseEnd = leaseEndOfNext(endpoint.record.incarnation.id, endpoint.leaseEnd);
     for (const auto &[task, run] : endpoint.runs) {
         const auto *late = findLateStart(endpoint.record.incarnation.id, task, run.number);
         if (!run.mayOutliveIncarnation() && late == nullptr)
@@ -227,6 +253,7 @@
         });
     }
     std::erase_if(m_forgettingPolls, [](const auto &item) { return item.second.empty(); });
+    std::erase_if(m_nextLeases, [now](const auto &item) { return item.second < now; });
     for (auto &[id, endedAt] : m_ended)
         endedAt = endedAt.value_or(now);
     std::erase_if(m_ended,
@@ -263,7 +290,7 @@
         if (!ends || isRecorded)
             continue;
         endpoint.leaseRecord = LeaseRecord::Ending;
-        const auto left = std::max(endpoint.leaseEnd - now, Utils::Milliseconds(0));
+        const auto left = std::max(endOfRuns(endpoint) - now, Utils::Milliseconds(0));
         endpoint.recordedLeaseMs = longestLocalTime(left).count();
         records.push_back({endpoint.record.incarnation, endpoint.recordedLeaseMs});
     }
@@ -295,7 +322,7 @@
         const auto isAsked = endpoint.tried || now - endpoint.addedAt >= firstReply;
         if (now <= endpoint.leaseEnd || !isAsked)
             continue;
-        releaseRuns(endpoint, ReleaseReason::LeaseExpired);
+        releaseExpiredRuns(endpoint, now);
         // The next leader does not know which endpoints have announced their shutdown. One that drains
         // and has come back answers before its lease is renewed.
         if (endpoint.leaving || (endpoint.draining && !endpoint.answers))
--- a/tests/auto/execution/modelfleet.cpp
+++ b/tests/auto/execution/modelfleet.cpp
@@ -22,6 +22,10 @@
 constexpr std::int64_t heaviestLoadPercent = 50;
 constexpr std::int64_t maximumAttempts = 4;
 constexpr double evenPercent = 50;
+// In plays with cuts after restarts: tasks that last beyond a cut, and changes of the leader.
+constexpr std::int64_t longRunningJobs = 3;
+constexpr std::size_t cutsForEachLeader = 4;
+constexpr std::int64_t longestCutUs = 9 * seconds;
 
 } // namespace
 
@@ -47,6 +51,7 @@
         m_watch.trace(*options.trace);
     m_calm.lateOrdersOutliveEndpoint = options.lateOrdersOutliveEndpoint;
     m_calm.repeatedStartsPercent = options.repeatedStartsPercent;
+    m_calm.retransmits = options.cutsAfterRestarts;
 }
 
 auto ModelFleet::configure() -> void
@@ -72,8 +77,10 @@
     const auto hosts = m_random.between(fewestHosts, mostHosts);
     m_hosts.start(std::size_t(hosts), drawTraits());
     startLeader();
-    const auto loadPercent = m_random.between(lightestLoadPercent, heaviestLoadPercent);
-    m_jobs.start(m_random.between(0, 1), lastFaultUs, busyGapUs * 100 / (hosts * loadPercent));
+    const auto heaviest = m_options.cutsAfterRestarts ? lightestLoadPercent : heaviestLoadPercent;
+    const auto loadPercent = m_random.between(lightestLoadPercent, heaviest);
+    const auto longRunning = m_options.cutsAfterRestarts ? longRunningJobs : m_random.between(0, 1);
+    m_jobs.start(longRunning, lastFaultUs, busyGapUs * 100 / (hosts * loadPercent));
     m_time.after(firstFaultUs, [this] { nextFault(); });
     m_time.runUntil(lastFaultUs);
     endFaults();
@@ -108,6 +115,14 @@
     m_calm.lostReplyPercent = double(m_random.between(0, 3));
     m_network.traits = m_calm;
     m_faultGapUs = m_random.between(100, 1200) * ms;
+    if (m_options.cutsAfterRestarts) {
+        m_faultGapUs = m_random.between(800, 2500) * ms;
+        m_calm.longDelayPercent = 0;
+        m_network.traits = m_calm;
+        m_kinds.assign(cutsForEachLeader, Fault::CutAfterRestart);
+        m_kinds.push_back(Fault::ChangeLeader);
+        return;
+    }
     const auto last = std::int64_t(Fault::LostReplies);
     for (std::int64_t kind = 0; kind <= last; ++kind) {
         if (m_random.chance(evenPercent))
@@ -166,6 +181,9 @@
     case Fault::LostReplies:
         disturbNetwork(0, double(m_random.between(10, 40)));
         break;
+    case Fault::CutAfterRestart:
+        cutAfterRestart(host);
+        break;
     }
 }
 
@@ -186,6 +204,19 @@
     m_hosts.crash(host, {m_random.between(20 * ms, 2 * seconds), true, true});
 }
 
+auto ModelFleet::cutAfterRestart(std::size_t host) -> void
+{
+    const auto downUs = m_random.between(100 * ms, 1500 * ms);
+    m_hosts.crash(host, {downUs, true, true});
+    m_time.after(downUs + m_random.between(100 * ms, 2 * seconds), [this, host] {
+        if (!m_hosts.isUp(host))
+            return;
+        const auto &endpoint = m_hosts.endpoint(host);
+        m_watch.noteEndpoint(endpoint.name(), "is cut off after its restart");
+        m_network.cut(endpoint.record().address, {true, true, m_time.nowUs() + longestCutUs});
+    });
+}
+
 auto ModelFleet::flap(std::size_t host, std::int64_t times) -> void
 {
     if (times == 0)
--- a/tests/auto/execution/modelfleet.h
+++ b/tests/auto/execution/modelfleet.h
@@ -30,6 +30,8 @@
     bool lateOrdersOutliveEndpoint = false; //!< See NetworkTraits.
     double repeatedStartsPercent = 0;       //!< See NetworkTraits.
     bool hidesStoppingRuns = false;         //!< See ModelTraits.
+    //! The only faults are endpoints that start again under their id and are cut off soon after.
+    bool cutsAfterRestarts = false;
     std::size_t endsInReply = ModelTraits().endsInReply;
     std::optional<Jobs::TaskId> trace; //!< Task whose events are kept.
 };
@@ -55,6 +57,7 @@
         ChangeLeader,
         LateOrders,
         LostReplies,
+        CutAfterRestart,
     };
 
     auto configure() -> void;
@@ -64,6 +67,7 @@
     auto strike(Fault fault) -> void;
     auto cut(std::size_t host, bool orders, bool replies) -> std::int64_t;
     auto restart(std::size_t host) -> void;
+    auto cutAfterRestart(std::size_t host) -> void;
     auto flap(std::size_t host, std::int64_t times) -> void;
     auto replace(std::size_t host) -> void;
     auto leave(std::size_t host) -> void;
--- a/tests/auto/execution/modelnetwork.cpp
+++ b/tests/auto/execution/modelnetwork.cpp
@@ -18,6 +18,7 @@
 // Share of the messages into a cut that arrive once it is over.
 constexpr double outlastCutPercent = 20;
 constexpr std::int64_t longestAfterCutUs = 400'000;
+constexpr std::int64_t retransmissionUs = 200'000;
 
 } // namespace
 
@@ -87,6 +88,8 @@
     if (!endpoint) {
         if (m_places[call->target.address].refuses)
             reply(call, call->refused);
+        else if (traits.retransmits && m_time.nowUs() < call->timedOutUs)
+            m_time.after(retransmissionUs, [this, call] { arrive(call); });
         return;
     }
     if (endpoint->record().incarnation.id != call->target.incarnation.id) {
--- a/tests/auto/execution/modelnetwork.h
+++ b/tests/auto/execution/modelnetwork.h
@@ -35,6 +35,8 @@
         second copy.
     */
     double repeatedStartsPercent = 0;
+    //! An order to an address at which nothing listens is sent again until the sender stops waiting.
+    bool retransmits = false;
 };
 
 /*! \brief What is cut off of one address. */
--- a/tests/auto/execution/tst_randomfleet.cpp
+++ b/tests/auto/execution/tst_randomfleet.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t shortList = 3;
 constexpr std::array<std::int64_t, 3> seedsOfPollsInFlight{52, 65, 329};
 constexpr std::array<std::int64_t, 2> seedsOfLateStarts{11035, 12765};
+constexpr std::array<std::int64_t, 2> seedsOfCutsAfterRestarts{368, 2098};
 // Played by a test that is listed in KNOWN-RED.txt.
 constexpr std::array<std::int64_t, 3> seedsOfStartsAndPollsInFlight{4334, 6191, 11163};
 
@@ -104,6 +105,19 @@
     }
 }
 
+// Guards against TWICE: the next incarnation takes its lease from an order for the former one, and runs its tasks for longer
+// than the leader counts.
+TEST(RandomFleet, EndpointsThatAreCutOffSoonAfterTheyStartAgainRunNoTaskTwice)
+{
+    PlayOptions options;
+    options.cutsAfterRestarts = true;
+    for (const auto seed : seedsOfCutsAfterRestarts) {
+        const auto result = ModelFleet(std::uint64_t(seed), options).play();
+        EXPECT_EQ(result.breach, "") << "seed " << seed;
+        EXPECT_EQ(result.unfinished, "") << "seed " << seed;
+    }
+}
+
 // The following tests add what the pages do not say. They are played by hand.
 TEST(RandomFleet, DISABLED_LateOrdersOutliveTheEndpoint)
 {
@@ -112,6 +126,13 @@
     playSeeds(options);
 }
 
+TEST(RandomFleet, DISABLED_EndpointsAreCutOffSoonAfterTheyStartAgain)
+{
+    PlayOptions options;
+    options.cutsAfterRestarts = true;
+    playSeeds(options);
+}
+
 TEST(RandomFleet, DISABLED_StartsAreRepeated)
 {
     PlayOptions options;
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -670,6 +670,178 @@
     EXPECT_EQ(fixture.ledger.expireLeases(fixture.now()).size(), 1U);
 }
 
+/*! \brief A task on an endpoint that has started again under its id, and is then cut off. */
+class CutOffAfterRestart : public testing::Test
+{
+protected:
+    // An endpoint ends its runs this long after it has taken the longest lease, by the slowest clock.
+    static constexpr Utils::Milliseconds longestRun{6122};
+    // A record of the longest lease allows for the slowest clock once more.
+    static constexpr Utils::Milliseconds longerThanRecorded{6500};
+
+    CutOffAfterRestart()
+    {
+        m_first = m_fixture.addEndpoint("a");
+        m_fixture.begin();
+        m_fixture.poll("a");
+        m_fixture.poll("a");
+        // Renews the lease, and is in flight when the endpoint crashes.
+        m_poll = *m_fixture.ledger.pollOrder("a", m_fixture.now());
+        EXPECT_NE(m_poll.leaseEndMs, 0);
+    }
+    auto announceNext() -> void
+    {
+        m_next = m_fixture.restart(m_first);
+        m_fixture.ledger.addEndpoint(m_next, m_fixture.now());
+    }
+    auto answerFormerPoll(Execution::PollResult result, std::int64_t bornMs) -> void
+    {
+        Execution::PollReply reply;
+        reply.result = result;
+        reply.bornMs = bornMs;
+        reply.clockMs = clockOfRestartedMs;
+        m_fixture.ledger.pollAnswered(m_poll, reply, m_fixture.now(), m_fixture.now());
+    }
+    // Begins the task on the next incarnation, which is not reached any more from now on.
+    auto beginTask() -> void
+    {
+        m_fixture.addJob("job", plainStep(1));
+        m_fixture.poll("a");
+        const auto orders = m_fixture.schedule();
+        ASSERT_EQ(orders.starts.size(), 1U);
+        EXPECT_TRUE(m_fixture.ledger.confirmStart(orders.starts.front()));
+        m_fixture.confirmAt(orders.starts.front(), clockOfRestartedMs);
+        m_fixture.poll("a", {{m_fixture.task("job"), orders.starts.front().run, "", 100, 0}});
+        m_fixture.failPoll("a");
+        m_fixture.addEndpoint("b");
+    }
+    // Lets the next incarnation confirm a start for the former one. It is not reached from then on. Returns when.
+    auto confirmBeforeItIsKnown() -> Utils::Instant
+    {
+        m_fixture.addJob("job", plainStep(1));
+        const auto orders = m_fixture.schedule();
+        EXPECT_EQ(orders.starts.size(), 1U);
+        EXPECT_TRUE(m_fixture.ledger.confirmStart(orders.starts.front()));
+        m_fixture.advance(Utils::Milliseconds(500));
+        m_fixture.confirmAt(orders.starts.front(), clockOfRestartedMs);
+        const auto confirmedAt = m_fixture.now();
+        m_fixture.failPoll("a");
+        m_fixture.addEndpoint("b");
+        return confirmedAt;
+    }
+    // Returns whether the task starts elsewhere at this time.
+    auto startsElsewhereAt(Utils::Instant time) -> bool
+    {
+        m_fixture.advance(time - m_fixture.now());
+        m_fixture.poll("b");
+        return !m_fixture.schedule().starts.empty();
+    }
+
+    LedgerFixture m_fixture;
+    Control::EndpointRecord m_first;
+    Control::EndpointRecord m_next;
+    Execution::PollOrder m_poll;
+};
+
+// Each of these guards against TWICE: the task started elsewhere while it ran on under a lease from a poll for the former
+// incarnation.
+TEST_F(CutOffAfterRestart, HoldsItsTaskForTheLeaseOfAPollThatItAnsweredWhenItWasKnown)
+{
+    announceNext();
+    beginTask();
+    m_fixture.advance(Utils::Milliseconds(1500));
+    const auto carriedOutAt = m_fixture.now();
+    answerFormerPoll(Execution::PollResult::Seen, m_first.incarnation.bornMs + 1);
+    EXPECT_FALSE(startsElsewhereAt(carriedOutAt + longestRun));
+    EXPECT_TRUE(startsElsewhereAt(carriedOutAt + longerThanAnyLease));
+}
+
+TEST_F(CutOffAfterRestart, HoldsItsTaskForTheLeaseOfAPollThatItAnsweredBeforeItWasKnown)
+{
+    answerFormerPoll(Execution::PollResult::Seen, m_first.incarnation.bornMs + 1);
+    const auto carriedOutAt = m_fixture.now();
+    m_fixture.ledger.endIncarnation(m_first.incarnation);
+    announceNext();
+    beginTask();
+    EXPECT_FALSE(startsElsewhereAt(carriedOutAt + longestRun));
+    EXPECT_TRUE(startsElsewhereAt(carriedOutAt + longerThanAnyLease));
+}
+
+TEST_F(CutOffAfterRestart, HoldsItsTaskForTheLeaseOfAPollWithoutAReply)
+{
+    announceNext();
+    beginTask();
+    m_fixture.advance(Utils::Milliseconds(1500));
+    const auto carriedOutAt = m_fixture.now();
+    answerFormerPoll(Execution::PollResult::Unknown, 0);
+    EXPECT_FALSE(startsElsewhereAt(carriedOutAt + longestRun));
+    EXPECT_TRUE(startsElsewhereAt(carriedOutAt + longerThanAnyLease));
+}
+
+TEST_F(CutOffAfterRestart, HoldsItsTaskForTheLeaseOfAPollWhoseWaitEndedBeforeItWasKnown)
+{
+    answerFormerPoll(Execution::PollResult::Unknown, 0);
+    const auto carriedOutAt = m_fixture.now();
+    announceNext();
+    beginTask();
+    EXPECT_FALSE(startsElsewhereAt(carriedOutAt + longestRun));
+}
+
+TEST_F(CutOffAfterRestart, HoldsItsTaskForTheLeaseOfAPollThatItCarriedOutLateBeforeItsLastReply)
+{
+    announceNext();
+    beginTask();
+    const auto lastReplyAt = m_fixture.now();
+    EXPECT_FALSE(startsElsewhereAt(lastReplyAt + longestRun));
+    EXPECT_TRUE(startsElsewhereAt(lastReplyAt + longerThanAnyLease));
+}
+
+// Guards against TWICE: a start for the former incarnation is answered by the next one, after its run was settled.
+TEST_F(CutOffAfterRestart, HoldsItsTaskForTheLeaseOfAStartWhoseRunIsGone)
+{
+    announceNext();
+    beginTask();
+    m_fixture.advance(Utils::Milliseconds(1500));
+    const auto carriedOutAt = m_fixture.now();
+    Execution::StartOrder start;
+    start.target = m_poll.target;
+    start.task = m_fixture.task("gone");
+    m_fixture.refuse(start);
+    EXPECT_FALSE(startsElsewhereAt(carriedOutAt + longestRun));
+    EXPECT_TRUE(startsElsewhereAt(carriedOutAt + longerThanAnyLease));
+}
+
+// Guards against TWICE: the leader takes the confirmation for one of the former incarnation.
+TEST_F(CutOffAfterRestart, HoldsATaskThatItConfirmedBeforeItWasKnown)
+{
+    const auto confirmedAt = confirmBeforeItIsKnown();
+    EXPECT_FALSE(startsElsewhereAt(confirmedAt + longestRun));
+    EXPECT_TRUE(startsElsewhereAt(confirmedAt + longerThanAnyLease));
+}
+
+// Guards against TWICE: the recorded end of the lease was that of the former incarnation.
+TEST_F(CutOffAfterRestart, TaskThatItConfirmedBeforeItWasKnownIsHeldByTheNextLeader)
+{
+    const auto confirmedAt = confirmBeforeItIsKnown();
+    m_fixture.recordStart("a", m_fixture.task("job"));
+    EXPECT_TRUE(m_fixture.schedule().starts.empty());
+    m_fixture.advance(Utils::Milliseconds(100));
+    m_fixture.begin();
+    EXPECT_FALSE(startsElsewhereAt(confirmedAt + longestRun));
+    EXPECT_TRUE(startsElsewhereAt(confirmedAt + longerThanRecorded));
+}
+
+// A poll that renews nothing, or that no process received, gives no lease.
+TEST_F(CutOffAfterRestart, HoldsItsTaskNoLongerForAPollThatWasRefused)
+{
+    announceNext();
+    beginTask();
+    const auto lastReplyAt = m_fixture.now();
+    m_fixture.advance(Utils::Milliseconds(1500));
+    answerFormerPoll(Execution::PollResult::Refused, 0);
+    EXPECT_TRUE(startsElsewhereAt(lastReplyAt + longerThanAnyLease));
+}
+
 // Guards against LOST: the ends of an endpoint that had been removed and announced itself again were recorded again.
 TEST(RestartedEndpoint, EndsThatWereRecordedBeforeItsRemovalAreNotRecordedAgain)
 {
