Let the test of cut-off observers wait for what it asks about

Cause, likely: the test submits through o2, and then cuts o1 off from the only voter. Nothing made it wait until o1 had the second entry, and o2 can get after its restart only what o1 has. That this happened in the failed run is not shown.

Change: the test waits until o1 has both entries before it cuts it off. It asks for the same as before.

--- a/tests/auto/replication/tst_replicafaults.cpp
+++ b/tests/auto/replication/tst_replicafaults.cpp
@@ -241,13 +241,18 @@
     cluster.waitForLeader();
     cluster.submit("o1", "first");
     cluster.submit("o2", "second");
+    const auto hasBoth = [&cluster](const std::string &id) {
+        return eventually([&] {
+            return cluster.machine(id).payloads() == std::vector<std::string>{"first", "second"};
+        });
+    };
+    // What the first observer lacks when it is cut off, the other one cannot get from it.
+    ASSERT_TRUE(hasBoth("o1"));
     cluster.stopNode("o2");
     cluster.links.cutBoth("o1", "v1");
     cluster.links.cutBoth("o2", "v1");
     ASSERT_TRUE(cluster.startNode("o2"));
-    EXPECT_TRUE(eventually([&] {
-        return cluster.machine("o2").payloads() == std::vector<std::string>{"first", "second"};
-    }));
+    EXPECT_TRUE(hasBoth("o2"));
     EXPECT_TRUE(eventually([&] { return cluster.log("o2").status().ready; }));
     const auto refused = cluster.log("o2").submit("refused", submitTimeout);
     ASSERT_FALSE(refused);
