Close connections between processes that have been idle for 10 s

Change: the listener closes a connection without a request for 10 s. A client replaces one that has been idle for 4 s.

Why it works: places come back 10 s after the last request, whatever the other end does; and no call meets a connection that its server is about to close.

Ruled out: TCP keep-alive, which something on the way may answer, as the relays of the case do.

--- a/src/libs/wire/peerclient.h
+++ b/src/libs/wire/peerclient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "idletimes.h"
 #include "socketfactory.h"
 
 #include "utils/clock.h"
@@ -10,8 +11,10 @@
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TSocket.h>
 
+#include <chrono>
 #include <memory>
 #include <string>
+#include <utility>
 
 namespace Wire {
 
@@ -26,16 +29,20 @@
     \brief A connection to one service of a peer, opened on demand. Not thread-safe.
 
     A failed call closes the connection, so that a late reply is not mistaken for the reply to a
-    later call.
+    later call. A connection that has been idle for \c longestIdle is replaced.
 */
 template <typename Client>
 class PeerClient
 {
 public:
-    PeerClient(SocketFactory &sockets, PeerTarget target, std::string service)
+    PeerClient(SocketFactory &sockets,
+               PeerTarget target,
+               std::string service,
+               Utils::Milliseconds longestIdle = longestIdleTimeOfClients)
         : m_sockets(sockets)
         , m_target(std::move(target))
         , m_service(std::move(service))
+        , m_longestIdle(longestIdle)
     {}
 
     auto target() const -> const PeerTarget & { return m_target; }
@@ -49,6 +56,10 @@
     template <typename Reply, typename Function>
     auto call(Utils::Milliseconds timeout, Function &&function) -> Utils::Result<Reply>
     {
+        const auto now = std::chrono::steady_clock::now();
+        const auto idleFor = now - std::exchange(m_usedAt, now);
+        if (m_client && idleFor > m_longestIdle)
+            close();
         if (!m_client) {
             BOOST_OUTCOME_TRY(connect(timeout));
         }
@@ -110,6 +121,8 @@
     SocketFactory &m_sockets;
     PeerTarget m_target;
     std::string m_service;
+    Utils::Milliseconds m_longestIdle;
+    std::chrono::steady_clock::time_point m_usedAt; //!< Time of the last call.
     std::shared_ptr<apache::thrift::transport::TSocket> m_socket;
     std::unique_ptr<Client> m_client;
     int m_timeoutMs = 0; //!< Timeout that is set on the socket; 0 if none is set.
--- a/src/libs/wire/peerserver.cpp
+++ b/src/libs/wire/peerserver.cpp
@@ -101,6 +101,8 @@
 {
     BOOST_OUTCOME_TRY(address, Utils::parseAddress(m_d->options.address));
     m_d->listener = std::make_shared<ListeningSocket>(address.host, address.port);
+    m_d->listener->setRecvTimeout(int(m_d->options.idleTimeout.count()));
+    m_d->listener->setSendTimeout(int(m_d->options.idleTimeout.count()));
     try {
         m_d->server =
             std::make_unique<ArenaServer>(m_d->processor, m_d->listener, m_d->options.connections);
--- a/src/libs/wire/peerserver.h
+++ b/src/libs/wire/peerserver.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "idletimes.h"
+
+#include "utils/clock.h"
 #include "utils/error.h"
 
 #include <cstdint>
@@ -18,6 +21,8 @@
 {
     std::string address; //!< HOST:PORT; port 0 selects a free port.
     int connections = 64;
+    //! A connection without a request for this time is closed. One that is silent for good would keep its place.
+    Utils::Milliseconds idleTimeout = longestIdleTimeOfServers;
 };
 
 /*!
