--- a/tests/process/soak/standinendpoint.cpp
+++ b/tests/process/soak/standinendpoint.cpp
@@ -242,6 +242,8 @@
             {"service", "work"},
             {"address", "127.0.0.1:" + std::to_string(m_listener.port())},
             {"zone", "z1"},
+            {"version", "v1"},
+            {"slots", 8},
             {"state", "ready"},
             {"born", m_bornMs},
             {"capacity", {{"cpu", cpu}, {"mem_mb", 64'000}, {"gpu", 0}}},
