Note the number of an announcement only if it names an endpoint in use

Cause: the number of an announcement was noted before its service was looked up. One of another writer, with an unknown service and a high number, made the endpoint's own announcements look late; they were acknowledged and dropped.

Change: the service is looked up first.

--- a/src/libs/service/controloperations.cpp
+++ b/src/libs/service/controloperations.cpp
@@ -82,10 +82,9 @@
     if (!leads())
         co_return Outcome::NotLeader;
     auto &record = announcement.record;
-    auto &sequence = m_sequences[record.incarnation];
-    if (announcement.sequence <= sequence)
+    const auto last = m_sequences.find(record.incarnation);
+    if (announcement.sequence <= (last != m_sequences.end() ? last->second : 0))
         co_return Outcome::Done;
-    sequence = announcement.sequence;
     enum class RecordState { Known, New, Stale };
     const auto recordState = m_parts.state.read([&](const Control::State &state) {
         if (state.configuration.findPool(record.pool) == nullptr)
@@ -102,7 +101,11 @@
                           && (known.draining || !record.draining);
         return same ? RecordState::Known : RecordState::New;
     });
-    if (recordState != RecordState::New)
+    // One that names no endpoint in use must not hide the endpoint's own announcements.
+    if (recordState == RecordState::Stale)
+        co_return Outcome::Done;
+    m_sequences[record.incarnation] = announcement.sequence;
+    if (recordState == RecordState::Known)
         co_return Outcome::Done;
     const auto newest = co_await removeReplacedIncarnations(record);
     if (!newest)
--- a/tests/auto/service/tst_controlservice.cpp
+++ b/tests/auto/service/tst_controlservice.cpp
@@ -242,6 +242,12 @@
     {
         AsyncNet::start(m_loop, "announcement", announceOne({record, sequence}));
     }
+    auto isKnownToDrain(const std::string &endpoint) const -> bool
+    {
+        return m_state.read([&](const Control::State &state) {
+            return state.endpoints.at(endpoint).record.draining;
+        });
+    }
     auto runUntil(const std::function<bool()> &condition) -> bool
     {
         const auto deadline = m_clock.now() + longestTest;
@@ -406,6 +412,19 @@
     EXPECT_EQ(m_endpoints.starts.front().target.incarnation.bornMs, nextBornMs);
 }
 
+// Guards against DRAIN: a message of another writer, with a high number, hid that the endpoint drains.
+TEST_F(ControlServiceTest, AnnouncementForAnUnknownPoolDoesNotHideLaterOnes)
+{
+    ASSERT_TRUE(runUntil([this] { return service().leads(); }));
+    auto foreign = record(firstBornMs);
+    foreign.pool = "elsewhere";
+    announce(foreign, 1000);
+    auto draining = record(firstBornMs);
+    draining.draining = true;
+    announce(draining, 2);
+    EXPECT_TRUE(runUntil([this] { return isKnownToDrain("a"); }));
+}
+
 // A former leader's commands are forwarded, and may be committed after the next one has begun.
 TEST_F(ControlServiceTest, EndpointThatAFormerLeaderRecordedLateGetsTasks)
 {
