--- a/tests/auto/execution/tst_randomfleet.cpp
+++ b/tests/auto/execution/tst_randomfleet.cpp
@@ -18,7 +18,7 @@
 constexpr std::array<std::int64_t, 2> seedsOfLateStarts{11035, 12765};
 constexpr std::array<std::int64_t, 2> seedsOfCutsAfterRestarts{368, 2098};
 // Played by a test that is listed in KNOWN-RED.txt.
-constexpr std::array<std::int64_t, 3> seedsOfStartsAndPollsInFlight{4334, 6191, 11163};
+constexpr std::array<std::int64_t, 4> seedsOfStartsAndPollsInFlight{4334, 6191, 11163, 31776};
 
 auto numberFrom(const char *variable, std::int64_t otherwise) -> std::int64_t
 {
