Look up the known incarnation of an endpoint in one place

The removed endpoints and the model of the tests repeated the lookup that the control state had for itself. A removed endpoint is described before its record goes, without a copy of the record.

--- a/src/libs/control/controlstate.cpp
+++ b/src/libs/control/controlstate.cpp
@@ -162,15 +162,6 @@
         state.startedTasks.erase(job);
 }
 
-// Returns the endpoint if its known incarnation is this one, or nullptr.
-auto findEndpoint(State &state, const EndpointIncarnation &incarnation) -> KnownEndpoint *
-{
-    const auto found = state.endpoints.find(incarnation.id);
-    const auto isKnown =
-        found != state.endpoints.end() && found->second.record.incarnation == incarnation;
-    return isKnown ? &found->second : nullptr;
-}
-
 auto apply(State &state, const RecordEnds &record, std::int64_t nowMs) -> void
 {
     auto *endpoint = findEndpoint(state, record.incarnation);
@@ -230,21 +221,20 @@
     const auto *endpoint = findEndpoint(state, incarnation);
     if (endpoint == nullptr)
         return;
-    const auto known = *endpoint;
+    RemovedEndpoint removed;
+    if (endpoint->endingLease)
+        removed.leaseEndsBy = endpoint->endingLease->endsBy;
+    removed.bornMs = incarnation.bornMs;
+    removed.recordedEnds = endpoint->recordedEnds;
+    removed.draining = endpoint->record.draining;
     state.endpoints.erase(incarnation.id);
     if (!state.appliedAt)
         return;
+    removed.removedAt = *state.appliedAt;
     const auto oldest = *state.appliedAt - removalRetention;
     std::erase_if(state.removedEndpoints,
                   [&](const auto &item) { return item.second.removedAt < oldest; });
-    auto &removed = state.removedEndpoints[incarnation.id];
-    removed = {};
-    removed.removedAt = *state.appliedAt;
-    if (known.endingLease)
-        removed.leaseEndsBy = known.endingLease->endsBy;
-    removed.bornMs = incarnation.bornMs;
-    removed.recordedEnds = known.recordedEnds;
-    removed.draining = known.record.draining;
+    state.removedEndpoints[incarnation.id] = removed;
 }
 
 // Appends what a restored process has to know of leases: the term in which they were recorded, and how
--- a/src/libs/control/controlstate.h
+++ b/src/libs/control/controlstate.h
@@ -95,6 +95,16 @@
     auto apply(const Command &command, std::int64_t nowMs) -> void;
 };
 
+/*! \brief Returns the endpoint if its known incarnation is this one, or nullptr. */
+template <typename AnyState>
+auto findEndpoint(AnyState &state, const EndpointIncarnation &incarnation)
+{
+    const auto found = state.endpoints.find(incarnation.id);
+    const auto isKnown =
+        found != state.endpoints.end() && found->second.record.incarnation == incarnation;
+    return isKnown ? &found->second : nullptr;
+}
+
 /*!
     \brief Returns commands that record the successful ends in \a record that \a state has ignored.
 
--- a/src/libs/control/removedendpoints.cpp
+++ b/src/libs/control/removedendpoints.cpp
@@ -17,11 +17,10 @@
 {
     std::vector<Command> commands(1);
     const auto incarnation = record.incarnation;
-    const auto known = state.endpoints.find(incarnation.id);
     const auto removed = state.removedEndpoints.find(incarnation.id);
-    const auto returns =
-        removed != state.removedEndpoints.end() && removed->second.bornMs == incarnation.bornMs
-        && (known == state.endpoints.end() || known->second.record.incarnation != incarnation);
+    const auto returns = removed != state.removedEndpoints.end()
+                         && removed->second.bornMs == incarnation.bornMs
+                         && findEndpoint(state, incarnation) == nullptr;
     record.draining = record.draining || (returns && removed->second.draining);
     commands.front().addEndpoint = std::move(record);
     if (!returns || removed->second.recordedEnds == 0)
--- a/tests/auto/execution/modelmembership.cpp
+++ b/tests/auto/execution/modelmembership.cpp
@@ -88,20 +88,19 @@
 // The incarnation may have been removed or replaced since the commit.
 auto ModelMembership::takeOver(const Control::EndpointIncarnation &incarnation) -> void
 {
-    const auto found = m_log.state().endpoints.find(incarnation.id);
-    if (found != m_log.state().endpoints.end() && found->second.record.incarnation == incarnation)
-        m_leader->addEndpoint(found->second);
+    if (const auto *known = Control::findEndpoint(m_log.state(), incarnation))
+        m_leader->addEndpoint(*known);
 }
 
 auto ModelMembership::leave(const Control::EndpointIncarnation &incarnation) -> void
 {
     if (!leads())
         return;
-    const auto found = m_log.state().endpoints.find(incarnation.id);
-    if (found == m_log.state().endpoints.end() || found->second.record.incarnation != incarnation)
+    const auto *known = Control::findEndpoint(m_log.state(), incarnation);
+    if (known == nullptr)
         return;
     Control::Command command;
-    command.addEndpoint = found->second.record;
+    command.addEndpoint = known->record;
     command.addEndpoint->draining = true;
     m_log.commit({command}, [this, incarnation](bool) {
         if (leads())
