Take runs out of a table, lengthen leases and tell other incarnations in one place each

RunTable::takeIf() replaces two loops that collected runs and two that erased them. EndpointEntry::extendLease() replaces seven copies of the same maximum. Whether another incarnation has replied to a poll was asked twice; one function asks it, and a private declaration of the ledger is gone.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -6,6 +6,7 @@
 #include "jobs/jobtypes.h"
 #include "utils/clock.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -133,6 +134,19 @@
     /*! \brief Adds \a run, which replaces an earlier run of the same task. */
     auto add(const Run &run) -> Run &;
     auto erase(const Jobs::TaskId &task) -> void;
+    /*! \brief Removes and returns the runs for which \a isChosen returns true. */
+    template <typename Predicate>
+    auto takeIf(const Predicate &isChosen) -> std::vector<Run>
+    {
+        std::vector<Run> taken;
+        for (const auto &[task, run] : m_runs) {
+            if (isChosen(run))
+                taken.push_back(run);
+        }
+        for (const auto &run : taken)
+            erase(run.task);
+        return taken;
+    }
     /*! \brief Removes and returns all runs. */
     auto take() -> Runs;
 
@@ -205,6 +219,8 @@
     bool loadUpdated = false; //!< Loads were reported since backfillPercent was last decided.
     RunTable runs;
 
+    /*! \brief Notes that runs may hold their lease until \a until. */
+    auto extendLease(Utils::Instant until) -> void { leaseEnd = std::max(leaseEnd, until); }
     auto mayRenewLease() const -> bool { return leaseRecord == LeaseRecord::Renewed; }
     /*! \brief Returns the number of runs, including those an earlier leader may have started. */
     auto possibleRuns() const -> std::size_t { return runs.size() + inherited.size(); }
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -295,8 +295,6 @@
     auto takeFound(const Control::State &state) -> std::vector<StartOrder>;
     auto tasksOfLateStarts() const -> std::set<Jobs::TaskId>;
     auto forgetLateOrders(Utils::Instant now) -> void;
-    static auto mayHaveReachedNextIncarnation(const PollOrder &order, const PollReply &reply)
-        -> bool;
     auto settleForgettingPoll(const PollOrder &order, PollResult result, Utils::Instant now)
         -> void;
     auto mayLoseEnds(const EndpointEntry &endpoint) const -> bool;
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -82,7 +82,7 @@
         return;
     auto &endpoint = next->second;
     if (endpoint.record.incarnation != former)
-        endpoint.leaseEnd = std::max(endpoint.leaseEnd, leaseEnd);
+        endpoint.extendLease(leaseEnd);
     // What is recorded of its lease is not true any more, and is replaced.
     if (endpoint.leaseRecord == LeaseRecord::Ending)
         endpoint.leaseRecord = LeaseRecord::Outdated;
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -12,6 +12,20 @@
 // A list may leave a run with an accepted stop unsettled, and polls are not to follow each other without a pause.
 constexpr Utils::Milliseconds shortestPollWait{20};
 
+auto isOfOtherIncarnation(const PollOrder &order, const PollReply &reply) -> bool
+{
+    return reply.result == PollResult::OtherIncarnation
+           || (reply.bornMs != 0 && reply.bornMs != order.target.incarnation.bornMs);
+}
+
+// Returns true if the next incarnation under the endpoint's id may have taken its lease from the poll.
+auto mayHaveReachedNextIncarnation(const PollOrder &order, const PollReply &reply) -> bool
+{
+    if (order.leaseEndMs == 0 || reply.result == PollResult::Refused)
+        return false;
+    return reply.result != PollResult::Seen || isOfOtherIncarnation(order, reply);
+}
+
 } // namespace
 
 auto RunLedger::pollOrder(const std::string &id, Utils::Instant now) -> std::optional<PollOrder>
@@ -35,7 +49,7 @@
     if (!endpoint.polled || !endpoint.answers || endpoint.leaving || !endpoint.mayRenewLease())
         return order;
     order.leaseEndMs = endpoint.clockAtLeast(now) + m_timing.lease.count();
-    endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestLocalTime(m_timing.lease));
+    endpoint.extendLease(now + longestLocalTime(m_timing.lease));
     // While such a poll is in flight, an endpoint that starts again gets no short tasks.
     if (order.recordedEnds > 0)
         return order;
@@ -84,9 +98,7 @@
     auto &endpoint = *known;
     endpoint.tried = true;
     effects.fenced = reply.result == PollResult::Fenced;
-    effects.incarnationOver =
-        reply.result == PollResult::OtherIncarnation
-        || (reply.bornMs != 0 && reply.bornMs != order.target.incarnation.bornMs);
+    effects.incarnationOver = isOfOtherIncarnation(order, reply);
     endpoint.answers = reply.result == PollResult::Seen;
     if (effects.incarnationOver || !endpoint.answers)
         return effects;
@@ -100,8 +112,7 @@
     endpoint.leaseRenewed = endpoint.leaseRenewed || order.leaseEndMs > 0;
     // Before it replied, it may have taken its lease from a late order for a former incarnation.
     if (mayGetLateOrders(endpoint, now))
-        endpoint.leaseEnd =
-            std::max(endpoint.leaseEnd, now + longestLocalTime(m_timing.maximumLease));
+        endpoint.extendLease(now + longestLocalTime(m_timing.maximumLease));
     effects.renewable = !endpoint.mayRenewLease() && !endpoint.leaving;
     if (effects.renewable)
         endpoint.leaseRecord = LeaseRecord::Renewing;
@@ -120,16 +131,6 @@
     return effects;
 }
 
-// Returns true if the next incarnation under the endpoint's id may have taken its lease from the poll.
-auto RunLedger::mayHaveReachedNextIncarnation(const PollOrder &order, const PollReply &reply)
-    -> bool
-{
-    if (order.leaseEndMs == 0 || reply.result == PollResult::Refused)
-        return false;
-    const auto isOther = reply.bornMs != 0 && reply.bornMs != order.target.incarnation.bornMs;
-    return reply.result != PollResult::Seen || isOther;
-}
-
 // Any reply proves that the poll will not be carried out later. The polls of an incarnation are sent
 // one after the other, so the last one is meant.
 auto RunLedger::settleForgettingPoll(const PollOrder &order, PollResult result, Utils::Instant now)
@@ -252,10 +253,8 @@
     run.earlierListed = true;
     run.requestStop(StopReason::SecondRun);
     m_stopsDue = true;
-    endpoint.leaseEnd =
-        std::max(endpoint.leaseEnd,
-                 endpoint.lastReplyAt
-                     + longestLocalTime(longestFormerLease(endpoint, endpoint.lastReplyAt)));
+    endpoint.extendLease(endpoint.lastReplyAt
+                         + longestLocalTime(longestFormerLease(endpoint, endpoint.lastReplyAt)));
 }
 
 // Removes a run that is gone. If the last list holds an earlier run of its task, that one is the run of the
@@ -285,8 +284,7 @@
     if (findLateStart(endpoint.record.incarnation.id, row.task, row.run) != nullptr)
         adopted.stopSentAt = now;
     endpoint.inherited.erase(row.task);
-    endpoint.leaseEnd =
-        std::max(endpoint.leaseEnd, now + longestLocalTime(longestFormerLease(endpoint, now)));
+    endpoint.extendLease(now + longestLocalTime(longestFormerLease(endpoint, now)));
     if (job == nullptr)
         adopted.requestStop(StopReason::NotWanted);
     else if (isBooked(row.task))
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -121,14 +121,9 @@
 // Releases the runs whose lease is over, except those that a next incarnation may have begun.
 auto RunLedger::releaseExpiredRuns(EndpointEntry &endpoint, Utils::Instant now) -> void
 {
-    std::vector<Run> held;
     const auto isHeld = now <= endOfRuns(endpoint);
-    for (const auto &[task, run] : endpoint.runs) {
-        if (isHeld && run.mayRunOnUnknownIncarnation())
-            held.push_back(run);
-    }
-    for (const auto &run : held)
-        endpoint.runs.erase(run.task);
+    const auto held = endpoint.runs.takeIf(
+        [isHeld](const Run &run) { return isHeld && run.mayRunOnUnknownIncarnation(); });
     releaseRuns(endpoint, ReleaseReason::LeaseExpired);
     for (const auto &run : held)
         endpoint.runs.add(run);
@@ -148,24 +143,22 @@
 // Releases the runs of an incarnation that has ended, except those that the next one may carry out.
 auto RunLedger::keepOutlivingRuns(EndpointEntry &endpoint) -> void
 {
+    const auto &id = endpoint.record.incarnation.id;
     OutlivingRuns kept;
-    kept.leaseEnd = leaseEndOfNext(endpoint.record.incarnation.id, endpoint.leaseEnd);
-    for (const auto &[task, run] : endpoint.runs) {
-        const auto *late = findLateStart(endpoint.record.incarnation.id, task, run.number);
-        if (!run.mayOutliveIncarnation() && late == nullptr)
-            continue;
-        kept.runs.push_back(run);
-        kept.runs.back().earlierRun = 0;
-        // Of a start that this incarnation has carried out, another copy may be on its way.
-        if (late != nullptr)
-            kept.runs.back().awaitLateCopy(late->unansweredAt);
+    kept.leaseEnd = leaseEndOfNext(id, endpoint.leaseEnd);
+    kept.runs = endpoint.runs.takeIf([&](const Run &run) {
+        return run.mayOutliveIncarnation() || findLateStart(id, run.task, run.number) != nullptr;
+    });
+    for (auto &run : kept.runs) {
         // The next incarnation may have carried the order out just before the reply, or the end of the wait for it.
         const auto carriedOutBy = std::max(run.confirmedAt, run.unansweredAt);
         kept.leaseEnd =
             std::max(kept.leaseEnd, carriedOutBy + longestLocalTime(m_timing.maximumLease));
+        run.earlierRun = 0;
+        // Of a start that this incarnation has carried out, another copy may be on its way.
+        if (const auto *late = findLateStart(id, run.task, run.number))
+            run.awaitLateCopy(late->unansweredAt);
     }
-    for (const auto &run : kept.runs)
-        endpoint.runs.erase(run.task);
     for (const auto &[task, kind] : endpoint.inherited) {
         if (kind != FormerStart::Settled)
             kept.inherited[task] = kind;
@@ -173,7 +166,7 @@
     std::erase_if(endpoint.inherited,
                   [&kept](const auto &item) { return kept.inherited.contains(item.first); });
     if (!kept.empty())
-        m_outliving[endpoint.record.incarnation.id] = std::move(kept);
+        m_outliving[id] = std::move(kept);
     releaseRuns(endpoint, ReleaseReason::IncarnationOver);
 }
 
@@ -183,7 +176,7 @@
     const auto found = m_outliving.find(endpoint.record.incarnation.id);
     if (found == m_outliving.end())
         return;
-    endpoint.leaseEnd = std::max(endpoint.leaseEnd, found->second.leaseEnd);
+    endpoint.extendLease(found->second.leaseEnd);
     endpoint.inherited = std::move(found->second.inherited);
     for (auto &run : found->second.runs) {
         // The times in the order are those of the former incarnation's clock.
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -298,7 +298,7 @@
     run.orderedAt = now;
     const auto lease = startLeaseOf(spec, endpoint);
     run.leaseEndMs = endpoint.clockAtLeast(now) + lease.count();
-    endpoint.leaseEnd = std::max(endpoint.leaseEnd, now + longestLocalTime(lease));
+    endpoint.extendLease(now + longestLocalTime(lease));
     if (spec.fills && endpoint.servesUsers())
         endpoint.backfillPercent = std::min(endpoint.backfillPercent, initialBackfillPercent);
     const auto checkpoint = m_checkpoints.find(task);
