Let tests share what they repeated: seeds that must hold, a sent start, a stop that settles, cuts and sockets

Four loops over seeds are one function, two plays of a cut another one. The ledger's fixture sends the only start, which four places did step by step. Two tests of starts in flight share their last steps, with the stricter of the two sets of assertions. The sockets of tst_idleconnections come from the project's own factory.

--- a/tests/auto/execution/ledgerfixture.cpp
+++ b/tests/auto/execution/ledgerfixture.cpp
@@ -2,6 +2,8 @@
 
 #include "control/removedendpoints.h"
 
+#include <gtest/gtest.h>
+
 namespace ExecutionTest {
 namespace {
 
@@ -156,6 +158,15 @@
     return ledger.schedule(state, m_now, m_wallMs);
 }
 
+auto LedgerFixture::sendOnlyStart() -> Execution::StartOrder
+{
+    const auto starts = schedule().starts;
+    EXPECT_EQ(starts.size(), 1U);
+    auto order = starts.at(0);
+    EXPECT_TRUE(ledger.confirmStart(order));
+    return order;
+}
+
 auto LedgerFixture::use() const -> Execution::PoolUse
 {
     return ledger.useOf(defaultPool, m_now);
--- a/tests/auto/execution/ledgerfixture.h
+++ b/tests/auto/execution/ledgerfixture.h
@@ -47,6 +47,8 @@
     auto failPoll(const std::string &id) -> void;
     auto pollAll() -> void;
     auto schedule() -> Execution::Orders;
+    /*! \brief Schedules the only task that can start, and sends its order. */
+    auto sendOnlyStart() -> Execution::StartOrder;
     /*! \brief Returns how much of the capacity of the pool is in use. */
     auto use() const -> Execution::PoolUse;
     auto confirm(const Execution::StartOrder &order) -> void;
--- a/tests/auto/execution/modelfleet.cpp
+++ b/tests/auto/execution/modelfleet.cpp
@@ -191,12 +191,17 @@
 auto ModelFleet::cut(std::size_t host, bool orders, bool replies) -> std::int64_t
 {
     const auto lengthUs = m_random.between(100 * ms, 8 * seconds);
+    cutFor(host, orders, replies, lengthUs);
+    return lengthUs;
+}
+
+auto ModelFleet::cutFor(std::size_t host, bool orders, bool replies, std::int64_t lengthUs) -> void
+{
     const auto &endpoint = m_hosts.endpoint(host);
     m_watch.noteEndpoint(endpoint.name(),
                          std::string("is cut off for ") + std::to_string(lengthUs / ms) + " ms"
                              + (orders ? ", orders" : "") + (replies ? ", replies" : ""));
     m_network.cut(endpoint.record().address, {orders, replies, m_time.nowUs() + lengthUs});
-    return lengthUs;
 }
 
 auto ModelFleet::restart(std::size_t host) -> void
@@ -209,11 +214,8 @@
     const auto downUs = m_random.between(100 * ms, 1500 * ms);
     m_hosts.crash(host, {downUs, true, true});
     m_time.after(downUs + m_random.between(100 * ms, 2 * seconds), [this, host] {
-        if (!m_hosts.isUp(host))
-            return;
-        const auto &endpoint = m_hosts.endpoint(host);
-        m_watch.noteEndpoint(endpoint.name(), "is cut off after its restart");
-        m_network.cut(endpoint.record().address, {true, true, m_time.nowUs() + longestCutUs});
+        if (m_hosts.isUp(host))
+            cutFor(host, true, true, longestCutUs);
     });
 }
 
--- a/tests/auto/execution/modelfleet.h
+++ b/tests/auto/execution/modelfleet.h
@@ -66,6 +66,7 @@
     auto nextFault() -> void;
     auto strike(Fault fault) -> void;
     auto cut(std::size_t host, bool orders, bool replies) -> std::int64_t;
+    auto cutFor(std::size_t host, bool orders, bool replies, std::int64_t lengthUs) -> void;
     auto restart(std::size_t host) -> void;
     auto cutAfterRestart(std::size_t host) -> void;
     auto flap(std::size_t host, std::int64_t times) -> void;
--- a/tests/auto/execution/tst_leaderchanges.cpp
+++ b/tests/auto/execution/tst_leaderchanges.cpp
@@ -476,11 +476,8 @@
     fixture.addJob("job", plainStep(1));
     fixture.begin();
     fixture.poll("a");
-    const auto starts = fixture.schedule().starts;
-    ASSERT_EQ(starts.size(), 1U);
-    const auto &order = starts.front();
+    const auto order = fixture.sendOnlyStart();
     fixture.recordStart("a", order.task);
-    EXPECT_TRUE(fixture.ledger.confirmStart(order));
     fixture.confirm(order);
     const auto effects = fixture.poll("a", {}, {{1, order.task, order.run, EndKind::Done, ""}});
     // The announcement of the next incarnation is committed before the end.
--- a/tests/auto/execution/tst_randomfleet.cpp
+++ b/tests/auto/execution/tst_randomfleet.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdlib>
 #include <iostream>
+#include <span>
 
 using namespace ExecutionTest;
 
@@ -55,6 +56,16 @@
               << " jobs, " << starts << " runs\n";
 }
 
+// Plays the seeds, none of which may break a rule.
+auto expectSound(std::span<const std::int64_t> seeds, const PlayOptions &options) -> void
+{
+    for (const auto seed : seeds) {
+        const auto result = ModelFleet(std::uint64_t(seed), options).play();
+        EXPECT_EQ(result.breach, "") << "seed " << seed;
+        EXPECT_EQ(result.unfinished, "") << "seed " << seed;
+    }
+}
+
 TEST(RandomFleet, NeverRunsATaskTwiceAndFinishesAllJobs)
 {
     playSeeds({});
@@ -72,13 +83,8 @@
 {
     PlayOptions listsInParts;
     listsInParts.endsInReply = shortList;
-    for (const auto seed : seedsOfPollsInFlight) {
-        for (const auto &options : {PlayOptions(), listsInParts}) {
-            const auto result = ModelFleet(std::uint64_t(seed), options).play();
-            EXPECT_EQ(result.breach, "") << "seed " << seed;
-            EXPECT_EQ(result.unfinished, "") << "seed " << seed;
-        }
-    }
+    for (const auto &options : {PlayOptions(), listsInParts})
+        expectSound(seedsOfPollsInFlight, options);
 }
 
 // Guards against TWICE: a start begins on the next incarnation, which forgets the end for a poll.
@@ -86,23 +92,14 @@
 {
     PlayOptions listsInParts;
     listsInParts.endsInReply = shortList;
-    for (const auto seed : seedsOfStartsAndPollsInFlight) {
-        for (const auto &options : {PlayOptions(), listsInParts}) {
-            const auto result = ModelFleet(std::uint64_t(seed), options).play();
-            EXPECT_EQ(result.breach, "") << "seed " << seed;
-            EXPECT_EQ(result.unfinished, "") << "seed " << seed;
-        }
-    }
+    for (const auto &options : {PlayOptions(), listsInParts})
+        expectSound(seedsOfStartsAndPollsInFlight, options);
 }
 
 // Guards against TWICE: the second incarnation after the one that a start is for carries it out.
 TEST(RandomFleet, StartOfAFormerLeaderIsNotCarriedOutByALaterIncarnation)
 {
-    for (const auto seed : seedsOfLateStarts) {
-        const auto result = ModelFleet(std::uint64_t(seed), {}).play();
-        EXPECT_EQ(result.breach, "") << "seed " << seed;
-        EXPECT_EQ(result.unfinished, "") << "seed " << seed;
-    }
+    expectSound(seedsOfLateStarts, {});
 }
 
 // Guards against TWICE: the next incarnation takes its lease from an order for the former one, and runs its tasks for longer
@@ -111,11 +108,7 @@
 {
     PlayOptions options;
     options.cutsAfterRestarts = true;
-    for (const auto seed : seedsOfCutsAfterRestarts) {
-        const auto result = ModelFleet(std::uint64_t(seed), options).play();
-        EXPECT_EQ(result.breach, "") << "seed " << seed;
-        EXPECT_EQ(result.unfinished, "") << "seed " << seed;
-    }
+    expectSound(seedsOfCutsAfterRestarts, options);
 }
 
 // The following tests add what the pages do not say. They are played by hand.
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -85,6 +85,18 @@
         m_fixture.ledger.addEndpoint(m_fixture.restart(m_first), m_fixture.now());
     }
     auto starts() -> std::size_t { return m_fixture.schedule().starts.size(); }
+    // The next incarnation has to accept a stop before the task starts again.
+    auto expectStartOnceAStopIsOver() -> void
+    {
+        const auto orders = m_fixture.schedule();
+        EXPECT_TRUE(orders.starts.empty());
+        ASSERT_EQ(orders.stops.size(), 1U);
+        EXPECT_NE(orders.stops.front().target.incarnation, m_first.incarnation);
+        m_fixture.acceptStop(orders.stops.front());
+        m_fixture.advance(Utils::Milliseconds(450));
+        m_fixture.pollAll();
+        EXPECT_EQ(starts(), 1U);
+    }
     auto listedRun() const -> std::vector<Execution::RunningTask>
     {
         return {{m_order.task, m_order.run, "", 100, 0}};
@@ -182,14 +194,7 @@
     m_fixture.ledger.startAnswered(m_order, {}, m_fixture.now());
     m_fixture.advance(Utils::Milliseconds(700));
     m_fixture.pollAll();
-    const auto orders = m_fixture.schedule();
-    EXPECT_TRUE(orders.starts.empty());
-    ASSERT_EQ(orders.stops.size(), 1U);
-    EXPECT_NE(orders.stops.front().target.incarnation, m_first.incarnation);
-    m_fixture.acceptStop(orders.stops.front());
-    m_fixture.advance(Utils::Milliseconds(450));
-    m_fixture.pollAll();
-    EXPECT_EQ(starts(), 1U);
+    expectStartOnceAStopIsOver();
 }
 
 // Guards against LOST: the next incarnation answers polls, and never a stop.
@@ -348,13 +353,7 @@
     confirmSecondCopy();
     replace();
     m_fixture.pollAll();
-    const auto orders = m_fixture.schedule();
-    EXPECT_TRUE(orders.starts.empty());
-    ASSERT_EQ(orders.stops.size(), 1U);
-    m_fixture.acceptStop(orders.stops.front());
-    m_fixture.advance(Utils::Milliseconds(450));
-    m_fixture.pollAll();
-    EXPECT_EQ(starts(), 1U);
+    expectStartOnceAStopIsOver();
 }
 
 // Guards against TWICE: the run has ended when the reply to the second copy arrives.
@@ -691,8 +690,7 @@
     }
     auto announceNext() -> void
     {
-        m_next = m_fixture.restart(m_first);
-        m_fixture.ledger.addEndpoint(m_next, m_fixture.now());
+        m_fixture.ledger.addEndpoint(m_fixture.restart(m_first), m_fixture.now());
     }
     auto answerFormerPoll(Execution::PollResult result, std::int64_t bornMs) -> void
     {
@@ -707,11 +705,9 @@
     {
         m_fixture.addJob("job", plainStep(1));
         m_fixture.poll("a");
-        const auto orders = m_fixture.schedule();
-        ASSERT_EQ(orders.starts.size(), 1U);
-        EXPECT_TRUE(m_fixture.ledger.confirmStart(orders.starts.front()));
-        m_fixture.confirmAt(orders.starts.front(), clockOfRestartedMs);
-        m_fixture.poll("a", {{m_fixture.task("job"), orders.starts.front().run, "", 100, 0}});
+        const auto order = m_fixture.sendOnlyStart();
+        m_fixture.confirmAt(order, clockOfRestartedMs);
+        m_fixture.poll("a", {{order.task, order.run, "", 100, 0}});
         m_fixture.failPoll("a");
         m_fixture.addEndpoint("b");
     }
@@ -719,11 +715,9 @@
     auto confirmBeforeItIsKnown() -> Utils::Instant
     {
         m_fixture.addJob("job", plainStep(1));
-        const auto orders = m_fixture.schedule();
-        EXPECT_EQ(orders.starts.size(), 1U);
-        EXPECT_TRUE(m_fixture.ledger.confirmStart(orders.starts.front()));
+        const auto order = m_fixture.sendOnlyStart();
         m_fixture.advance(Utils::Milliseconds(500));
-        m_fixture.confirmAt(orders.starts.front(), clockOfRestartedMs);
+        m_fixture.confirmAt(order, clockOfRestartedMs);
         const auto confirmedAt = m_fixture.now();
         m_fixture.failPoll("a");
         m_fixture.addEndpoint("b");
@@ -739,7 +733,6 @@
 
     LedgerFixture m_fixture;
     Control::EndpointRecord m_first;
-    Control::EndpointRecord m_next;
     Execution::PollOrder m_poll;
 };
 
@@ -850,8 +843,7 @@
     fixture.addJob("job", plainStep(1));
     fixture.begin();
     fixture.poll("a");
-    const auto order = fixture.schedule().starts.front();
-    EXPECT_TRUE(fixture.ledger.confirmStart(order));
+    const auto order = fixture.sendOnlyStart();
     const Execution::EndedTask end{1, order.task, order.run, Execution::EndKind::Failed, ""};
     fixture.record(fixture.poll("a", {}, {end}));
     fixture.removeEndpoint("a");
--- a/tests/auto/wire/tst_idleconnections.cpp
+++ b/tests/auto/wire/tst_idleconnections.cpp
@@ -27,11 +27,10 @@
 class RecordingFactory final : public Wire::SocketFactory
 {
 public:
-    auto make(const std::string &, const Utils::Address &address)
+    auto make(const std::string &peerId, const Utils::Address &address)
         -> std::shared_ptr<apache::thrift::transport::TSocket> override
     {
-        sockets.push_back(
-            std::make_shared<apache::thrift::transport::TSocket>(address.host, address.port));
+        sockets.push_back(Wire::tcpSocketFactory().make(peerId, address));
         return sockets.back();
     }
 
@@ -68,12 +67,8 @@
 // Guards against LOST: connections whose other end was silent kept all places, so that no leader could be elected.
 TEST_F(IdleConnections, SilentOnesKeepNoPlaces)
 {
-    std::vector<std::shared_ptr<apache::thrift::transport::TSocket>> silent;
-    for (auto index = 0; index < places; ++index) {
-        silent.push_back(
-            std::make_shared<apache::thrift::transport::TSocket>("127.0.0.1", m_server.port()));
-        silent.back()->open();
-    }
+    for (auto index = 0; index < places; ++index)
+        m_sockets.make("silent", {"127.0.0.1", m_server.port()})->open();
     Client client(m_sockets, target(), service);
     EXPECT_TRUE(call(client));
 }
