Tell in the log what a second run of a task came from

The line that a run counts as gone did not say whether its start had got no reply, and nothing told that an endpoint had begun a run on an order for a former incarnation, so the three hypotheses of the incident could not be told apart. The line has unanswered_ms now, a line of its own and a counter tell of runs that polls show on another incarnation than their start was for, and a gauge counts the starts that may still be carried out. No decision has changed.

--- a/src/libs/execution/endpointtable.cpp
+++ b/src/libs/execution/endpointtable.cpp
@@ -21,6 +21,13 @@
     return run;
 }
 
+auto Run::releasedFrom(const std::string &endpoint, ReleaseReason reason) const -> Release
+{
+    const auto unanswered = unansweredAt != Utils::Instant();
+    return {
+        task, number, endpoint, reason, unanswered ? std::optional(unansweredAt) : std::nullopt};
+}
+
 auto Run::awaitLateCopy(Utils::Instant unanswered) -> void
 {
     state = RunState::Uncertain;
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -64,6 +64,8 @@
     bool sent = false; //!< The start order has been given out to be sent.
     //! A poll of the incarnation that it is booked on has listed the run.
     bool carriedOut = false;
+    std::int64_t orderedForMs =
+        0;                       //!< Birth of the incarnation that the start is for; 0 if unknown.
     std::int64_t leaseEndMs = 0; //!< Lease end in the start order, on the endpoint's clock.
     Utils::Instant confirmedAt;  //!< Time at which the start was confirmed.
     std::int64_t percent = 0;    //!< Last reported readiness; 100 once the task is fully working.
@@ -97,6 +99,8 @@
     {
         return mayOutliveIncarnation() && state == RunState::Running;
     }
+    /*! \brief Returns the run as one that is gone from \a endpoint. */
+    auto releasedFrom(const std::string &endpoint, ReleaseReason reason) const -> Release;
     /*! \brief Makes it a run of which nothing is known but that its start got no reply until \a unanswered. */
     auto awaitLateCopy(Utils::Instant unanswered) -> void;
     /*! \brief Marks the run to be stopped. An urgent reason replaces one that canWait(). */
--- a/src/libs/execution/leaderlog.cpp
+++ b/src/libs/execution/leaderlog.cpp
@@ -14,6 +14,8 @@
 constexpr Utils::Milliseconds waitReportInterval{1000};
 // A long-running task that is not at work for this time is reported, and again with each report.
 constexpr Utils::Milliseconds reportedWait{1000};
+// Logged of a run whose start was answered, or of which that is not known.
+constexpr std::int64_t notUnanswered = -1;
 
 auto inMilliseconds(std::chrono::microseconds duration) -> std::int64_t
 {
@@ -243,20 +245,43 @@
 // A run that is released while it still runs is started twice, so the evidence is logged.
 auto LeaderSession::reportReleases() -> void
 {
+    const auto now = m_parts.clock.now();
     for (const auto &release : m_ledger.takeReleases()) {
         const auto reason = nameOf(release.reason);
         m_parts.metrics.count("trefoilshelf_released_runs_total",
                               {{"reason", std::string(reason)}});
-        if (!m_releaseLines.allow(m_parts.clock.now()))
+        if (!m_releaseLines.allow(now))
             continue;
+        const auto unansweredFor =
+            release.unansweredAt ? (now - *release.unansweredAt).count() : notUnanswered;
         Utils::Log::info("execution",
                          "a run counts as gone",
                          {{"job", release.task.job},
                           {"task", Jobs::toText(release.task)},
                           {"run", release.run},
                           {"endpoint", release.endpoint},
-                          {"reason", reason}});
+                          {"reason", reason},
+                          {"unanswered_ms", unansweredFor}});
+    }
+}
+
+// A run that an endpoint has begun on an order for a former incarnation may be the second one of its task.
+auto LeaderSession::reportMisdirectedRuns() -> void
+{
+    for (const auto &run : m_ledger.takeMisdirectedRuns()) {
+        m_parts.metrics.count("trefoilshelf_misdirected_runs_total", {});
+        if (!m_releaseLines.allow(m_parts.clock.now()))
+            continue;
+        Utils::Log::info("execution",
+                         "an endpoint has carried out a start for a former incarnation",
+                         {{"job", run.task.job},
+                          {"task", Jobs::toText(run.task)},
+                          {"run", run.run},
+                          {"endpoint", run.endpoint},
+                          {"ordered_for", run.orderedForMs},
+                          {"born", run.bornMs}});
     }
+    m_parts.metrics.set("trefoilshelf_late_starts", {}, double(m_ledger.lateStarts()));
 }
 
 auto LeaderSession::reportPlacedTasks() -> void
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -254,6 +254,7 @@
     });
     const auto took = std::chrono::steady_clock::now() - began;
     reportReleases();
+    reportMisdirectedRuns();
     reportPlacedTasks();
     m_passInterval =
         std::clamp(std::chrono::duration_cast<Utils::Milliseconds>(took * passIntervalFactor),
--- a/src/libs/execution/leadersession.h
+++ b/src/libs/execution/leadersession.h
@@ -119,6 +119,7 @@
     auto reportFirstStart(const StartOrder &order) -> void;
     auto reportStop(const StopOrder &order, OrderResult result) -> void;
     auto reportReleases() -> void;
+    auto reportMisdirectedRuns() -> void;
     auto reportPlacedTasks() -> void;
     auto reportEndingLeases(std::span<const Control::RecordLease> leases) -> void;
     auto reportWaitingTasks() -> void;
--- a/src/libs/execution/orders.h
+++ b/src/libs/execution/orders.h
@@ -2,8 +2,10 @@
 
 #include "control/controlcommands.h"
 #include "jobs/jobtypes.h"
+#include "utils/clock.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -96,6 +98,18 @@
     std::int64_t run = 0; //!< 0 for a task that an earlier leader may have started.
     std::string endpoint;
     ReleaseReason reason = ReleaseReason::Refused;
+    //! Time at which the wait for a reply to its start ended; none if there was a reply, or if it is not known.
+    std::optional<Utils::Instant> unansweredAt;
+};
+
+/*! \brief A run that another incarnation of the endpoint has begun than the one that its start was for. */
+struct MisdirectedRun
+{
+    Jobs::TaskId task;
+    std::int64_t run = 0;
+    std::string endpoint;
+    std::int64_t orderedForMs = 0; //!< Birth of the incarnation that the start was for.
+    std::int64_t bornMs = 0;       //!< Birth of the incarnation that has begun the run.
 };
 
 /*! \brief A status poll: renews the lease of all runs, and asks for running and ended tasks. */
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -50,6 +50,7 @@
     m_toBeOpened.clear();
     m_unplaced.clear();
     m_releases.clear();
+    m_misdirectedRuns.clear();
     m_gone.clear();
     m_takenGone.clear();
     m_formerStarts.clear();
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -210,6 +210,13 @@
 
     /*! \brief Returns and forgets the runs that were released, up to a limit, since the last call. */
     auto takeReleases() -> std::vector<Release>;
+    /*!
+        \brief Returns and forgets the runs, up to a limit, that polls since the last call have shown on
+        another incarnation than their start was for.
+    */
+    auto takeMisdirectedRuns() -> std::vector<MisdirectedRun>;
+    /*! \brief Returns how many starts got no reply and may still be carried out. */
+    auto lateStarts() const -> std::size_t;
     /*!
         \brief Returns and forgets the tasks whose duration depends on their place, up to a limit, that
         were to start since the last call.
@@ -331,6 +338,7 @@
     auto mayLoseEnds(const EndpointEntry &endpoint) const -> bool;
     auto reopen(const Jobs::TaskId &task) -> void;
     auto release(Release release) -> void;
+    auto noteIfMisdirected(const EndpointEntry &endpoint, const Run &run) -> void;
     auto isBooked(const Jobs::TaskId &task) const -> bool;
     auto specOf(const Jobs::TaskId &task) const -> const Jobs::StepSpec *;
     auto syncJobs(const Control::State &state) -> void;
@@ -507,6 +515,7 @@
     Utils::Instant m_pacesCheckedAt;
     std::unordered_set<std::string> m_startedJobs; //!< Jobs of m_jobs that have been started.
     std::vector<Release> m_releases;
+    std::vector<MisdirectedRun> m_misdirectedRuns;
     //! Tasks whose run is gone since their start was recorded, until they start again.
     std::set<Jobs::TaskId> m_gone;
     std::set<Jobs::TaskId> m_takenGone; //!< Tasks that takeGone() has returned in this term.
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -104,7 +104,7 @@
         removeRun(endpoint->second, order.task);
     if (const auto outliving = m_outliving.find(id); outliving != m_outliving.end())
         outliving->second.erase(order.task);
-    release({order.task, order.run, id, ReleaseReason::Refused});
+    release({order.task, order.run, id, ReleaseReason::Refused, std::nullopt});
 }
 
 // Notes that a copy of the start got no reply. Whatever became of the run, the next incarnation may carry
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -193,6 +193,8 @@
     const auto *run = endpoint.runs.find(end.task);
     const auto known = run != nullptr && run->number <= end.run;
     if (known) {
+        if (!run->carriedOut && run->number == end.run)
+            noteIfMisdirected(endpoint, *run);
         if (end.kind == EndKind::Done)
             learnDuration(*run, now);
         endpoint.runs.erase(end.task);
@@ -237,6 +239,8 @@
         run->confirmedAt = now;
         endpoint.unansweredStarts = 0;
     }
+    if (!run->carriedOut)
+        noteIfMisdirected(endpoint, *run);
     run->listed = true;
     run->carriedOut = true;
     run->percent = row.percent;
@@ -285,8 +289,10 @@
     adopted.adopted = true;
     adopted.pacePercent = unknownPercent;
     // The stop that blocks it may be in flight, and a run that is being stopped need not be listed.
-    if (findLateStart(endpoint.record.incarnation.id, row.task, row.run) != nullptr)
+    if (const auto *late = findLateStart(endpoint.record.incarnation.id, row.task, row.run)) {
         adopted.stopSentAt = now;
+        adopted.orderedForMs = late->bornMs;
+    }
     endpoint.inherited.erase(row.task);
     endpoint.extendLease(now + longestLocalTime(longestFormerLease(endpoint, now)));
     if (job == nullptr)
@@ -363,10 +369,8 @@
         if (!stopped && !vanished && !leaseOver && !neverStarts)
             continue;
         const auto unlisted = vanished ? ReleaseReason::NotListed : ReleaseReason::LeaseOver;
-        gone.push_back({run.task,
-                        run.number,
-                        endpoint.record.incarnation.id,
-                        stopped ? ReleaseReason::Stopped : unlisted});
+        gone.push_back(run.releasedFrom(endpoint.record.incarnation.id,
+                                        stopped ? ReleaseReason::Stopped : unlisted));
     }
     for (auto &run : gone) {
         removeRun(endpoint, run.task);
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -98,12 +98,27 @@
     return std::exchange(m_releases, {});
 }
 
+// Notes the run if the incarnation that the endpoint has now is not the one that its start was for.
+auto RunLedger::noteIfMisdirected(const EndpointEntry &endpoint, const Run &run) -> void
+{
+    const auto &incarnation = endpoint.record.incarnation;
+    const auto misdirected = run.orderedForMs != 0 && run.orderedForMs != incarnation.bornMs;
+    if (misdirected && m_misdirectedRuns.size() < maximumReleases)
+        m_misdirectedRuns.push_back(
+            {run.task, run.number, incarnation.id, run.orderedForMs, incarnation.bornMs});
+}
+
+auto RunLedger::takeMisdirectedRuns() -> std::vector<MisdirectedRun>
+{
+    return std::exchange(m_misdirectedRuns, {});
+}
+
 auto RunLedger::releaseRuns(EndpointEntry &endpoint, ReleaseReason reason) -> void
 {
     const auto &id = endpoint.record.incarnation.id;
     const auto runs = endpoint.runs.take();
     for (const auto &[task, run] : runs)
-        release({task, run.number, id, reason});
+        release(run.releasedFrom(id, reason));
     releaseInherited(std::exchange(endpoint.inherited, {}), id, reason);
     for (const auto &task : std::exchange(endpoint.reopenWhenRecorded, {}))
         reopen(task);
@@ -137,7 +152,7 @@
     for (const auto &[task, kind] : starts) {
         if (kind != FormerStart::Settled)
             m_formerStarts.insert(task);
-        release({task, 0, id, reason});
+        release({task, 0, id, reason, std::nullopt});
     }
 }
 
@@ -223,6 +238,14 @@
     return start != found->second.end() ? &*start : nullptr;
 }
 
+auto RunLedger::lateStarts() const -> std::size_t
+{
+    std::size_t count = 0;
+    for (const auto &[id, starts] : m_lateStarts)
+        count += starts.size();
+    return count;
+}
+
 auto RunLedger::tasksOfLateStarts() const -> std::set<Jobs::TaskId>
 {
     std::set<Jobs::TaskId> tasks;
@@ -265,7 +288,7 @@
         const auto expired = std::move(item->second);
         item = m_outliving.erase(item);
         for (const auto &run : expired.runs)
-            release({run.task, run.number, id, ReleaseReason::LeaseExpired});
+            release(run.releasedFrom(id, ReleaseReason::LeaseExpired));
         releaseInherited(expired.inherited, id, ReleaseReason::LeaseExpired);
     }
 }
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -352,6 +352,7 @@
     auto run = makeRun(spec, task, number);
     run.account = job.account();
     run.orderedAt = now;
+    run.orderedForMs = endpoint.record.incarnation.bornMs;
     const auto lease = startLeaseOf(spec, endpoint);
     run.leaseEndMs = endpoint.clockAtLeast(now) + lease.count();
     endpoint.extendLease(now + longestLocalTime(lease));
--- a/tests/auto/execution/tst_restartedendpoints.cpp
+++ b/tests/auto/execution/tst_restartedendpoints.cpp
@@ -164,6 +164,26 @@
     EXPECT_TRUE(orders.stops.empty());
 }
 
+TEST_F(StartInFlight, IsReportedIfTheNextIncarnationListsIt)
+{
+    send();
+    replace();
+    m_fixture.poll("a", listedRun());
+    m_fixture.poll("a", listedRun());
+    const auto runs = m_fixture.ledger.takeMisdirectedRuns();
+    ASSERT_EQ(runs.size(), 1U);
+    EXPECT_EQ(runs.front().run, m_order.run);
+    EXPECT_EQ(runs.front().orderedForMs, m_first.incarnation.bornMs);
+    EXPECT_GT(runs.front().bornMs, m_first.incarnation.bornMs);
+}
+
+TEST_F(StartInFlight, IsNotReportedIfItsOwnIncarnationListsIt)
+{
+    send();
+    m_fixture.poll("a", listedRun());
+    EXPECT_TRUE(m_fixture.ledger.takeMisdirectedRuns().empty());
+}
+
 TEST_F(StartInFlight, IsNotRepeatedAfterTheNextIncarnationHasConfirmedItBeforeItIsKnown)
 {
     send();
