Show by failing tests that orders for former incarnations run tasks twice

The ledger bounds an order without a reply by the incarnation that it was meant for: a stop that this one accepts, a list of it or its lease settle the start, and the task starts elsewhere. An incarnation that is back under the same id later, and that no leader has reached, may still carry the order out.

--- a/tests/auto/execution/tst_randomfleet.cpp
+++ b/tests/auto/execution/tst_randomfleet.cpp
@@ -23,6 +23,9 @@
 constexpr std::array<std::int64_t, 3> seedsOfPollsInFlight{52, 65, 329};
 constexpr std::array<std::int64_t, 2> seedsOfLateStarts{11035, 12765};
 constexpr std::array<std::int64_t, 2> seedsOfCutsAfterRestarts{368, 2098};
+constexpr std::array<std::int64_t, 1> seedsOfStartsInFlight{40101};
+constexpr std::array<std::int64_t, 2> seedsOfLateOrders{55, 119};
+constexpr std::array<std::int64_t, 2> seedsOfOrdersToRestarted{50096, 53283};
 // Played by a test that is listed in KNOWN-RED.txt.
 constexpr std::array<std::int64_t, 4> seedsOfStartsAndPollsInFlight{4334, 6191, 11163, 31776};
 // The same where tasks wait for places near.
@@ -140,6 +143,18 @@
     expectSound(seedsOfCutsAfterRestarts, options);
 }
 
+// Guards against TWICE: a later incarnation carries out an order for a former one.
+TEST(RandomFleet, LaterIncarnationsRunNoTaskTwiceOnOrdersForFormerOnes)
+{
+    expectSound(seedsOfStartsInFlight, {});
+    PlayOptions late;
+    late.lateOrdersOutliveEndpoint = true;
+    expectSound(seedsOfLateOrders, late);
+    PlayOptions cuts;
+    cuts.cutsAfterRestarts = true;
+    expectSound(seedsOfOrdersToRestarted, cuts);
+}
+
 // Guards against QUOTA: runs that a lost reply, a lost leader or a late order hides are not counted.
 TEST(RandomFleet, NoStartExceedsTheQuotaOfItsAccount)
 {
