Bound a start without a reply by all incarnations, with a fencing token for each

Callers saw tasks that must run once run twice after endpoints had come back under their ids.

Cause: an order without a reply was bounded by the incarnation that it was meant for. Its list, a stop that it accepted, its end or its lease set the task free, while a later incarnation under the id, which no leader had reached, could still carry the order out. Blocking stops helped only once the next incarnation was known.

Now each incarnation that a leader gets to know under an id has a fencing token of its own, above those of the former ones: one that has answered refuses every late start, poll, stop and pace for them, which replaces the blocking stops. Terms of control processes are multiples of 100,000, so that all tokens of a term are below the next one, and a leader of an older build exceeds them after a few elections. And a batch task whose start got no reply starts nowhere before no order can be late (13 s) and a list asked for after that lacks it, or its lease is over; the same for starts of a former leader that no list shows. A long-running task may not be without a run for so long (LOST), and starts as before. A start that waits for its reply is not released with its lease, and a run that a next incarnation takes over is paced anew.

--- a/src/app/platformcommands.cpp
+++ b/src/app/platformcommands.cpp
@@ -207,6 +207,7 @@
     options.seed = seed;
     // What a former leader decided must not be committed once the next one has begun.
     options.forwards = false;
+    options.termStep = std::uint64_t(Execution::tokensPerTerm);
     return options;
 }
 
--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -41,8 +41,12 @@
     Renewing, //!< As before, and the record that it may be renewed is being committed.
 };
 
-/*! \brief Whether the start order of an earlier leader may still be carried out. */
-enum class FormerStart { MayBeLate, Settled };
+/*! \brief The start order of an earlier leader. */
+struct FormerStart
+{
+    //! Time from which on it may be late; none if it cannot be carried out any more.
+    std::optional<Utils::Instant> lateSince;
+};
 
 /*! \brief Tasks that an earlier leader may have started. */
 using FormerStarts = std::map<Jobs::TaskId, FormerStart>;
@@ -94,6 +98,7 @@
 
     /*! \brief Returns true if the next incarnation under the endpoint's id may carry the order out. */
     auto mayOutliveIncarnation() const -> bool { return sent && !carriedOut; }
+    auto isAwaitingReply() const -> bool { return sent && state == RunState::Ordered; }
     /*! \brief Returns true if an incarnation that is not known yet may have confirmed the start. */
     auto mayRunOnUnknownIncarnation() const -> bool
     {
@@ -192,6 +197,7 @@
 struct EndpointEntry
 {
     Control::EndpointRecord record;
+    std::int64_t fencingToken = 0; //!< Higher than those of earlier incarnations under the id.
     bool tried = false;   //!< The outcome of a poll in this term is known, whatever it was.
     bool polled = false;  //!< The endpoint has replied to a poll in this term.
     bool answers = false; //!< The endpoint has replied to the last poll.
@@ -213,6 +219,7 @@
     Utils::Instant firstReplyAt; //!< Time of the first reply to a poll in this term.
     //! Time of the last reply to a poll, or beginning of the term, or of the silence before it.
     Utils::Instant lastReplyAt;
+    Utils::Instant listedAt;  //!< Time at which the last complete list was asked for.
     std::int64_t clockMs = 0; //!< Time on the endpoint's clock at clockAt.
     Utils::Instant clockAt;   //!< Local time of the poll reply that carried clockMs.
     //! Time by which all tasks there have ended, unless the lease is renewed.
@@ -266,17 +273,21 @@
     auto erase(const Jobs::TaskId &task) -> void;
 };
 
-/*! \brief A start order of which a copy got no reply. That one may be carried out long after the run was settled. */
+/*!
+    \brief A start order of which a copy got no reply.
+
+    That one may be carried out long after the run was settled, by any later incarnation under the endpoint's
+    id that has not been reached yet.
+*/
 struct LateStart
 {
     Jobs::TaskId task;
-    std::int64_t run = 0;
-    std::int64_t bornMs = 0; //!< Birth of the incarnation that the order is for.
-    Utils::Instant unansweredAt;
+    std::int64_t run = 0; //!< 0 if it is that of an earlier leader.
+    //! Birth of the incarnation that the order is for; 0 if it is that of an earlier leader.
+    std::int64_t bornMs = 0;
+    Utils::Instant unansweredAt{};
     Accounts::AccountId account = Accounts::noAccount;
-    Jobs::Resources demand;
-    std::int64_t blockedByMs =
-        0; //!< Birth of a later incarnation that refuses the run; 0 if none does.
+    Jobs::Resources demand{};
 };
 
 /*! \brief A poll that names recorded ends, without a reply so far. */
--- a/src/libs/execution/leadersession.cpp
+++ b/src/libs/execution/leadersession.cpp
@@ -405,7 +405,7 @@
     m_ledger.startAnswered(order, reply, m_parts.clock.now());
     if (reply.result == StartResult::Started)
         co_return;
-    if (reply.result == StartResult::Fenced)
+    if (reply.result == StartResult::Fenced && m_ledger.showsLaterTerm(order.target))
         end();
     wake();
 }
--- a/src/libs/execution/orders.h
+++ b/src/libs/execution/orders.h
@@ -12,12 +12,20 @@
 /*! Running tasks on endpoints: leases, orders and their results. */
 namespace Execution {
 
-/*! \brief The endpoint incarnation that an order is for, and the fencing token of its sender. */
+/*!
+    \brief Fencing tokens that the leader of one term has for the incarnations under one endpoint id.
+
+    Terms are multiples of this number, so that the tokens of a term are below the next term.
+*/
+inline constexpr std::int64_t tokensPerTerm = 100'000;
+
+/*! \brief The endpoint incarnation that an order is for, and the fencing token that it carries. */
 struct OrderTarget
 {
     Control::EndpointIncarnation incarnation;
     std::string address;
-    std::int64_t fencingToken = 0; //!< The leader's term.
+    //! The leader's term and, added to it, the number of incarnations that had this id before in this term.
+    std::int64_t fencingToken = 0;
     std::string zone;
 };
 
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -35,13 +35,14 @@
     m_term = term;
     m_starts = 0;
     m_endpoints.clear();
+    m_tokens.clear();
     m_endpointsByPool.clear();
     m_outliving.clear();
     m_lateStarts.clear();
+    m_tasksOfLateStarts.clear();
     m_nextLeases.clear();
     m_ended.clear();
     m_forgettingPolls.clear();
-    m_blockingStops.clear();
     m_jobs.clear();
     m_checkpoints.clear();
     m_startedJobs.clear();
@@ -53,7 +54,6 @@
     m_misdirectedRuns.clear();
     m_gone.clear();
     m_takenGone.clear();
-    m_formerStarts.clear();
     m_formerWaits.clear();
     m_found.clear();
     m_places.clear();
@@ -140,9 +140,10 @@
                              Utils::Instant now) -> bool
 {
     const auto &id = start.incarnation.id;
+    const FormerStart former{start.knownSince.value_or(now)};
     const auto settled = start.knownSince && now - *start.knownSince > longestLateRun(m_timing);
     if (const auto endpoint = m_endpoints.find(id); endpoint != m_endpoints.end()) {
-        endpoint->second.inherited[task] = settled ? FormerStart::Settled : FormerStart::MayBeLate;
+        endpoint->second.inherited[task] = settled ? FormerStart() : former;
         return true;
     }
     if (settled)
@@ -152,7 +153,7 @@
     const auto longest =
         (known ? removed->second.removedAt : now) + longestLocalTime(m_timing.maximumLease);
     auto &outliving = m_outliving[id];
-    outliving.inherited[task] = FormerStart::MayBeLate;
+    outliving.inherited[task] = former;
     outliving.leaseEnd = known ? removed->second.leaseEndsBy.value_or(longest) : longest;
     return true;
 }
@@ -187,9 +188,9 @@
         if (replaces)
             endpoint.replacedAt = now;
         endpoint.record = record;
+        endpoint.fencingToken = nextToken(id);
         takeOutlivingRuns(endpoint);
         forgetLateOrders(now);
-        blockLateStarts(endpoint);
     }
     endpoint.record = record;
 }
@@ -331,7 +332,36 @@
 
 auto RunLedger::target(const EndpointEntry &endpoint) const -> OrderTarget
 {
-    return {endpoint.record.incarnation, endpoint.record.address, m_term, endpoint.record.zone};
+    return {endpoint.record.incarnation,
+            endpoint.record.address,
+            endpoint.fencingToken,
+            endpoint.record.zone};
+}
+
+// Returns the fencing token for the next incarnation under the id. One that has seen it refuses all orders
+// for former ones, however late they are.
+auto RunLedger::nextToken(const std::string &id) -> std::int64_t
+{
+    const auto [token, isFirst] = m_tokens.try_emplace(id, m_term);
+    if (!isFirst && token->second < lastToken())
+        ++token->second;
+    return token->second;
+}
+
+auto RunLedger::lastToken() const -> std::int64_t
+{
+    return m_term + tokensPerTerm - 1;
+}
+
+auto RunLedger::isOfThisTerm(const OrderTarget &target) const -> bool
+{
+    return target.fencingToken >= m_term && target.fencingToken <= lastToken();
+}
+
+auto RunLedger::showsLaterTerm(const OrderTarget &target) const -> bool
+{
+    const auto token = m_tokens.find(target.incarnation.id);
+    return token == m_tokens.end() || token->second <= target.fencingToken;
 }
 
 auto RunLedger::specOf(const Jobs::TaskId &task) const -> const Jobs::StepSpec *
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -24,7 +24,7 @@
     -> Run *
 {
     auto *endpoint = findEndpoint(target.incarnation);
-    if (endpoint == nullptr || target.fencingToken != m_term)
+    if (endpoint == nullptr || !isOfThisTerm(target))
         return nullptr;
     auto *run = endpoint->runs.find(task);
     return run != nullptr && run->number == number ? run : nullptr;
@@ -62,8 +62,7 @@
     if (const auto outliving = m_outliving.find(id);
         run == nullptr && outliving != m_outliving.end())
         run = outliving->second.find(order.task);
-    const auto matches =
-        run != nullptr && run->number == order.run && order.target.fencingToken == m_term;
+    const auto matches = run != nullptr && run->number == order.run && isOfThisTerm(order.target);
     return matches ? run : nullptr;
 }
 
@@ -107,30 +106,10 @@
     release({order.task, order.run, id, ReleaseReason::Refused, std::nullopt});
 }
 
-// Notes that a copy of the start got no reply. Whatever became of the run, the next incarnation may carry
-// that copy out.
-auto RunLedger::noteLateStart(const StartOrder &order, Utils::Instant now) -> void
-{
-    const auto &incarnation = order.target.incarnation;
-    LateStart late;
-    late.task = order.task;
-    late.run = order.run;
-    late.bornMs = incarnation.bornMs;
-    late.unansweredAt = now;
-    if (const auto *spec = specOf(order.task)) {
-        late.account = m_jobs.at(order.task.job).account();
-        late.demand = spec->demand;
-    } else if (const auto *run = findStarted(order)) {
-        late.account = run->account;
-        late.demand = run->demand;
-    }
-    m_lateStarts[incarnation.id].push_back(std::move(late));
-}
-
 auto RunLedger::startAnswered(const StartOrder &order, const StartReply &reply, Utils::Instant now)
     -> void
 {
-    if (order.target.fencingToken != m_term)
+    if (!isOfThisTerm(order.target))
         return;
     if (reply.result == StartResult::Unknown || reply.repeated)
         noteLateStart(order, now);
@@ -154,13 +133,11 @@
         run->unansweredAt = now;
         return;
     }
-    if (const auto found = m_endpoints.find(order.target.incarnation.id);
-        found != m_endpoints.end()) {
-        auto &endpoint = found->second;
+    if (auto *endpoint = findEndpoint(order.target.incarnation)) {
         if (reply.result == StartResult::NoRoom)
-            endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + noRoomPause);
+            endpoint->avoidUntil = std::max(endpoint->avoidUntil, now + noRoomPause);
         else if (reply.result != StartResult::Outdated)
-            endpoint.avoidUntil = std::max(endpoint.avoidUntil, now + unhealthyPause);
+            endpoint->avoidUntil = std::max(endpoint->avoidUntil, now + unhealthyPause);
     }
     dropStart(order);
 }
@@ -177,8 +154,6 @@
 
 auto RunLedger::stopAnswered(const StopOrder &order, OrderResult result, Utils::Instant now) -> void
 {
-    if (result == OrderResult::Accepted)
-        noteBlocked(order);
     auto *run = findRun(order.target, order.task, order.run);
     if (run == nullptr || result != OrderResult::Accepted)
         return;
--- a/src/libs/execution/runplacement.cpp
+++ b/src/libs/execution/runplacement.cpp
@@ -71,7 +71,9 @@
 // Returns true if orders for its host alone may keep the endpoint from getting tasks.
 auto RunLedger::isUsable(const EndpointEntry &endpoint, Utils::Instant now) const -> bool
 {
-    return endpoint.answers && !endpoint.draining && !endpoint.leaving && endpoint.mayRenewLease()
+    // Without a token of its own, an incarnation would carry out orders for the former ones.
+    return endpoint.fencingToken < lastToken() && endpoint.answers && !endpoint.draining
+           && !endpoint.leaving && endpoint.mayRenewLease()
            && now - endpoint.lastReplyAt < m_timing.maximumPollAge && now >= endpoint.avoidUntil;
 }
 
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -90,14 +90,14 @@
     PollEffects effects;
     effects.record.incarnation = order.target.incarnation;
     settleForgettingPoll(order, reply.result, now);
-    if (order.target.fencingToken == m_term && mayHaveReachedNextIncarnation(order, reply))
+    if (isOfThisTerm(order.target) && mayHaveReachedNextIncarnation(order, reply))
         extendLeaseOfNextIncarnation(order.target.incarnation, now);
     auto *known = findEndpoint(order.target.incarnation);
     if (known == nullptr)
         return effects;
     auto &endpoint = *known;
     endpoint.tried = true;
-    effects.fenced = reply.result == PollResult::Fenced;
+    effects.fenced = reply.result == PollResult::Fenced && showsLaterTerm(order.target);
     effects.incarnationOver = isOfOtherIncarnation(order, reply);
     endpoint.answers = reply.result == PollResult::Seen;
     if (effects.incarnationOver || !endpoint.answers)
@@ -123,6 +123,7 @@
     reconcile(endpoint, reply, sentAt);
     if (reply.truncated)
         return effects;
+    endpoint.listedAt = sentAt;
     // Inherited tasks that the reply lists neither as running nor as ended were never started here
     // or have ended for good, so they can be started again.
     releaseInherited(std::exchange(endpoint.inherited, {}),
@@ -288,7 +289,7 @@
     adopted.confirmedAt = now;
     adopted.adopted = true;
     adopted.pacePercent = unknownPercent;
-    // The stop that blocks it may be in flight, and a run that is being stopped need not be listed.
+    // A stop of it may have been late, too, and a run that is being stopped need not be listed.
     if (const auto *late = findLateStart(endpoint.record.incarnation.id, row.task, row.run)) {
         adopted.stopSentAt = now;
         adopted.orderedForMs = late->bornMs;
--- a/src/libs/replication/replica.h
+++ b/src/libs/replication/replica.h
@@ -153,6 +153,7 @@
     // replicaelection.cpp
     auto runElections() -> void;
     auto campaign(StateLock &lock) -> void;
+    auto nextTerm() const -> std::uint64_t;
     auto startTerm(StateLock &lock) -> bool;
     auto runBallot(StateLock &lock, Ballot ballot) -> bool;
     auto becomeLeader() -> void;
--- a/src/libs/replication/replicaelection.cpp
+++ b/src/libs/replication/replicaelection.cpp
@@ -35,7 +35,7 @@
     delayElection(m_clock.now());
     m_leaderId.clear();
     Ballot ballot;
-    ballot.term = m_vote.term + 1;
+    ballot.term = nextTerm();
     ballot.preVote = true;
     if (!transfer && !runBallot(lock, ballot))
         return;
@@ -48,16 +48,22 @@
         becomeLeader();
 }
 
+auto Replica::nextTerm() const -> std::uint64_t
+{
+    return (m_vote.term / m_options.termStep + 1) * m_options.termStep;
+}
+
 auto Replica::startTerm(StateLock &lock) -> bool
 {
     const auto term = m_vote.term;
+    const auto next = nextTerm();
     lock.unlock();
     const std::scoped_lock disk(m_diskMutex);
     lock.lock();
     if (m_stopping || m_vote.term != term || m_role == Role::Leader || !m_leaderId.empty())
         return false;
     lock.unlock();
-    const auto saved = saveVote({term + 1, m_options.processId});
+    const auto saved = saveVote({next, m_options.processId});
     lock.lock();
     if (saved)
         m_role = Role::Candidate;
--- a/src/libs/replication/replicaoptions.h
+++ b/src/libs/replication/replicaoptions.h
@@ -39,6 +39,8 @@
     std::vector<Voter> voters; //!< Initial voters, until a snapshot or log entry replaces them.
     std::vector<ZonePeer> zonePeers; //!< Other observers of the zone; only used by observers.
     ReplicationTiming timing;
+    //! Terms that this process begins are multiples of this number, which leaves room between two terms.
+    std::uint64_t termStep = 1;
     std::uint64_t snapshotEntries = 256; //!< Minimum number of entries between two snapshots.
     std::uint64_t keptEntries = 1024;    //!< Entries kept in memory for lagging processes.
     std::uint64_t segmentBytes = 8 * 1024 * 1024;
