Send orders only over connections on which their incarnation has answered

Callers saw tasks that must run once run twice after endpoints had come back under their ids. An order names the id of its endpoint alone, and it went out on any new connection.

Kept connections carry the name of who has answered on them last; one of another incarnation is closed. An established connection ends with its process, so the next incarnation cannot get what was sent on it. A second copy of an order is bound likewise.

A question without a reply leaves a start unsent, where it counted as one that may be carried out.

HttpClient knows only of an Introduction: a request to send first, and the name of the peer that has answered.

--- a/src/libs/asyncnet/connectionpool.cpp
+++ b/src/libs/asyncnet/connectionpool.cpp
@@ -21,18 +21,27 @@
     , m_count(std::make_shared<Internal::ConnectionCount>(loop))
 {}
 
-auto ConnectionPool::takeIdle(const std::string &server) -> Connection
+auto ConnectionPool::takeIdle(const std::string &server, const std::string &peer) -> Connection
+{
+    while (auto idle = takeLastIdle(server)) {
+        if (idle->peer == peer)
+            return std::move(idle->connection);
+    }
+    return Connection(nullptr, {m_count});
+}
+
+auto ConnectionPool::takeLastIdle(const std::string &server) -> std::optional<Idle>
 {
     const auto found = m_idleByServer.find(server);
     if (found == m_idleByServer.end())
-        return Connection(nullptr, {m_count});
+        return std::nullopt;
     const auto last = found->second.back();
-    auto connection = std::move(last->connection);
+    auto idle = std::move(*last);
     m_idle.erase(last);
     found->second.pop_back();
     if (found->second.empty())
         m_idleByServer.erase(found);
-    return connection;
+    return idle;
 }
 
 auto ConnectionPool::makeConnection(Deadline deadline) -> Task<Connection>
@@ -53,12 +62,14 @@
     co_return Connection(new TcpStream(m_loop), {m_count});
 }
 
-auto ConnectionPool::putBack(const std::string &server, Connection connection) -> void
+auto ConnectionPool::putBack(const std::string &server,
+                             Connection connection,
+                             const std::string &peer) -> void
 {
     const auto now = std::chrono::steady_clock::now();
     while (!m_idle.empty() && now - m_idle.front().since > maximumIdleTime)
         closeOldest();
-    m_idle.push_back({server, std::move(connection), now});
+    m_idle.push_back({server, peer, std::move(connection), now});
     m_idleByServer[server].push_back(std::prev(m_idle.end()));
     // A caller that waits in makeConnection() may now close the connection that has been idle the
     // longest and open its own.
--- a/src/libs/asyncnet/connectionpool.h
+++ b/src/libs/asyncnet/connectionpool.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -51,11 +52,17 @@
     /*! \brief Creates a pool of at most \a limit open connections, idle ones included. */
     ConnectionPool(asio::io_context &loop, std::size_t limit);
 
-    /*! \brief Returns the most recently used idle connection to \a server, or nullptr. */
-    auto takeIdle(const std::string &server) -> Connection;
+    /*!
+        \brief Returns the most recently used idle connection to \a peer at \a server, or nullptr.
+
+        Idle connections to other peers at that server that were used later are closed.
+    */
+    auto takeIdle(const std::string &server, const std::string &peer = {}) -> Connection;
     /*! \brief Returns a new connection when the limit allows it, or nullptr after \a deadline. */
     auto makeConnection(Deadline deadline) -> Task<Connection>;
-    auto putBack(const std::string &server, Connection connection) -> void;
+    /*! \brief Keeps a connection to \a server, on which \a peer has answered; empty if that is not known. */
+    auto putBack(const std::string &server, Connection connection, const std::string &peer = {})
+        -> void;
     auto closeIdle(const std::string &server) -> void;
     auto openConnections() const -> std::size_t { return m_count->open; }
 
@@ -63,12 +70,14 @@
     struct Idle
     {
         std::string server;
+        std::string peer;
         Connection connection;
         std::chrono::steady_clock::time_point since;
     };
     using IdleList = std::list<Idle>;
 
     auto closeOldest() -> void;
+    auto takeLastIdle(const std::string &server) -> std::optional<Idle>;
 
     asio::io_context &m_loop;
     std::size_t m_limit;
--- a/src/libs/asyncnet/httpclient.cpp
+++ b/src/libs/asyncnet/httpclient.cpp
@@ -31,6 +31,24 @@
     Signal freed;
 };
 
+// A request that is sent at most twice.
+struct HttpClient::Call
+{
+    std::string address;
+    http::request<http::string_body> message;
+    SteadyTime deadline;
+    Introduction *introduction = nullptr;
+
+    auto peer() const -> std::string
+    {
+        return introduction != nullptr ? introduction->peer() : std::string();
+    }
+    auto question() const -> std::optional<HttpRequest>
+    {
+        return introduction != nullptr ? introduction->request() : std::nullopt;
+    }
+};
+
 namespace {
 
 auto convert(const HttpRequest &request, const std::string &address)
@@ -162,10 +180,13 @@
 
 HttpClient::~HttpClient() = default;
 
+Introduction::~Introduction() = default;
+
 auto HttpClient::call(std::string address,
                       HttpRequest request,
                       Utils::Milliseconds timeout,
-                      bool repeatable) -> Task<Utils::Result<HttpResponse>>
+                      bool repeatable,
+                      Introduction *introduction) -> Task<Utils::Result<HttpResponse>>
 {
     const auto deadline = std::chrono::steady_clock::now() + timeout;
     Slot slot(*this, address);
@@ -173,43 +194,78 @@
     if (!hasSlot)
         co_return Utils::failure(
             Utils::ErrorType::Timeout, "too many calls to the server are in progress", address);
-    const auto message = convert(request, address);
+    const Call call{address, convert(request, address), deadline, introduction};
+    const auto peer = call.peer();
+    auto idle = m_connections->takeIdle(address, peer);
+    if (!idle)
+        co_return co_await callOnNewConnection(call);
+    const auto first = co_await exchangeOn(std::move(idle), call, peer);
+    if (first || !repeatable || std::chrono::steady_clock::now() >= deadline)
+        co_return first;
+    // The server has probably closed its other idle connections as well.
+    m_connections->closeIdle(address);
+    auto second = co_await callOnNewConnection(call);
+    if (!second)
+        co_return Utils::failure(
+            Utils::ErrorType::OutcomeUnknown, "no response to the request", second.error().message);
+    second.value().repeated = true;
+    co_return second;
+}
+
+auto HttpClient::callOnNewConnection(const Call &call) -> Task<Utils::Result<HttpResponse>>
+{
+    auto connection = co_await m_connections->makeConnection(call.deadline);
+    if (!connection)
+        co_return Utils::failure(
+            Utils::ErrorType::Timeout, "too many connections are in use", call.address);
+    const auto connected = co_await connect(*connection, call.address, call.deadline);
+    if (!connected)
+        co_return connected.error();
+    std::string peer;
+    const auto question = call.question();
+    if (!question)
+        co_return co_await exchangeOn(std::move(connection), call, peer);
+    const auto message = convert(*question, call.address);
     HttpResponse response;
-    auto sentBefore = false;
-    if (auto idle = m_connections->takeIdle(address)) {
-        sentBefore = true;
-        const auto result = co_await exchange(*idle, message, deadline, response);
-        if (result && result.value())
-            m_connections->putBack(address, std::move(idle));
-        if (result)
-            co_return response;
-        if (!repeatable || std::chrono::steady_clock::now() >= deadline)
-            co_return result.error();
-        // The server has probably closed its other idle connections as well.
-        m_connections->closeIdle(address);
-    }
-    auto stream = co_await m_connections->makeConnection(deadline);
-    if (!stream) {
-        if (!sentBefore)
-            co_return Utils::failure(
-                Utils::ErrorType::Timeout, "too many connections are in use", address);
-        co_return Utils::failure(Utils::ErrorType::OutcomeUnknown, "no response to the request");
-    }
-    const auto connected = co_await connect(*stream, address, deadline);
-    if (!connected) {
-        if (!sentBefore)
-            co_return connected.error();
-        co_return Utils::failure(Utils::ErrorType::OutcomeUnknown,
-                                 "no response to the request",
-                                 connected.error().message);
+    const auto reusable = co_await exchange(*connection, message, call.deadline, response);
+    response.introductory = true;
+    if (!reusable)
+        co_return Utils::failure(
+            Utils::ErrorType::Timeout, "no response to the introduction", reusable.error().details);
+    peer = call.introduction->identify(response, peer);
+    if (peer != call.peer()) {
+        if (reusable.value())
+            keep(std::move(connection), call, peer);
+        co_return response;
     }
-    const auto result = co_await exchange(*stream, message, deadline, response);
-    if (!result)
-        co_return result.error();
-    if (result.value())
-        m_connections->putBack(address, std::move(stream));
-    response.repeated = sentBefore;
+    if (!reusable.value())
+        co_return Utils::failure(
+            Utils::ErrorType::Timeout, "the server keeps no connection open", call.address);
+    co_return co_await exchangeOn(std::move(connection), call, peer);
+}
+
+// Sends the request on a connection on which "peer" has answered; empty if it is new.
+auto HttpClient::exchangeOn(ConnectionPool::Connection connection,
+                            const Call &call,
+                            std::string peer) -> Task<Utils::Result<HttpResponse>>
+{
+    HttpResponse response;
+    const auto reusable = co_await exchange(*connection, call.message, call.deadline, response);
+    if (!reusable)
+        co_return reusable.error();
+    if (call.introduction != nullptr)
+        peer = call.introduction->identify(response, peer);
+    if (reusable.value())
+        keep(std::move(connection), call, peer);
     co_return response;
 }
 
+auto HttpClient::keep(ConnectionPool::Connection connection,
+                      const Call &call,
+                      const std::string &peer) -> void
+{
+    if (call.introduction == nullptr || !peer.empty())
+        m_connections->putBack(call.address, std::move(connection), peer);
+}
+
 } // namespace AsyncNet
--- a/src/libs/asyncnet/httpmessage.h
+++ b/src/libs/asyncnet/httpmessage.h
@@ -34,6 +34,8 @@
     std::optional<std::int64_t> retryAfterS;
     //! An earlier copy of the request got no response; only set in responses that are received.
     bool repeated = false;
+    //! It responds to an introduction, and the request was not sent; only set in responses that are received.
+    bool introductory = false;
 };
 
 /*! \brief Returns a response with a status and an empty JSON object as its body. */
--- a/tests/auto/asyncnet/tst_http.cpp
+++ b/tests/auto/asyncnet/tst_http.cpp
@@ -341,4 +341,104 @@
     run(calls());
 }
 
+/*! \brief Asks at /who for the name of the server, which is expected to be "expected". */
+class NameQuestion final : public Introduction
+{
+public:
+    auto peer() const -> std::string override { return "expected"; }
+    auto request() const -> std::optional<HttpRequest> override
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/who";
+        return request;
+    }
+    auto identify(const HttpResponse &response, const std::string &known) -> std::string override
+    {
+        return response.introductory ? response.body : known;
+    }
+};
+
+/*! \brief Calls a server that responds with its name, and notes the paths of all requests. */
+class IntroducedCall : public HttpTest
+{
+protected:
+    auto listenAs(std::string name) -> std::string
+    {
+        return listen([this, name = std::move(name)](HttpRequest request) -> Task<HttpResponse> {
+            m_targets.push_back(request.target);
+            if (m_closes)
+                m_listener->endConnections();
+            HttpResponse response;
+            response.body = name;
+            co_return response;
+        });
+    }
+    auto callOnce(std::string address) -> Task<Utils::Result<HttpResponse>>
+    {
+        auto request = post("x");
+        auto response =
+            co_await m_client.call(address, std::move(request), callTimeout, true, &m_question);
+        co_return response;
+    }
+
+    NameQuestion m_question;
+    std::vector<std::string> m_targets;
+    bool m_closes = false;
+};
+
+TEST_F(IntroducedCall, AsksOnceForEachNewConnection)
+{
+    const auto address = listenAs("expected");
+    const auto calls = [&]() -> Task<void> {
+        for (auto call = 0; call < 3; ++call) {
+            const auto response = co_await callOnce(address);
+            EXPECT_TRUE(response && !response.value().introductory);
+        }
+    };
+    run(calls());
+    EXPECT_EQ(m_targets, (std::vector<std::string>{"/who", "/path", "/path", "/path"}));
+    EXPECT_EQ(m_connections->openConnections(), 1U);
+}
+
+TEST_F(IntroducedCall, SendsNothingElseToAnotherPeer)
+{
+    const auto address = listenAs("another");
+    const auto calls = [&]() -> Task<void> {
+        for (auto call = 0; call < 2; ++call) {
+            const auto response = co_await callOnce(address);
+            EXPECT_TRUE(response && response.value().introductory);
+            EXPECT_EQ(m_connections->openConnections(), 1U);
+        }
+    };
+    run(calls());
+    EXPECT_EQ(m_targets, (std::vector<std::string>{"/who", "/who"}));
+}
+
+TEST_F(IntroducedCall, ClosesAConnectionOnWhichNobodyHasGivenAName)
+{
+    const auto address = listenAs("");
+    const auto calls = [&]() -> Task<void> {
+        const auto response = co_await callOnce(address);
+        EXPECT_TRUE(response && response.value().introductory);
+        EXPECT_EQ(m_connections->openConnections(), 0U);
+    };
+    run(calls());
+}
+
+TEST_F(IntroducedCall, SendsNothingElseToAServerThatClosesTheConnection)
+{
+    m_closes = true;
+    const auto address = listenAs("expected");
+    const auto calls = [&]() -> Task<void> {
+        const auto response = co_await callOnce(address);
+        EXPECT_FALSE(response);
+        if (!response) {
+            EXPECT_EQ(response.error().type, Utils::ErrorType::Timeout);
+        }
+    };
+    run(calls());
+    EXPECT_EQ(m_targets, (std::vector<std::string>{"/who"}));
+}
+
 } // namespace
