Send nothing on a kept connection that the server has closed

Callers of an endpoint that had come back under its id: a start went out on the kept connection to the former incarnation, whose system had closed it, and failed there. So the start counted as one that may be carried out, with a copy that the next incarnation is to be kept from for 13 s, although nobody could receive it.

The pool now closes a kept connection instead of handing it out if the server has closed it or has sent anything on it. The order then goes to the question on a new connection, whose answer settles it.

Before, BoundOrders.StartIsNotSentOnAConnectionThatItsEndpointHasClosed failed: Unknown and repeated instead of OtherIncarnation. It waits until the client's system has the end of the connection, without sleeps.

--- a/src/libs/asyncnet/connectionpool.cpp
+++ b/src/libs/asyncnet/connectionpool.cpp
@@ -1,5 +1,7 @@
 #include "connectionpool.h"
 
+#include <boost/asio/buffer.hpp>
+
 #include <algorithm>
 
 namespace AsyncNet {
@@ -8,6 +10,23 @@
 // half-closed.
 constexpr std::chrono::seconds maximumIdleTime{30};
 
+namespace {
+
+// Returns false if the server has closed the connection, or has sent what nobody asked for.
+auto isIdle(TcpStream &stream) -> bool
+{
+    auto &socket = stream.socket();
+    boost::system::error_code error;
+    socket.non_blocking(true, error);
+    if (error)
+        return false;
+    char byte = 0;
+    socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+} // namespace
+
 auto Internal::ConnectionCloser::operator()(TcpStream *stream) const -> void
 {
     delete stream;
@@ -24,7 +43,7 @@
 auto ConnectionPool::takeIdle(const std::string &server, const std::string &peer) -> Connection
 {
     while (auto idle = takeLastIdle(server)) {
-        if (idle->peer == peer)
+        if (idle->peer == peer && isIdle(*idle->connection))
             return std::move(idle->connection);
     }
     return Connection(nullptr, {m_count});
--- a/src/libs/asyncnet/connectionpool.h
+++ b/src/libs/asyncnet/connectionpool.h
@@ -53,9 +53,10 @@
     ConnectionPool(asio::io_context &loop, std::size_t limit);
 
     /*!
-        \brief Returns the most recently used idle connection to \a peer at \a server, or nullptr.
+        \brief Returns the most recently used open idle connection to \a peer at \a server, or nullptr.
 
-        Idle connections to other peers at that server that were used later are closed.
+        Idle connections to that server that were used later are closed: they are to other peers, or the
+        server has closed them.
     */
     auto takeIdle(const std::string &server, const std::string &peer = {}) -> Connection;
     /*! \brief Returns a new connection when the limit allows it, or nullptr after \a deadline. */
--- a/tests/auto/platform/tst_endpointclient.cpp
+++ b/tests/auto/platform/tst_endpointclient.cpp
@@ -5,11 +5,14 @@
 #include "utils/fields.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include <gtest/gtest.h>
 
+#include <netinet/tcp.h>
+
 #include <deque>
 #include <memory>
 #include <string>
@@ -60,6 +63,16 @@
         for (const auto &socket : m_sockets)
             socket->close();
     }
+    /*! \brief Ends once the system of the clients knows that the connections are closed. */
+    auto endVisibly() -> Task<void>
+    {
+        for (const auto &socket : m_sockets) {
+            socket->shutdown(AsyncNet::TcpSocket::shutdown_send);
+            while (stateOf(*socket) == TCP_FIN_WAIT1)
+                co_await AsyncNet::asio::post(m_loop.get_executor(), AsyncNet::useAwaitable);
+        }
+        end();
+    }
     /*! \brief Lets another incarnation answer, also on connections that are open. */
     auto setBorn(std::int64_t bornMs) -> void { m_bornMs = bornMs; }
     /*! \brief Takes reactions for all requests. Otherwise polls that only ask are answered with empty lists. */
@@ -124,6 +137,13 @@
         m_reactions.pop_front();
         return reaction;
     }
+    static auto stateOf(AsyncNet::TcpSocket &socket) -> int
+    {
+        tcp_info info{};
+        socklen_t size = sizeof(info);
+        EXPECT_EQ(::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size), 0);
+        return info.tcpi_state;
+    }
     static auto isQuestion(const http::request<http::string_body> &request) -> bool
     {
         const auto body = Utils::Json::parse(request.body(), nullptr, false);
@@ -435,6 +455,26 @@
     EXPECT_EQ(endpoint.connections(), 2U);
 }
 
+// Guards against a start that counts as sent, and its copy, after each restart of an endpoint.
+TEST_F(BoundOrders, StartIsNotSentOnAConnectionThatItsEndpointHasClosed)
+{
+    ScriptedEndpoint former(m_loop, {{200}});
+    former.start();
+    std::unique_ptr<ScriptedEndpoint> next;
+    const auto calls = [&]() -> Task<void> {
+        co_await startAt(former);
+        const auto port = former.port();
+        co_await former.endVisibly();
+        next = std::make_unique<ScriptedEndpoint>(m_loop, std::deque<Reaction>(), nextBornMs, port);
+        next->start();
+        const auto reply = co_await startAt(*next);
+        EXPECT_EQ(reply.result, StartResult::OtherIncarnation);
+        EXPECT_FALSE(reply.repeated);
+    };
+    run(calls());
+    EXPECT_EQ(next->received(), Received{"question"});
+}
+
 TEST_F(BoundOrders, ConnectionOnWhichAnotherIncarnationHasAnsweredIsNotUsed)
 {
     ScriptedEndpoint endpoint(m_loop, {{200}});
