Test that an endpoint that never tells its birth gets orders

An endpoint whose announcements name no birth, and whose lists name none either, is the one that an order without a birth is for: the question is answered alike, and the order follows. No code has changed; the test guards this case of binding orders to the connections of their incarnation.

--- a/tests/auto/platform/tst_endpointclient.cpp
+++ b/tests/auto/platform/tst_endpointclient.cpp
@@ -527,6 +527,21 @@
     }
 }
 
+TEST_F(BoundOrders, EndpointThatNeverTellsItsBirthGetsOrders)
+{
+    ScriptedEndpoint endpoint(m_loop, {{200, R"({"clock_ms":1})"}, {200}, {200}});
+    endpoint.scriptQuestions();
+    endpoint.start();
+    const auto calls = [&]() -> Task<void> {
+        for (auto order = 0; order < 2; ++order) {
+            const auto reply = co_await startAt(endpoint, 0);
+            EXPECT_EQ(reply.result, StartResult::Started);
+        }
+    };
+    run(calls());
+    EXPECT_EQ(endpoint.received(), (Received{"question", "run-start", "run-start"}));
+}
+
 TEST_F(BoundOrders, RefusalOfTheQuestionIsThatOfTheOrder)
 {
     ScriptedEndpoint endpoint(m_loop, {{409, R"({"reason":"fence"})"}, {421}});
