--- a/tests/auto/execution/tst_lateorders.cpp
+++ b/tests/auto/execution/tst_lateorders.cpp
@@ -172,6 +172,30 @@
     EXPECT_GT(poll->target.fencingToken, m_order.target.fencingToken);
 }
 
+// Guards against HARM: a run waits for the reply to a pace that was for the former incarnation, and is never paced again.
+TEST(LatePace, RunThatTheNextIncarnationHasBegunIsPacedAgain)
+{
+    LedgerFixture fixture;
+    const auto first = fixture.addEndpoint("a");
+    auto serving = longRunningStep(1, 0);
+    serving.latencyTargetMs = 100;
+    fixture.addJob("serving", serving);
+    fixture.begin();
+    fixture.poll("a");
+    fixture.confirm(fixture.sendOnlyStart());
+    auto backfill = plainStep(1);
+    backfill.fills = true;
+    fixture.addJob("backfill", backfill);
+    const auto order = fixture.sendOnlyStart();
+    fixture.confirm(order);
+    fixture.advance(Utils::Milliseconds(100));
+    ASSERT_EQ(fixture.schedule().paces.size(), 1U);
+    fixture.ledger.addEndpoint(fixture.restart(first), fixture.now());
+    fixture.poll("a", {{order.task, order.run, "", 100, 0}});
+    fixture.advance(Utils::Milliseconds(100));
+    EXPECT_EQ(fixture.schedule().paces.size(), 1U);
+}
+
 // Guards against TWICE: a start of a former leader is on no list yet, and is carried out by a later incarnation.
 TEST(LateStartOfAFormerLeader, TaskRunsNowhereElseWhileALaterIncarnationMayBeginIt)
 {
