Take a fenced second copy for no answer to the first, and a listed failure for the end of its start

A second copy of a start may be refused for a later token of the same leader, if its endpoint was removed and announced again meanwhile. That tells nothing of the first copy, which may be at work, and the task started elsewhere: two runs. Such a reply counts as none now.

A task whose failure the first list of a term holds was taken for one whose start may be late, and waited 13 s (before, it started at once). An earlier leader has started it no second time before that end was recorded, so the end settles it.

Both new tests failed before.

--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -466,6 +466,7 @@
     auto leaseEndOfNext(const std::string &endpoint, Utils::Instant earliest) const
         -> Utils::Instant;
     auto dropStart(const StartOrder &order) -> void;
+    auto resultOfAllCopies(const StartOrder &order, const StartReply &reply) const -> StartResult;
     auto countUnanswered(const OrderTarget &target, StartResult result) -> void;
     auto unavailableTasks(const Jobs::TaskId &task, std::string_view withoutEndpoint) const
         -> std::int64_t;
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -106,37 +106,48 @@
     release({order.task, order.run, id, ReleaseReason::Refused, std::nullopt});
 }
 
+// Returns what is known of all copies of the order. One that this leader's own later token has fenced tells nothing of an
+// earlier copy.
+auto RunLedger::resultOfAllCopies(const StartOrder &order, const StartReply &reply) const
+    -> StartResult
+{
+    const auto fencedByOwnToken =
+        reply.result == StartResult::Fenced && !showsLaterTerm(order.target);
+    return reply.repeated && fencedByOwnToken ? StartResult::Unknown : reply.result;
+}
+
 auto RunLedger::startAnswered(const StartOrder &order, const StartReply &reply, Utils::Instant now)
     -> void
 {
     if (!isOfThisTerm(order.target))
         return;
-    if (reply.result == StartResult::Unknown || reply.repeated)
+    const auto result = resultOfAllCopies(order, reply);
+    if (result == StartResult::Unknown || reply.repeated)
         noteLateStart(order, now);
-    if (mayHaveRenewed(reply.result))
+    if (mayHaveRenewed(result))
         extendLeaseOfNextIncarnation(order.target.incarnation, now);
     auto *run = findStarted(order);
     if (run == nullptr)
         return;
     if (run->state == RunState::Running)
         return;
-    countUnanswered(order.target, reply.result);
-    if (reply.result == StartResult::Started) {
+    countUnanswered(order.target, result);
+    if (result == StartResult::Started) {
         run->state = RunState::Running;
         run->confirmedAt = now;
         run->unlisted = false;
         m_startedJobs.insert(order.task.job);
         return;
     }
-    if (reply.result == StartResult::Unknown) {
+    if (result == StartResult::Unknown) {
         run->state = RunState::Uncertain;
         run->unansweredAt = now;
         return;
     }
     if (auto *endpoint = findEndpoint(order.target.incarnation)) {
-        if (reply.result == StartResult::NoRoom)
+        if (result == StartResult::NoRoom)
             endpoint->avoidUntil = std::max(endpoint->avoidUntil, now + noRoomPause);
-        else if (reply.result != StartResult::Outdated)
+        else if (result != StartResult::Outdated)
             endpoint->avoidUntil = std::max(endpoint->avoidUntil, now + unhealthyPause);
     }
     dropStart(order);
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -178,6 +178,8 @@
     const auto longRunning = spec != nullptr && spec->longRunning;
     const auto counts = end.kind == EndKind::Done || end.kind == EndKind::Failed;
     if (counts && !longRunning) {
+        // An earlier leader has started it no second time before this end was recorded.
+        endpoint.inherited.erase(end.task);
         const auto outcome =
             end.kind == EndKind::Done ? Jobs::TaskOutcome::Done : Jobs::TaskOutcome::Failed;
         effects.record.ends.push_back({end.number, end.task, outcome});
--- a/tests/auto/execution/tst_lateorders.cpp
+++ b/tests/auto/execution/tst_lateorders.cpp
@@ -172,6 +172,25 @@
     EXPECT_GT(poll->target.fencingToken, m_order.target.fencingToken);
 }
 
+// Guards against TWICE: the first copy runs, and the second one is refused for the token of the next announcement.
+TEST_F(LateStart, TaskRunsNowhereElseIfItsSecondCopyIsFencedByALaterTokenOfTheSameLeader)
+{
+    m_first = m_fixture.addEndpoint("a");
+    m_fixture.addJob("job", longRunningStep(1, 0));
+    m_fixture.begin();
+    m_fixture.poll("a");
+    m_order = m_fixture.sendOnlyStart();
+    m_fixture.addEndpoint("b");
+    m_fixture.poll("b");
+    m_fixture.removeEndpoint("a");
+    m_fixture.announce(m_first);
+    Execution::StartReply reply;
+    reply.result = Execution::StartResult::Fenced;
+    reply.repeated = true;
+    m_fixture.ledger.startAnswered(m_order, reply, m_fixture.now());
+    EXPECT_EQ(startedOn(), "");
+}
+
 // Guards against HARM: a run waits for the reply to a pace that was for the former incarnation, and is never paced again.
 TEST(LatePace, RunThatTheNextIncarnationHasBegunIsPacedAgain)
 {
@@ -219,4 +238,17 @@
     EXPECT_EQ(starts.front().target.incarnation.id, "b");
 }
 
+// Guards against LOST: a task whose end the first list of a term holds waits as if its start might be late.
+TEST(LateStartOfAFormerLeader, TaskThatIsListedAsFailedStartsOnceThatIsRecorded)
+{
+    LedgerFixture fixture;
+    fixture.addEndpoint("a");
+    fixture.addJob("job", plainStep(1));
+    fixture.recordStart("a", fixture.task("job"));
+    fixture.begin();
+    fixture.record(
+        fixture.poll("a", {}, {{1, fixture.task("job"), 7, Execution::EndKind::Failed, ""}}));
+    EXPECT_EQ(fixture.schedule().starts.size(), 1U);
+}
+
 } // namespace
--- a/tests/auto/execution/tst_randomfleet.cpp
+++ b/tests/auto/execution/tst_randomfleet.cpp
@@ -31,6 +31,7 @@
 // The same where tasks wait for places near.
 constexpr std::array<std::int64_t, 1> seedsOfStartsAndPollsWithWaits{396};
 constexpr std::array<std::int64_t, 1> seedsOfStartsAndPollsWithAccounts{238};
+constexpr std::array<std::int64_t, 1> seedsOfStartsAndPollsToRestarted{50219};
 
 auto numberFrom(const char *variable, std::int64_t otherwise) -> std::int64_t
 {
@@ -126,6 +127,9 @@
     PlayOptions accounts;
     accounts.accounts = true;
     expectSound(seedsOfStartsAndPollsWithAccounts, accounts);
+    PlayOptions cuts;
+    cuts.cutsAfterRestarts = true;
+    expectSound(seedsOfStartsAndPollsToRestarted, cuts);
 }
 
 // Guards against TWICE: the second incarnation after the one that a start is for carries it out.
