Let the soak's stand-ins start again under their ids behind relays that keep calls

A relay can be unreachable: it keeps what is sent to it, also on new connections, which reach whoever is at the address later, every other one as its opening packets are sent again.

--- a/tests/process/soak/faultrelay.h
+++ b/tests/process/soak/faultrelay.h
@@ -16,6 +16,7 @@
     Silent,           //!< Drops the bytes of both directions; connections stay open.
     ResponsesAreLost, //!< Drops responses, forwards requests.
     RequestsAreLost,  //!< Drops requests, forwards responses.
+    Unreachable,      //!< Forwards nothing; keeps what is sent, also on new connections.
 };
 
 /*!
@@ -31,7 +32,12 @@
 
     auto start() -> void;
     auto setMode(RelayMode mode) -> void;
+    /*! \brief Makes new connections, and those that have not reached the target yet, go to \a target. */
+    auto setTarget(std::string target) -> void { m_target = std::move(target); }
     auto resetConnections() -> void;
+    /*! \brief Resets the connections that have reached the target. */
+    auto resetEstablishedConnections() -> void;
+    auto address() const -> std::string;
 
 private:
     using Socket = AsyncNet::TcpSocket;
@@ -43,18 +49,23 @@
         {}
         Socket caller;
         Socket target;
+        bool established = false;
     };
 
     auto accept() -> AsyncNet::Task<void>;
+    auto reach(std::shared_ptr<Pair> pair) -> AsyncNet::Task<void>;
     auto serve(std::shared_ptr<Pair> pair) -> AsyncNet::Task<void>;
     auto pump(std::shared_ptr<Pair> pair, bool requests) -> AsyncNet::Task<void>;
     auto loses(bool requests) const -> bool;
+    auto waitUntilReachable() -> AsyncNet::Task<void>;
+    static auto reset(Pair &pair) -> void;
 
     AsyncNet::asio::io_context &m_loop;
     std::string m_address;
     std::string m_target;
     AsyncNet::TcpAcceptor m_acceptor;
     RelayMode m_mode = RelayMode::Pass;
+    int m_connections = 0; //!< Number of accepted connections.
     std::vector<std::weak_ptr<Pair>> m_pairs;
 };
 
--- a/tests/process/soak/promises.cpp
+++ b/tests/process/soak/promises.cpp
@@ -93,7 +93,7 @@
         fail(task + " starts, but its job was not submitted");
     if (m_refused.contains(name.job))
         fail(task + " starts, but its job was refused");
-    if (++m_runningTasks > quotaTasks + quotaTasks / 10 + 1)
+    if (++m_runningTasks > m_accountTasks + m_accountTasks / 10 + 1)
         fail(task + " starts, and " + std::to_string(m_runningTasks) + " tasks of its account run");
     if (++m_running[task] > 1)
         fail(task + " runs twice at the same time");
--- a/tests/process/soak/promises.h
+++ b/tests/process/soak/promises.h
@@ -27,6 +27,10 @@
 class GuaranteeChecker
 {
 public:
+    explicit GuaranteeChecker(std::int64_t accountTasks = quotaTasks)
+        : m_accountTasks(accountTasks)
+    {}
+
     auto submitted(const SoakJob &job) -> void;
     auto accepted(const std::string &id) -> void;
     /*! \brief Records that all attempts to submit the job were refused. */
@@ -63,6 +67,7 @@
     auto doneJobs() const -> std::size_t { return m_doneJobs.size(); }
 
 private:
+    std::int64_t m_accountTasks; //!< Tasks that may run at the same time.
     std::map<std::string, SoakJob> m_jobs;
     std::set<std::string> m_accepted;
     std::set<std::string> m_refused;
--- a/tests/process/soak/standinendpoint.cpp
+++ b/tests/process/soak/standinendpoint.cpp
@@ -11,7 +11,6 @@
 constexpr Utils::Milliseconds announceInterval{700};
 constexpr Utils::Milliseconds announceTimeout{1000};
 constexpr std::int64_t maximumExtraDelayMs = 5000; // Random part of the delay of a late order.
-constexpr std::int64_t cpu = 4000;
 constexpr std::size_t maximumConnections = 4;
 
 auto reply(int status, Utils::Json body) -> AsyncNet::HttpResponse
@@ -41,10 +40,19 @@
 StandInEndpoint::StandInEndpoint(SoakContext &context,
                                  std::string host,
                                  std::vector<std::string> controls)
+    : StandInEndpoint(
+        context,
+        {"i-" + std::to_string(context.engine() % 1'000'000'000), {}, std::move(host)},
+        std::move(controls))
+{}
+
+StandInEndpoint::StandInEndpoint(SoakContext &context,
+                                 EndpointIdentity identity,
+                                 std::vector<std::string> controls)
     : m_context(context)
-    , m_host(std::move(host))
-    , m_id("i-" + std::to_string(context.engine() % 1'000'000'000))
+    , m_identity(std::move(identity))
     , m_bornMs(context.clock.wallTime())
+    , m_startedMs(context.nowMs())
     , m_controls(std::move(controls))
     , m_listener(context.loop,
                  "endpoint",
@@ -55,12 +63,33 @@
     , m_ended(context.loop)
 {}
 
-auto StandInEndpoint::start() -> void
+auto StandInEndpoint::start(Utils::Milliseconds firstAnnouncement) -> void
 {
     if (!m_listener.start("127.0.0.1:0"))
         m_context.guarantees.fail("a stand-in endpoint cannot listen");
+    if (m_identity.address.empty())
+        m_identity.address = listensOn();
+    trace("begins its life");
     AsyncNet::start(m_context.loop, "endpoint work", work(), shared_from_this());
-    AsyncNet::start(m_context.loop, "endpoint announcements", announce(), shared_from_this());
+    AsyncNet::start(
+        m_context.loop, "endpoint announcements", announce(firstAnnouncement), shared_from_this());
+}
+
+auto StandInEndpoint::listensOn() const -> std::string
+{
+    return "127.0.0.1:" + std::to_string(m_listener.port());
+}
+
+// The clock of each incarnation starts anew.
+auto StandInEndpoint::clockMs() const -> std::int64_t
+{
+    return m_context.nowMs() - m_startedMs + 1;
+}
+
+auto StandInEndpoint::trace(const std::string &what) const -> void
+{
+    if (m_context.trace)
+        m_context.trace(m_identity.id + '@' + std::to_string(m_startedMs) + ' ' + what);
 }
 
 auto StandInEndpoint::crash() -> void
@@ -68,6 +97,7 @@
     m_alive = false;
     m_listener.stopAccepting();
     m_listener.endConnections();
+    trace("crashes");
     for (const auto &[task, run] : m_runs)
         m_context.guarantees.ended(task);
     m_runs.clear();
@@ -99,13 +129,13 @@
     -> AsyncNet::HttpResponse
 {
     if (!acceptToken(body))
-        return reply(409, {{"reason", "fence"}, {"clock_ms", m_context.nowMs()}});
+        return reply(409, {{"reason", "fence"}, {"clock_ms", clockMs()}});
     endDueRuns();
     if (target == "/trefoilshelf/run-start")
         return startRun(body);
     if (target == "/trefoilshelf/run-stop")
         return stopRun(body);
-    return reply(200, {{"clock_ms", m_context.nowMs()}});
+    return reply(200, {{"clock_ms", clockMs()}});
 }
 
 auto StandInEndpoint::acceptToken(const Utils::Json &body) -> bool
@@ -120,14 +150,14 @@
 auto StandInEndpoint::extendLease(const Utils::Json &body) -> void
 {
     const auto until = body.value("until_ms", std::int64_t(0));
-    m_leaseEndMs = std::max(m_leaseEndMs, std::min(until, m_context.nowMs() + longestLeaseMs));
+    m_leaseEndMs = std::max(m_leaseEndMs, std::min(until, clockMs() + longestLeaseMs));
 }
 
 auto StandInEndpoint::startRun(const Utils::Json &body) -> AsyncNet::HttpResponse
 {
     const auto task = body.value("task", std::string());
     const auto run = body.value("run", std::int64_t(0));
-    const auto now = m_context.nowMs();
+    const auto now = clockMs();
     const auto refuse = [now](std::string_view reason) {
         return reply(409, {{"reason", reason}, {"clock_ms", now}});
     };
@@ -139,11 +169,12 @@
         return reply(200, {{"clock_ms", now}});
     if (known != m_runs.end() || run <= m_highestRun[task])
         return refuse("old");
-    if (std::int64_t(m_runs.size()) * 1000 >= cpu)
+    if (std::int64_t(m_runs.size()) * 1000 >= m_identity.cpu)
         return refuse("room");
     const auto *job = m_context.guarantees.job(task.substr(0, task.find('.')));
     m_runs[task] = {run, now + (job != nullptr ? job->taskMs : 100), 0};
-    m_context.guarantees.started(task, now);
+    trace("starts " + task + " run " + std::to_string(run));
+    m_context.guarantees.started(task, m_context.nowMs());
     return reply(200, {{"clock_ms", now}});
 }
 
@@ -154,14 +185,14 @@
     m_highestRun[task] = std::max(m_highestRun[task], run);
     const auto known = m_runs.find(task);
     if (known != m_runs.end() && known->second.number <= run && known->second.stopsMs == 0)
-        known->second.stopsMs = m_context.nowMs() + stopMs;
-    return reply(200, {{"clock_ms", m_context.nowMs()}});
+        known->second.stopsMs = clockMs() + stopMs;
+    return reply(200, {{"clock_ms", clockMs()}});
 }
 
 auto StandInEndpoint::poll(Utils::Json body) -> Response
 {
     if (!acceptToken(body))
-        co_return reply(409, {{"reason", "fence"}, {"clock_ms", m_context.nowMs()}});
+        co_return reply(409, {{"reason", "fence"}, {"clock_ms", clockMs()}});
     extendLease(body);
     removeRecordedEnds(body.value("last_seen", std::int64_t(0)));
     endDueRuns();
@@ -182,7 +213,7 @@
     for (const auto &end : m_unrecordedEnds)
         ended.push_back({end.number, end.task, end.run, end.how, ""});
     return reply(200,
-                 {{"clock_ms", m_context.nowMs()},
+                 {{"clock_ms", clockMs()},
                   {"born", m_bornMs},
                   {"running_count", running},
                   {"ended", ended}});
@@ -191,8 +222,11 @@
 auto StandInEndpoint::removeRecordedEnds(std::int64_t lastSeen) -> void
 {
     while (!m_unrecordedEnds.empty() && m_unrecordedEnds.front().number <= lastSeen) {
-        if (m_unrecordedEnds.front().how == "done")
-            m_context.guarantees.doneRecorded(m_unrecordedEnds.front().task);
+        const auto &end = m_unrecordedEnds.front();
+        if (end.how == "done") {
+            trace("hears that the end of " + end.task + " is recorded");
+            m_context.guarantees.doneRecorded(end.task);
+        }
         m_unrecordedEnds.pop_front();
     }
 }
@@ -203,6 +237,7 @@
     m_runs.erase(task);
     m_highestRun[task] = std::max(m_highestRun[task], number);
     m_unrecordedEnds.push_back({++m_ends, task, number, how});
+    trace("ends " + task + " run " + std::to_string(number) + ' ' + how);
     m_context.guarantees.ended(task);
     if (how == "done")
         m_context.guarantees.done(task);
@@ -211,7 +246,7 @@
 
 auto StandInEndpoint::endDueRuns() -> void
 {
-    const auto now = m_context.nowMs();
+    const auto now = clockMs();
     const auto lapsed = now >= m_leaseEndMs;
     const auto runs = m_runs;
     for (const auto &[task, run] : runs) {
@@ -232,24 +267,32 @@
     }
 }
 
-auto StandInEndpoint::announce() -> AsyncNet::Task<void>
+auto StandInEndpoint::announcement(std::int64_t sequence) const -> Utils::Json
 {
-    for (std::int64_t sequence = 1; m_alive; ++sequence) {
-        AsyncNet::HttpRequest request;
-        request.method = "PUT";
-        request.target = "/trefoilshelf/instances/" + m_id;
-        request.body = Utils::Json{
-            {"service", "work"},
-            {"address", "127.0.0.1:" + std::to_string(m_listener.port())},
+    return {{"service", "work"},
+            {"address", m_identity.address},
             {"zone", "z1"},
             {"version", "v1"},
             {"slots", 8},
             {"state", "ready"},
             {"born", m_bornMs},
-            {"capacity", {{"cpu", cpu}, {"mem_mb", 64'000}, {"gpu", 0}}},
+            {"capacity", {{"cpu", m_identity.cpu}, {"mem_mb", 64'000}, {"gpu", 0}}},
             {"labels", {"a", "r1"}},
-            {"seq_no",
-             sequence}}.dump();
+            {"seq_no", sequence}};
+}
+
+auto StandInEndpoint::announce(Utils::Milliseconds first) -> AsyncNet::Task<void>
+{
+    co_await AsyncNet::pause(first);
+    for (std::int64_t sequence = 1; m_alive; ++sequence) {
+        if (m_cutOff) {
+            co_await AsyncNet::pause(workInterval);
+            continue;
+        }
+        AsyncNet::HttpRequest request;
+        request.method = "PUT";
+        request.target = "/trefoilshelf/instances/" + m_identity.id;
+        request.body = announcement(sequence).dump();
         const auto control = std::size_t(m_context.draw(std::int64_t(m_controls.size())));
         const auto answer =
             co_await m_client.call(m_controls[control], std::move(request), announceTimeout);
--- a/tests/process/soak/standinendpoint.h
+++ b/tests/process/soak/standinendpoint.h
@@ -8,6 +8,7 @@
 #include "utils/fields.h"
 
 #include <deque>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -27,12 +28,22 @@
     std::mt19937_64 &engine;
     Utils::SystemClock clock;
     Utils::Instant began;
+    std::function<void(const std::string &)> trace; //!< Takes what endpoints do, if it is set.
 
     auto nowMs() const -> std::int64_t { return (clock.now() - began).count(); }
     /*! \brief Returns a whole number from 0 to \a below - 1. */
     auto draw(std::int64_t below) -> std::int64_t;
 };
 
+/*! \brief What an endpoint says of itself. */
+struct EndpointIdentity
+{
+    std::string id;
+    std::string address; //!< Empty: where it listens.
+    std::string host;
+    std::int64_t cpu = 4000;
+};
+
 /*!
     \brief One incarnation of a stand-in endpoint of the platform.
 
@@ -43,13 +54,20 @@
 {
 public:
     StandInEndpoint(SoakContext &context, std::string host, std::vector<std::string> controls);
+    StandInEndpoint(SoakContext &context,
+                    EndpointIdentity identity,
+                    std::vector<std::string> controls);
 
-    auto start() -> void;
+    /*! \brief Starts the endpoint, which announces itself after \a firstAnnouncement. */
+    auto start(Utils::Milliseconds firstAnnouncement = Utils::Milliseconds(0)) -> void;
     auto crash() -> void;
+    /*! \brief Makes the endpoint announce nothing while it is cut off. */
+    auto setCutOff(bool cutOff) -> void { m_cutOff = cutOff; }
     /*! \brief Executes about half of the orders late for \a duration and replies 504 to them. */
     auto executeLate(Utils::Milliseconds duration) -> void;
-    auto id() const -> const std::string & { return m_id; }
-    auto host() const -> const std::string & { return m_host; }
+    auto id() const -> const std::string & { return m_identity.id; }
+    auto host() const -> const std::string & { return m_identity.host; }
+    auto listensOn() const -> std::string;
 
 private:
     using Response = AsyncNet::Task<AsyncNet::HttpResponse>;
@@ -79,17 +97,21 @@
     auto endRun(const std::string &task, const std::string &how) -> void;
     auto endDueRuns() -> void;
     auto work() -> AsyncNet::Task<void>;
-    auto announce() -> AsyncNet::Task<void>;
+    auto announce(Utils::Milliseconds first) -> AsyncNet::Task<void>;
+    auto announcement(std::int64_t sequence) const -> Utils::Json;
+    auto clockMs() const -> std::int64_t;
+    auto trace(const std::string &what) const -> void;
 
     SoakContext &m_context;
-    std::string m_host;
-    std::string m_id;
+    EndpointIdentity m_identity;
     std::int64_t m_bornMs;
+    std::int64_t m_startedMs;
     std::vector<std::string> m_controls;
     AsyncNet::HttpListener m_listener;
     AsyncNet::HttpClient m_client;
     AsyncNet::Signal m_ended;
     bool m_alive = true;
+    bool m_cutOff = false;
     std::int64_t m_token = 0;
     std::int64_t m_leaseEndMs = 0;
     std::int64_t m_ends = 0;
