Let batch tasks whose start got no reply start again as before, and say what remains

So the wait goes; what protects a task now is that an order goes only over a connection on which its incarnation has answered, and that an incarnation which has answered refuses all orders for former ones.

--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -41,12 +41,8 @@
     Renewing, //!< As before, and the record that it may be renewed is being committed.
 };
 
-/*! \brief The start order of an earlier leader. */
-struct FormerStart
-{
-    //! Time from which on it may be late; none if it cannot be carried out any more.
-    std::optional<Utils::Instant> lateSince;
-};
+/*! \brief Whether the start order of an earlier leader may still be carried out. */
+enum class FormerStart { MayBeLate, Settled };
 
 /*! \brief Tasks that an earlier leader may have started. */
 using FormerStarts = std::map<Jobs::TaskId, FormerStart>;
@@ -99,10 +95,16 @@
     /*! \brief Returns true if the next incarnation under the endpoint's id may carry the order out. */
     auto mayOutliveIncarnation() const -> bool { return sent && !carriedOut; }
     auto isAwaitingReply() const -> bool { return sent && state == RunState::Ordered; }
-    /*! \brief Returns true if an incarnation that is not known yet may have confirmed the start. */
+    /*!
+        \brief Returns true if an incarnation that is not known yet may have begun the run.
+
+        A long-running task does not wait for that if nothing has confirmed the start: it may not be without a run
+        for so long.
+    */
     auto mayRunOnUnknownIncarnation() const -> bool
     {
-        return mayOutliveIncarnation() && state == RunState::Running;
+        const auto unanswered = state == RunState::Uncertain && !longRunning;
+        return mayOutliveIncarnation() && (state == RunState::Running || unanswered);
     }
     /*! \brief Returns the run as one that is gone from \a endpoint. */
     auto releasedFrom(const std::string &endpoint, ReleaseReason reason) const -> Release;
@@ -219,7 +221,6 @@
     Utils::Instant firstReplyAt; //!< Time of the first reply to a poll in this term.
     //! Time of the last reply to a poll, or beginning of the term, or of the silence before it.
     Utils::Instant lastReplyAt;
-    Utils::Instant listedAt;  //!< Time at which the last complete list was asked for.
     std::int64_t clockMs = 0; //!< Time on the endpoint's clock at clockAt.
     Utils::Instant clockAt;   //!< Local time of the poll reply that carried clockMs.
     //! Time by which all tasks there have ended, unless the lease is renewed.
@@ -273,21 +274,17 @@
     auto erase(const Jobs::TaskId &task) -> void;
 };
 
-/*!
-    \brief A start order of which a copy got no reply.
-
-    That one may be carried out long after the run was settled, by any later incarnation under the endpoint's
-    id that has not been reached yet.
-*/
+/*! \brief A start order of which a copy got no reply. That one may be carried out long after the run was settled. */
 struct LateStart
 {
     Jobs::TaskId task;
-    std::int64_t run = 0; //!< 0 if it is that of an earlier leader.
-    //! Birth of the incarnation that the order is for; 0 if it is that of an earlier leader.
-    std::int64_t bornMs = 0;
-    Utils::Instant unansweredAt{};
+    std::int64_t run = 0;
+    std::int64_t bornMs = 0; //!< Birth of the incarnation that the order is for.
+    Utils::Instant unansweredAt;
     Accounts::AccountId account = Accounts::noAccount;
-    Jobs::Resources demand{};
+    Jobs::Resources demand;
+    std::int64_t blockedByMs =
+        0; //!< Birth of a later incarnation that refuses the run; 0 if none does.
 };
 
 /*! \brief A poll that names recorded ends, without a reply so far. */
--- a/src/libs/execution/leaderhosts.cpp
+++ b/src/libs/execution/leaderhosts.cpp
@@ -343,8 +343,9 @@
     Control::Command removed;
     removed.removeEndpoint = incarnation;
     commands.push_back(std::move(removed));
-    auto gone = m_parts.state.read(
-        [this](const Control::State &state) { return m_ledger.takeGone(state); });
+    auto gone = m_parts.state.read([this](const Control::State &state) {
+        return m_ledger.takeGone(state, m_parts.clock.now());
+    });
     const auto committed = co_await commitUntilDone(std::move(commands), std::move(gone));
     if (committed)
         wake();
--- a/src/libs/execution/runaccounts.cpp
+++ b/src/libs/execution/runaccounts.cpp
@@ -91,8 +91,21 @@
     const auto &endpoint = found->second;
     if (isBookedIn(endpoint.runs.find(late.task)))
         return false;
-    // One that has seen the fencing token of its own refuses orders for former ones.
-    return !endpoint.polled || !endpoint.answers;
+    const auto bornMs = endpoint.record.incarnation.bornMs;
+    const auto refused = bornMs == late.bornMs || bornMs == late.blockedByMs;
+    return !refused || !endpoint.answers;
+}
+
+// Notes that the incarnation knows the stop of a late start, and refuses it from now on.
+auto RunLedger::noteBlocked(const StopOrder &order) -> void
+{
+    const auto found = m_lateStarts.find(order.target.incarnation.id);
+    if (found == m_lateStarts.end())
+        return;
+    for (auto &late : found->second) {
+        if (late.task == order.task && late.run <= order.run)
+            late.blockedByMs = order.target.incarnation.bornMs;
+    }
 }
 
 // A former leader may have ended before it had stopped the runs of a job that was cancelled or failed. The log
--- a/src/libs/execution/runledger.cpp
+++ b/src/libs/execution/runledger.cpp
@@ -39,10 +39,10 @@
     m_endpointsByPool.clear();
     m_outliving.clear();
     m_lateStarts.clear();
-    m_tasksOfLateStarts.clear();
     m_nextLeases.clear();
     m_ended.clear();
     m_forgettingPolls.clear();
+    m_blockingStops.clear();
     m_jobs.clear();
     m_checkpoints.clear();
     m_startedJobs.clear();
@@ -54,6 +54,7 @@
     m_misdirectedRuns.clear();
     m_gone.clear();
     m_takenGone.clear();
+    m_formerStarts.clear();
     m_formerWaits.clear();
     m_found.clear();
     m_places.clear();
@@ -140,10 +141,9 @@
                              Utils::Instant now) -> bool
 {
     const auto &id = start.incarnation.id;
-    const FormerStart former{start.knownSince.value_or(now)};
     const auto settled = start.knownSince && now - *start.knownSince > longestLateRun(m_timing);
     if (const auto endpoint = m_endpoints.find(id); endpoint != m_endpoints.end()) {
-        endpoint->second.inherited[task] = settled ? FormerStart() : former;
+        endpoint->second.inherited[task] = settled ? FormerStart::Settled : FormerStart::MayBeLate;
         return true;
     }
     if (settled)
@@ -153,7 +153,7 @@
     const auto longest =
         (known ? removed->second.removedAt : now) + longestLocalTime(m_timing.maximumLease);
     auto &outliving = m_outliving[id];
-    outliving.inherited[task] = former;
+    outliving.inherited[task] = FormerStart::MayBeLate;
     outliving.leaseEnd = known ? removed->second.leaseEndsBy.value_or(longest) : longest;
     return true;
 }
@@ -191,6 +191,7 @@
         endpoint.fencingToken = nextToken(id);
         takeOutlivingRuns(endpoint);
         forgetLateOrders(now);
+        blockLateStarts(endpoint);
     }
     endpoint.record = record;
 }
--- a/src/libs/execution/runledger.h
+++ b/src/libs/execution/runledger.h
@@ -194,7 +194,7 @@
         \brief Returns the tasks that wait and that nothing runs any more, once for each start of
         them that \a state holds.
     */
-    auto takeGone(const Control::State &state) -> std::vector<Jobs::TaskId>;
+    auto takeGone(const Control::State &state, Utils::Instant now) -> std::vector<Jobs::TaskId>;
     /*! \brief Returns true if the run is booked on the incarnation that the order names. */
     auto holds(const StartOrder &order) -> bool;
     /*! \brief Returns true if the task waits, and nothing runs it. */
@@ -318,8 +318,6 @@
     auto noteEarlierRun(EndpointEntry &endpoint, Run &run, std::int64_t earlier) -> void;
     auto removeRun(EndpointEntry &endpoint, const Jobs::TaskId &task) -> void;
     auto noteLateStart(const StartOrder &order, Utils::Instant now) -> void;
-    auto addLateStart(const std::string &endpoint, LateStart late) -> void;
-    auto forgetLateStarts(Utils::Instant now) -> void;
     auto findLateStart(const std::string &endpoint,
                        const Jobs::TaskId &task,
                        std::int64_t run) const -> const LateStart *;
@@ -339,10 +337,9 @@
     auto keepOutlivingRuns(EndpointEntry &endpoint) -> void;
     auto takeOutlivingRuns(EndpointEntry &endpoint) -> void;
     auto expireOutlivingRuns(Utils::Instant now) -> void;
+    auto blockLateStarts(const EndpointEntry &endpoint) -> void;
     auto takeFound(const Control::State &state) -> std::vector<StartOrder>;
     auto tasksOfLateStarts() const -> std::set<Jobs::TaskId>;
-    auto isHeldByLateStart(const Jobs::StepSpec &spec, const Jobs::TaskId &task) const -> bool;
-    auto isGangHeldByLateStart(const Jobs::StepSpec &spec, const Jobs::TaskId &first) const -> bool;
     auto forgetLateOrders(Utils::Instant now) -> void;
     auto settleForgettingPoll(const PollOrder &order, PollResult result, Utils::Instant now)
         -> void;
@@ -485,6 +482,7 @@
     auto countFormerEnds(Utils::Instant now) -> void;
     auto countUnsizedRuns(const Control::State &state) -> void;
     auto mayBeCarriedOut(const std::string &endpoint, const LateStart &late) const -> bool;
+    auto noteBlocked(const StopOrder &order) -> void;
     static auto noteWanted(PoolPlacement &pool, const ReadyWork &work) -> void;
     auto countShares(PoolPlacement &pool) const -> void;
     auto shareOf(Accounts::AccountId account, const PoolPlacement &pool) const -> double;
@@ -503,9 +501,9 @@
     EndpointTable m_endpoints;
     std::map<std::string, std::int64_t> m_tokens; //!< Last fencing token, by the id of an endpoint.
     std::map<std::string, std::vector<LateStart>> m_lateStarts; //!< By the id of an endpoint.
-    std::set<Jobs::TaskId> m_tasksOfLateStarts;                 //!< At the last pass.
     //! By the id of an endpoint.
     std::map<std::string, std::vector<ForgettingPoll>> m_forgettingPolls;
+    std::vector<StopOrder> m_blockingStops; //!< Sent with the next orders.
     //! When incarnations have ended, by id, for as long as orders for them may be late. None if it was
     //! since the last call of expireLeases().
     std::map<std::string, std::optional<Utils::Instant>> m_ended;
@@ -531,6 +529,8 @@
     //! Tasks whose run is gone since their start was recorded, until they start again.
     std::set<Jobs::TaskId> m_gone;
     std::set<Jobs::TaskId> m_takenGone; //!< Tasks that takeGone() has returned in this term.
+    //! Tasks that an earlier leader had started, and that were released while that order may be late.
+    std::set<Jobs::TaskId> m_formerStarts;
     //! Since when tasks were without a run, as far as earlier leaders have recorded it.
     std::map<Jobs::TaskId, Utils::Instant> m_formerWaits;
     std::vector<StartOrder> m_found; //!< Runs that polls found since the last pass.
--- a/src/libs/execution/runorders.cpp
+++ b/src/libs/execution/runorders.cpp
@@ -106,6 +106,26 @@
     release({order.task, order.run, id, ReleaseReason::Refused, std::nullopt});
 }
 
+// Notes that a copy of the start got no reply. Whatever became of the run, the next incarnation may carry
+// that copy out.
+auto RunLedger::noteLateStart(const StartOrder &order, Utils::Instant now) -> void
+{
+    const auto &incarnation = order.target.incarnation;
+    LateStart late;
+    late.task = order.task;
+    late.run = order.run;
+    late.bornMs = incarnation.bornMs;
+    late.unansweredAt = now;
+    if (const auto *spec = specOf(order.task)) {
+        late.account = m_jobs.at(order.task.job).account();
+        late.demand = spec->demand;
+    } else if (const auto *run = findStarted(order)) {
+        late.account = run->account;
+        late.demand = run->demand;
+    }
+    m_lateStarts[incarnation.id].push_back(std::move(late));
+}
+
 // Returns what is known of all copies of the order. One that this leader's own later token has fenced tells nothing of an
 // earlier copy.
 auto RunLedger::resultOfAllCopies(const StartOrder &order, const StartReply &reply) const
@@ -165,6 +185,8 @@
 
 auto RunLedger::stopAnswered(const StopOrder &order, OrderResult result, Utils::Instant now) -> void
 {
+    if (result == OrderResult::Accepted)
+        noteBlocked(order);
     auto *run = findRun(order.target, order.task, order.run);
     if (run == nullptr || result != OrderResult::Accepted)
         return;
--- a/src/libs/execution/runpolls.cpp
+++ b/src/libs/execution/runpolls.cpp
@@ -123,7 +123,6 @@
     reconcile(endpoint, reply, sentAt);
     if (reply.truncated)
         return effects;
-    endpoint.listedAt = sentAt;
     // Inherited tasks that the reply lists neither as running nor as ended were never started here
     // or have ended for good, so they can be started again.
     releaseInherited(std::exchange(endpoint.inherited, {}),
@@ -178,8 +177,6 @@
     const auto longRunning = spec != nullptr && spec->longRunning;
     const auto counts = end.kind == EndKind::Done || end.kind == EndKind::Failed;
     if (counts && !longRunning) {
-        // An earlier leader has started it no second time before this end was recorded.
-        endpoint.inherited.erase(end.task);
         const auto outcome =
             end.kind == EndKind::Done ? Jobs::TaskOutcome::Done : Jobs::TaskOutcome::Failed;
         effects.record.ends.push_back({end.number, end.task, outcome});
@@ -291,7 +288,7 @@
     adopted.confirmedAt = now;
     adopted.adopted = true;
     adopted.pacePercent = unknownPercent;
-    // A stop of it may have been late, too, and a run that is being stopped need not be listed.
+    // The stop that blocks it may be in flight, and a run that is being stopped need not be listed.
     if (const auto *late = findLateStart(endpoint.record.incarnation.id, row.task, row.run)) {
         adopted.stopSentAt = now;
         adopted.orderedForMs = late->bornMs;
--- a/src/libs/execution/runreleases.cpp
+++ b/src/libs/execution/runreleases.cpp
@@ -31,17 +31,21 @@
            && job->second.state(task) == TaskState::Open;
 }
 
-auto RunLedger::takeGone(const Control::State &state) -> std::vector<Jobs::TaskId>
+auto RunLedger::takeGone(const Control::State &state, Utils::Instant now)
+    -> std::vector<Jobs::TaskId>
 {
     std::vector<Jobs::TaskId> gone;
     if (m_gone.empty())
         return gone;
+    if (now - m_beganAt > longestLateOrder)
+        m_formerStarts.clear();
     const auto late = tasksOfLateStarts();
     std::erase_if(m_gone, [&](const Jobs::TaskId &task) {
         if (!isOpen(task))
             return true;
-        // A later leader does not know of late starts, so it has to wait for their endpoints.
-        if (late.contains(task))
+        // A later leader does not block late starts, so it has to wait for their endpoints. Which
+        // starts of an earlier leader are late is not known.
+        if (late.contains(task) || m_formerStarts.contains(task))
             return false;
         const auto job = state.startedTasks.find(task.job);
         if (job == state.startedTasks.end())
@@ -147,9 +151,9 @@
                                  const std::string &id,
                                  ReleaseReason reason) -> void
 {
-    for (const auto &[task, start] : starts) {
-        if (start.lateSince)
-            addLateStart(id, {.task = task, .unansweredAt = *start.lateSince});
+    for (const auto &[task, kind] : starts) {
+        if (kind != FormerStart::Settled)
+            m_formerStarts.insert(task);
         release({task, 0, id, reason, std::nullopt});
     }
 }
@@ -173,9 +177,9 @@
         if (const auto *late = findLateStart(id, run.task, run.number))
             run.awaitLateCopy(late->unansweredAt);
     }
-    for (const auto &[task, start] : endpoint.inherited) {
-        if (start.lateSince)
-            kept.inherited[task] = start;
+    for (const auto &[task, kind] : endpoint.inherited) {
+        if (kind != FormerStart::Settled)
+            kept.inherited[task] = kind;
     }
     std::erase_if(endpoint.inherited,
                   [&kept](const auto &item) { return kept.inherited.contains(item.first); });
@@ -206,9 +210,64 @@
     m_outliving.erase(found);
 }
 
+// A new incarnation knows no stop and no end of the former one, so it would carry out a late order to
+// that one. A stop makes it refuse the run number.
+auto RunLedger::blockLateStarts(const EndpointEntry &endpoint) -> void
+{
+    const auto found = m_lateStarts.find(endpoint.record.incarnation.id);
+    if (found == m_lateStarts.end())
+        return;
+    for (const auto &start : found->second) {
+        const auto *run = endpoint.runs.find(start.task);
+        const auto booked = run != nullptr && run->number == start.run;
+        // An incarnation that was removed and announced again still knows its stops and ends.
+        if (booked || start.bornMs == endpoint.record.incarnation.bornMs)
+            continue;
+        StopOrder stop{target(endpoint), start.task, start.run};
+        stop.reason = StopReason::StartUnanswered;
+        m_blockingStops.push_back(std::move(stop));
+    }
+}
+
+// Returns the start of the run if a copy of it may be carried out late, or nullptr.
+auto RunLedger::findLateStart(const std::string &endpoint,
+                              const Jobs::TaskId &task,
+                              std::int64_t run) const -> const LateStart *
+{
+    const auto found = m_lateStarts.find(endpoint);
+    if (found == m_lateStarts.end())
+        return nullptr;
+    const auto start = std::ranges::find_if(
+        found->second, [&](const LateStart &late) { return late.task == task && late.run == run; });
+    return start != found->second.end() ? &*start : nullptr;
+}
+
+auto RunLedger::lateStarts() const -> std::size_t
+{
+    std::size_t count = 0;
+    for (const auto &[id, starts] : m_lateStarts)
+        count += starts.size();
+    return count;
+}
+
+auto RunLedger::tasksOfLateStarts() const -> std::set<Jobs::TaskId>
+{
+    std::set<Jobs::TaskId> tasks;
+    for (const auto &[id, starts] : m_lateStarts) {
+        for (const auto &start : starts)
+            tasks.insert(start.task);
+    }
+    return tasks;
+}
+
 auto RunLedger::forgetLateOrders(Utils::Instant now) -> void
 {
-    forgetLateStarts(now);
+    for (auto &[id, starts] : m_lateStarts) {
+        std::erase_if(starts, [now](const LateStart &start) {
+            return now - start.unansweredAt > longestLateOrder;
+        });
+    }
+    std::erase_if(m_lateStarts, [](const auto &item) { return item.second.empty(); });
     for (auto &[id, polls] : m_forgettingPolls) {
         std::erase_if(polls, [now](const ForgettingPoll &poll) {
             return now - poll.sentAt > longestLateOrder;
@@ -278,6 +337,7 @@
 {
     std::vector<Control::EndpointIncarnation> expired;
     expireOutlivingRuns(now);
+    forgetLateOrders(now);
     for (auto &[id, endpoint] : m_endpoints) {
         // An endpoint that this leader reaches tells itself what it runs, so it is asked first.
         const auto isAsked = endpoint.tried || now - endpoint.addedAt >= firstReply;
@@ -289,7 +349,6 @@
         if (endpoint.leaving || (endpoint.draining && !endpoint.answers))
             expired.push_back(endpoint.record.incarnation);
     }
-    forgetLateOrders(now);
     return expired;
 }
 
--- a/src/libs/execution/runscheduling.cpp
+++ b/src/libs/execution/runscheduling.cpp
@@ -50,6 +50,7 @@
 {
     Orders orders;
     m_passWallMs = wallMs;
+    orders.stops = std::exchange(m_blockingStops, {});
     syncAccounts(state);
     syncJobs(state);
     // A former leader may have recorded their ends late, after this term has begun.
@@ -64,7 +65,7 @@
     // Tasks that are to move are stopped if this pass has a place for them.
     if (m_stopsDue || now - m_stopsCheckedAt >= stopCheckInterval)
         stopUnwanted(now, orders);
-    orders.gone = takeGone(state);
+    orders.gone = takeGone(state, now);
     orders.found = takeFound(state);
     return orders;
 }
@@ -183,7 +184,6 @@
     m_toBeOpened.clear();
     m_unplaced.clear();
     m_capacities.clear();
-    m_tasksOfLateStarts = tasksOfLateStarts();
     for (auto &[id, job] : m_jobs) {
         if (!job.mayStart(wallMs))
             continue;
@@ -270,8 +270,6 @@
     for (task.index = 0; task.index < spec.count; ++task.index) {
         if (job.state(task) != TaskState::Open)
             continue;
-        if (isHeldByLateStart(spec, task))
-            continue;
         if (allowed-- == 0)
             break;
         auto chosen = roomLeft ? Scheduling::chooseEndpoint(
@@ -310,8 +308,7 @@
 {
     const auto &spec = job.spec().steps[std::size_t(first.step)];
     const auto &step = job.occurrence(first.occurrence)[std::size_t(first.step)];
-    if (step.open != step.tasks.size() || !mayStart(job, spec)
-        || isGangHeldByLateStart(spec, first))
+    if (step.open != step.tasks.size() || !mayStart(job, spec))
         return;
     const auto place = planPlaces(job, first, pool);
     if (place.startsNothing)
