--- a/src/libs/execution/endpointtable.h
+++ b/src/libs/execution/endpointtable.h
@@ -64,8 +64,8 @@
     bool sent = false; //!< The start order has been given out to be sent.
     //! A poll of the incarnation that it is booked on has listed the run.
     bool carriedOut = false;
-    std::int64_t orderedForMs =
-        0;                       //!< Birth of the incarnation that the start is for; 0 if unknown.
+    //! Birth of the incarnation that the start is for; 0 if that is not known.
+    std::int64_t orderedForMs = 0;
     std::int64_t leaseEndMs = 0; //!< Lease end in the start order, on the endpoint's clock.
     Utils::Instant confirmedAt;  //!< Time at which the start was confirmed.
     std::int64_t percent = 0;    //!< Last reported readiness; 100 once the task is fully working.
