Count late starts with the report of load, and not in each scheduling pass

The gauge was set, and all late starts counted, in every pass of the scheduler; the report every 2 s is soon enough for it. An include that platformcommands.cpp took from others is named. No decision changes.

--- a/src/app/platformcommands.cpp
+++ b/src/app/platformcommands.cpp
@@ -5,6 +5,7 @@
 #include "platformprocess.h"
 
 #include "asyncnet/httplistener.h"
+#include "execution/orders.h"
 #include "platform/controlroutes.h"
 #include "platform/endpointclient.h"
 #include "platform/entryroutes.h"
--- a/src/libs/execution/leaderlog.cpp
+++ b/src/libs/execution/leaderlog.cpp
@@ -136,6 +136,7 @@
     const auto load = m_load.take(now);
     if (first)
         return;
+    m_parts.metrics.set("trefoilshelf_late_starts", {}, double(m_ledger.lateStarts()));
     Utils::Log::info("execution",
                      "load of the leader",
                      {{"period_ms", load.period.count()},
@@ -281,7 +282,6 @@
                           {"ordered_for", run.orderedForMs},
                           {"born", run.bornMs}});
     }
-    m_parts.metrics.set("trefoilshelf_late_starts", {}, double(m_ledger.lateStarts()));
 }
 
 auto LeaderSession::reportPlacedTasks() -> void
