--- a/review/standins-3/stale_renewal.cpp
+++ b/review/standins-3/stale_renewal.cpp
@@ -10,7 +10,8 @@
 constexpr int nearWorkers = 8;
 constexpr int farWorkers = 10;
 constexpr std::int64_t freezeMs = 4400;
-constexpr std::int64_t cutMs = 6400;
+constexpr std::int64_t cutAfterMs = 400; // After the freeze.
+constexpr std::int64_t cutMs = 5800;
 constexpr auto taskMs = "90000";
 // The leader's polls last 1.5 s, so that those of the near workers are spread over that time.
 constexpr std::int64_t staggerMs = 190;
@@ -55,9 +56,12 @@
         return cannotRun;
     const auto began = nowMs();
     if (trouble) {
-        record.note("the machine of control-" + std::to_string(leader + 1) + " freezes; " + zone
-                    + " is cut off from the other zones");
+        record.note("the machine of control-" + std::to_string(leader + 1) + " freezes");
         system.control(leader).signal(SIGSTOP);
+    }
+    sleepMs(began + cutAfterMs - nowMs());
+    if (trouble) {
+        record.note(zone + " is cut off from the other zones");
         for (auto &worker : near)
             worker->cutFromHigherThan(worker->fence());
     }
@@ -66,7 +70,7 @@
         record.note("the frozen machine wakes");
         system.control(leader).signal(SIGCONT);
     }
-    sleepMs(began + cutMs - nowMs());
+    sleepMs(began + cutAfterMs + cutMs - nowMs());
     if (trouble) {
         record.note("the cut heals");
         for (auto &worker : near)
