--- a/review/standins-3/system.h
+++ b/review/standins-3/system.h
@@ -167,14 +167,26 @@
         return true;
     }
     auto makeWorker(const std::string &name, const std::string &zone) -> std::shared_ptr<Worker>
+    {
+        return std::make_shared<Worker>(optionsOf(name, zone), m_record);
+    }
+    auto optionsOf(const std::string &name, const std::string &zone) const -> WorkerOptions
     {
         WorkerOptions options;
         options.id = "i-" + name;
         options.machine = "m-" + name;
         options.zone = zone;
         options.controls = m_controls;
-        options.ip = m_network + "101";
-        return std::make_shared<Worker>(options, m_record);
+        options.address = m_network + "101:0";
+        return options;
+    }
+    // The machine of the worker lists this life of it from now on.
+    auto replace(const std::shared_ptr<Worker> &former, std::shared_ptr<Worker> worker) -> bool
+    {
+        const std::lock_guard lock(m_mutex);
+        std::erase(m_workers, former);
+        m_workers.push_back(worker);
+        return worker->start();
     }
     auto end() -> void
     {
--- a/review/standins-3/worker.h
+++ b/review/standins-3/worker.h
@@ -21,7 +21,8 @@
     std::string machine;
     std::string service = "work";
     std::string zone;
-    std::string ip = "127.0.0.1";
+    std::string address = "127.0.0.1:0"; // Port 0: a free one.
+    std::int64_t firstPingMs = 0;        // Time from its start to its first ping.
     std::int64_t cpu = 4000;
     std::int64_t memoryMb = 8192;
     std::vector<std::string> labels{"a", "r1"};
@@ -55,12 +56,26 @@
 
     auto start() -> bool
     {
-        if (!m_server.start(m_options.ip + ":0", [this](const Request &request) { return handle(request); }))
+        if (!m_server.start(m_options.address, [this](const Request &request) { return handle(request); }))
             return false;
         std::thread([this] { work(); }).detach();
         std::thread([this] { announce(); }).detach();
         return true;
     }
+    auto address() const -> const std::string & { return m_server.address(); }
+    // Orders for which it returns true get no answer and are not carried out; they may be later.
+    std::function<bool(const Request &)> isLost = [](const Request &) { return false; };
+    // Carries out an order that was sent earlier.
+    auto carryOutLate(const Request &request) -> Reply
+    {
+        const auto body = Json::parse(request.body);
+        const std::lock_guard lock(m_mutex);
+        const auto fence = body.value("fence_token", std::int64_t(0));
+        if (fence < m_fence)
+            return refuse("fence");
+        m_fence = fence;
+        return startRun(body);
+    }
     auto id() const -> const std::string & { return m_options.id; }
     auto options() const -> const WorkerOptions & { return m_options; }
     auto fence() -> std::int64_t
@@ -154,6 +169,10 @@
         const auto expected = request.headers.find("expect-instance");
         if (expected != request.headers.end() && expected->second != m_options.id)
             return answer(421, Json::object());
+        if (isLost(request)) {
+            sleepMs(1500);
+            return std::nullopt;
+        }
         std::unique_lock lock(m_mutex);
         if (fence < m_fence)
             return refuse("fence");
@@ -266,6 +285,7 @@
     {
         std::size_t next = std::hash<std::string>()(m_options.id);
         std::string preferred;
+        sleepMs(m_options.firstPingMs);
         for (std::int64_t number = 1; !m_dead; ++number) {
             if (!m_quiet) {
                 const auto address =
